--- a/src/bin/heathroad/engine.rs
+++ b/src/bin/heathroad/engine.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet, VecDeque};
+use std::fmt::Write;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -91,11 +92,20 @@
     cancel: Option<oneshot::Sender<()>>,
 }
 
+/// What an attempt is while it is out, and how it ended and after how long.
+enum Stand {
+    Out(Out),
+    Ended(Outcome, Duration),
+}
+
 struct Open {
     call: Rc<Call>,
+    /// Place of its class in the settings.
+    class: u16,
+    received: Instant,
     life: Life,
-    /// Attempts by number: where each went, and what it is while it is out.
-    attempts: Vec<(BackendId, Option<Out>)>,
+    /// Attempts by number: where each went, and how it stands.
+    attempts: Vec<(BackendId, Stand)>,
 }
 
 impl Open {
@@ -106,8 +116,11 @@
             let _ = caller.send(answer);
         }
     }
+    fn owed(&self) -> bool {
+        matches!(self.life, Life::Owed(_))
+    }
     fn done(&self) -> bool {
-        matches!(self.life, Life::Over) && self.attempts.iter().all(|(_, out)| out.is_none())
+        !self.owed() && self.attempts.iter().all(|(_, stand)| matches!(stand, Stand::Ended(..)))
     }
 }
 
@@ -181,7 +194,7 @@
 
     /// How many requests are owed an answer.
     pub fn owed(&self) -> usize {
-        self.state.borrow().requests.values().filter(|r| matches!(r.life, Life::Owed(_))).count()
+        self.state.borrow().requests.values().filter(|r| r.owed()).count()
     }
 
     /// Takes a request and waits for its one answer. Dropped before that, the caller has hung up.
@@ -200,8 +213,9 @@
             }
             let id = s.next;
             s.next += 1;
-            let call = Rc::new(incoming.call);
-            s.requests.insert(id, Open { call, life: Life::Owed(caller), attempts: Vec::new() });
+            let (call, class, received) = (Rc::new(incoming.call), incoming.class, incoming.received);
+            let open = Open { call, class, received, life: Life::Owed(caller), attempts: Vec::new() };
+            s.requests.insert(id, open);
             id
         };
         let _here = Here { engine: self.clone(), request };
@@ -263,8 +277,12 @@
             sleep_until(last).await;
             let open: Vec<RequestId> = {
                 let s = &mut *engine.state.borrow_mut();
+                let open: Vec<RequestId> = s.requests.keys().copied().collect();
+                for request in &open {
+                    engine.log(s, *request, "out of time at a planned stop");
+                }
                 s.requests.values_mut().for_each(|r| r.answer(Answer::TimedOut));
-                s.requests.keys().copied().collect()
+                open
             };
             open.into_iter().for_each(|request| engine.tell(Event::Hangup { request }));
         });
@@ -303,6 +321,23 @@
         Some(Entry { backend, phase, zone, started_at, weight, cell })
     }
 
+    /// A line for a request that is about to end unserved, so that it can be followed by its id.
+    fn log(&self, s: &State, request: RequestId, how: &str) {
+        let Some(open) = s.requests.get(&request).filter(|r| r.owed()) else { return };
+        let class = &self.facts.site.classes[usize::from(open.class)];
+        let (id, age) = (open.call.id.to_str().unwrap_or("?"), open.received.elapsed().as_millis());
+        let mut line = format!("heathroad: {id} {class} {how} after {age} ms");
+        for (backend, stand) in &open.attempts {
+            let name = s.backends.get(backend).map_or("?", |k| &k.name);
+            let (what, took) = match stand {
+                Stand::Out(out) => ("out".to_string(), out.sent.elapsed()),
+                Stand::Ended(outcome, took) => (format!("{outcome:?}"), *took),
+            };
+            let _ = write!(line, ", {name} {what} {} ms", took.as_millis());
+        }
+        eprintln!("{line}");
+    }
+
     /// Tells the module of an event and carries out what it decides, and so on until all is quiet.
     fn tell(self: &Rc<Self>, event: Event) {
         let s = &mut *self.state.borrow_mut();
@@ -322,13 +357,19 @@
             Action::Send { request, backend, not_past } => self.send(s, request, backend, not_past),
             Action::Refuse { request, retry_after } => {
                 let retry_after = Some(millis(retry_after)).filter(|d| !d.is_zero());
+                self.log(s, request, "refused");
                 s.answer(request, Answer::Refused { retry_after });
             }
-            Action::Fail { request } => s.answer(request, Answer::Failed),
+            Action::Fail { request } => {
+                self.log(s, request, "failed");
+                s.answer(request, Answer::Failed);
+            }
             Action::Cancel { request, attempt } => {
                 let open = s.requests.get_mut(&request);
-                let out = open.and_then(|r| r.attempts.get_mut(usize::from(attempt))?.1.as_mut());
-                if let Some(cancel) = out.and_then(|o| o.cancel.take()) {
+                let of = open.and_then(|r| r.attempts.get_mut(usize::from(attempt)));
+                if let Some((_, Stand::Out(out))) = of
+                    && let Some(cancel) = out.cancel.take()
+                {
                     // One that has just ended needs no cancel.
                     let _ = cancel.send(());
                 }
@@ -357,13 +398,13 @@
         let sent = Instant::now();
         let target = s.backends.get(&backend).and_then(|k| k.target.as_ref());
         let within = number < self.facts.settings.caps.try_limit as usize;
-        let Some(target) = target.filter(|_| within && matches!(open.life, Life::Owed(_))) else {
-            open.attempts.push((backend, None));
+        let Some(target) = target.filter(|_| within && open.owed()) else {
+            open.attempts.push((backend, Stand::Ended(Outcome::Moot, Duration::ZERO)));
             s.events.push_back(resolved(request, number, backend, Outcome::Moot, 0.0, &open.life));
             return;
         };
         let (cancel, cancelled) = oneshot::channel();
-        open.attempts.push((backend, Some(Out { sent, cancel: Some(cancel) })));
+        open.attempts.push((backend, Stand::Out(Out { sent, cancel: Some(cancel) })));
         let (call, target, not_past) = (open.call.clone(), target.clone(), self.clock.instant(not_past));
         let attempt = Attempt { call, target, not_past, cancelled };
         let (engine, pool) = (self.clone(), self.pool.clone());
@@ -382,15 +423,20 @@
         let event = {
             let s = &mut *self.state.borrow_mut();
             let Some(open) = s.requests.get_mut(&request) else { return };
-            let Some((backend, out)) = open.attempts.get_mut(number) else { return };
-            let (backend, Some(out)) = (*backend, out.take()) else { return };
-            let outcome = end.outcome();
+            let Some((backend, stand)) = open.attempts.get_mut(number) else { return };
+            let (backend, Stand::Out(out)) = (*backend, &*stand) else { return };
+            let (outcome, took) = (end.outcome(), out.sent.elapsed());
+            *stand = Stand::Ended(outcome, took);
+            if matches!(end, End::Rejected) {
+                self.log(s, request, "turned down by a backend");
+            }
+            let Some(open) = s.requests.get_mut(&request) else { return };
             match end {
                 End::Served(body) => open.answer(Answer::Served(body)),
                 End::Rejected => open.answer(Answer::Failed),
                 End::Unserved(_) => {}
             }
-            let wait = out.sent.elapsed().as_secs_f64() * 1000.0;
+            let wait = took.as_secs_f64() * 1000.0;
             let event = resolved(request, number, backend, outcome, wait, &open.life);
             s.forget(request);
             event
@@ -457,9 +503,9 @@
     fn drop(&mut self) {
         let left = {
             let s = &mut *self.engine.state.borrow_mut();
+            self.engine.log(s, self.request, "left unanswered");
             let open = s.requests.get_mut(&self.request);
-            let owed = open.filter(|r| matches!(r.life, Life::Owed(_)));
-            let left = owed.map(|r| r.life = Life::Over).is_some();
+            let left = open.filter(|r| r.owed()).map(|r| r.life = Life::Over).is_some();
             s.forget(self.request);
             left
         };
@@ -524,7 +570,9 @@
                     body: Bytes::new(),
                 };
                 let life = Life::Over;
-                let open = Open { call: Rc::new(call), life, attempts: vec![(id, None)] };
+                let ended = Stand::Ended(Outcome::Error, limit);
+                let (class, received, attempts) = (0, Instant::now(), vec![(id, ended)]);
+                let open = Open { call: Rc::new(call), class, received, life, attempts };
                 engine.state.borrow_mut().requests.insert(7, open);
                 engine.list(ListKind::Full, vec![host("s-101", Health::Serving)]);
                 assert_eq!(engine.state.borrow().backends.len(), 2);
