Close the connection of an attempt that is given up, so that its work stops

At fault: `Attempt::run` kept the connection of a timed-out or withdrawn attempt open for up to 5 s, because "no backend stops its work". The module asked for a cancel, and the proxy did not carry it out.

The pool's give-way machinery, the event for late ends and the module's counting of them existed only for those connections and go. A dropped link now closes itself.

Ruled out: the link from the proxies to their own callers (the median from answer to client stays at 0.1 ms) and the connect (no failed one in those seconds).

--- a/src/api.rs
+++ b/src/api.rs
@@ -100,8 +100,6 @@
     pub max_retry_after: f64,
     /// Most attempts for one request.
     pub try_limit: u32,
-    /// The proxy sees the work of attempts that were given up end, and tells of it by [`Event::Late`].
-    pub late_ends: bool,
 }
 
 /// Figures of the four rules.
@@ -246,9 +244,6 @@
     Request(Arrival),
     /// An attempt ended.
     Resolved(Resolved),
-    /// The work of an attempt that had timed out or was withdrawn has ended: with its answer, or unseen with its
-    /// connection, which repeats its outcome.
-    Late(Resolved),
     /// The client left; nothing more is owed.
     Hangup {
         /// The request.
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -177,7 +177,6 @@
             Event::List { kind, entries } => self.on_list(now, kind, entries, out),
             Event::Request(arrival) => self.on_request(now, &arrival, out),
             Event::Resolved(resolved) => self.on_resolved(now, &resolved, out),
-            Event::Late(resolved) => self.on_late(now, &resolved, out),
             Event::Hangup { request } => {
                 // A client that leaves with time to spare asks again: its tenant, charged twice for what it
                 // wants once, would lose its own share to impatience. Not so for what was refused or out of
@@ -227,9 +226,8 @@
                 // A new process: nothing known of the old one holds. Copies that hear of it together begin
                 // its cold budget at different phases, so that their first sends do not meet.
                 let phase = (f64::from(self.s.copy) + f64::from(e.backend % 8191)) * 0.618_033_988_75;
-                let (calls, late) = (std::mem::take(&mut b.calls), std::mem::take(&mut b.late));
-                let cold_tokens = phase.fract();
-                *b = Backend { calls, late, slow: 1.0, heard: now, cold_tokens, ..Backend::default() };
+                let (calls, cold_tokens) = (std::mem::take(&mut b.calls), phase.fract());
+                *b = Backend { calls, slow: 1.0, heard: now, cold_tokens, ..Backend::default() };
             }
             let id = e.backend;
             b.entry = e;
@@ -393,7 +391,7 @@
         b.calls.push_back((id, now));
         let (place, counted) = ((b.entry.zone, b.entry.cell), !b.ejected());
         let (backend, sent) = (to, now);
-        r.attempts.push(Attempt { backend, place, sent, out: true, late: false, never_ran: false, counted });
+        r.attempts.push(Attempt { backend, place, sent, out: true, never_ran: false, counted });
         out.push(Action::Send { request: id, backend: to, not_past: r.deadline });
         let (class, slice) = (r.class, r.slice);
         if counted {
@@ -426,9 +424,7 @@
         let still: Vec<usize> = (0..r.attempts.len()).filter(|&i| r.attempts[i].out).collect();
         if still.is_empty() {
             let key = r.key;
-            if !r.attempts.iter().any(|a| a.late) {
-                self.requests.remove(&id);
-            }
+            self.requests.remove(&id);
             // Only the first in line can have been sent: its place is kept until all its outcomes are in.
             if let Some(line) = self.lines.get_mut(&key) {
                 line.turn &= line.ids.front() != Some(&id);
@@ -451,13 +447,7 @@
         {
             line.rest_until = now + self.s.rules.settle_after_doubt;
         }
-        // A time-out or a withdrawal ends the wait and not the work. Where its end is seen, the call is load
-        // until then: were its slot free at once, callers with little patience, who leave or set short limits
-        // and ask again, would fill it anew each time, and the backends jam with what is in nobody's count.
-        // The same holds where proxies before this one restart or lose their connections. It can hurt where
-        // backends stop what is withdrawn and don't say so, or fall silent: `unpin` bounds that.
-        a.late = self.s.caps.late_ends && matches!(e.outcome, Outcome::Timeout | Outcome::Cancelled);
-        let (sent, late, counted, class, slice) = (a.sent, a.late, a.counted && !a.late, r.class, r.slice);
+        let (sent, counted, class, slice) = (a.sent, a.counted, r.class, r.slice);
         let over = e.closed || r.ended;
         let (hold_until, free_move) = (r.hold_until, r.attempts.iter().all(|a| a.never_ran));
         let still_out = r.attempts.iter().any(|a| a.out);
@@ -465,12 +455,7 @@
         if counted {
             self.count(class, slice, -1.0);
         }
-        if late && let Some(b) = self.backends.get_mut(&e.backend) {
-            b.calls.retain(|&call| call != (id, sent));
-            b.late.push_back((id, sent));
-        } else {
-            self.judge(now, e, class, sent);
-        }
+        self.judge(now, e, class, sent);
         self.release(e.backend, out);
         if over {
             return self.end(now, id, out);
@@ -485,21 +470,6 @@
         self.finish(now, id, out);
     }
 
-    /// The work of a call that was given up has ended: it is judged by that.
-    fn on_late(&mut self, now: f64, e: &Resolved, out: &mut Vec<Action>) {
-        let Some(r) = self.requests.get_mut(&e.request) else { return };
-        let Some(a) = r.attempts.get_mut(usize::from(e.attempt)).filter(|a| a.late) else { return };
-        let (counted, sent, class, slice, ended) = (a.counted, a.sent, r.class, r.slice, r.ended);
-        (a.late, a.counted) = (false, false);
-        if counted {
-            self.count(class, slice, -1.0);
-        }
-        self.judge(now, e, class, sent);
-        if ended {
-            self.end(now, e.request, out);
-        }
-    }
-
     /// Another attempt, within the class's effect, the deadline and, for what may have run, the retry budget.
     fn resend(&mut self, now: f64, id: RequestId, free_move: bool, out: &mut Vec<Action>) -> bool {
         let r = &self.requests[&id];
@@ -537,7 +507,7 @@
         let b = &self.backends[&id];
         let slow = b.slow * (1.0 + ERROR_COST * b.error) / b.warmth(&self.s.rules, now);
         let crossing = if b.entry.zone != self.s.zone && self.s.goal.cross_zone > 0.0 { 0.5 } else { 0.0 };
-        let calls = (b.calls.len() + b.late.len()) as f64;
+        let calls = b.calls.len() as f64;
         (calls * self.weight / b.entry.weight.max(0.01) + 1.0 + crossing) * slow
     }
 
@@ -569,7 +539,6 @@
         if let Some(i) = b.calls.iter().position(|&call| call == (e.request, sent)) {
             b.calls.remove(i);
         }
-        b.late.retain(|&call| call != (e.request, sent));
         let l = &mut self.limiter;
         if matches!(e.outcome, Outcome::Ok | Outcome::Error | Outcome::Full) {
             (b.heard, self.heard) = (now, now);
@@ -633,14 +602,11 @@
     /// Calls that have been out for so many means of their class count against the limit no longer.
     fn unpin(&mut self, now: f64, id: BackendId, means: f64) {
         let b = &self.backends[&id];
-        for (request, sent) in b.calls.iter().chain(&b.late).copied().collect::<Vec<_>>() {
+        for (request, sent) in b.calls.iter().copied().collect::<Vec<_>>() {
             let Some(r) = self.requests.get_mut(&request) else { continue };
             let (class, slice, l) = (r.class, r.slice, &self.limiter.classes[r.class]);
             let long = now - sent >= means * if l.samples < WINDOW { l.aim } else { l.mean };
-            let call = r
-                .attempts
-                .iter_mut()
-                .find(|a| a.backend == id && a.sent == sent && (a.out || a.late) && long);
+            let call = r.attempts.iter_mut().find(|a| a.backend == id && a.sent == sent && a.out && long);
             let counted = call.is_some_and(|a| std::mem::take(&mut a.counted));
             self.count(class, slice, -f64::from(u8::from(counted)));
         }
@@ -664,11 +630,7 @@
             self.finish(now, id, out);
         }
         self.lines.keys().copied().collect::<Vec<_>>().into_iter().for_each(|key| self.pass_turn(now, key));
-        let busy = self
-            .backends
-            .iter()
-            .filter(|(_, b)| !b.calls.is_empty() || !b.late.is_empty())
-            .map(|(&id, _)| id);
+        let busy = self.backends.iter().filter(|(_, b)| !b.calls.is_empty()).map(|(&id, _)| id);
         busy.collect::<Vec<_>>().into_iter().for_each(|id| self.unpin(now, id, PIN));
         self.free_held(now, true, out);
         // Cold budgets grow with what this copy's backends prove to bear, at the warmth surely reached.
--- a/src/bin/heathroad/engine.rs
+++ b/src/bin/heathroad/engine.rs
@@ -167,12 +167,11 @@
 impl Engine {
     /// Starts the module. What it asks of discovery comes through `watching`.
     pub fn new(
-        mut facts: Facts,
+        facts: Facts,
         seed: u64,
         pool: Rc<Pool>,
         watching: watch::Sender<bool>,
     ) -> Result<Rc<Self>, SettingsError> {
-        facts.settings.caps.late_ends = true;
         let state = State {
             balancer: Balancer::new(facts.settings.clone(), seed)?,
             ids: HashMap::new(),
@@ -408,14 +407,10 @@
         let (call, target, not_past) = (open.call.clone(), target.clone(), self.clock.instant(not_past));
         let attempt = Attempt { call, target, not_past, cancelled };
         let (engine, pool) = (self.clone(), self.pool.clone());
-        let later = self.clone();
-        let late = move |end: End| {
-            // Whether it is still kept here or not, the request is over.
-            let wait = sent.elapsed().as_secs_f64() * 1000.0;
-            let (attempt, outcome) = (number as u8, end.outcome());
-            later.tell(Event::Late(Resolved { request, attempt, backend, outcome, wait, closed: true }));
-        };
-        tokio::task::spawn_local(attempt.run(pool, move |end| engine.ended(request, number, end), late));
+        tokio::task::spawn_local(async move {
+            let end = attempt.run(pool).await;
+            engine.ended(request, number, end);
+        });
     }
 
     /// An attempt ended. The first served answer goes to the caller by itself.
@@ -540,8 +535,7 @@
     #[tokio::test]
     async fn backends_that_are_gone_are_forgotten() {
         let limit = Duration::from_secs(1);
-        let (connections, may_duplicate) = (4, true);
-        let limits = Limits { connections, connect: limit, idle: limit, drain_grace: limit, may_duplicate };
+        let limits = Limits { connections: 4, connect: limit, idle: limit, drain_grace: limit };
         let (watching, _) = watch::channel(false);
         let tasks = LocalSet::new();
         tasks
--- a/src/bin/heathroad/main.rs
+++ b/src/bin/heathroad/main.rs
@@ -63,7 +63,6 @@
         connect: millis(site.connect_timeout),
         idle: millis(site.conn_idle),
         drain_grace: millis(site.drain_grace),
-        may_duplicate: site.may_duplicate,
     }));
     let (watching, wanted) = watch::channel(false);
     let must_ask = config.facts.settings.must_ask;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -64,8 +64,8 @@
 //! - Every event, in order, with a clock that only goes forward; a [`api::Event::Wake`] for every timer asked for.
 //! - One [`api::Event::Resolved`] for every [`api::Action::Send`], also after the request's end, and no later
 //!   than its `not_past`.
-//! - With [`api::Caps::late_ends`], one [`api::Event::Late`] for every attempt that was resolved as timed out or
-//!   cancelled, as soon as its work has ended or nothing more can be seen of it.
+//! - The end of the wait for an attempt that is resolved as timed out or cancelled: its backend is told, so that
+//!   the work stops there.
 //! - `closed` set once the request is over: the first served answer goes to the client by itself and ends it.
 //!
 //! Events about requests, attempts or backends that the copy does not know, or that are over, are passed over.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -28,8 +28,6 @@
     pub connect_timeout: f64,
     /// Most open requests of a copy.
     pub open_cap: usize,
-    /// A request may have two attempts out at once.
-    pub may_duplicate: bool,
     /// Time after the notice in which sends to a draining backend must end.
     pub drain_grace: f64,
 }
@@ -123,8 +121,6 @@
     try_limit: u32,
     #[serde(default)]
     open_cap: usize,
-    #[serde(default)]
-    may_duplicate: bool,
     #[serde(default, deserialize_with = "figure")]
     conn_idle: f64,
     #[serde(default, deserialize_with = "figure")]
@@ -182,7 +178,6 @@
         conn_idle: f.caps.conn_idle,
         connect_timeout: f.caps.connect_timeout,
         open_cap: f.caps.open_cap,
-        may_duplicate: f.caps.may_duplicate,
         drain_grace: f.guarantees.stop_sending_within,
     };
     let class = |c: Class| api::Class {
@@ -217,7 +212,6 @@
             retry_after: f.caps.retry_after,
             max_retry_after: f.caps.max_retry_after,
             try_limit: f.caps.try_limit,
-            late_ends: false, // the embedding proxy knows
         },
         rules: api::Rules {
             cold_from: f.guarantees.cold_from,
--- a/src/state.rs
+++ b/src/state.rs
@@ -8,7 +8,6 @@
 pub struct Backend {
     pub entry: Entry,
     pub calls: VecDeque<(RequestId, f64)>,
-    pub late: VecDeque<(RequestId, f64)>, // given up, the work goes on
     pub heard: f64,
     pub slow: f64, // latency over its class's mean
     pub seen: f64,
@@ -24,7 +23,6 @@
     pub place: (u16, u16), // zone and cell
     pub sent: f64,
     pub out: bool,
-    pub late: bool, // given up, the work goes on
     pub never_ran: bool,
     pub counted: bool, // against the limit
 }
