Keep callers' connections in use after SIGTERM while a request can be in time

One proxy got SIGTERM at 13.2 s and was back at 17.6 s; the other got it at 16.2 s and had closed its listener and all kept connections half a second later. From 16.7 to 17.6 s there was nobody to talk to: 0.9 s of some 70 requests a second is the loss. Ruled out: requests dropped in the stop itself (the logs name none as out of time), and an early exit delaying the return, which stays at 4.4 s after the signal.

At fault: `run` in main.rs closed everything LINGER after the signal. Clients stop opening connections after 0.2 to 0.4 s, but go on using those that they have while these stay open. They now stay until a request that comes would no longer have the longest aim left before all must be answered. That time is counted from the settings' longest wait instead of a fixed 3.3 s, since a shorter one brings the kill forward too.

The new test fails on the code before.

--- a/src/bin/heathroad/front.rs
+++ b/src/bin/heathroad/front.rs
@@ -187,6 +187,17 @@
     }
 }
 
+/// How far a planned stop has come.
+#[derive(Clone, Copy, PartialEq)]
+pub enum Stop {
+    /// There is none.
+    No,
+    /// No more connections are taken; those that are open go on.
+    Accepting,
+    /// Connections are closed as they fall idle.
+    All,
+}
+
 /// What is needed to read requests.
 pub struct Front {
     /// Decides them.
@@ -202,15 +213,14 @@
 }
 
 impl Front {
-    /// Accepts connections until `stop` is set; then closes them as they fall idle, and returns when the last
-    /// one is. Nobody is kept waiting in the system's queue, where requests may lie that are owed an answer: whom
+    /// Accepts connections and, as `stop` says, closes them as they fall idle; returns when the last one is. Nobody is kept waiting in the system's queue, where requests may lie that are owed an answer: whom
     /// there is no place for takes that of a caller that has long said nothing.
-    pub async fn serve(self: Rc<Self>, listener: TcpListener, mut stop: watch::Receiver<bool>) {
+    pub async fn serve(self: Rc<Self>, listener: TcpListener, mut stop: watch::Receiver<Stop>) {
         let mut open = JoinSet::new();
         let closing = stop.clone();
         let mut sweep = interval(SWEEP);
         let present = || self.room.seats.borrow().len();
-        while !*stop.borrow_and_update() {
+        while *stop.borrow_and_update() == Stop::No {
             let full = present() >= self.connections + SPARE;
             if full {
                 self.room.shed();
@@ -244,7 +254,7 @@
         }
     }
 
-    async fn connection(self: Rc<Self>, stream: TcpStream, mut stop: watch::Receiver<bool>, crowded: bool) {
+    async fn connection(self: Rc<Self>, stream: TcpStream, mut stop: watch::Receiver<Stop>, crowded: bool) {
         let delay = stream.set_nodelay(true);
         let watched = Watched::new(TokioIo::new(stream));
         let seated = Seated::new(&self.room, watched.progress());
@@ -270,7 +280,7 @@
             // However it ends, the caller is gone and its request, if any, was told so.
             _ = connection.as_mut() => return,
             () = seat.leave.notified() => return,
-            _ = stop.wait_for(|stop| *stop) => {}
+            _ = stop.wait_for(|stop| *stop == Stop::All) => {}
         }
         connection.as_mut().graceful_shutdown();
         tokio::select! {
--- a/src/bin/heathroad/main.rs
+++ b/src/bin/heathroad/main.rs
@@ -12,7 +12,7 @@
 use backend::Pool;
 use config::Config;
 use engine::{Engine, millis};
-use front::Front;
+use front::{Front, Stop};
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
@@ -20,13 +20,16 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 use tokio::task::{LocalSet, spawn_local};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep, timeout_at};
 use turnshift::api::ListKind;
+use turnshift::settings::Site;
 
 /// After SIGTERM new connections go on coming for so long.
 const LINGER: Duration = Duration::from_millis(500);
-/// So long after SIGTERM all that was taken must be answered; a kill may follow soon after.
-const LAST: Duration = Duration::from_millis(3300);
+/// A kill follows SIGTERM no sooner than the longest wait of a client, of which no more than this counts ...
+const LONGEST: Duration = Duration::from_secs(3);
+/// ... and this: all that was taken must be answered clearly earlier.
+const AFTER: Duration = Duration::from_millis(300);
 /// How often kept connections are looked through for old ones, and backends for those that are gone.
 const SWEEP: Duration = Duration::from_secs(1);
 /// Descriptors that are neither callers' nor backends' connections: standard streams, the listener, the
@@ -85,7 +88,8 @@
             kept.forget_gone();
         }
     });
-    let (stop, stopped) = watch::channel(false);
+    let (last, stay) = stopping(site);
+    let (stop, stopped) = watch::channel(Stop::No);
     let front = Front {
         engine: engine.clone(),
         facts: config.facts,
@@ -112,10 +116,21 @@
         }
     }
     eprintln!("heathroad: stopping, {} requests open", engine.owed());
-    engine.end_by(Instant::now() + LAST);
+    let end = Instant::now() + last;
+    engine.end_by(end);
     sleep(LINGER).await;
-    stop.send_replace(true);
-    // All is answered by `LAST`; a caller that does not take its answer must not keep the program.
-    let ended = timeout(LAST, serving).await;
+    stop.send_replace(Stop::Accepting);
+    sleep(stay.saturating_sub(LINGER)).await;
+    stop.send_replace(Stop::All);
+    // All is answered by then; a caller that does not take its answer must not keep the program.
+    let ended = timeout_at(end + LINGER, serving).await;
     ended.map_or(Ok(()), |served| served.map_err(|e| format!("front: {e}")))
 }
+
+/// How long after SIGTERM all must be answered, and how long callers may go on using the connections that they
+/// have: others may be down too, so for as long as a request still has the time in which its answer is wanted.
+fn stopping(site: &Site) -> (Duration, Duration) {
+    let waits = Some(millis(site.longest_wait)).filter(|wait| !wait.is_zero());
+    let last = waits.map_or(LONGEST, |wait| wait.min(LONGEST)) + AFTER;
+    (last, last.saturating_sub(millis(site.longest_aim)).max(LINGER))
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -30,6 +30,10 @@
     pub open_cap: usize,
     /// Time after the notice in which sends to a draining backend must end.
     pub drain_grace: f64,
+    /// The longest time that a client waits, over all classes.
+    pub longest_wait: f64,
+    /// The longest time within which an answer is wanted, over all classes.
+    pub longest_aim: f64,
 }
 
 /// A figure that must be finite and not negative.
@@ -76,6 +80,8 @@
     name: String,
     #[serde(deserialize_with = "figure")]
     aim: f64,
+    #[serde(default, deserialize_with = "figure")]
+    give_up: f64,
     #[serde(deserialize_with = "figure")]
     points: f64,
     semantics: Semantics,
@@ -171,6 +177,7 @@
 /// Reads the object from where it stands; an error names the key.
 pub fn read<'de, D: Deserializer<'de>>(from: D) -> Result<Facts, String> {
     let f: Text = serde_path_to_error::deserialize(from).map_err(|e| format!("settings: {e}"))?;
+    let longest = |of: fn(&Class) -> f64| f.classes.iter().map(of).fold(0.0, f64::max);
     let site = Site {
         classes: f.classes.iter().map(|c| c.name.clone()).collect(),
         tenants: f.tenants.iter().map(|t| t.name.clone()).collect(),
@@ -179,6 +186,8 @@
         connect_timeout: f.caps.connect_timeout,
         open_cap: f.caps.open_cap,
         drain_grace: f.guarantees.stop_sending_within,
+        longest_wait: longest(|c| c.give_up),
+        longest_aim: longest(|c| c.aim),
     };
     let class = |c: Class| api::Class {
         aim: c.aim,
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -361,6 +361,23 @@
     assert_eq!(s.proxy.ended().await.code(), Some(0));
 }
 
+/// Others may be down too: callers keep the connections that they have while a request can still be in time.
+#[tokio::test]
+async fn at_a_planned_stop_open_connections_outlast_the_listener() {
+    let mut brisk = settings();
+    for class in brisk["classes"].as_array_mut().expect("a list") {
+        class["aim"] = 500.0.into();
+    }
+    let mut s = scene(brisk).await;
+    let mut idle = s.proxy.caller().await;
+    assert_eq!(idle.call("look").await.0, 200);
+    s.proxy.terminate().await;
+    soon(async { while TcpStream::connect(s.proxy.addr).await.is_ok() {} }).await;
+    assert_eq!(idle.call("look").await.0, 200);
+    drop(idle);
+    assert_eq!(s.proxy.ended().await.code(), Some(0));
+}
+
 #[tokio::test]
 async fn a_planned_stop_does_not_wait_for_a_silent_backend() {
     let mut s = scene(settings()).await;
