Judge an ejected backend by calls sent since, and end a silence with its answers

Ruled out: that the nodes were still ill (the first trials that were let through were answered in 0.6 means).

At fault: `judge` in balancer.rs. An error while ejected re-ejected whatever call it belonged to, and an answer that had waited through the silence was too slow to count as a good trial. Now outcomes of calls sent before the ejection lengthen nothing; and where there are neither errors nor slowness to heal, the absence ends once all that was out there has been answered.

Both new tests fail on the code before.

--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -565,12 +565,22 @@
                     self.error -= self.error * 0.02;
                     b.error -= b.error * if b.ejected() { 0.5 } else { ERROR_STEP };
                 }
-                if ok && b.ejected() && b.error < 0.15 && ratio < SLOW_EJECT / 2.0 {
+                // Silence is over when all that was out has been answered after all; errors and slowness need a
+                // trial that goes well.
+                let silent = b.error < ERROR_STEP && b.slow < SLOW_EJECT;
+                let answered = sent < b.ejected_at && b.calls.front().is_none_or(|c| c.1 >= b.ejected_at);
+                if ok && b.ejected() && silent && answered {
+                    (b.ejected_until, b.ejections) = (0.0, 0);
+                } else if ok && b.ejected() && b.error < 0.15 && ratio < SLOW_EJECT / 2.0 {
                     (b.ejected_until, b.ejections, b.slow, b.seen) = (0.0, 0, ratio, 0.0);
                 } else if now >= b.ejected_until && b.slow > SLOW_EJECT && b.seen > 8.0 {
                     self.eject(now, e.backend); // one that is overdriven recovers only when left alone
                 }
             }
+            // Of a backend out of service, calls that were out before tell nothing new: counted as failed
+            // trials, those of one jam would keep it out for many times as long as it lasts.
+            Outcome::Error | Outcome::Reset | Outcome::ConnectFailed
+                if b.ejected() && sent < b.ejected_at => {}
             Outcome::Error | Outcome::Reset | Outcome::ConnectFailed => {
                 // A backend that is down says nothing of the load: only one that is else well does.
                 l.drops += if b.error < ERROR_STEP { unreachable } else { 0.0 };
@@ -594,7 +604,7 @@
         if !b.ejected() && out + 1.0 > (self.ring.len() as f64 * MAX_EJECTED).max(1.0) {
             return;
         }
-        b.ejected_until = now + EJECT_MS * f64::from(1 << b.ejections.min(3));
+        (b.ejected_at, b.ejected_until) = (now, now + EJECT_MS * f64::from(1 << b.ejections.min(3)));
         b.ejections += 1;
         self.unpin(now, id, 0.0); // a backend out of service pins no slots
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -12,6 +12,7 @@
     pub slow: f64, // latency over its class's mean
     pub seen: f64,
     pub error: f64,
+    pub ejected_at: f64,
     pub ejected_until: f64, // 0: in service
     pub ejections: u32,
     pub cold_tokens: f64,
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -266,6 +266,33 @@
     assert!(back.get(&2).copied().unwrap_or(0) > 20, "not taken back: {back:?}");
 }
 
+/// A pause looks like a hang. Once all that was out there is answered after all, it waits for no trial.
+#[test]
+fn a_backend_that_was_only_slow_to_answer_is_taken_back_at_once() {
+    let mut p = Proxy::new(plain(1), 1, entries(8));
+    run(&mut p, 3000.0, well);
+    run(&mut p, 1000.0, |s, now| if s.backend == 2 { None } else { well(s, now) });
+    let left = run(&mut p, 200.0, |s, now| if s.backend == 2 { None } else { well(s, now) });
+    assert_eq!(left.get(&2), None, "not left: {left:?}");
+    let back = run(&mut p, 300.0, well);
+    assert!(back.get(&2).copied().unwrap_or(0) > 2, "not taken back: {back:?}");
+}
+
+/// Calls that were out before a backend was left are no trials: their errors must not lengthen its absence.
+#[test]
+fn late_errors_do_not_keep_a_backend_out() {
+    let mut p = Proxy::new(plain(1), 1, entries(8));
+    run(&mut p, 3000.0, well);
+    run(&mut p, 1000.0, |s, now| if s.backend == 2 { None } else { well(s, now) });
+    // It has been left for its silence, for two seconds. What was out there fails now, one after another.
+    let stuck: Vec<_> = p.out().into_iter().filter(|(_, _, s)| s.backend == 2).collect();
+    assert!(stuck.len() >= 3, "{} calls out there", stuck.len());
+    stuck.into_iter().for_each(|(id, n, _)| p.resolve(id, n, Outcome::Error));
+    run(&mut p, 4000.0, well);
+    let back = run(&mut p, 1000.0, well);
+    assert!(back.get(&2).copied().unwrap_or(0) > 5, "not taken back: {back:?}");
+}
+
 #[test]
 fn a_backend_that_fails_fast_is_left_and_comes_back() {
     let bad = |s: &Sent, now: f64| if s.backend == 2 { Some(Outcome::Error) } else { well(s, now) };
