Leave a backend for a class whose calls it swallows while it answers others

The new log lines show ingest calls failing after their whole time ("Timeout 1473 ms"), at every front node; below them each "left unanswered" at some shard node. strace of one front node's proxy: 42 of 156 ingest calls in that time never got a byte back. All were written whole, in one writev of head and body; bodies of 100 to 930 bytes, new and reused connections, idle times of 0 to 8 s, as among the calls that were served. They fell on seven of sixteen nodes, and those nodes answered 209 of 211 query calls meanwhile.

At fault: the search for hanging backends in `housekeep` (balancer.rs) took one time of the last answer for a whole backend, which the queries kept fresh, and a time-out raises no error rate. Each proxy went on sending every such node its full share. Silence is now measured for each class at each backend too. A backend found silent for a class is left for that class alone until an answer, or a trial after 2 s doubling, or 8 s where a trial can't be repeated. At most half of the tier is left, as with other ejections. Calls outside the subset are watched as well, since that is where these go.

--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -2,7 +2,7 @@
 //! load-sized subset of the tier. The interface (settings, events, actions) is in `src/api.rs`.
 
 use crate::api::*;
-use crate::state::{Attempt, Backend, Latency, Limiter, Line, Request, Slice};
+use crate::state::{Attempt, Backend, Call, Lane, Latency, Limiter, Line, Request, Slice};
 use std::collections::{BTreeMap, HashMap};
 
 const HOUSEKEEPING: u64 = 0; // timer tokens
@@ -227,7 +227,8 @@
                 // its cold budget at different phases, so that their first sends do not meet.
                 let phase = (f64::from(self.s.copy) + f64::from(e.backend % 8191)) * 0.618_033_988_75;
                 let (calls, cold_tokens) = (std::mem::take(&mut b.calls), phase.fract());
-                *b = Backend { calls, slow: 1.0, heard: now, cold_tokens, ..Backend::default() };
+                let lanes = vec![Lane { heard: now, ..Lane::default() }; self.s.classes.len()];
+                *b = Backend { calls, lanes, slow: 1.0, heard: now, cold_tokens, ..Backend::default() };
             }
             let id = e.backend;
             b.entry = e;
@@ -388,7 +389,10 @@
         if b.calls.is_empty() {
             b.heard = now;
         }
-        b.calls.push_back((id, now));
+        if b.calls.iter().all(|c| c.class != r.class) {
+            b.lanes[r.class].heard = now;
+        }
+        b.calls.push_back(Call { request: id, sent: now, class: r.class });
         let (place, counted) = ((b.entry.zone, b.entry.cell), !b.ejected());
         let (backend, sent) = (to, now);
         r.attempts.push(Attempt { backend, place, sent, out: true, never_ran: false, counted });
@@ -492,7 +496,14 @@
         // A backend out of service gets a trial, one repeatable request, once its time is up.
         let trial = effect != Effect::Fragile && now >= b.ejected_until && b.calls.is_empty();
         let cold = b.warmth(&self.s.rules, now) < 1.0 && b.cold_tokens < 1.0;
-        if cold || b.ejected() && !trusting && !trial || r.attempts.last().is_some_and(|a| a.backend == id) {
+        // A class that it swallows gets a trial too, of whatever effect: no other class can tell.
+        let lane = &b.lanes[r.class];
+        let swallowed =
+            lane.left_until > 0.0 && (now < lane.left_until || b.calls.iter().any(|c| c.class == r.class));
+        if cold
+            || (swallowed || b.ejected() && !trial) && !trusting
+            || r.attempts.last().is_some_and(|a| a.backend == id)
+        {
             return false;
         }
         match (r.attempts.iter().find(|a| !a.never_ran), effect) {
@@ -536,12 +547,13 @@
     /// What an outcome says of its backend and of the limit.
     fn judge(&mut self, now: f64, e: &Resolved, class: usize, sent: f64) {
         let Some(b) = self.backends.get_mut(&e.backend) else { return };
-        if let Some(i) = b.calls.iter().position(|&call| call == (e.request, sent)) {
+        if let Some(i) = b.calls.iter().position(|c| (c.request, c.sent) == (e.request, sent)) {
             b.calls.remove(i);
         }
         let l = &mut self.limiter;
         if matches!(e.outcome, Outcome::Ok | Outcome::Error | Outcome::Full) {
-            (b.heard, self.heard) = (now, now);
+            (b.heard, self.heard, l.classes[class].heard) = (now, now, now);
+            b.lanes[class] = Lane { heard: now, ..Lane::default() };
             l.answers += f64::from(u8::from(e.outcome != Outcome::Full));
         }
         let unreachable = f64::from(u8::from(e.outcome == Outcome::ConnectFailed));
@@ -568,7 +580,7 @@
                 // Silence is over when all that was out has been answered after all; errors and slowness need a
                 // trial that goes well.
                 let silent = b.error < ERROR_STEP && b.slow < SLOW_EJECT;
-                let answered = sent < b.ejected_at && b.calls.front().is_none_or(|c| c.1 >= b.ejected_at);
+                let answered = sent < b.ejected_at && b.calls.front().is_none_or(|c| c.sent >= b.ejected_at);
                 if ok && b.ejected() && silent && answered {
                     (b.ejected_until, b.ejections) = (0.0, 0);
                 } else if ok && b.ejected() && b.error < 0.15 && ratio < SLOW_EJECT / 2.0 {
@@ -612,7 +624,7 @@
     /// Calls that have been out for so many means of their class count against the limit no longer.
     fn unpin(&mut self, now: f64, id: BackendId, means: f64) {
         let b = &self.backends[&id];
-        for (request, sent) in b.calls.iter().copied().collect::<Vec<_>>() {
+        for Call { request, sent, .. } in b.calls.iter().copied().collect::<Vec<_>>() {
             let Some(r) = self.requests.get_mut(&request) else { continue };
             let (class, slice, l) = (r.class, r.slice, &self.limiter.classes[r.class]);
             let long = now - sent >= means * if l.samples < WINDOW { l.aim } else { l.mean };
@@ -647,18 +659,55 @@
         let warm: f64 = self.subset.iter().map(|i| self.backends[i].warmth(&self.s.rules, now)).sum();
         let margin = COLD_MARGIN * self.s.rules.fall_multiple.min(1.0);
         let each = self.limiter.rate / warm.max(1.0) * margin * passed;
-        let mut hung = Vec::new();
         for id in &self.subset {
             let Some(b) = self.backends.get_mut(id) else { continue };
             b.cold_tokens = (b.cold_tokens + each * b.warmth(&self.s.rules, now)).min(1.0);
-            // Silent while others answer, for longer than so many answers would take by Little's law.
-            let silence = now - b.heard.max(b.calls.front().map_or(now, |call| call.1));
-            let missed = b.calls.len() as f64 * silence / (self.limiter.mean * b.slow).max(1.0);
-            let others = now - self.heard < silence * 0.25;
-            if missed > HANG_MISSED && silence > 2.0 * self.limiter.mean && others && now >= b.ejected_until {
+        }
+        self.leave_silent(now);
+    }
+
+    /// Leaves backends that are silent while others answer, for longer than so many answers would take by
+    /// Little's law: altogether, or for the calls of a class.
+    fn leave_silent(&mut self, now: f64) {
+        let hangs = |calls: usize, silence: f64, mean: f64, slow: f64, others: f64| {
+            let missed = calls as f64 * silence / (mean * slow).max(1.0);
+            missed > HANG_MISSED && silence > 2.0 * mean && now - others < silence * 0.25
+        };
+        let mut hung = Vec::new();
+        for id in &self.ring {
+            let Some(b) = self.backends.get(id).filter(|b| now >= b.ejected_until) else { continue };
+            let silence = now - b.heard.max(b.calls.front().map_or(now, |c| c.sent));
+            if hangs(b.calls.len(), silence, self.limiter.mean, b.slow, self.heard) {
                 hung.push(*id);
             }
         }
         hung.into_iter().for_each(|id| self.eject(now, id));
+        for class in 0..self.s.classes.len() {
+            let l = &self.limiter.classes[class];
+            let (mean, others) = (if l.samples < WINDOW { l.aim } else { l.mean }, l.heard);
+            let fragile = self.s.classes[class].effect == Effect::Fragile;
+            let left = self.ring.iter().filter(|i| self.backends[i].lanes[class].left_until > 0.0).count();
+            let mut room = (self.ring.len() as f64 * MAX_EJECTED).max(1.0) as usize;
+            room = room.saturating_sub(left);
+            for id in &self.ring {
+                let Some(b) = self.backends.get_mut(id) else { continue };
+                let mut of_class = b.calls.iter().filter(|c| c.class == class).map(|c| c.sent).peekable();
+                let (lane, slow) = (&mut b.lanes[class], b.slow);
+                let silence = now - lane.heard.max(of_class.peek().copied().unwrap_or(now));
+                let again = lane.left_until > 0.0;
+                if now < lane.left_until
+                    || room == 0 && !again
+                    || !hangs(of_class.count(), silence, mean, slow, others)
+                {
+                    continue;
+                }
+                room -= usize::from(!again);
+                // A trial that can't be repeated costs a request, so it is long in coming: a wrong guess ends
+                // with the answer.
+                let doublings = (lane.left + if fragile { 2 } else { 0 }).min(3);
+                lane.left_until = now + EJECT_MS * f64::from(1 << doublings);
+                lane.left += 1;
+            }
+        }
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -7,7 +7,8 @@
 #[derive(Default)]
 pub struct Backend {
     pub entry: Entry,
-    pub calls: VecDeque<(RequestId, f64)>,
+    pub calls: VecDeque<Call>,
+    pub lanes: Vec<Lane>, // by class
     pub heard: f64,
     pub slow: f64, // latency over its class's mean
     pub seen: f64,
@@ -18,6 +19,22 @@
     pub cold_tokens: f64,
 }
 
+/// A call that is out at a backend.
+#[derive(Clone, Copy)]
+pub struct Call {
+    pub request: RequestId,
+    pub sent: f64,
+    pub class: usize,
+}
+
+/// A class's calls at a backend: it may answer one class and swallow another.
+#[derive(Default, Clone)]
+pub struct Lane {
+    pub heard: f64,
+    pub left_until: f64, // 0: in use
+    pub left: u32,
+}
+
 /// An attempt of a request.
 pub struct Attempt {
     pub backend: BackendId,
@@ -60,6 +77,7 @@
 #[derive(Default)]
 pub struct Latency {
     pub aim: f64,
+    pub heard: f64,
     pub samples: f64,
     pub mean: f64,
     pub base: f64,
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -266,6 +266,41 @@
     assert!(back.get(&2).copied().unwrap_or(0) > 20, "not taken back: {back:?}");
 }
 
+/// A backend may answer one class and swallow another, which its answers must not hide: it is left for that class
+/// alone, also if nothing of it may run twice, and taken back for it later.
+#[test]
+fn a_backend_that_swallows_one_class_is_left_for_that_class() {
+    let classes = vec![class(1000.0, 1.0, Effect::Retryable), class(1000.0, 2.0, Effect::Fragile)];
+    let mut p = Proxy::new(settings(1, classes), 1, entries(8));
+    // How many of each class were sent to backend 2.
+    let mut both = |ms: f64, swallows: bool| {
+        let (end, mut sends) = (p.now + ms, [0, 0]);
+        while p.now < end {
+            let at = p.now;
+            for class in 0..2 {
+                p.ask(class, 0, 4000.0);
+            }
+            p.advance(at + 5.0);
+            for (id, n, s) in p.out() {
+                let class = p.asked[&id].class;
+                sends[class] += usize::from(s.backend == 2 && s.at >= at);
+                if !(swallows && s.backend == 2 && class == 1) && p.now - s.at >= 50.0 {
+                    p.resolve(id, n, Outcome::Ok);
+                }
+            }
+            p.forget();
+        }
+        sends
+    };
+    both(3000.0, false);
+    both(1000.0, true);
+    let swallowing = both(6000.0, true);
+    assert!(swallowing[1] <= 1 && swallowing[0] > 50, "sent there of each class: {swallowing:?}");
+    both(20_000.0, false);
+    let back = both(3000.0, false);
+    assert!(back[1] > 20, "not taken back: {back:?}");
+}
+
 /// A pause looks like a hang. Once all that was out there is answered after all, it waits for no trial.
 #[test]
 fn a_backend_that_was_only_slow_to_answer_is_taken_back_at_once() {
