--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -577,8 +577,7 @@
                     self.error -= self.error * 0.02;
                     b.error -= b.error * if b.ejected() { 0.5 } else { ERROR_STEP };
                 }
-                // Silence is over when all that was out has been answered after all; errors and slowness need a
-                // trial that goes well.
+                // Silence is over when all that was out is answered; errors and slowness need a good trial.
                 let silent = b.error < ERROR_STEP && b.slow < SLOW_EJECT;
                 let answered = sent < b.ejected_at && b.calls.front().is_none_or(|c| c.sent >= b.ejected_at);
                 if ok && b.ejected() && silent && answered {
@@ -685,7 +684,7 @@
         for class in 0..self.s.classes.len() {
             let l = &self.limiter.classes[class];
             let (mean, others) = (if l.samples < WINDOW { l.aim } else { l.mean }, l.heard);
-            let fragile = self.s.classes[class].effect == Effect::Fragile;
+            let first = if self.s.classes[class].effect == Effect::Fragile { 2 } else { 0 };
             let left = self.ring.iter().filter(|i| self.backends[i].lanes[class].left_until > 0.0).count();
             let mut room = (self.ring.len() as f64 * MAX_EJECTED).max(1.0) as usize;
             room = room.saturating_sub(left);
@@ -704,8 +703,7 @@
                 room -= usize::from(!again);
                 // A trial that can't be repeated costs a request, so it is long in coming: a wrong guess ends
                 // with the answer.
-                let doublings = (lane.left + if fragile { 2 } else { 0 }).min(3);
-                lane.left_until = now + EJECT_MS * f64::from(1 << doublings);
+                lane.left_until = now + EJECT_MS * f64::from(1 << (lane.left + first).min(3));
                 lane.left += 1;
             }
         }
