Give cold backends what warm ones proved to bear, also from copies that call seldom

Evidence: a probe that logged every attempt's backend and outcome, counted over all 17 front proxies. From second 13 on each new node got 1 to 7 attempts a second from all proxies together, with 0 to 4 out; each of the six old ones got 40 to 45 a second, then up to 287, nearly all full, while its own queue choked it. Two things held the new nodes back: - housekeep: the cold budget grew with half of the last window's answers. In overload these fall (0.02 to 0.004 a millisecond at one copy), and the budget with them, just when the new nodes are needed. - cost: an idle cold backend cost 1/warmth, 3 to 6 times an idle warm one.

Ruled out: drains handled late (none of the draining nodes got anything after the notice), silent or failing nodes (two, left as before), discovery (lists came within half a second of each other at all proxies).

Mend: the budget follows the highest rate of answers that a warm backend of this copy has borne lately, and in the cost warmth weighs the calls that are out. Kept under 0.3 of what the rule allows, as the sum over all copies.

--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -34,7 +34,8 @@
 const SPILL: [f64; 2] = [1.0, 0.4]; // proportional; integral a second: behind a queue, haste makes it swing
 const SPILL_FADE: f64 = 8000.0; // a zone that was left altogether gives no answers and is tried again
 const MAX_EJECTED: f64 = 0.5; // share of the list out of service beyond which the illness is nobody's own
-const COLD_MARGIN: f64 = 0.5; // part of the cold budget used: backends are unlike, handshakes count
+const COLD_MARGIN: f64 = 0.3; // part of the cold budget used: backends are unlike, handshakes count
+const PROVEN_MS: f64 = 60_000.0; // how long a rate of answers proves what a warm backend bears
 const RETRY_SHARE: f64 = 0.1; // repeats of what may have run, as a share of requests: no storm
 const RETRY_DEPTH: f64 = 10.0;
 
@@ -122,6 +123,8 @@
     error: f64,
     heard: f64,
     retry_tokens: f64,
+    answered: f64, // answers a millisecond of a warm backend, lately ...
+    proven: f64,   // ... and the most of that
     house: f64,
     ask_backoff: f64,
     asking: bool,
@@ -516,9 +519,10 @@
     /// Expected wait at a backend, beside its fellows': own calls, learned speed, errors, warmth.
     fn cost(&self, now: f64, id: BackendId) -> f64 {
         let b = &self.backends[&id];
-        let slow = b.slow * (1.0 + ERROR_COST * b.error) / b.warmth(&self.s.rules, now);
+        let slow = b.slow * (1.0 + ERROR_COST * b.error);
         let crossing = if b.entry.zone != self.s.zone && self.s.goal.cross_zone > 0.0 { 0.5 } else { 0.0 };
-        let calls = b.calls.len() as f64;
+        // A cold one that is idle costs no more than others: its budget sees to it that it is called seldom.
+        let calls = b.calls.len() as f64 / b.warmth(&self.s.rules, now);
         (calls * self.weight / b.entry.weight.max(0.01) + 1.0 + crossing) * slow
     }
 
@@ -654,10 +658,12 @@
         let busy = self.backends.iter().filter(|(_, b)| !b.calls.is_empty()).map(|(&id, _)| id);
         busy.collect::<Vec<_>>().into_iter().for_each(|id| self.unpin(now, id, PIN));
         self.free_held(now, true, out);
-        // Cold budgets grow with what this copy's backends prove to bear, at the warmth surely reached.
+        // Cold budgets grow with the most that this copy's backends have proved to bear, at the warmth surely
+        // reached: what is answered just now is little where many are cold or all are idle.
         let warm: f64 = self.subset.iter().map(|i| self.backends[i].warmth(&self.s.rules, now)).sum();
-        let margin = COLD_MARGIN * self.s.rules.fall_multiple.min(1.0);
-        let each = self.limiter.rate / warm.max(1.0) * margin * passed;
+        self.answered += (self.limiter.rate / warm.max(1.0) - self.answered) * (passed / 1000.0).min(1.0);
+        self.proven = self.answered.max(self.proven * (1.0 - passed / PROVEN_MS));
+        let each = self.proven * COLD_MARGIN * self.s.rules.fall_multiple * passed;
         for id in &self.subset {
             let Some(b) = self.backends.get_mut(id) else { continue };
             b.cold_tokens = (b.cold_tokens + each * b.warmth(&self.s.rules, now)).min(1.0);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -192,6 +192,57 @@
     }
 }
 
+/// A release replaces ten of sixteen backends. Each copy has few calls out, but together the copies give the new
+/// ones about what they surely bear, and not much less: the six that are left can't bear it all.
+#[test]
+fn cold_backends_get_their_part_of_a_fleet_whose_copies_call_each_seldom() {
+    let (n, copies) = (16, 16);
+    let mut sends = vec![Vec::new(); 1 + n + 10];
+    for copy in 0..copies {
+        let mut s = settings(copies, vec![class(2000.0, 1.0, Effect::Retryable)]);
+        s.copy = copy;
+        let mut p = Proxy::new(s, u64::from(copy), entries(n as u32));
+        let mut rng = fastrand::Rng::with_seed(u64::from(copy));
+        let mut released = f64::INFINITY;
+        while p.now < released + 6000.0 {
+            if released.is_infinite() && p.now >= 9000.0 {
+                released = p.now;
+                let old = (1..=10).map(|b| Entry { phase: Phase::Draining, ..entry(b) });
+                let new = (17..=26).map(|b| Entry { started_at: released, ..entry(b) });
+                p.list(ListKind::Delta, old.chain(new).collect());
+            }
+            // 20 requests a second a copy, so 20 a second a backend, as answers take 250 ms.
+            if rng.f64() < 0.1 {
+                p.ask(0, 0, 1e5);
+            }
+            p.advance(p.now + 5.0);
+            for (id, attempt, s) in p.out() {
+                if s.at + 5.0 >= p.now && s.at >= released {
+                    sends[s.backend as usize].push(s.at - released);
+                }
+                if p.now - s.at >= 250.0 {
+                    p.resolve(id, attempt, Outcome::Ok);
+                }
+            }
+            p.forget();
+        }
+    }
+    let share = |of: &[Vec<f64>]| {
+        let got = of.iter().flatten().filter(|&&t| t >= 2000.0).count() as f64;
+        got / (4.0 * 20.0 * of.len() as f64)
+    };
+    // From second 2 to 6 a new one has surely 0.3 of what the old ones bear, which is at least what they are sent.
+    let (old, new) = (share(&sends[11..=16]), share(&sends[17..=26]));
+    assert!(new >= 0.25 * old, "a new backend gets {new:.2} of what an old one got, an old one now {old:.2}");
+    for (backend, sends) in sends.iter().enumerate().skip(17) {
+        for from in (0..5000).map(f64::from) {
+            let got = sends.iter().filter(|&&t| t >= from && t < from + 1000.0).count() as f64;
+            let present = 0.12 + 0.88 * from / 20_000.0;
+            assert!(got <= 3.0 * present * 20.0 * old, "{backend}: {got} sends from {from} ms on");
+        }
+    }
+}
+
 /// A restarted copy knows its cold backends only from a cached list and has seen no rate yet.
 #[test]
 fn a_copy_without_history_spares_cold_backends() {
