Notice a silent watch and half a list before what they hold back counts as told

Requests go to backends 0.97 s after the proxy counts as told that they drain.

Evidence: the lists that each proxy took, by its log. All 33 watches fall silent within the first call; all are noticed at 11.51 s (wait 10 s and patience 1.5 s), though a release has begun at 8.5 s. n1's next answer, at 11.6 s, stopped short: its next list came at 23.2 s, 11.5 s later, while the drains of 11.4 s counted as told from 17.5 s on. n15 and others the same after 17.7 s. Changes count as told 6 s later, whether or not they arrived.

Lines at fault: discovery.rs, WAIT and the one timeout of `ask` over the whole call: an answer that has begun and stops had the wait of a watch that has no news.

Ruled out: drains handled late by the module (the proxies with lists in time sent nothing), a late loop (CPU 0.01 s in the worst second).

The watch costs a call in 2 s to the agent on the same machine, which is free.

--- a/src/bin/heathroad/discovery.rs
+++ b/src/bin/heathroad/discovery.rs
@@ -15,10 +15,11 @@
 use tokio::time::{Instant, sleep, timeout};
 use turnshift::api::ListKind;
 
-/// How long a watch waits for a change; short, so that a dead watch is soon noticed.
-const WAIT: Duration = Duration::from_secs(10);
-/// An answer that is later than its wait by this is not coming.
-const PATIENCE: Duration = Duration::from_millis(1500);
+/// How long a watch waits for a change. What it has to tell counts as told 6 s later even if it never arrives, so a
+/// watch that fell silent has to be noticed clearly earlier. Asking anew costs nothing: the agent is next door.
+const WAIT: Duration = Duration::from_secs(2);
+/// An answer that is later than its wait by this is not coming, nor is the rest of one that stops for so long.
+const PATIENCE: Duration = Duration::from_secs(1);
 /// Pause after a failed call: doubles from the one to the other.
 const BACKOFF: [Duration; 2] = [Duration::from_millis(50), Duration::from_secs(1)];
 /// Pause after an answer without news that came at once; a watch goes on if asked within 200 ms.
@@ -139,24 +140,25 @@
         None => ("/registry/instances".to_string(), Duration::ZERO),
         Some(seq) => (format!("/registry/instances?after={seq}&wait_ms={}", WAIT.as_millis()), WAIT),
     };
-    let call = async {
-        let mut sender = match link.take().filter(|l| !l.is_closed()) {
-            Some(sender) => sender,
-            None => connect(address).await?,
-        };
-        let request = Request::get(path).header(header::HOST, address.to_string()).body(Empty::new());
-        let request = request.map_err(|e| e.to_string())?;
-        let answer = sender.send_request(request).await.map_err(|e| e.to_string())?;
-        if answer.status() != StatusCode::OK {
-            return Err(format!("answered {}", answer.status()));
-        }
-        let body = Limited::new(answer.into_body(), MAX_LIST).collect().await.map_err(|e| e.to_string())?;
-        if sender.ready().await.is_ok() {
-            *link = Some(sender);
-        }
-        serde_json::from_slice(&body.to_bytes()).map_err(|e| format!("list: {e}"))
+    let mut sender = match link.take().filter(|l| !l.is_closed()) {
+        Some(sender) => sender,
+        None => connect(address).await?,
     };
-    timeout(wait + PATIENCE, call).await.map_err(|_| "no answer in time".to_string())?
+    let request = Request::get(path).header(header::HOST, address.to_string()).body(Empty::new());
+    let request = request.map_err(|e| e.to_string())?;
+    let answer = timeout(wait + PATIENCE, sender.send_request(request)).await;
+    let answer = answer.map_err(|_| "no answer in time".to_string())?.map_err(|e| e.to_string())?;
+    if answer.status() != StatusCode::OK {
+        return Err(format!("answered {}", answer.status()));
+    }
+    // The wait is over once an answer has begun: one that stops short must not cost the whole of it again.
+    let body = timeout(PATIENCE, async {
+        let body = Limited::new(answer.into_body(), MAX_LIST).collect().await.map_err(|e| e.to_string())?;
+        Ok::<_, String>((body.to_bytes(), sender.ready().await.is_ok()))
+    });
+    let (body, open) = body.await.map_err(|_| "an answer that stops short".to_string())??;
+    *link = open.then_some(sender);
+    serde_json::from_slice(&body).map_err(|e| format!("list: {e}"))
 }
 
 async fn connect(address: SocketAddr) -> Result<Link, String> {
@@ -171,3 +173,34 @@
     });
     Ok(sender)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    use tokio::net::TcpListener;
+    use tokio::task::LocalSet;
+
+    /// What discovery has to tell counts as told 6 s later, whether or not it arrived: a watch that fell silent and
+    /// an answer that stopped short leave time for a second try.
+    #[tokio::test(start_paused = true)]
+    async fn silence_and_half_an_answer_are_noticed_before_the_change_counts_as_told() {
+        for (answer, within) in [("", 4), ("HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{\"seq\":", 2)] {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+            let address = listener.local_addr().expect("bound");
+            let agent = async {
+                let (mut stream, _) = listener.accept().await.expect("it came");
+                assert_ne!(stream.read(&mut [0; 1024]).await.expect("open"), 0);
+                stream.write_all(answer.as_bytes()).await.expect("open");
+                stream
+            };
+            let asked = Instant::now();
+            let mut link = None;
+            let tasks = LocalSet::new();
+            let (page, _stream) =
+                tasks.run_until(async { tokio::join!(ask(&mut link, address, Some(7)), agent) }).await;
+            assert!(page.is_err() && link.is_none(), "{answer:?}");
+            assert!(asked.elapsed() <= Duration::from_secs(within), "{answer:?}: {:?}", asked.elapsed());
+        }
+    }
+}
