Let all copies' limits begin at calls per backend, not per member of each subset

Evidence: attempts counted over all 17 front proxies. At 17.1 s the release leaves 11 of 16 front nodes for 1.2 s. Within two seconds each node has 20 to 35 calls out instead of 10, and stays at a third of its rate with 15 to 30 out: it is overdriven and never rests. Each copy's limit stands at 20, scaled to 14 to 16 with the list: together 250 to 340 calls for 11 nodes. No copy has ever learned that limit: it is where all begin, 4 calls a member times the least subset of 5, and 17 copies with 5 members each are 21 calls a backend, where the 3 copies of the small fleet have 8.

Line at fault: on_list, START * width. The floor of the subset counts once a copy.

Ruled out: cold starts (these nodes are warm within 1 s, by the settings), the shard tier (0 to 3 out at each node), the late lists (none after the last change).

Mend: the limit begins at 4 calls for each member of the share that each backend in two subsets asks for, so 8 calls a backend over all copies. For the small fleet this is as before. It still grows with use while answers are quick.

--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -248,7 +248,9 @@
         }
         self.resize(0.0);
         if before == 0.0 {
-            self.limiter.total = self.limiter.total.max(START * self.width);
+            // The subset's floor is not counted: over many copies it adds up to more than the backends bear.
+            let members = self.width.min(OVERLAP * after / f64::from(self.s.copies));
+            self.limiter.total = self.limiter.total.max(START * members);
         }
     }
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -243,6 +243,26 @@
     }
 }
 
+/// What all copies together admit at first is so many calls a backend, however many copies share it.
+#[test]
+fn the_limits_of_many_copies_begin_no_higher_together_than_those_of_few() {
+    let n = 16;
+    for copies in [4, 16, 48] {
+        let mut admitted = 0;
+        for copy in 0..copies {
+            let mut s = settings(copies, vec![class(1200.0, 2.0, Effect::Retryable)]);
+            s.copy = copy;
+            let mut p = Proxy::new(s, u64::from(copy), entries(n));
+            for _ in 0..100 {
+                p.ask(0, 0, 3000.0);
+            }
+            admitted += p.out().len() as u32;
+        }
+        // Parts of a call are rounded down at each copy.
+        assert!((6 * n..=8 * n).contains(&admitted), "{copies} copies admit {admitted} calls");
+    }
+}
+
 /// A restarted copy knows its cold backends only from a cached list and has seen no rate yet.
 #[test]
 fn a_copy_without_history_spares_cold_backends() {
