Let the limit follow what the listed backends bear, cold ones by their warmth

Evidence: a probe of every attempt and of the limit, over all 17 front proxies. From second 9 to 13 the 11 nodes that are left have 10 to 17 calls out each and answer 30 to 45 a second. At 13.3 to 14.5 s five cold ones are listed; each copy's limit goes from 8.7 to 11.8 within a second. The cold ones, within their budget, have 3 to 6 out; the warm ones now have 20 to 30, are overdriven at second 15 and answer 15 a second from then on.

Line at fault: on_list scaled the limit by the number of backends. One that is listed at a sixth of its capacity brought its whole part, and the warm ones got it.

Ruled out: the lost zone itself (served 93%), the cold nodes (all Ok, no full).

Mend: the limit is scaled by the sum of the warmth that the budget of cold starts goes by, at each list and as the backends warm.

--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -106,6 +106,7 @@
     backends: BTreeMap<BackendId, Backend>,
     ring: Vec<BackendId>,
     subset: Vec<BackendId>,
+    warm: f64,        // backends in the ring, each counted by its warmth
     near: usize,      // so many of the subset's first are in this copy's zone
     spill: f64,       // share of calls that are to leave the zone ...
     drift: f64,       // ... and its slow part
@@ -218,7 +219,7 @@
             return self.ask_later(share, out);
         }
         self.ask_backoff = 1.0;
-        let before = self.ring.len() as f64;
+        let before = self.warm;
         if kind != ListKind::Delta {
             self.backends.values_mut().for_each(|b| b.entry.phase = Phase::Gone);
         }
@@ -242,18 +243,26 @@
         self.ring = ready.map(|(&id, _)| id).collect();
         let after = self.ring.len() as f64;
         self.weight = self.ring.iter().map(|i| self.backends[i].entry.weight).sum::<f64>() / after.max(1.0);
-        // Both ways: where backends leave and return all day, one way alone would wear the limit down.
-        if before > 0.0 && after > 0.0 {
-            self.limiter.total = (self.limiter.total * after / before).max(1.0);
-        }
+        self.follow_warmth(now);
         self.resize(0.0);
         if before == 0.0 {
             // The subset's floor is not counted: over many copies it adds up to more than the backends bear.
-            let members = self.width.min(OVERLAP * after / f64::from(self.s.copies));
+            let members = self.width.min(OVERLAP * self.warm / f64::from(self.s.copies));
             self.limiter.total = self.limiter.total.max(START * members);
         }
     }
 
+    /// The limit follows the listed backends, each for what it surely bears: a cold one that counted in full
+    /// would have its part admitted at once, and the warm ones would get it.
+    fn follow_warmth(&mut self, now: f64) {
+        let before = self.warm;
+        self.warm = self.ring.iter().map(|i| self.backends[i].warmth(&self.s.rules, now)).sum();
+        // Both ways: where backends leave and return all day, one way alone would wear the limit down.
+        if before > 0.0 && self.warm > 0.0 {
+            self.limiter.total = (self.limiter.total * self.warm / before).max(1.0);
+        }
+    }
+
     /// Closes what is idle to a draining backend: at the notice, and once more after each outcome there.
     fn release(&self, id: BackendId, out: &mut Vec<Action>) {
         let draining = self.backends.get(&id).is_some_and(|b| b.entry.phase != Phase::Ready);
@@ -644,6 +653,7 @@
         let passed = (now - self.house).max(0.0);
         self.house = now;
         self.limiter.update(passed);
+        self.follow_warmth(now);
         self.excess.iter_mut().for_each(|e| *e -= *e * passed / SPILL_FADE);
         let gain = self.excess[0] - self.excess[1] - self.s.goal.cross_zone * CROSS_PRICE;
         self.drift = (self.drift + SPILL[1] * gain * passed / 1000.0).clamp(0.0, 1.0);
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -112,6 +112,23 @@
     assert!(shrunk * 3 <= full, "{full} calls out over 20 backends, {shrunk} over the 5 left");
 }
 
+/// Cold backends bring what they bear and no more: counted in full, their part would go to the warm ones.
+#[test]
+fn limit_grows_with_cold_backends_as_they_warm() {
+    let before = fill(&mut Proxy::new(plain(1), 1, entries(10)), 0, 0, 400) as f64;
+    let grown = |after: f64| {
+        let mut p = Proxy::new(plain(1), 1, entries(10));
+        let started_at = p.now;
+        let cold = (11..=20).map(|b| Entry { started_at, ..entry(b) });
+        p.list(ListKind::Delta, cold.collect());
+        p.advance(p.now + after);
+        fill(&mut p, 0, 0, 400) as f64 / before
+    };
+    let (at_once, warm) = (grown(0.0), grown(20_000.0));
+    assert!((1.05..1.2).contains(&at_once), "ten cold backends beside ten warm ones: {at_once} of the limit");
+    assert!((1.9..=2.1).contains(&warm), "when they are warm: {warm}");
+}
+
 #[test]
 fn low_worth_is_refused_first_and_its_slice_keeps_its_share() {
     let classes = vec![class(1000.0, 9.0, Effect::Retryable), class(1000.0, 1.0, Effect::Retryable)];
