Fill the limit at 0.3 of the aim: at 0.4 all copies together overdrive the backends

At second 14 the list drops to six warm and ten cold nodes. The warm ones get 44 to 54 attempts a second for two seconds, hold 20 to 37, and answer 15 to 20 a second from then on, with 12 to 20 out, to the end: overdriven, and never at rest. Cold ones answer all they get. Limits did what they are for: at 0.4 of the aims (480 and 240 ms) a node that answers 45 a second holds 15 to 20 when the limit is full, where 7 waiting a core for some seconds overdrive it. One copy's overshoot is nothing there; all copies overshoot in the same second.

--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -8,7 +8,7 @@
 const HOUSEKEEPING: u64 = 0; // timer tokens
 const ASK: u64 = 1;
 const HOUSE_TICKS: f64 = 10.0; // ticks between housekeepings: often enough for holds, rare enough to be cheap
-const AIM_SHARE: f64 = 0.4; // mean latency over the aim at which the limit is full: half may be slower
+const AIM_SHARE: f64 = 0.3; // mean latency over the aim at which the limit is full: longer queues overdrive
 const TOLERANCE: f64 = 1.3; // but under this multiple of its class's baseline chance alone would cut
 const DEPTH: f64 = 100.0; // samples that a mean latency covers
 const CLIP: f64 = 6.0; // one answer weighs at most so many means: heavy tails are the work's, not the queue's
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -141,6 +141,18 @@
     );
 }
 
+/// Copies that fill queues up together overdrive backends long before answers are late: the limit does not grow
+/// into that.
+#[test]
+fn limits_fall_before_queues_take_a_third_of_the_aim() {
+    let mut p = Proxy::new(plain(4), 1, entries(10));
+    let before = fill(&mut Proxy::new(plain(4), 1, entries(10)), 0, 0, 100);
+    p.serve(5000.0, 1, 0, 100.0);
+    p.serve(10_000.0, 1, 0, 360.0);
+    let after = fill(&mut p, 0, 0, 100);
+    assert!(after * 4 <= before * 5, "{before} calls out at first, {after} after 10 s of growing queues");
+}
+
 /// Cold backends bring what they bear and no more: counted in full, their part would go to the warm ones.
 #[test]
 fn limit_grows_with_cold_backends_as_they_warm() {
