Count a cold backend's latency by its warmth: its longer work is no queue

Evidence: attempts at each node over all 17 front proxies. A cold node answers 5 to 7 a second with 2 or 3 out, 0.4 s each; a warm one 20 a second with 5 out, 0.25 s. It has no queue: at a sixth of its capacity the same work takes longer. Lines at fault, in judge: these answers count in full in the latency that the limit is judged by, cut it at every copy, and raise `slow` until the backend is left as overdriven, in cost on top of the division by its warmth.

Ruled out: full or failing cold nodes (all Ok), the warm ones (0.25 s).

Mend: an answer's wait counts times the backend's warmth.

--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -562,6 +562,8 @@
     /// What an outcome says of its backend and of the limit.
     fn judge(&mut self, now: f64, e: &Resolved, class: usize, sent: f64) {
         let Some(b) = self.backends.get_mut(&e.backend) else { return };
+        // A cold backend takes longer for the same work, which is no queue and no fault of its own.
+        let wait = e.wait * b.warmth(&self.s.rules, now);
         if let Some(i) = b.calls.iter().position(|c| (c.request, c.sent) == (e.request, sent)) {
             b.calls.remove(i);
         }
@@ -576,17 +578,17 @@
         match e.outcome {
             // A call that its client gave up took longer still. It speaks of its backend and zone,
             // not of the limit, which silent backends would cut.
-            Outcome::Ok | Outcome::Cancelled if ok || e.wait > l.classes[class].mean => {
+            Outcome::Ok | Outcome::Cancelled if ok || wait > l.classes[class].mean => {
                 let c = &mut l.classes[class];
                 if ok {
-                    c.sample(e.wait);
-                    l.ratios += (e.wait / c.target()).min(CLIP);
+                    c.sample(wait);
+                    l.ratios += (wait / c.target()).min(CLIP);
                 }
                 let over = &mut self.excess[usize::from(b.entry.zone != self.s.zone)];
-                *over += ((e.wait - c.base) / c.aim - *over) * 0.1;
-                l.mean += (e.wait - l.mean) * if l.mean == 0.0 { 1.0 } else { 0.02 };
+                *over += ((wait - c.base) / c.aim - *over) * 0.1;
+                l.mean += (wait - l.mean) * if l.mean == 0.0 { 1.0 } else { 0.02 };
                 b.seen = (b.seen + 1.0).min(16.0);
-                let ratio = (e.wait / c.mean.max(0.001)).min(CLIP);
+                let ratio = (wait / c.mean.max(0.001)).min(CLIP);
                 b.slow += (ratio - b.slow) / (b.seen + 4.0);
                 if ok {
                     self.error -= self.error * 0.02;
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -153,6 +153,33 @@
     assert!(after * 4 <= before * 5, "{before} calls out at first, {after} after 10 s of growing queues");
 }
 
+/// A cold backend takes longer for the same work. That is no queue, and it is not left as one that is overdriven.
+#[test]
+fn cold_backends_that_take_their_time_stay_in_service() {
+    let served = |cold: bool| {
+        let mut p = Proxy::new(plain(1), 1, entries(4));
+        p.serve(5000.0, 1, 0, 100.0);
+        let started_at = if cold { p.now } else { 0.0 };
+        p.list(ListKind::Delta, (5..=12).map(|b| Entry { started_at, ..entry(b) }).collect());
+        let (from, mut sends) = (p.now, 0);
+        while p.now < from + 6000.0 {
+            p.ask(0, 0, 1e5);
+            p.advance(p.now + 5.0);
+            let warmth = 0.12 + 0.88 * (p.now - from) / 20_000.0;
+            for (id, n, s) in p.out() {
+                sends += usize::from(s.backend >= 5 && s.at + 5.0 >= p.now && s.at >= from + 3000.0);
+                if p.now - s.at >= if cold && s.backend >= 5 { 100.0 / warmth } else { 100.0 } {
+                    p.resolve(id, n, Outcome::Ok);
+                }
+            }
+            p.forget();
+        }
+        sends
+    };
+    let (warm, cold) = (served(false), served(true));
+    assert!(cold * 5 >= warm, "{cold} calls to the cold ones, {warm} if they were warm");
+}
+
 /// Cold backends bring what they bear and no more: counted in full, their part would go to the warm ones.
 #[test]
 fn limit_grows_with_cold_backends_as_they_warm() {
