Count no backend out of service into the limit, so that its return costs nothing

Evidence: the limit of each copy, logged a second, beside its lists. From second 5 to 12 the limit has come down to what ten nodes bear, 7.5 to 4.8, by latency. At 12.5 and 13.1 s six are listed as started anew: the sum of warmth, that the limit is scaled by, falls from 16 to 11.2, though these six, out of service by then, brought nothing. The loss was counted twice. Line at fault: follow_warmth, over the whole ring.

Ruled out: latency (0.31 s before and after), drops (4 resets among all copies).

Mend: what is ejected counts as nothing; what comes back brings its warmth.

--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -256,7 +256,8 @@
     /// would have its part admitted at once, and the warm ones would get it.
     fn follow_warmth(&mut self, now: f64) {
         let before = self.warm;
-        self.warm = self.ring.iter().map(|i| self.backends[i].warmth(&self.s.rules, now)).sum();
+        let serving = self.ring.iter().map(|i| &self.backends[i]).filter(|b| !b.ejected());
+        self.warm = serving.map(|b| b.warmth(&self.s.rules, now)).sum();
         // Both ways: where backends leave and return all day, one way alone would wear the limit down.
         if before > 0.0 && self.warm > 0.0 {
             self.limiter.total = (self.limiter.total * self.warm / before).max(1.0);
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -386,6 +386,25 @@
     assert!(back[1] > 20, "not taken back: {back:?}");
 }
 
+/// Backends that fell silent bring nothing to the limit while they are left: their return, cold, takes nothing away.
+#[test]
+fn limit_does_not_fall_when_silent_backends_come_back_cold() {
+    let limit = |back: bool| {
+        let mut p = Proxy::new(plain(1), 1, entries(10));
+        run(&mut p, 3000.0, well);
+        run(&mut p, 4000.0, |s, now| if s.backend <= 4 { None } else { well(s, now) });
+        if back {
+            let started_at = p.now - 1000.0;
+            p.list(ListKind::Delta, (1..=4).map(|b| Entry { started_at, ..entry(b) }).collect());
+        }
+        p.advance(p.now + 100.0);
+        let out = p.out().iter().filter(|(_, _, s)| s.backend > 4).count();
+        fill(&mut p, 0, 0, 400) - out
+    };
+    let (before, after) = (limit(false), limit(true));
+    assert!(after >= before, "{before} calls admitted before their return, {after} after it");
+}
+
 /// A pause looks like a hang. Once all that was out there is answered after all, it waits for no trial.
 #[test]
 fn a_backend_that_was_only_slow_to_answer_is_taken_back_at_once() {
