Keep the last good list where discovery goes back, names nobody or repeats itself

What the code did with each: - an answer older than the version it was asked for was applied: backends that drain or are gone came back into use, and the watch went on from the old version; - a whole list with no entries withdrew every backend, and all requests were refused; - an answer that repeats a version at once, with entries, was asked for again without any pause.

Now an older answer and an empty whole list (while backends serve) are logged in one line and not taken. The next call asks for the whole list; that one holds even if it is older, for discovery may have begun anew. Repeats are applied, they change nothing, and get the same pause as an answer without news. A reload starts afresh, as before.

--- a/src/bin/heathroad/discovery.rs
+++ b/src/bin/heathroad/discovery.rs
@@ -71,6 +71,19 @@
 }
 
 impl Page {
+    /// Whether it can be the answer to a call after `asked`. A list that names nobody while backends serve is
+    /// discovery's fault, and so is one older than what it was asked for: then the whole list is asked for, and
+    /// that one holds, for discovery may have begun anew.
+    fn sound(self, asked: Option<u64>, serving: bool) -> Result<Page, String> {
+        if self.whole && self.hosts.is_empty() && serving {
+            return Err("a list that names nobody, the last one stays in use".to_string());
+        }
+        match asked.filter(|&asked| self.seq < asked) {
+            Some(asked) => Err(format!("version {} after {asked}, the last list stays in use", self.seq)),
+            None => Ok(self),
+        }
+    }
+
     /// Its entries; those that can't be read are logged in one line and passed over.
     pub fn entries(self) -> Vec<Host> {
         let (mut good, mut bad, mut example) = (Vec::new(), 0, String::new());
@@ -96,7 +109,7 @@
     must_ask: bool,
     mut wanted: watch::Receiver<bool>,
 ) {
-    let (mut seq, mut link, mut pause) = (None, None, BACKOFF[0]);
+    let (mut seq, mut link, mut pause) = (None::<u64>, None, BACKOFF[0]);
     loop {
         if must_ask && !*wanted.borrow_and_update() {
             if wanted.changed().await.is_err() {
@@ -105,14 +118,23 @@
             continue;
         }
         let asked = Instant::now();
-        match ask(&mut link, address, seq).await {
+        let answer = ask(&mut link, address, seq).await;
+        let page = answer.and_then(|page| {
+            let sound = page.sound(seq, engine.ready());
+            seq = seq.filter(|_| sound.is_ok());
+            sound
+        });
+        match page {
             Ok(page) => {
-                (seq, pause) = (Some(page.seq), BACKOFF[0]);
+                let repeated = seq.replace(page.seq) == Some(page.seq);
+                pause = BACKOFF[0];
                 let news = page.whole || !page.hosts.is_empty();
                 if news {
                     let kind = if page.whole { ListKind::Full } else { ListKind::Delta };
                     engine.list(kind, page.entries());
-                } else if asked.elapsed() < LULL {
+                }
+                // Nor is discovery that repeats itself asked without a pause.
+                if (!news || repeated) && asked.elapsed() < LULL {
                     sleep(LULL).await;
                 }
             }
@@ -181,6 +203,22 @@
     use tokio::net::TcpListener;
     use tokio::task::LocalSet;
 
+    #[test]
+    fn lists_that_are_older_or_name_nobody_are_not_taken() {
+        let page =
+            |seq, whole, hosts: usize| Page { seq, whole, hosts: vec![serde_json::Value::Null; hosts] };
+        let taken = |page: Page, asked, serving| page.sound(asked, serving).is_ok();
+        for whole in [false, true] {
+            assert!(taken(page(8, whole, 1), Some(7), true));
+            assert!(taken(page(7, whole, 1), Some(7), true), "the same again");
+            assert!(!taken(page(6, whole, 1), Some(7), true), "it went back");
+        }
+        assert!(taken(page(6, true, 1), None, true), "the whole list holds: discovery began anew");
+        assert!(taken(page(7, false, 0), Some(7), true), "no change");
+        assert!(!taken(page(8, true, 0), Some(7), true) && !taken(page(8, true, 0), None, true), "nobody");
+        assert!(taken(page(0, true, 0), None, false), "nobody yet");
+    }
+
     /// What discovery has to tell counts as told 6 s later, whether or not it arrived: a watch that fell silent and
     /// an answer that stopped short leave time for a second try.
     #[tokio::test(start_paused = true)]
