Let copies without history into a tier that is all cold, by the tenants' quotas

Found as a sibling of the cold budgets: they grow with the answers of warm backends. Where every listed backend has just started and the copy too (a tier restarted as a whole, or a front node's own proxy that starts with it), there is no answer, so no budget, so no call: the new test counts 0 sends in 8 s, and all is refused until the backends count as warm, 24 s by the settings.

Line at fault: housekeep, `each`. Before the first answers the tenants' quotas, shared among copies and listed backends, now stand for what a warm backend bears; behind the first tier that is less than they bear. The test bounds the sum over all copies by the rule on cold starts.

--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -679,7 +679,12 @@
         let warm: f64 = self.subset.iter().map(|i| self.backends[i].warmth(&self.s.rules, now)).sum();
         self.answered += (self.limiter.rate / warm.max(1.0) - self.answered) * (passed / 1000.0).min(1.0);
         self.proven = self.answered.max(self.proven * (1.0 - passed / PROVEN_MS));
-        let each = self.proven * COLD_MARGIN * self.s.rules.fall_multiple * passed;
+        // Before the first answers, what the tenants may ask is what the tier bears: where all are cold,
+        // there would never be an answer.
+        let quota: f64 = self.s.tenants.iter().map(|t| t.quota_per_s / 1000.0).sum();
+        let unproven = quota / f64::from(self.s.copies) / (self.ring.len() as f64).max(1.0);
+        let proven = if self.answered > 0.0 { self.proven } else { unproven };
+        let each = proven * COLD_MARGIN * self.s.rules.fall_multiple * passed;
         for id in &self.subset {
             let Some(b) = self.backends.get_mut(id) else { continue };
             b.cold_tokens = (b.cold_tokens + each * b.warmth(&self.s.rules, now)).min(1.0);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -263,6 +263,42 @@
     }
 }
 
+/// A tier whose backends have all just started, and copies that have just started too: there is no answer to learn
+/// from, but the settings tell what the tier bears.
+#[test]
+fn copies_without_history_use_a_tier_that_is_all_cold() {
+    let (copies, n) = (4, 8);
+    let mut sends = vec![Vec::new(); 1 + n];
+    for copy in 0..copies {
+        let mut s = settings(copies, vec![class(400.0, 1.0, Effect::Retryable)]);
+        (s.copy, s.tenants) = (copy, vec![Tenant { quota_per_s: 160.0 }]);
+        let cold = entries(n as u32).into_iter().map(|e| Entry { started_at: 1000.0, ..e }).collect();
+        let mut p = Proxy::new(s, u64::from(copy), cold);
+        while p.now < 9000.0 {
+            p.ask(0, 0, 1000.0);
+            p.advance(p.now + 25.0);
+            for (id, attempt, s) in p.out() {
+                if s.at + 25.0 >= p.now {
+                    sends[s.backend as usize].push(s.at - 1000.0);
+                }
+                if p.now - s.at >= 100.0 {
+                    p.resolve(id, attempt, Outcome::Ok);
+                }
+            }
+            p.forget();
+        }
+    }
+    for (backend, sends) in sends.iter().enumerate().skip(1) {
+        // 20 a second when warm; in eight seconds at a fourth of that and less.
+        assert!(sends.len() >= 20, "{backend}: {} sends in all", sends.len());
+        for from in (0..7000).map(f64::from) {
+            let got = sends.iter().filter(|&&t| t >= from && t < from + 1000.0).count() as f64;
+            let bound = 3.0 * 20.0 * (0.12 + 0.88 * from / 20_000.0);
+            assert!(got <= bound, "{backend}: {got} sends from {from} ms on");
+        }
+    }
+}
+
 /// A restarted copy knows its cold backends only from a cached list and has seen no rate yet.
 #[test]
 fn a_copy_without_history_spares_cold_backends() {
