--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -15,8 +15,7 @@
 const DROP_SHARE: f64 = 0.05; // share of drops that calls for a smaller limit: fewer are single bad picks
 const WINDOW: f64 = 10.0; // answers that a window of the limiter needs at the least
 const STEP: [f64; 2] = [0.7, 1.5]; // the limit moves by no more in a window, which may be chance
-const HOLD: [f64; 2] = [0.25, 0.5]; // share of the aim that a request is held: first tier, behind it
-const AWAY: f64 = 0.125; // share of the aim that a refused client is told to stay away, and up to twice that
+const HOLD: [f64; 2] = [0.125, 0.5]; // share of the aim that a request is held: first tier, behind it
 const MIN_SUBSET: f64 = 5.0; // room for two picks when a member or two are out
 const OVERLAP: f64 = 2.0; // copies that share a backend at the least, so that none depends on a single one
 const START: f64 = 4.0; // calls per member that the limit begins at: growing from too few takes seconds
@@ -428,7 +427,7 @@
         let Class { effect, aim, .. } = self.s.classes[r.class];
         let all = matches!(effect, Effect::Retryable | Effect::Dedup { group: Group::All, .. });
         if all || r.attempts.iter().all(|a| a.never_ran) {
-            let wait = (aim * AWAY * (1.0 + self.rng.f64())).min(self.s.caps.max_retry_after);
+            let wait = (aim * HOLD[0] * (1.0 + self.rng.f64())).min(self.s.caps.max_retry_after);
             let retry_after = if self.s.caps.retry_after { wait } else { 0.0 };
             out.push(Action::Refuse { request: id, retry_after });
         } else {
