Refuse at once what comes too late for an answer, and do not send it on

Symptom: found by reading. A request that comes after the last moment for answers of a planned stop is given no time by engine.rs (`decide`: limit 0, so that its deadline lies before its coming), yet the module sent it to a backend before it looked at the deadline, and the caller was told 504 in the same moment: work for nobody, and for a class that must not run twice a request of which nobody can say whether it ran.

At fault: `on_request` in balancer.rs sent first and compared the time left only with what it would hold. Ruled out: requests that are held or sent again; `resend` and `hold_until` look at the deadline already.

Test: what_comes_too_late_is_refused_at_once_and_not_sent_on; without the line one attempt is sent and nothing answered by the module. It is refused, which is true: it never ran.

--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -387,7 +387,8 @@
             attempts,
         };
         self.requests.insert(id, r);
-        if free && self.send(now, id, out) {
+        // What comes too late for any answer, as at the end of a planned stop, only costs a backend work.
+        if free && now < deadline && self.send(now, id, out) {
             return;
         }
         self.limiter.used |= !free && !behind;
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -249,6 +249,18 @@
 }
 
 /// Copies tile the tier: every backend is in somebody's subset, and no copy meets the whole tier at low load.
+/// At the end of a planned stop there is no time left for an answer.
+#[test]
+fn what_comes_too_late_is_refused_at_once_and_not_sent_on() {
+    for effect in [Effect::Retryable, Effect::Fragile] {
+        let mut p = Proxy::new(settings(1, vec![class(1000.0, 1.0, effect)]), 1, entries(10));
+        let late = p.ask(0, 0, 0.0);
+        assert_eq!((p.asked[&late].sends.len(), p.asked[&late].ended.map(|e| e.1)), (0, Some("refused")));
+        let timely = p.ask(0, 0, 1.0);
+        assert_eq!(p.asked[&timely].sends.len(), 1);
+    }
+}
+
 #[test]
 fn subsets_tile_the_tier() {
     for (copies, n) in [(10, 60), (40, 100), (3, 30)] {
