Ask what has just come before a caller's connection is closed

Symptom: a request is lost, without an answer, that comes in the moment in which its connection is to give way to a new caller (places short), or in which connections at rest are closed near the end of a planned stop.

Evidence: the program is paused, the order is laid out in the system's queues (new connections at the listener, then a request on each of the connections that have rested longest), and it goes on. A trace of that: 'accept, present 16 of 16', 'shed', then the request is read and sent on, and the caller sees the connection end.

At fault: `connection` in front.rs. The HTTP library's graceful_shutdown closes at once a connection that it thinks idle, whatever the system holds.

Now the connection's own task decides, right before the close: what has been read is looked at first (biased), then whether the place is still one to spare, then whether the system holds anything unread. A connection that is to end after its next answer says so on that answer.

--- a/src/bin/heathroad/front.rs
+++ b/src/bin/heathroad/front.rs
@@ -3,7 +3,7 @@
 use crate::backend::{Call, Content, KEPT};
 use crate::engine::{Answer, Engine, Incoming, MARGIN, millis};
 use crate::stream::{
-    Flow, Frames, MAX_BODY, MAX_HEAD, MAX_HEADERS, Payload, Progress, Upload, Watched, prepare,
+    Flow, Frames, MAX_BODY, MAX_HEAD, MAX_HEADERS, Payload, Peek, Progress, Socket, Upload, Watched, prepare,
 };
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
@@ -12,10 +12,10 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode, Uri};
-use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashSet};
 use std::convert::Infallible;
+use std::future::poll_fn;
 use std::io;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
@@ -23,7 +23,7 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, watch};
-use tokio::task::{JoinSet, spawn_local};
+use tokio::task::{JoinSet, spawn_local, yield_now};
 use tokio::time::{Instant, interval, sleep, timeout};
 use turnshift::api::Effect;
 use turnshift::settings::Facts;
@@ -164,6 +164,8 @@
     /// It was served with what a backend made for it.
     served: Cell<bool>,
     progress: Rc<Progress>,
+    /// Its next answer is the last on its connection.
+    last: Cell<bool>,
     leaving: Cell<bool>,
     leave: Notify,
 }
@@ -176,6 +178,10 @@
             && !self.progress.unsent()
             && !self.leaving.get()
     }
+    /// Whether nothing of a request has come.
+    fn rests(&self) -> bool {
+        self.stage.get() == Stage::Rest && self.progress.speaks().is_none() && self.spare()
+    }
     /// Whether it has had the time that it may take.
     fn late(&self) -> bool {
         let past = |since: Instant, most| since.elapsed() > most;
@@ -246,6 +252,7 @@
             answered: Cell::new(false),
             served: Cell::new(false),
             progress,
+            last: Cell::new(false),
             leaving: Cell::new(false),
             leave: Notify::new(),
         });
@@ -351,7 +358,7 @@
                         let crowded = present() >= self.connections.get() && !self.room.shed();
                         open.spawn_local(self.clone().connection(stream, closing.clone(), crowded));
                         // Its place counts from now on.
-                        tokio::task::yield_now().await;
+                        yield_now().await;
                     }
                     // No error ends the loop, out of descriptors or other: callers are waiting, and what is
                     // short comes free again.
@@ -377,15 +384,28 @@
         }
     }
 
-    async fn connection(self: Rc<Self>, stream: TcpStream, mut stop: watch::Receiver<Stop>, crowded: bool) {
+    async fn connection(self: Rc<Self>, stream: TcpStream, stop: watch::Receiver<Stop>, crowded: bool) {
         let prepared = prepare(&stream);
-        let watched = Watched::new(TokioIo::new(stream));
+        let socket = Socket::new(stream);
+        let watched = Watched::new(socket.clone());
         let seated = Seated::new(&self.room, watched.progress());
         let seat = &seated.seat;
         seat.progress.expect_head();
         if prepared.is_err() {
             return;
         }
+        self.talk(watched, &socket, seat, stop, crowded).await;
+    }
+
+    /// Serves a connection until it is to be closed.
+    async fn talk(
+        &self,
+        watched: Watched<Socket>,
+        socket: &Socket,
+        seat: &Rc<Seat>,
+        mut stop: watch::Receiver<Stop>,
+        crowded: bool,
+    ) {
         let service = service_fn(async |request| {
             let resting = Resting(seat.clone());
             let mut reply = self.answer(request, seat, crowded).await;
@@ -400,17 +420,33 @@
             .max_headers(MAX_HEADERS)
             .serve_connection(watched, service);
         let mut connection = pin!(connection);
-        tokio::select! {
-            // However it ends, the caller is gone and its request, if any, was told so.
-            _ = connection.as_mut() => return,
-            () = seat.leave.notified() => return,
-            _ = stop.wait_for(|stop| *stop == Stop::All) => {}
-            () = self.sent_away() => {}
-        }
-        connection.as_mut().graceful_shutdown();
-        tokio::select! {
-            _ = connection => {}
-            () = seat.leave.notified() => {}
+        let mut ending = pin!(async {
+            tokio::select! {
+                _ = stop.wait_for(|stop| *stop == Stop::All) => {}
+                () = self.sent_away() => {}
+            }
+        });
+        loop {
+            // What has been read is looked at first, and what the system holds is asked for last: a request may have
+            // come in the same moment as the reason to close its connection.
+            tokio::select! {
+                biased;
+                _ = connection.as_mut() => return,
+                () = seat.leave.notified() => {
+                    seat.leaving.set(false);
+                    if seat.spare() && !socket.unread() {
+                        return;
+                    }
+                }
+                () = ending.as_mut(), if !seat.last.get() => seat.last.set(true),
+                () = poll_fn(|_| if seat.last.get() && seat.rests() { Poll::Ready(()) } else { Poll::Pending }) => {
+                    if !socket.unread() {
+                        return;
+                    }
+                    // The reactor is about to tell of it.
+                    yield_now().await;
+                }
+            }
         }
     }
 
@@ -436,7 +472,7 @@
         if request.uri().path() == "/health/ready" {
             let ready = self.engine.ready() && !*away.borrow();
             let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
-            return if *away.borrow() || self.parting.get() { closing(status) } else { plain(status) };
+            return if self.last(seat, crowded) { closing(status) } else { plain(status) };
         }
         seat.stage.set(Stage::Body);
         let mut reply = match self.read(request, seat, begun, received).await {
@@ -450,12 +486,17 @@
                 write(answer)
             }
         };
-        if crowded || *away.borrow() || self.parting.get() {
+        if self.last(seat, crowded) {
             reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         reply
     }
 
+    /// Whether an answer is to be the last on its connection.
+    fn last(&self, seat: &Seat, crowded: bool) -> bool {
+        crowded || seat.last.get() || *self.engine.away().borrow() || self.parting.get()
+    }
+
     /// Whether there is no room for one more request. Places are held by callers at rest too: what is refused is
     /// work past what can be carried.
     fn overrun(&self, seat: &Seat, crowded: bool) -> bool {
--- a/src/bin/heathroad/stream.rs
+++ b/src/bin/heathroad/stream.rs
@@ -296,6 +296,55 @@
     }
 }
 
+/// A caller's socket in two hands of one task: the HTTP library's, which reads and writes it, and that of whoever ends
+/// its connection.
+#[derive(Clone)]
+pub struct Socket(Rc<RefCell<TokioIo<TcpStream>>>);
+
+impl Socket {
+    pub fn new(stream: TcpStream) -> Self {
+        Socket(Rc::new(RefCell::new(TokioIo::new(stream))))
+    }
+}
+
+impl Peek for Socket {
+    fn unread(&self) -> bool {
+        self.0.borrow().unread()
+    }
+}
+
+impl Read for Socket {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: ReadBufCursor<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.0.borrow_mut()).poll_read(cx, buf)
+    }
+}
+
+impl Write for Socket {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut *self.0.borrow_mut()).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut *self.0.borrow_mut()).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.0.borrow().is_write_vectored()
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.0.borrow_mut()).poll_flush(cx)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.0.borrow_mut()).poll_shutdown(cx)
+    }
+}
+
 /// A stream that sees what is written to it.
 pub struct Watched<S> {
     stream: S,
--- /dev/null
+++ b/tests/ends.rs
@@ -0,0 +1,121 @@
+//! What is still owed at the instant in which something ends. The program is paused while the bad order is laid out
+//! in the system's queues, so that it finds it so each time.
+
+mod rig;
+
+use rig::*;
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::{Instant, sleep_until};
+
+/// So many requests at once are surely let through by a limit that has learned nothing yet.
+const AT_ONCE: usize = 7;
+
+struct Scene {
+    orders: Arc<Orders>,
+    _a: Backend,
+    _discovery: Discovery,
+    proxy: Proxy,
+}
+
+async fn scene(change: impl FnOnce(&mut Value)) -> Scene {
+    let orders = Arc::new(Orders::default());
+    let a = Backend::start("a", &orders).await;
+    let discovery = Discovery::start(vec![a.line("SERVING")]).await;
+    let mut config = discovery.config(settings());
+    change(&mut config);
+    let proxy = Proxy::start_as(&config, "exec \"$0\"").await;
+    discovery.settled().await;
+    Scene { orders, _a: a, _discovery: discovery, proxy }
+}
+
+fn call(line: &str, id: &str) -> String {
+    format!("{line} HTTP/1.1\r\nHost: o\r\nReq-Id: {id}\r\nReq-Owner: acme\r\nReq-Deadline-Ms: 60000\r\n\r\n")
+}
+
+async fn connected(addr: SocketAddr) -> TcpStream {
+    soon(TcpStream::connect(addr)).await.expect("the system takes it")
+}
+
+/// Reads the answer to a call whose body is the backend's name.
+async fn served(stream: &mut TcpStream) -> bool {
+    let mut answer = Vec::new();
+    while !answer.ends_with(b"\r\n\r\na") {
+        match soon(stream.read_buf(&mut answer)).await {
+            Ok(1..) => {}
+            _ => return false,
+        }
+    }
+    answer.starts_with(b"HTTP/1.1 200")
+}
+
+/// Where places are short, the caller that has rested longest gives way to a new one, unless it has just asked.
+#[tokio::test]
+async fn a_request_that_comes_as_its_connection_is_to_give_way_is_served() {
+    let s = scene(|config| config["limits"]["sockets"] = 64.into()).await;
+    // More connect than there are places, and each is served: those that are left rest.
+    let mut callers = Vec::new();
+    for n in 0..40 {
+        let mut caller = connected(s.proxy.addr).await;
+        caller.write_all(call("GET /look", &n.to_string()).as_bytes()).await.expect("open");
+        assert!(served(&mut caller).await, "{n}");
+        callers.push(caller);
+    }
+    // Those that had to give way are closed by now.
+    let mut resting = Vec::new();
+    for caller in callers {
+        if caller.try_read(&mut [0]).is_err() {
+            resting.push(caller);
+        }
+    }
+    let (late, _others) = resting.split_at_mut(AT_ONCE);
+    s.proxy.pause().await;
+    let mut new = Vec::new();
+    for _ in 0..AT_ONCE {
+        new.push(connected(s.proxy.addr).await);
+    }
+    for (n, caller) in late.iter_mut().enumerate() {
+        caller.write_all(call("POST /once", &format!("late-{n}")).as_bytes()).await.expect("open");
+    }
+    s.proxy.go_on().await;
+    for (n, caller) in late.iter_mut().enumerate() {
+        assert!(served(caller).await, "{n}");
+    }
+    assert_eq!(s.orders.by("a"), 40 + AT_ONCE, "each runs once");
+}
+
+/// Connections at rest are closed near the end of a planned stop; a request may lie there by then.
+#[tokio::test]
+async fn a_request_that_crosses_the_close_of_a_resting_connection_is_served() {
+    let mut s = scene(|config| {
+        for class in config["settings"]["classes"].as_array_mut().expect("a list") {
+            class["aim"] = 1800.0.into();
+        }
+    })
+    .await;
+    let mut callers = Vec::new();
+    for n in 0..AT_ONCE {
+        let mut caller = connected(s.proxy.addr).await;
+        caller.write_all(call("GET /look", &n.to_string()).as_bytes()).await.expect("open");
+        assert!(served(&mut caller).await);
+        callers.push(caller);
+    }
+    s.proxy.terminate().await;
+    let told = Instant::now();
+    soon(async { while TcpStream::connect(s.proxy.addr).await.is_ok() {} }).await;
+    s.proxy.pause().await;
+    for (n, caller) in callers.iter_mut().enumerate() {
+        caller.write_all(call("POST /once", &format!("late-{n}")).as_bytes()).await.expect("open");
+    }
+    // By these settings such connections are closed 1.5 s after the signal.
+    sleep_until(told + Duration::from_millis(1600)).await;
+    s.proxy.go_on().await;
+    for (n, caller) in callers.iter_mut().enumerate() {
+        assert!(served(caller).await, "{n}");
+    }
+    assert_eq!(s.proxy.ended().await.code(), Some(0));
+}
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -394,11 +394,33 @@
         proxy
     }
 
-    /// Sends a signal and waits until the program's log says so.
-    async fn signal(&mut self, signal: &str, says: &str) {
+    async fn kill(&self, signal: &str) {
         let id = self.child.id().expect("it runs").to_string();
         let sent = soon(Command::new("kill").args([signal, &id]).status()).await;
         assert!(sent.expect("kill runs").success());
+    }
+
+    /// Stops the program where it is until it is let go on: what happens meanwhile it finds all at once.
+    pub async fn pause(&self) {
+        self.kill("-STOP").await;
+        let path = format!("/proc/{}/stat", self.child.id().expect("it runs"));
+        while !std::fs::read_to_string(&path).expect("a state").contains(") T ") {
+            tokio::task::yield_now().await;
+        }
+    }
+
+    pub async fn go_on(&self) {
+        self.kill("-CONT").await;
+    }
+
+    /// Sends SIGTERM to a program that is paused.
+    pub async fn terminate_paused(&self) {
+        self.kill("-TERM").await;
+    }
+
+    /// Sends a signal and waits until the program's log says so.
+    async fn signal(&mut self, signal: &str, says: &str) {
+        self.kill(signal).await;
         while !soon(self.log.next_line()).await.expect("readable").expect("it goes on").contains(says) {}
     }
 
