Notice that a caller has left behind bytes that nobody reads yet

Symptom: the call of a caller that had written more than its request and left goes on at its backend to the end of its time; one that waits would be sent on.

Evidence: with 'GET /lo' behind a request, in one piece or later, and then the end of the stream, the backend saw no end of the attempt for 30 s. The HTTP library looks for the end of the stream only while it holds nothing that is unread (`mid_message_detect_eof` in its h1/conn.rs returns while the buffer is not empty). Ruled out: leaves with nothing unread, which a test showed to be noticed at once before.

Now the connection's task waits for the system's word that nothing more comes, which is told with the first byte unread before it; where such bytes lie it is asked for every 50 ms, and only while an answer is owed.

Test: a_caller_that_leaves_with_bytes_unread_is_noticed, fails each time without.

--- a/src/bin/heathroad/front.rs
+++ b/src/bin/heathroad/front.rs
@@ -432,6 +432,7 @@
             .max_headers(MAX_HEADERS)
             .serve_connection(watched, service);
         let mut connection = pin!(connection);
+        let mut left = pin!(socket.left(|| seat.stage.get() == Stage::Taken));
         let mut ending = pin!(async {
             tokio::select! {
                 _ = stop.wait_for(|stop| *stop == Stop::All) => {}
@@ -444,6 +445,8 @@
             tokio::select! {
                 biased;
                 _ = connection.as_mut() => return true,
+                // Its request, if any, is told so as it is dropped.
+                () = left.as_mut() => return true,
                 () = seat.leave.notified() => {
                     seat.leaving.set(false);
                     if seat.spare() && !socket.unread() {
--- a/src/bin/heathroad/stream.rs
+++ b/src/bin/heathroad/stream.rs
@@ -8,14 +8,14 @@
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
-use std::future::Future;
+use std::future::{Future, poll_fn};
 use std::io;
 use std::mem::MaybeUninit;
-use std::pin::Pin;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker, ready};
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt, copy, sink};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest, copy, sink};
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, Sleep, sleep, timeout};
@@ -31,6 +31,8 @@
 const PARTING: Duration = Duration::from_millis(500);
 /// No more than this is read of it.
 const UNWANTED: u64 = 1 << 20;
+/// How often the system is asked for the end of what comes, where bytes lie before it.
+const LOOK: Duration = Duration::from_millis(50);
 /// What the system may hold of what was written. It says that there is room again only once a third of it is free: of
 /// the megabytes that it takes by itself, a slow reader needs longer for that than any stall may last.
 const UNSENT: usize = 128 * 1024;
@@ -311,6 +313,32 @@
         Socket(Rc::new(RefCell::new(TokioIo::new(stream))))
     }
 
+    /// Comes back once the other side has ended its sending while `waits` holds, also where bytes lie before that end
+    /// which nobody reads.
+    pub async fn left(&self, waits: impl Fn() -> bool) {
+        loop {
+            poll_fn(|cx| if waits() { self.0.borrow().inner().poll_read_ready(cx) } else { Poll::Pending })
+                .await
+                .ok();
+            if waits() && self.closed() {
+                return;
+            }
+            // Bytes that nobody reads yet: of what comes behind them no reactor tells.
+            sleep(LOOK).await;
+        }
+    }
+
+    /// Whether the system has told that nothing more comes. It does so in the same breath as that there is something
+    /// to read.
+    fn closed(&self) -> bool {
+        let stream = self.0.borrow();
+        let mut ready = pin!(stream.inner().ready(Interest::READABLE));
+        match ready.as_mut().poll(&mut Context::from_waker(Waker::noop())) {
+            Poll::Ready(ready) => ready.map_or(true, |ready| ready.is_read_closed()),
+            Poll::Pending => false,
+        }
+    }
+
     /// Ends the connection in good order, once the HTTP library has let go of it: what was written goes out, and what
     /// still comes is read for a moment. Closed over unread bytes, the system would throw away what the other side has
     /// not taken yet.
--- a/tests/ends.rs
+++ b/tests/ends.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
+use tokio::sync::Notify;
 use tokio::time::{Instant, sleep_until};
 
 /// So many requests at once are surely let through by a limit that has learned nothing yet.
@@ -41,6 +42,18 @@
     soon(TcpStream::connect(addr)).await.expect("the system takes it")
 }
 
+/// The status of the next answer on a connection; none where it ends without.
+async fn status(stream: &mut TcpStream) -> Option<u16> {
+    let mut answer = Vec::new();
+    while !answer.windows(4).any(|w| w == b"\r\n\r\n") {
+        if soon(stream.read_buf(&mut answer)).await.ok()? == 0 {
+            return None;
+        }
+    }
+    let text = String::from_utf8(answer).ok()?;
+    text.split(' ').nth(1)?.parse().ok()
+}
+
 /// Reads the answer to a call whose body is the backend's name.
 async fn served(stream: &mut TcpStream) -> bool {
     let mut answer = Vec::new();
@@ -147,3 +160,26 @@
     assert!(answer.starts_with(b"HTTP/1.1 200") && answer.ends_with(b"yyy"));
     assert!(answer.len() > LENGTH, "{} bytes", answer.len());
 }
+
+/// A caller that has written more than its request and leaves is gone all the same: bytes that nobody reads yet lie
+/// before the end of its stream.
+#[tokio::test]
+async fn a_caller_that_leaves_with_bytes_unread_is_noticed() {
+    let s = scene(|_| {}).await;
+    // What comes in one with the request, and what comes later.
+    for (one, later) in [("GET /lo", ""), ("", "GET /lo"), ("", &"x".repeat(60_000))] {
+        let before = *s.orders.left.borrow();
+        let came = s.orders.seen.borrow().len();
+        s.orders.give([Do::Hold(Arc::new(Notify::new()))]);
+        let mut caller = connected(s.proxy.addr).await;
+        let text = call("GET /look", "1") + one;
+        caller.write_all(text.as_bytes()).await.expect("open");
+        s.orders.came(came + 1).await;
+        caller.write_all(later.as_bytes()).await.expect("open");
+        caller.shutdown().await.expect("open");
+        soon(s.orders.left.subscribe().wait_for(|left| *left == before + 1)).await.expect("open");
+        // Its connection is closed, too, and what it wrote is no request.
+        assert_eq!(status(&mut caller).await, None);
+        assert_eq!(s.orders.seen.borrow().len(), came + 1);
+    }
+}
