Take the connections that wait at the listener before it is closed at any planned stop

Symptom: at a planned stop with no second process, requests on connections that the system had accepted for the proxy end with a reset.

Evidence: paused between SIGTERM and the close of the listener 0.5 s later, with seven connections and their requests in its queue, the program reset all seven when it went on. It took the queue only where another process had taken over.

At fault: `serve` in front.rs: drop(listener). Now both ways of stopping take what is queued, each for one last answer. Ruled out: the accept loop itself, which was right to stop; LINGER is a time and no proof that nobody waits.

Test: connections_that_wait_as_the_listener_is_closed_are_served, fails each time without.

--- a/src/bin/heathroad/front.rs
+++ b/src/bin/heathroad/front.rs
@@ -377,10 +377,10 @@
         }
         if *stop.borrow() == Stop::HandedOver {
             self.parting.set(true);
-            queued(listener)
-                .for_each(|s| drop(open.spawn_local(self.clone().connection(s, closing.clone(), true))));
-        } else {
-            drop(listener);
+        }
+        // Callers wait there of whom the program was told nothing yet; closed over them it would reset them.
+        for stream in queued(listener) {
+            open.spawn_local(self.clone().connection(stream, closing.clone(), true));
         }
         loop {
             tokio::select! {
--- a/tests/ends.rs
+++ b/tests/ends.rs
@@ -133,6 +133,28 @@
     assert_eq!(s.proxy.ended().await.code(), Some(0));
 }
 
+/// Nobody knows of those that the system has taken for the proxy and that wait at its listener.
+#[tokio::test]
+async fn connections_that_wait_as_the_listener_is_closed_are_served() {
+    let mut s = scene(|_| {}).await;
+    s.proxy.terminate().await;
+    let told = Instant::now();
+    s.proxy.pause().await;
+    let mut callers = Vec::new();
+    for n in 0..AT_ONCE {
+        let mut caller = connected(s.proxy.addr).await;
+        caller.write_all(call("POST /once", &n.to_string()).as_bytes()).await.expect("open");
+        callers.push(caller);
+    }
+    // The listener is closed 0.5 s after the signal.
+    sleep_until(told + Duration::from_millis(700)).await;
+    s.proxy.go_on().await;
+    for (n, caller) in callers.iter_mut().enumerate() {
+        assert!(served(caller).await, "{n}");
+    }
+    assert_eq!(s.proxy.ended().await.code(), Some(0));
+}
+
 /// An answer that its caller has not taken yet lies with the system when the connection is closed. Closed over bytes
 /// that nobody has read, it would be thrown away.
 #[tokio::test]
