Ask right before an attempt's first byte whether it is still wanted and allowed

Symptom: a request is sent on although its caller has left while the connection to its backend was coming up.

Evidence: with cancels not allowed by the settings and a backend whose connection comes up late, the caller's leave was noticed at once ('left unanswered ... out'), and when the connection came up seconds later the backend got 'POST /once HTTP/1.1'. Ruled out: with cancels allowed the attempt is withdrawn.

At fault: engine.rs told attempts of the end of their request only by the module's Cancel, which concerns what was sent; backend.rs, `send`, asked of a drain once after the connect, not of the owner, and a wait for a place or the second way of a kept connection that proved closed asked nothing.

Now a request's being owed an answer is one value, dropped with its answer or its caller's leave, and each attempt asks for it and for the drain's grace: when it has a place, and at the first byte, where the stream already looks for stray bytes. What is not permitted is Moot: never sent, and nothing said of its backend.

Test: what_a_caller_left_before_its_connection_came_up_is_not_sent, fails each time without.

--- a/src/bin/heathroad/backend.rs
+++ b/src/bin/heathroad/backend.rs
@@ -1,8 +1,8 @@
 //! The backends' side: a pool of kept connections, and attempts with what each ending means.
 
 use crate::stream::{
-    Flow, Frames, MAX_BODY, MAX_HEAD, MAX_HEADERS, Outgoing, Payload, Progress, STALL, Upload, Watched,
-    prepare,
+    Flow, Frames, MAX_BODY, MAX_HEAD, MAX_HEADERS, Outgoing, Payload, Permit, Progress, STALL, Upload,
+    Watched, prepare,
 };
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
@@ -16,7 +16,7 @@
 use std::future::poll_fn;
 use std::io;
 use std::net::SocketAddr;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -230,8 +230,11 @@
         Ok(place)
     }
 
-    async fn connect(&self, dial: SocketAddr) -> Result<Link, Outcome> {
+    async fn connect(&self, dial: SocketAddr, permit: &Permit) -> Result<Link, Outcome> {
         let place = self.place().await?;
+        if !permit() {
+            return Err(Outcome::Moot);
+        }
         let stream = match timeout(self.limits.connect, TcpStream::connect(dial)).await {
             Ok(Ok(stream)) => stream,
             Ok(Err(e)) if out_of_descriptors(&e) => return Err(Outcome::Moot),
@@ -271,6 +274,8 @@
     pub target: Rc<Target>,
     /// When it is given up.
     pub not_past: Instant,
+    /// Lives for as long as its request is owed an answer.
+    pub wanted: Weak<()>,
     /// Withdraws it.
     pub cancelled: oneshot::Receiver<()>,
 }
@@ -279,10 +284,16 @@
     /// Carries the attempt out and tells how it ended. The connection of one that is given up is closed: that is
     /// how a backend learns that nobody waits, so that it stops the work and frees the slot.
     pub async fn run(self, pool: Rc<Pool>) -> End {
-        let Attempt { call, target, not_past, cancelled } = self;
+        let Attempt { call, target, not_past, wanted, cancelled } = self;
+        let (grace, told) = (pool.limits.drain_grace, target.clone());
+        // Whatever the attempt has to wait for, its request may be over by then, and the backend may have been told
+        // to drain: half the grace leaves room for a late loop and a slow write.
+        let permit: Permit = Rc::new(move || {
+            wanted.strong_count() > 0 && told.drained.get().is_none_or(|told| told.elapsed() <= grace / 2)
+        });
         tokio::select! {
             biased;
-            end = exchange(&pool, &call, &target, not_past) => end,
+            end = exchange(&pool, &call, &target, not_past, &permit) => end,
             () = due(&call, not_past) => End::Unserved(Outcome::Timeout),
             Ok(()) = cancelled => End::Unserved(Outcome::Cancelled),
         }
@@ -305,8 +316,14 @@
 }
 
 /// Sends the request and reads its answer.
-async fn exchange(pool: &Rc<Pool>, call: &Call, target: &Rc<Target>, not_past: Instant) -> End {
-    let end = send(pool, call, target, not_past).await;
+async fn exchange(
+    pool: &Rc<Pool>,
+    call: &Call,
+    target: &Rc<Target>,
+    not_past: Instant,
+    permit: &Permit,
+) -> End {
+    let end = send(pool, call, target, not_past, permit).await;
     // Whatever came of it, the caller is at fault.
     match call.upload().and_then(|upload| upload.failure()) {
         Some(status) if !matches!(end, End::Served(_)) => End::Broken(status),
@@ -314,25 +331,21 @@
     }
 }
 
-async fn send(pool: &Rc<Pool>, call: &Call, target: &Rc<Target>, not_past: Instant) -> End {
+async fn send(pool: &Rc<Pool>, call: &Call, target: &Rc<Target>, not_past: Instant, permit: &Permit) -> End {
+    let moot = || End::Unserved(Outcome::Moot);
     let (mut link, answer) = loop {
         let (mut link, kept) = match pool.reuse(target) {
             Some(link) => (link, true),
-            None => match pool.connect(target.dial).await {
+            None => match pool.connect(target.dial, permit).await {
                 Ok(link) => (link, false),
                 Err(outcome) => return End::Unserved(outcome),
             },
         };
-        // The connect may have begun before the backend was told to drain and ended long after: by then a send
-        // would break the drain. Half the grace leaves room for a late loop and a slow write.
-        if target.drained.get().is_some_and(|told| told.elapsed() > pool.limits.drain_grace / 2) {
-            return End::Unserved(Outcome::Moot);
-        }
-        let Some(request) = call.request(&link.progress, not_past) else {
-            return End::Unserved(Outcome::Moot);
-        };
+        link.progress.permit(permit.clone());
+        let Some(request) = call.request(&link.progress, not_past) else { return moot() };
         match link.sender.send_request(request).await {
             Ok(answer) => break (link, answer),
+            Err(_) if !link.progress.begun() && !permit() => return moot(),
             // A kept connection that turned out to be closed, or to hold bytes that are no answer to this: not a
             // byte of the request was written, so that it goes over another one.
             Err(_) if kept && !link.progress.begun() => {}
@@ -541,15 +554,17 @@
                 let (cancel, cancelled) = oneshot::channel();
                 let not_past = Instant::now() + connect;
                 let (call, target) = (Rc::new(call), target.clone());
-                let attempt = Attempt { call, target: target.clone(), not_past, cancelled };
+                let (owed, permit): (Rc<()>, Permit) = (Rc::default(), Rc::new(|| true));
+                let wanted = Rc::downgrade(&owed);
+                let attempt = Attempt { call, target: target.clone(), not_past, wanted, cancelled };
                 let ended = spawn_local(attempt.run(pool.clone()));
                 let (mut backend, _) = listener.accept().await.expect("it came");
                 assert_ne!(backend.read(&mut [0; 1024]).await.expect("open"), 0);
                 cancel.send(()).expect("it is out");
                 assert_eq!(ended.await.expect("no panic").outcome(), Outcome::Cancelled);
-                let link = pool.connect(dial).await.expect("the one that was given up has left");
+                let link = pool.connect(dial, &permit).await.expect("the one that was given up has left");
                 pool.keep(&target, link);
-                assert!(pool.connect(dial).await.is_ok(), "the one at rest gives way");
+                assert!(pool.connect(dial, &permit).await.is_ok(), "the one at rest gives way");
             })
             .await;
     }
--- a/src/bin/heathroad/engine.rs
+++ b/src/bin/heathroad/engine.rs
@@ -87,9 +87,10 @@
     Duration::from_secs_f64(if ms.is_finite() { (ms / 1000.0).clamp(0.0, 86_400.0) } else { 0.0 })
 }
 
-/// What a request is owed. The way to the caller is spent by its one answer.
+/// What a request is owed. The way to the caller is spent by its one answer, and with it goes what keeps its attempts
+/// wanted that have not been begun.
 enum Life {
-    Owed(oneshot::Sender<Answer>),
+    Owed(oneshot::Sender<Answer>, Rc<()>),
     Over,
 }
 
@@ -117,13 +118,13 @@
 impl Open {
     /// Gives the answer if one is still owed.
     fn answer(&mut self, answer: Answer) {
-        if let Life::Owed(caller) = std::mem::replace(&mut self.life, Life::Over) {
+        if let Life::Owed(caller, _) = std::mem::replace(&mut self.life, Life::Over) {
             // A caller that has just left takes no answer; its hang-up says so.
             let _ = caller.send(answer);
         }
     }
     fn owed(&self) -> bool {
-        matches!(self.life, Life::Owed(_))
+        matches!(self.life, Life::Owed(..))
     }
     fn done(&self) -> bool {
         !self.owed() && self.attempts.iter().all(|(_, stand)| matches!(stand, Stand::Ended(..)))
@@ -286,7 +287,8 @@
             let id = s.next;
             s.next += 1;
             let (call, class, received) = (Rc::new(incoming.call), incoming.class, incoming.received);
-            let open = Open { call, class, received, life: Life::Owed(caller), attempts: Vec::new() };
+            let life = Life::Owed(caller, Rc::default());
+            let open = Open { call, class, received, life, attempts: Vec::new() };
             s.requests.insert(id, open);
             id
         };
@@ -492,7 +494,11 @@
         let sent = Instant::now();
         let target = s.backends.get(&backend).and_then(|k| k.target.as_ref());
         let within = number < self.facts.settings.caps.try_limit as usize;
-        let Some(target) = target.filter(|_| within && open.owed()) else {
+        let wanted = match &open.life {
+            Life::Owed(_, wanted) if within => Some(Rc::downgrade(wanted)),
+            _ => None,
+        };
+        let Some((target, wanted)) = target.zip(wanted) else {
             open.attempts.push((backend, Stand::Ended(Outcome::Moot, Duration::ZERO)));
             s.events.push_back(resolved(request, number, backend, Outcome::Moot, 0.0, open));
             return;
@@ -500,7 +506,7 @@
         let (cancel, cancelled) = oneshot::channel();
         open.attempts.push((backend, Stand::Out(Out { sent, cancel: Some(cancel) })));
         let (call, target, not_past) = (open.call.clone(), target.clone(), self.clock.instant(not_past));
-        let attempt = Attempt { call, target, not_past, cancelled };
+        let attempt = Attempt { call, target, not_past, wanted, cancelled };
         let (engine, pool) = (self.clone(), self.pool.clone());
         tokio::task::spawn_local(async move {
             let end = attempt.run(pool).await;
--- a/src/bin/heathroad/stream.rs
+++ b/src/bin/heathroad/stream.rs
@@ -39,6 +39,9 @@
 /// How much is read at once while a head is copied.
 const HEAD_READ: usize = 4096;
 
+/// Tells whether what is about to be begun is still allowed and wanted.
+pub type Permit = Rc<dyn Fn() -> bool>;
+
 /// How far the messages on a connection have got.
 #[derive(Default)]
 pub struct Progress {
@@ -49,6 +52,8 @@
     unsent: Cell<bool>,
     speaks: Cell<Option<Instant>>,
     heard: Cell<Option<Instant>>,
+    /// Whether the request may still go out, asked right before its first byte.
+    permit: RefCell<Option<Permit>>,
     /// Whoever waits for the first byte of the request to be written.
     waits: RefCell<Option<Waker>>,
     /// A copy of the head that is being read, where one is kept.
@@ -80,6 +85,10 @@
     pub fn listen(&self) {
         self.speaks.set(None);
     }
+    /// The next request goes out only if this holds by then.
+    pub fn permit(&self, permit: Permit) {
+        self.permit.replace(Some(permit));
+    }
     /// A new request is about to be written.
     pub fn begin(&self) {
         self.fresh.set(true);
@@ -430,10 +439,13 @@
 
 impl<S: Peek> Watched<S> {
     /// Before the first byte of a request nothing may lie on its connection: a late second copy of the answer
-    /// before would be taken for the answer to this one.
+    /// before would be taken for the answer to this one. Nor may it have become unwanted.
     fn check(&self) -> io::Result<()> {
-        let unclean = self.progress.fresh.replace(false) && self.stream.unread();
-        if unclean { Err(io::ErrorKind::InvalidData.into()) } else { Ok(()) }
+        if !self.progress.fresh.replace(false) {
+            return Ok(());
+        }
+        let permitted = self.progress.permit.take().is_none_or(|permit| permit());
+        if permitted && !self.stream.unread() { Ok(()) } else { Err(io::ErrorKind::InvalidData.into()) }
     }
 }
 
--- a/tests/ends.rs
+++ b/tests/ends.rs
@@ -205,3 +205,29 @@
         assert_eq!(s.orders.seen.borrow().len(), came + 1);
     }
 }
+
+/// Whether calls may be called off concerns what was sent: a connection that comes up only once the caller has left
+/// carries nothing.
+#[tokio::test]
+async fn what_a_caller_left_before_its_connection_came_up_is_not_sent() {
+    let (listener, held) = silent().await;
+    let addr = listener.local_addr().expect("bound");
+    let discovery = Discovery::start(vec![line("a", addr, "SERVING")]).await;
+    let mut slow = settings();
+    slow["caps"]["cancelling"] = false.into();
+    slow["caps"]["connectTimeout"] = 20_000.0.into();
+    let proxy = Proxy::settled(&discovery, slow).await;
+    let mut caller = connected(proxy.addr).await;
+    caller.write_all(call("POST /once", "1").as_bytes()).await.expect("open");
+    soon(connecting(addr)).await;
+    caller.shutdown().await.expect("open");
+    assert_eq!(status(&mut caller).await, None, "the proxy knows that it left");
+    // Only now does the queue get room, and the connection comes up when the system next tries.
+    for _ in &held {
+        drop(soon(listener.accept()).await.expect("queued"));
+    }
+    let (mut late, _) = soon(listener.accept()).await.expect("the proxy's");
+    let mut bytes = Vec::new();
+    soon(late.read_to_end(&mut bytes)).await.expect("a close");
+    assert_eq!(String::from_utf8_lossy(&bytes), "");
+}
