Write the log without waiting, and without a panic where nobody reads it

Symptom: the proxy ends, or stands still, when the reader of its standard error goes away or stops reading.

Evidence: with the reading end closed, the first failed call after that gets no answer; with an end that is open and not read, calls get no answer once some 64 KiB of lines lie in the pipe. At fault: eprintln!, which panics on EPIPE and waits for room, in the one thread that does everything. Ruled out: a closed descriptor 2, which the standard library takes for written.

Tests: a_log_whose_reader_has_gone_ends_nothing, a_log_that_nobody_reads_stops_nothing_and_says_what_was_lost.

--- a/src/bin/heathroad/discovery.rs
+++ b/src/bin/heathroad/discovery.rs
@@ -1,6 +1,7 @@
 //! Discovery: the list of backends, and the watch on its changes.
 
 use crate::engine::Engine;
+use crate::log::log;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1::{SendRequest, handshake};
@@ -95,7 +96,7 @@
             }
         }
         if bad > 0 {
-            eprintln!("heathroad: discovery: {bad} entries passed over, such as {example}");
+            log!("discovery: {bad} entries passed over, such as {example}");
         }
         good
     }
@@ -140,7 +141,7 @@
             }
             Err(e) => {
                 if pause == BACKOFF[0] {
-                    eprintln!("heathroad: discovery: {e}");
+                    log!("discovery: {e}");
                 }
                 link = None;
                 if must_ask {
--- a/src/bin/heathroad/engine.rs
+++ b/src/bin/heathroad/engine.rs
@@ -5,6 +5,7 @@
 use crate::discovery::{Health, Host};
 use crate::front::printed;
 use crate::handover::Marks;
+use crate::log::log;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::fmt::Write;
@@ -250,7 +251,7 @@
         }
         let count = marks.others + 1;
         if self.processes.send_if_modified(|held| std::mem::replace(held, count) != count) {
-            eprintln!("heathroad: processes of this proxy: {count}");
+            log!("processes of this proxy: {count}");
             events.push(Event::Processes { count });
         }
         events.into_iter().for_each(|event| self.tell(event));
@@ -381,7 +382,7 @@
             if h.health == Health::Deleted {
                 return Some(Entry { backend, phase: Phase::Gone, ..Entry::default() });
             }
-            eprintln!("heathroad: discovery: {}: zone {:?} is unknown, passed over", h.host, h.site);
+            log!("discovery: {}: zone {:?} is unknown, passed over", h.host, h.site);
             return None;
         };
         let phase = match h.health {
@@ -408,7 +409,7 @@
         let Some(open) = s.requests.get(&request).filter(|r| r.owed()) else { return };
         let class = &self.facts.site.classes[usize::from(open.class)];
         let (id, age) = (printed(&open.call.id), open.received.elapsed().as_millis());
-        let mut line = format!("heathroad: {id} {class} {how} after {age} ms");
+        let mut line = format!("{id} {class} {how} after {age} ms");
         for (backend, stand) in &open.attempts {
             let name = s.backends.get(backend).map_or("?", |k| &k.name);
             let (what, took) = match stand {
@@ -417,7 +418,7 @@
             };
             let _ = write!(line, ", {name} {what} {} ms", took.as_millis());
         }
-        eprintln!("{line}");
+        log!("{line}");
     }
 
     /// Tells the module of an event and carries out what it decides, and so on until all is quiet.
@@ -479,11 +480,11 @@
                 } else {
                     known.renew(&self.pool);
                 }
-                eprintln!("heathroad: backend {} {}", known.name, if on { "suspended" } else { "resumed" });
+                log!("backend {} {}", known.name, if on { "suspended" } else { "resumed" });
             }
             Action::Drain { on } => {
                 self.away.send_replace(on);
-                eprintln!("heathroad: clients are {}", if on { "sent away" } else { "taken again" });
+                log!("clients are {}", if on { "sent away" } else { "taken again" });
             }
         }
     }
--- a/src/bin/heathroad/front.rs
+++ b/src/bin/heathroad/front.rs
@@ -2,6 +2,7 @@
 
 use crate::backend::{Call, Content, KEPT};
 use crate::engine::{Answer, Engine, Incoming, MARGIN, millis};
+use crate::log::log;
 use crate::stream::{
     Flow, Frames, MAX_BODY, MAX_HEAD, MAX_HEADERS, Payload, Peek, Progress, Socket, Upload, Watched, prepare,
 };
@@ -592,7 +593,7 @@
                 return Err(Box::new(write(Answer::Refused { retry_after: self.away() })));
             }
             Err(status) => {
-                eprintln!("heathroad: {} {name} broken off by its caller, {status}", printed(&id));
+                log!("{} {name} broken off by its caller, {status}", printed(&id));
                 return Err(wrong(status));
             }
         };
--- a/src/bin/heathroad/main.rs
+++ b/src/bin/heathroad/main.rs
@@ -8,6 +8,7 @@
 mod engine;
 mod front;
 mod handover;
+mod log;
 mod management;
 mod stream;
 
@@ -16,6 +17,7 @@
 use engine::{Engine, millis};
 use front::{Front, Stop};
 use handover::Handover;
+use log::log;
 use management::Door;
 use std::cell::Cell;
 use std::env;
@@ -56,7 +58,7 @@
     match start() {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
-            eprintln!("heathroad: {e}");
+            log!("{e}");
             ExitCode::FAILURE
         }
     }
@@ -108,7 +110,7 @@
     let listener = listen(config.listen, door.is_some());
     let listener = listener.map_err(|e| format!("listen: {}: {e}", config.listen))?;
     let bound = listener.local_addr().map_err(|e| format!("listen: {e}"))?;
-    eprintln!("heathroad: listening on {bound}");
+    log!("listening on {bound}");
     let kept = engine.clone();
     let swept = pool.clone();
     spawn_local(async move {
@@ -154,16 +156,16 @@
         }
         match config::reload() {
             Ok(address) => {
-                eprintln!("heathroad: configuration read again, discovery at {address}");
+                log!("configuration read again, discovery at {address}");
                 // The old watch ends at once, with its connection and its version: the new address is asked for
                 // the whole list.
                 following.abort();
                 following = follow(engine.clone(), address);
             }
-            Err(e) => eprintln!("heathroad: configuration kept: {e}"),
+            Err(e) => log!("configuration kept: {e}"),
         }
     }
-    eprintln!("heathroad: stopping, {} requests open", engine.owed());
+    log!("stopping, {} requests open", engine.owed());
     door.inspect(|door| door.stopping());
     let end = Instant::now() + last;
     engine.end_by(end);
@@ -197,7 +199,7 @@
     let listener = TcpListener::bind(address).await;
     let listener = listener.map_err(|e| format!("management: {address}: {e}"))?;
     let bound = listener.local_addr().map_err(|e| format!("management: {e}"))?;
-    eprintln!("heathroad: operators at {bound}");
+    log!("operators at {bound}");
     let door = Door::new(engine.clone(), Handover::new(env::var_os("TMPDIR").map(Into::into)));
     spawn_local(door.clone().serve(listener));
     let looking = door.clone();
--- a/src/bin/heathroad/management.rs
+++ b/src/bin/heathroad/management.rs
@@ -3,6 +3,7 @@
 
 use crate::engine::Engine;
 use crate::handover::Handover;
+use crate::log::log;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -57,7 +58,7 @@
     pub fn serving(&self) {
         self.serving.set(true);
         if let Err(e) = self.handover.enter() {
-            eprintln!("heathroad: marks: {e}; another process will not know of this one");
+            log!("marks: {e}; another process will not know of this one");
         }
     }
 
@@ -72,7 +73,7 @@
         let was = self.blind.replace(marks.is_err());
         match marks {
             Ok(marks) => self.engine.follow_marks(&marks),
-            Err(e) if !was => eprintln!("heathroad: marks: {e}; what held goes on"),
+            Err(e) if !was => log!("marks: {e}; what held goes on"),
             Err(_) => {}
         }
         !self.blind.get()
@@ -158,7 +159,7 @@
     /// Yes once the mark stands and the module has applied it.
     fn mark(&self, marked: io::Result<()>, what: &str, whom: &str) -> Reply {
         if let Err(e) = &marked {
-            eprintln!("heathroad: {what} {whom}: not done, its mark failed: {e}");
+            log!("{what} {whom}: not done, its mark failed: {e}");
         }
         if marked.is_ok() && self.look() {
             say(StatusCode::OK, &format!("{what} {whom}: done"))
--- a/tests/ends.rs
+++ b/tests/ends.rs
@@ -231,3 +231,35 @@
     soon(late.read_buf(&mut bytes)).await.expect("a close");
     assert_eq!(String::from_utf8_lossy(&bytes), "");
 }
+
+/// Each call here is refused or failed, which the log tells with a line.
+async fn calls_that_are_logged(proxy: &Proxy, orders: &Arc<Orders>, calls: usize) {
+    for _ in 0..calls {
+        orders.give([Do::Answer(500)]);
+        assert_eq!(proxy.call("once").await.0, 502);
+    }
+    assert_eq!(proxy.call("look").await.0, 200);
+}
+
+#[tokio::test]
+async fn a_log_whose_reader_has_gone_ends_nothing() {
+    let mut s = scene(|_| {}).await;
+    drop(s.proxy.log.take());
+    calls_that_are_logged(&s.proxy, &s.orders, 3).await;
+    s.proxy.terminate_unheard().await;
+    assert_eq!(s.proxy.ended().await.code(), Some(0));
+}
+
+#[tokio::test]
+async fn a_log_that_nobody_reads_stops_nothing_and_says_what_was_lost() {
+    let mut s = scene(|_| {}).await;
+    // A pipe holds 64 KiB, and a line of these has some 80 bytes.
+    calls_that_are_logged(&s.proxy, &s.orders, 2000).await;
+    let mut log = s.proxy.log.take().expect("held");
+    // There is room again once a part of it has been read.
+    for _ in 0..500 {
+        soon(log.next_line()).await.expect("readable");
+    }
+    calls_that_are_logged(&s.proxy, &s.orders, 1).await;
+    while !soon(log.next_line()).await.expect("readable").expect("it goes on").contains("were lost") {}
+}
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -323,7 +323,8 @@
     /// The file of its configuration.
     pub config: std::path::PathBuf,
     child: Child,
-    log: tokio::io::Lines<BufReader<ChildStderr>>,
+    /// Its standard error, until somebody takes it away.
+    pub log: Option<tokio::io::Lines<BufReader<ChildStderr>>>,
 }
 
 /// Writes a configuration where the program finds it.
@@ -384,7 +385,7 @@
                 break addr.parse().expect("an address");
             }
         };
-        Proxy { addr, door, folder, config: path, child, log }
+        Proxy { addr, door, folder, config: path, child, log: Some(log) }
     }
 
     /// The proxy, once it holds discovery's list.
@@ -413,15 +414,16 @@
         self.kill("-CONT").await;
     }
 
-    /// Sends SIGTERM to a program that is paused.
-    pub async fn terminate_paused(&self) {
+    /// Sends SIGTERM to a program whose log nobody reads.
+    pub async fn terminate_unheard(&self) {
         self.kill("-TERM").await;
     }
 
     /// Sends a signal and waits until the program's log says so.
     async fn signal(&mut self, signal: &str, says: &str) {
         self.kill(signal).await;
-        while !soon(self.log.next_line()).await.expect("readable").expect("it goes on").contains(says) {}
+        let log = self.log.as_mut().expect("it is read");
+        while !soon(log.next_line()).await.expect("readable").expect("it goes on").contains(says) {}
     }
 
     /// Sends SIGTERM and waits until the program has taken notice.
