Fit failed calls to discovery and the pause after them into the grace of a drain

Symptom: found by reading. Discovery is silent for some seconds and then back: what it has to tell counts as told at that moment. A call that was not answered was waited for 1 s, a watch 3 s, and the pause after it was up to 1 s, so that a drain told at the return was learnt up to 2 s later and sent against, with a grace of 0.5 s.

Now the waits follow from the grace that the settings state, and after a failure it is only asked what there is, which the agent answers at once or not at all. Asking is free: the agent is next door. At the two ends of the range they are 50 ms and 1 s for an answer, 5 ms and 250 ms for the pause.

Test: silence_and_half_an_answer_are_noticed_before_the_change_counts_as_told, now for graces of 0.1 to 10 s.

--- a/src/bin/heathroad/discovery.rs
+++ b/src/bin/heathroad/discovery.rs
@@ -16,18 +16,39 @@
 use tokio::time::{Instant, sleep, timeout};
 use turnshift::api::ListKind;
 
-/// How long a watch waits for a change. What it has to tell counts as told 6 s later even if it never arrives, so a
-/// watch that fell silent has to be noticed clearly earlier. Asking anew costs nothing: the agent is next door.
-const WAIT: Duration = Duration::from_secs(2);
-/// An answer that is later than its wait by this is not coming, nor is the rest of one that stops for so long.
-const PATIENCE: Duration = Duration::from_secs(1);
-/// Pause after a failed call: doubles from the one to the other.
-const BACKOFF: [Duration; 2] = [Duration::from_millis(50), Duration::from_secs(1)];
 /// Pause after an answer without news that came at once; a watch goes on if asked within 200 ms.
 const LULL: Duration = Duration::from_millis(100);
 /// Longest list.
 const MAX_LIST: usize = 8 << 20;
 
+/// How long is waited. What discovery has to tell once it is back after a silence counts as told at once, so that a
+/// whole round of a call that is not answered and the pause after it has to fit well into the grace of a drain. Asking
+/// costs nothing: the agent is next door.
+#[derive(Clone, Copy)]
+pub struct Waits {
+    /// A watch, for a change. One that fell silent has to be noticed long before what it misses counts as told, 6 s
+    /// later.
+    watch: Duration,
+    /// An answer that is later than its wait by this is not coming, nor is the rest of one that stops for so long.
+    patience: Duration,
+    /// After a failed call.
+    pause: Duration,
+}
+
+impl Waits {
+    /// Those that suit a grace.
+    pub fn new(grace: Duration) -> Self {
+        let within = |wait: Duration, least, most| {
+            wait.clamp(Duration::from_millis(least), Duration::from_millis(most))
+        };
+        Waits {
+            watch: within(grace * 2, 200, 2000),
+            patience: within(grace / 2, 50, 1000),
+            pause: within(grace / 8, 5, 250),
+        }
+    }
+}
+
 /// A list, or changes to one.
 #[derive(Deserialize)]
 pub struct Page {
@@ -108,9 +129,10 @@
     engine: Rc<Engine>,
     address: SocketAddr,
     must_ask: bool,
+    waits: Waits,
     mut wanted: watch::Receiver<bool>,
 ) {
-    let (mut seq, mut link, mut pause) = (None::<u64>, None, BACKOFF[0]);
+    let (mut seq, mut link, mut failing) = (None::<u64>, None, false);
     loop {
         if must_ask && !*wanted.borrow_and_update() {
             if wanted.changed().await.is_err() {
@@ -119,7 +141,7 @@
             continue;
         }
         let asked = Instant::now();
-        let answer = ask(&mut link, address, seq).await;
+        let answer = ask(&mut link, address, seq, waits, failing).await;
         let page = answer.and_then(|page| {
             let sound = page.sound(seq, engine.ready());
             seq = seq.filter(|_| sound.is_ok());
@@ -128,7 +150,7 @@
         match page {
             Ok(page) => {
                 let repeated = seq.replace(page.seq) == Some(page.seq);
-                pause = BACKOFF[0];
+                failing = false;
                 let news = page.whole || !page.hosts.is_empty();
                 if news {
                     let kind = if page.whole { ListKind::Full } else { ListKind::Delta };
@@ -140,7 +162,7 @@
                 }
             }
             Err(e) => {
-                if pause == BACKOFF[0] {
+                if !std::mem::replace(&mut failing, true) {
                     log!("discovery: {e}");
                 }
                 link = None;
@@ -148,8 +170,7 @@
                     // The module decides when to ask again.
                     engine.list_failed();
                 }
-                sleep(pause).await;
-                pause = (pause * 2).min(BACKOFF[1]);
+                sleep(waits.pause).await;
             }
         }
     }
@@ -157,25 +178,35 @@
 
 type Link = SendRequest<Empty<Bytes>>;
 
-/// One call: the whole list first, then a watch from the version that is held.
-async fn ask(link: &mut Option<Link>, address: SocketAddr, seq: Option<u64>) -> Result<Page, String> {
+/// One call: the whole list first, then a watch from the version that is held. After a failed one it is only asked
+/// what there is, which comes at once or not at all.
+async fn ask(
+    link: &mut Option<Link>,
+    address: SocketAddr,
+    seq: Option<u64>,
+    waits: Waits,
+    failing: bool,
+) -> Result<Page, String> {
     let (path, wait) = match seq {
         None => ("/registry/instances".to_string(), Duration::ZERO),
-        Some(seq) => (format!("/registry/instances?after={seq}&wait_ms={}", WAIT.as_millis()), WAIT),
+        Some(seq) => {
+            let wait = if failing { Duration::from_millis(1) } else { waits.watch };
+            (format!("/registry/instances?after={seq}&wait_ms={}", wait.as_millis()), wait)
+        }
     };
     let mut sender = match link.take().filter(|l| !l.is_closed()) {
         Some(sender) => sender,
-        None => connect(address).await?,
+        None => connect(address, waits.patience).await?,
     };
     let request = Request::get(path).header(header::HOST, address.to_string()).body(Empty::new());
     let request = request.map_err(|e| e.to_string())?;
-    let answer = timeout(wait + PATIENCE, sender.send_request(request)).await;
+    let answer = timeout(wait + waits.patience, sender.send_request(request)).await;
     let answer = answer.map_err(|_| "no answer in time".to_string())?.map_err(|e| e.to_string())?;
     if answer.status() != StatusCode::OK {
         return Err(format!("answered {}", answer.status()));
     }
     // The wait is over once an answer has begun: one that stops short must not cost the whole of it again.
-    let body = timeout(PATIENCE, async {
+    let body = timeout(waits.patience, async {
         let body = Limited::new(answer.into_body(), MAX_LIST).collect().await.map_err(|e| e.to_string())?;
         Ok::<_, String>((body.to_bytes(), sender.ready().await.is_ok()))
     });
@@ -184,8 +215,8 @@
     serde_json::from_slice(&body).map_err(|e| format!("list: {e}"))
 }
 
-async fn connect(address: SocketAddr) -> Result<Link, String> {
-    let stream = timeout(PATIENCE, TcpStream::connect(address)).await;
+async fn connect(address: SocketAddr, patience: Duration) -> Result<Link, String> {
+    let stream = timeout(patience, TcpStream::connect(address)).await;
     let stream = stream.map_err(|_| format!("{address}: no connection in time"))?;
     let stream = stream.map_err(|e| format!("{address}: {e}"))?;
     stream.set_nodelay(true).map_err(|e| e.to_string())?;
@@ -221,25 +252,41 @@
     }
 
     /// What discovery has to tell counts as told 6 s later, whether or not it arrived: a watch that fell silent and
-    /// an answer that stopped short leave time for a second try.
+    /// an answer that stopped short leave time for a second try. Where discovery as such was silent, what it has to
+    /// tell at its return counts at once: then a call that is not answered and the pause fit into a drain's grace.
     #[tokio::test(start_paused = true)]
     async fn silence_and_half_an_answer_are_noticed_before_the_change_counts_as_told() {
-        for (answer, within) in [("", 4), ("HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{\"seq\":", 2)] {
-            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-            let address = listener.local_addr().expect("bound");
-            let agent = async {
-                let (mut stream, _) = listener.accept().await.expect("it came");
-                assert_ne!(stream.read(&mut [0; 1024]).await.expect("open"), 0);
-                stream.write_all(answer.as_bytes()).await.expect("open");
-                stream
-            };
-            let asked = Instant::now();
-            let mut link = None;
-            let tasks = LocalSet::new();
-            let (page, _stream) =
-                tasks.run_until(async { tokio::join!(ask(&mut link, address, Some(7)), agent) }).await;
-            assert!(page.is_err() && link.is_none(), "{answer:?}");
-            assert!(asked.elapsed() <= Duration::from_secs(within), "{answer:?}: {:?}", asked.elapsed());
+        let half = "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{\"seq\":";
+        for grace in [100, 250, 500, 2000, 10_000].map(Duration::from_millis) {
+            let waits = Waits::new(grace);
+            let again = grace.saturating_sub(waits.pause);
+            let silent = Duration::from_secs(4);
+            for (answer, seq, failing, within) in [
+                ("", Some(7), false, silent),
+                (half, Some(7), false, Duration::from_secs(2)),
+                ("", Some(7), true, again),
+                ("", None, true, again),
+                (half, None, true, again),
+            ] {
+                let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+                let address = listener.local_addr().expect("bound");
+                let agent = async {
+                    let (mut stream, _) = listener.accept().await.expect("it came");
+                    assert_ne!(stream.read(&mut [0; 1024]).await.expect("open"), 0);
+                    stream.write_all(answer.as_bytes()).await.expect("open");
+                    stream
+                };
+                let asked = Instant::now();
+                let mut link = None;
+                let tasks = LocalSet::new();
+                let call = async {
+                    let page = ask(&mut link, address, seq, waits, failing).await;
+                    (page, asked.elapsed())
+                };
+                let ((page, took), _stream) = tasks.run_until(async { tokio::join!(call, agent) }).await;
+                assert!(page.is_err() && link.is_none(), "{answer:?}");
+                assert!(took <= within, "{answer:?} {grace:?}: {took:?}");
+            }
         }
     }
 }
--- a/src/bin/heathroad/main.rs
+++ b/src/bin/heathroad/main.rs
@@ -14,6 +14,7 @@
 
 use backend::Pool;
 use config::Config;
+use discovery::Waits;
 use engine::{Engine, millis};
 use front::{Front, Stop};
 use handover::Handover;
@@ -96,8 +97,10 @@
         Some(address) => Some(open_door(address, &engine).await?),
         None => None,
     };
-    let follow =
-        move |engine, address| spawn_local(discovery::follow(engine, address, must_ask, wanted.clone()));
+    let waits = Waits::new(millis(site.drain_grace));
+    let follow = move |engine, address| {
+        spawn_local(discovery::follow(engine, address, must_ask, waits, wanted.clone()))
+    };
     let mut following = follow(engine.clone(), config.discovery);
     // Clients that another process serves are not taken before they can be served here.
     let mut processes = engine.processes();
