Let no list that is older than what is known bring a draining backend back

Symptom: found by reading. After SIGHUP the whole list of the new address holds as it comes. Where that is older than what is known, a backend that was told to drain since is sent to again, past the grace.

Evidence: the test, at the address moved to a list of version 1 that has 'a' SERVING, after version 3 told it to drain: without the change the first calls go to 'a'. Ruled out: taking no older list at all. It would hold as well where discovery has begun anew at version 1, and what it writes counts as told.

Now the latest version had is kept across addresses. An older list takes backends out like any other, and those that it says serve, but that were told to drain with the same start, go on draining. If it stays older for 3 s, discovery has begun anew, and its whole list is asked for and holds: what a move has to tell counts as told 4 s after it. A backend that a newer list no longer named is not remembered: its process has ended and takes nothing.

Test: an_older_list_after_a_move_brings_no_draining_backend_back, fails each time without.

--- a/src/bin/heathroad/discovery.rs
+++ b/src/bin/heathroad/discovery.rs
@@ -8,6 +8,7 @@
 use hyper::{Request, StatusCode, header};
 use hyper_util::rt::TokioIo;
 use serde::Deserialize;
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -16,6 +17,9 @@
 use tokio::time::{Instant, sleep, timeout};
 use turnshift::api::ListKind;
 
+/// A list older than one that was had before is held against it for so long: what a new address has to tell counts as
+/// told 4 s after the move, and discovery may have begun anew.
+const DOUBT: Duration = Duration::from_secs(3);
 /// Pause after an answer without news that came at once; a watch goes on if asked within 200 ms.
 const LULL: Duration = Duration::from_millis(100);
 /// Longest list.
@@ -124,15 +128,16 @@
 }
 
 /// Follows discovery for ever. Where the list must be asked for, it does so when the module says so and tells
-/// it of failures; elsewhere it watches all the time.
+/// it of failures; elsewhere it watches all the time. `newest` is the latest version had from any address.
 pub async fn follow(
     engine: Rc<Engine>,
     address: SocketAddr,
     must_ask: bool,
     waits: Waits,
+    newest: Rc<Cell<u64>>,
     mut wanted: watch::Receiver<bool>,
 ) {
-    let (mut seq, mut link, mut failing) = (None::<u64>, None, false);
+    let (mut seq, mut link, mut failing, mut doubt) = (None::<u64>, None, false, None::<Instant>);
     loop {
         if must_ask && !*wanted.borrow_and_update() {
             if wanted.changed().await.is_err() {
@@ -151,10 +156,21 @@
             Ok(page) => {
                 let repeated = seq.replace(page.seq) == Some(page.seq);
                 failing = false;
+                let older = page.seq < newest.get();
                 let news = page.whole || !page.hosts.is_empty();
+                if older && doubt.get_or_insert(asked).elapsed() > DOUBT {
+                    // It has begun anew: its whole list holds as it is.
+                    newest.set(page.seq);
+                    (seq, doubt) = (None, None);
+                    continue;
+                }
+                if !older {
+                    newest.set(page.seq);
+                    doubt = None;
+                }
                 if news {
                     let kind = if page.whole { ListKind::Full } else { ListKind::Delta };
-                    engine.list(kind, page.entries());
+                    engine.list(kind, page.entries(), older);
                 }
                 // Nor is discovery that repeats itself asked without a pause.
                 if (!news || repeated) && asked.elapsed() < LULL {
--- a/src/bin/heathroad/engine.rs
+++ b/src/bin/heathroad/engine.rs
@@ -141,6 +141,8 @@
     suspended: bool,
     /// Its process by the list, while it takes work: address and start.
     process: Option<(SocketAddr, f64)>,
+    /// The start of its process, while that drains by the list.
+    draining: Option<f64>,
     /// What is sent to, once it was ready.
     target: Option<Rc<Target>>,
 }
@@ -313,14 +315,15 @@
         }
     }
 
-    /// A list of backends, or changes to it.
-    pub fn list(self: &Rc<Self>, kind: ListKind, hosts: Vec<Host>) {
+    /// A list of backends, or changes to it. One `older` than what was told before takes backends out like any other,
+    /// but brings none back that was told to drain: that may have been later.
+    pub fn list(self: &Rc<Self>, kind: ListKind, hosts: Vec<Host>, older: bool) {
         let entries = {
             let s = &mut *self.state.borrow_mut();
             if kind != ListKind::Delta {
                 s.backends.values_mut().for_each(|k| k.listed = false);
             }
-            let entries = hosts.into_iter().filter_map(|h| self.entry(s, h)).collect();
+            let entries = hosts.into_iter().filter_map(|h| self.entry(s, h, older)).collect();
             s.backends.values_mut().filter(|k| !k.listed).for_each(|k| {
                 k.process = None;
                 k.withdraw(&self.pool);
@@ -375,7 +378,7 @@
         });
     }
 
-    fn entry(&self, s: &mut State, h: Host) -> Option<Entry> {
+    fn entry(&self, s: &mut State, h: Host, older: bool) -> Option<Entry> {
         let (backend, known) = s.known(&h.host);
         known.listed = h.health != Health::Deleted;
         let Some(zone) = self.facts.site.zones.iter().position(|z| *z == h.site) else {
@@ -386,10 +389,12 @@
             return None;
         };
         let phase = match h.health {
+            Health::Serving if older && known.draining == Some(h.born_ms) => Phase::Draining,
             Health::Serving => Phase::Ready,
             Health::Draining => Phase::Draining,
             Health::Deleted => Phase::Gone,
         };
+        known.draining = (phase == Phase::Draining).then_some(h.born_ms);
         match (phase, h.dial) {
             (Phase::Ready, Some(dial)) => {
                 known.process = Some((dial, h.born_ms));
@@ -580,7 +585,8 @@
             id
         });
         let name = host.to_string();
-        let new = || Known { name, listed: false, suspended: false, process: None, target: None };
+        let new =
+            || Known { name, listed: false, suspended: false, process: None, draining: None, target: None };
         (id, self.backends.entry(id).or_insert_with(new))
     }
 
@@ -657,9 +663,9 @@
                     let (old, new) = (format!("s-{n}"), format!("s-{}", n + 1));
                     if n % 2 == 0 {
                         let hosts = vec![host(&old, Health::Deleted), host(&new, Health::Serving)];
-                        engine.list(ListKind::Delta, hosts);
+                        engine.list(ListKind::Delta, hosts, false);
                     } else {
-                        engine.list(ListKind::Full, vec![host(&new, Health::Serving)]);
+                        engine.list(ListKind::Full, vec![host(&new, Health::Serving)], false);
                     }
                     let s = engine.state.borrow();
                     assert_eq!((s.ids.len(), s.backends.len()), (1, 1), "after {n}");
@@ -679,7 +685,7 @@
                 let (class, received, attempts) = (0, Instant::now(), vec![(id, ended)]);
                 let open = Open { call: Rc::new(call), class, received, life, attempts };
                 engine.state.borrow_mut().requests.insert(7, open);
-                engine.list(ListKind::Full, vec![host("s-101", Health::Serving)]);
+                engine.list(ListKind::Full, vec![host("s-101", Health::Serving)], false);
                 assert_eq!(engine.state.borrow().backends.len(), 2);
                 engine.state.borrow_mut().requests.clear();
                 engine.forget_gone();
--- a/src/bin/heathroad/main.rs
+++ b/src/bin/heathroad/main.rs
@@ -92,14 +92,14 @@
     let engine = Engine::new(config.facts.clone(), config.seed, pool.clone(), watching);
     let engine = engine.map_err(|e| e.to_string())?;
     let known = config.known.map(|page| page.entries()).unwrap_or_default();
-    engine.list(ListKind::Cached, known);
+    engine.list(ListKind::Cached, known, false);
     let door = match config.management {
         Some(address) => Some(open_door(address, &engine).await?),
         None => None,
     };
-    let waits = Waits::new(millis(site.drain_grace));
+    let (waits, newest) = (Waits::new(millis(site.drain_grace)), Rc::<Cell<u64>>::default());
     let follow = move |engine, address| {
-        spawn_local(discovery::follow(engine, address, must_ask, waits, wanted.clone()))
+        spawn_local(discovery::follow(engine, address, must_ask, waits, newest.clone(), wanted.clone()))
     };
     let mut following = follow(engine.clone(), config.discovery);
     // Clients that another process serves are not taken before they can be served here.
--- a/tests/ends.rs
+++ b/tests/ends.rs
@@ -263,3 +263,23 @@
     calls_that_are_logged(&s.proxy, &s.orders, 1).await;
     while !soon(log.next_line()).await.expect("readable").expect("it goes on").contains("were lost") {}
 }
+
+/// The list at a new address may be older than what is known: a backend that was told to drain since is not sent to
+/// again. If it stays so, discovery has begun anew, and its list holds as it is.
+#[tokio::test]
+async fn an_older_list_after_a_move_brings_no_draining_backend_back() {
+    let orders = Arc::new(Orders::default());
+    let (a, b) = (Backend::start("a", &orders).await, Backend::start("b", &orders).await);
+    let both = |health: &str| vec![a.line(health), b.line("SERVING")];
+    let discovery = Discovery::start(both("SERVING")).await;
+    let mut proxy = Proxy::settled(&discovery, settings()).await;
+    discovery.tell(both("SERVING")).await;
+    discovery.tell(both("DRAINING")).await;
+    let older = Discovery::start(both("SERVING")).await;
+    proxy.reload(&older.config(settings()).to_string(), "read again").await;
+    older.settled().await;
+    for _ in 0..20 {
+        assert_eq!(proxy.call("look").await, (200, "b".into()));
+    }
+    soon(async { while proxy.call("look").await.1 != "a" {} }).await;
+}
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -257,14 +257,20 @@
                 let service = service_fn(move |request: Request<Incoming>| {
                     let (mut list, holds) = (lists.subscribe(), holds.clone());
                     async move {
-                        let after = request.uri().query().and_then(|q| q.strip_prefix("after="));
-                        let after = after.and_then(|q| q.split('&').next()?.parse::<u64>().ok());
-                        if let Some(after) = after {
+                        let query = request.uri().query().unwrap_or_default();
+                        let told = |name: &str| {
+                            query.split('&').find_map(|p| p.strip_prefix(name)?.parse::<u64>().ok())
+                        };
+                        let mut news = true;
+                        if let Some(after) = told("after=") {
                             holds.send_replace(after);
-                            list.wait_for(|(seq, _)| *seq > after).await.map_err(io::Error::other)?;
+                            let wait = Duration::from_millis(told("wait_ms=").unwrap_or_default());
+                            let newer = timeout(wait, list.wait_for(|(seq, _)| *seq > after)).await;
+                            news = newer.is_ok();
                         }
                         let (seq, hosts) = list.borrow().clone();
-                        let text = json!({"seq": seq, "whole": true, "hosts": hosts}).to_string();
+                        let hosts = if news { hosts } else { Vec::new() };
+                        let text = json!({"seq": seq, "whole": news, "hosts": hosts}).to_string();
                         Ok::<_, io::Error>(Response::new(Full::new(Bytes::from(text))))
                     }
                 });
