--- a/tests/ends.rs
+++ b/tests/ends.rs
@@ -283,3 +283,40 @@
     }
     soon(async { while proxy.call("look").await.1 != "a" {} }).await;
 }
+
+/// Wherever a request waits, it is not sent on once its caller has left.
+#[tokio::test]
+async fn what_a_caller_left_while_it_waited_is_not_sent() {
+    let upload = call("POST /once", "1").replace("Host: o", "Host: o\r\nContent-Length: 200000");
+    let waiting = [
+        // For a backend, in the module.
+        call("POST /once", "1"),
+        // The same behind another, which is of no more use.
+        call("POST /once", "1") + &call("POST /once", "2"),
+        // With a body still coming, too long to be kept.
+        upload.clone() + &"x".repeat(100_000),
+        // And with one that is kept.
+        upload.replace("200000", "20000") + "x",
+    ];
+    for text in waiting {
+        let orders = Arc::new(Orders::default());
+        let a = Backend::start("a", &orders).await;
+        let discovery = Discovery::start(vec![a.line("SERVING")]).await;
+        let proxy = Proxy::settled(&discovery, settings()).await;
+        discovery.tell(vec![a.line("DRAINING")]).await;
+        let mut caller = connected(proxy.addr).await;
+        caller.write_all(text.as_bytes()).await.expect("open");
+        // By the time that others have had answers it has been read.
+        for _ in 0..10 {
+            let mut other = connected(proxy.addr).await;
+            other.write_all(b"GET /health/ready HTTP/1.1\r\nHost: o\r\n\r\n").await.expect("open");
+            assert_eq!(status(&mut other).await, Some(503));
+        }
+        caller.shutdown().await.expect("open");
+        let left = status(&mut caller).await;
+        assert!(matches!(left, None | Some(400)), "{left:?}");
+        discovery.tell(vec![a.line("SERVING")]).await;
+        assert_eq!(proxy.call("look").await, (200, "a".into()));
+        assert_eq!(orders.seen.borrow().len(), 1);
+    }
+}
