Follow a new configuration while the program stops, too

Symptom: found by reading. A SIGHUP that comes with SIGTERM or after it was never looked at: the loop in main.rs that waited for either ended with SIGTERM, so that the proxy held on to an address that falls silent, for up to 3.8 s in which it goes on serving and is owed the list by the platform.

Evidence: in the test no line 'configuration read again' ever comes after 'stopping', and the calls go on to the backend that the new address says drains. Ruled out: the watch itself, which goes on while the program stops.

Now a task of its own hears SIGHUP from before the listener is opened to the end.

Test: a_new_configuration_counts_while_the_program_stops, fails each time without.

--- a/src/bin/heathroad/main.rs
+++ b/src/bin/heathroad/main.rs
@@ -101,7 +101,22 @@
     let follow = move |engine, address| {
         spawn_local(discovery::follow(engine, address, must_ask, waits, newest.clone(), wanted.clone()))
     };
-    let mut following = follow(engine.clone(), config.discovery);
+    let (followed, mut following) = (engine.clone(), follow(engine.clone(), config.discovery));
+    // Also while the program stops: the old address is about to fall silent.
+    spawn_local(async move {
+        while reloaded.recv().await.is_some() {
+            match config::reload() {
+                Ok(address) => {
+                    log!("configuration read again, discovery at {address}");
+                    // The old watch ends at once, with its connection and its version: the new address is asked for
+                    // the whole list.
+                    following.abort();
+                    following = follow(followed.clone(), address);
+                }
+                Err(e) => log!("configuration kept: {e}"),
+            }
+        }
+    });
     // Clients that another process serves are not taken before they can be served here.
     let mut processes = engine.processes();
     while *processes.borrow_and_update() > 1 && !engine.ready() {
@@ -151,23 +166,7 @@
     if let Some(door) = &door {
         door.serving();
     }
-    loop {
-        tokio::select! {
-            biased;
-            _ = terminated.recv() => break,
-            _ = reloaded.recv() => {}
-        }
-        match config::reload() {
-            Ok(address) => {
-                log!("configuration read again, discovery at {address}");
-                // The old watch ends at once, with its connection and its version: the new address is asked for
-                // the whole list.
-                following.abort();
-                following = follow(engine.clone(), address);
-            }
-            Err(e) => log!("configuration kept: {e}"),
-        }
-    }
+    let _ = terminated.recv().await;
     log!("stopping, {} requests open", engine.owed());
     door.inspect(|door| door.stopping());
     let end = Instant::now() + last;
--- a/tests/ends.rs
+++ b/tests/ends.rs
@@ -320,3 +320,25 @@
         assert_eq!(orders.seen.borrow().len(), 1);
     }
 }
+
+/// The list is followed to the last: where discovery moves, and a backend drains, while the program stops.
+#[tokio::test]
+async fn a_new_configuration_counts_while_the_program_stops() {
+    let orders = Arc::new(Orders::default());
+    let (a, b) = (Backend::start("a", &orders).await, Backend::start("b", &orders).await);
+    let discovery = Discovery::start(vec![a.line("SERVING")]).await;
+    let mut brisk = settings();
+    for class in brisk["classes"].as_array_mut().expect("a list") {
+        class["aim"] = 500.0.into();
+    }
+    let mut proxy = Proxy::settled(&discovery, brisk.clone()).await;
+    let mut caller = proxy.caller().await;
+    assert_eq!(caller.call("look").await, (200, "a".into()));
+    let other = Discovery::start(vec![a.line("DRAINING"), b.line("SERVING")]).await;
+    proxy.terminate().await;
+    proxy.reload(&other.config(brisk).to_string(), "read again").await;
+    other.settled().await;
+    assert_eq!(caller.call("look").await, (200, "b".into()));
+    drop(caller);
+    assert_eq!(proxy.ended().await.code(), Some(0));
+}
