--- a/src/bin/heathroad/engine.rs
+++ b/src/bin/heathroad/engine.rs
@@ -5,6 +5,7 @@
 use crate::discovery::{Health, Host};
 use crate::front::printed;
 use crate::handover::Marks;
+use crate::log::log;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::fmt::Write;
@@ -87,9 +88,10 @@
     Duration::from_secs_f64(if ms.is_finite() { (ms / 1000.0).clamp(0.0, 86_400.0) } else { 0.0 })
 }
 
-/// What a request is owed. The way to the caller is spent by its one answer.
+/// What a request is owed. The way to the caller is spent by its one answer, and with it goes what keeps its attempts
+/// wanted that have not been begun.
 enum Life {
-    Owed(oneshot::Sender<Answer>),
+    Owed(oneshot::Sender<Answer>, Rc<()>),
     Over,
 }
 
@@ -117,13 +119,13 @@
 impl Open {
     /// Gives the answer if one is still owed.
     fn answer(&mut self, answer: Answer) {
-        if let Life::Owed(caller) = std::mem::replace(&mut self.life, Life::Over) {
+        if let Life::Owed(caller, _) = std::mem::replace(&mut self.life, Life::Over) {
             // A caller that has just left takes no answer; its hang-up says so.
             let _ = caller.send(answer);
         }
     }
     fn owed(&self) -> bool {
-        matches!(self.life, Life::Owed(_))
+        matches!(self.life, Life::Owed(..))
     }
     fn done(&self) -> bool {
         !self.owed() && self.attempts.iter().all(|(_, stand)| matches!(stand, Stand::Ended(..)))
@@ -249,7 +251,7 @@
         }
         let count = marks.others + 1;
         if self.processes.send_if_modified(|held| std::mem::replace(held, count) != count) {
-            eprintln!("heathroad: processes of this proxy: {count}");
+            log!("processes of this proxy: {count}");
             events.push(Event::Processes { count });
         }
         events.into_iter().for_each(|event| self.tell(event));
@@ -286,7 +288,8 @@
             let id = s.next;
             s.next += 1;
             let (call, class, received) = (Rc::new(incoming.call), incoming.class, incoming.received);
-            let open = Open { call, class, received, life: Life::Owed(caller), attempts: Vec::new() };
+            let life = Life::Owed(caller, Rc::default());
+            let open = Open { call, class, received, life, attempts: Vec::new() };
             s.requests.insert(id, open);
             id
         };
@@ -379,7 +382,7 @@
             if h.health == Health::Deleted {
                 return Some(Entry { backend, phase: Phase::Gone, ..Entry::default() });
             }
-            eprintln!("heathroad: discovery: {}: zone {:?} is unknown, passed over", h.host, h.site);
+            log!("discovery: {}: zone {:?} is unknown, passed over", h.host, h.site);
             return None;
         };
         let phase = match h.health {
@@ -406,7 +409,7 @@
         let Some(open) = s.requests.get(&request).filter(|r| r.owed()) else { return };
         let class = &self.facts.site.classes[usize::from(open.class)];
         let (id, age) = (printed(&open.call.id), open.received.elapsed().as_millis());
-        let mut line = format!("heathroad: {id} {class} {how} after {age} ms");
+        let mut line = format!("{id} {class} {how} after {age} ms");
         for (backend, stand) in &open.attempts {
             let name = s.backends.get(backend).map_or("?", |k| &k.name);
             let (what, took) = match stand {
@@ -415,7 +418,7 @@
             };
             let _ = write!(line, ", {name} {what} {} ms", took.as_millis());
         }
-        eprintln!("{line}");
+        log!("{line}");
     }
 
     /// Tells the module of an event and carries out what it decides, and so on until all is quiet.
@@ -477,11 +480,11 @@
                 } else {
                     known.renew(&self.pool);
                 }
-                eprintln!("heathroad: backend {} {}", known.name, if on { "suspended" } else { "resumed" });
+                log!("backend {} {}", known.name, if on { "suspended" } else { "resumed" });
             }
             Action::Drain { on } => {
                 self.away.send_replace(on);
-                eprintln!("heathroad: clients are {}", if on { "sent away" } else { "taken again" });
+                log!("clients are {}", if on { "sent away" } else { "taken again" });
             }
         }
     }
@@ -492,7 +495,11 @@
         let sent = Instant::now();
         let target = s.backends.get(&backend).and_then(|k| k.target.as_ref());
         let within = number < self.facts.settings.caps.try_limit as usize;
-        let Some(target) = target.filter(|_| within && open.owed()) else {
+        let wanted = match &open.life {
+            Life::Owed(_, wanted) if within => Some(Rc::downgrade(wanted)),
+            _ => None,
+        };
+        let Some((target, wanted)) = target.zip(wanted) else {
             open.attempts.push((backend, Stand::Ended(Outcome::Moot, Duration::ZERO)));
             s.events.push_back(resolved(request, number, backend, Outcome::Moot, 0.0, open));
             return;
@@ -500,7 +507,7 @@
         let (cancel, cancelled) = oneshot::channel();
         open.attempts.push((backend, Stand::Out(Out { sent, cancel: Some(cancel) })));
         let (call, target, not_past) = (open.call.clone(), target.clone(), self.clock.instant(not_past));
-        let attempt = Attempt { call, target, not_past, cancelled };
+        let attempt = Attempt { call, target, not_past, wanted, cancelled };
         let (engine, pool) = (self.clone(), self.pool.clone());
         tokio::task::spawn_local(async move {
             let end = attempt.run(pool).await;
--- a/tests/ends.rs
+++ b/tests/ends.rs
@@ -205,3 +205,61 @@
         assert_eq!(s.orders.seen.borrow().len(), came + 1);
     }
 }
+
+/// Whether calls may be called off concerns what was sent: a connection that comes up only once the caller has left
+/// carries nothing.
+#[tokio::test]
+async fn what_a_caller_left_before_its_connection_came_up_is_not_sent() {
+    let (listener, held) = silent().await;
+    let addr = listener.local_addr().expect("bound");
+    let discovery = Discovery::start(vec![line("a", addr, "SERVING")]).await;
+    let mut slow = settings();
+    slow["caps"]["cancelling"] = false.into();
+    slow["caps"]["connectTimeout"] = 20_000.0.into();
+    let proxy = Proxy::settled(&discovery, slow).await;
+    let mut caller = connected(proxy.addr).await;
+    caller.write_all(call("POST /once", "1").as_bytes()).await.expect("open");
+    soon(connecting(addr)).await;
+    caller.shutdown().await.expect("open");
+    assert_eq!(status(&mut caller).await, None, "the proxy knows that it left");
+    // Only now does the queue get room, and the connection comes up when the system next tries.
+    for _ in &held {
+        drop(soon(listener.accept()).await.expect("queued"));
+    }
+    let (mut late, _) = soon(listener.accept()).await.expect("the proxy's");
+    let mut bytes = Vec::new();
+    soon(late.read_buf(&mut bytes)).await.expect("a close");
+    assert_eq!(String::from_utf8_lossy(&bytes), "");
+}
+
+/// Each call here is refused or failed, which the log tells with a line.
+async fn calls_that_are_logged(proxy: &Proxy, orders: &Arc<Orders>, calls: usize) {
+    for _ in 0..calls {
+        orders.give([Do::Answer(500)]);
+        assert_eq!(proxy.call("once").await.0, 502);
+    }
+    assert_eq!(proxy.call("look").await.0, 200);
+}
+
+#[tokio::test]
+async fn a_log_whose_reader_has_gone_ends_nothing() {
+    let mut s = scene(|_| {}).await;
+    drop(s.proxy.log.take());
+    calls_that_are_logged(&s.proxy, &s.orders, 3).await;
+    s.proxy.terminate_unheard().await;
+    assert_eq!(s.proxy.ended().await.code(), Some(0));
+}
+
+#[tokio::test]
+async fn a_log_that_nobody_reads_stops_nothing_and_says_what_was_lost() {
+    let mut s = scene(|_| {}).await;
+    // A pipe holds 64 KiB, and a line of these has some 80 bytes.
+    calls_that_are_logged(&s.proxy, &s.orders, 2000).await;
+    let mut log = s.proxy.log.take().expect("held");
+    // There is room again once a part of it has been read.
+    for _ in 0..500 {
+        soon(log.next_line()).await.expect("readable");
+    }
+    calls_that_are_logged(&s.proxy, &s.orders, 1).await;
+    while !soon(log.next_line()).await.expect("readable").expect("it goes on").contains("were lost") {}
+}
