--- a/tests/ends.rs
+++ b/tests/ends.rs
@@ -283,3 +283,62 @@
     }
     soon(async { while proxy.call("look").await.1 != "a" {} }).await;
 }
+
+/// Wherever a request waits, it is not sent on once its caller has left.
+#[tokio::test]
+async fn what_a_caller_left_while_it_waited_is_not_sent() {
+    let upload = call("POST /once", "1").replace("Host: o", "Host: o\r\nContent-Length: 200000");
+    let waiting = [
+        // For a backend, in the module.
+        call("POST /once", "1"),
+        // The same behind another, which is of no more use.
+        call("POST /once", "1") + &call("POST /once", "2"),
+        // With a body still coming, too long to be kept.
+        upload.clone() + &"x".repeat(100_000),
+        // And with one that is kept.
+        upload.replace("200000", "20000") + "x",
+    ];
+    for text in waiting {
+        let orders = Arc::new(Orders::default());
+        let a = Backend::start("a", &orders).await;
+        let discovery = Discovery::start(vec![a.line("SERVING")]).await;
+        let proxy = Proxy::settled(&discovery, settings()).await;
+        discovery.tell(vec![a.line("DRAINING")]).await;
+        let mut caller = connected(proxy.addr).await;
+        caller.write_all(text.as_bytes()).await.expect("open");
+        // By the time that others have had answers it has been read.
+        for _ in 0..10 {
+            let mut other = connected(proxy.addr).await;
+            other.write_all(b"GET /health/ready HTTP/1.1\r\nHost: o\r\n\r\n").await.expect("open");
+            assert_eq!(status(&mut other).await, Some(503));
+        }
+        caller.shutdown().await.expect("open");
+        let left = status(&mut caller).await;
+        assert!(matches!(left, None | Some(400)), "{left:?}");
+        discovery.tell(vec![a.line("SERVING")]).await;
+        assert_eq!(proxy.call("look").await, (200, "a".into()));
+        assert_eq!(orders.seen.borrow().len(), 1);
+    }
+}
+
+/// The list is followed to the last: where discovery moves, and a backend drains, while the program stops.
+#[tokio::test]
+async fn a_new_configuration_counts_while_the_program_stops() {
+    let orders = Arc::new(Orders::default());
+    let (a, b) = (Backend::start("a", &orders).await, Backend::start("b", &orders).await);
+    let discovery = Discovery::start(vec![a.line("SERVING")]).await;
+    let mut brisk = settings();
+    for class in brisk["classes"].as_array_mut().expect("a list") {
+        class["aim"] = 500.0.into();
+    }
+    let mut proxy = Proxy::settled(&discovery, brisk.clone()).await;
+    let mut caller = proxy.caller().await;
+    assert_eq!(caller.call("look").await, (200, "a".into()));
+    let other = Discovery::start(vec![a.line("DRAINING"), b.line("SERVING")]).await;
+    proxy.terminate().await;
+    proxy.reload(&other.config(brisk).to_string(), "read again").await;
+    other.settled().await;
+    assert_eq!(caller.call("look").await, (200, "b".into()));
+    drop(caller);
+    assert_eq!(proxy.ended().await.code(), Some(0));
+}
