Move the watch on discovery into the library; a workspace member for the scale run

The scale run's hollow proxies are to make the same calls as the proxy and handle its lists the same way, so the code of the watch moves as it is from the proxy to the library, behind a trait of whoever follows.

--- /dev/null
+++ b/scale/src/main.rs
@@ -0,0 +1,7 @@
+//! The command line of the scale run.
+
+#![forbid(unsafe_code)]
+
+fn main() {
+    println!("scale");
+}
--- a/src/bin/heathroad/config.rs
+++ b/src/bin/heathroad/config.rs
@@ -1,9 +1,9 @@
 //! What the proxy is told at its start: the environment and the configuration file, checked.
 
-use crate::discovery::Page;
 use serde::Deserialize;
 use std::env;
 use std::net::SocketAddr;
+use turnshift::discovery::Page;
 use turnshift::settings::{self, Facts};
 
 /// All that a start needs.
--- a/src/bin/heathroad/engine.rs
+++ b/src/bin/heathroad/engine.rs
@@ -2,7 +2,6 @@
 //! carries out its actions. Keeps the ids, the clock, the timers and each request's life.
 
 use crate::backend::{Attempt, Call, Content, End, Pool, Target};
-use crate::discovery::{Health, Host};
 use crate::front::printed;
 use crate::handover::Marks;
 use crate::log::log;
@@ -19,6 +18,7 @@
 use turnshift::api::{
     Action, Arrival, BackendId, Entry, Event, ListKind, Outcome, Phase, RequestId, Resolved, SettingsError,
 };
+use turnshift::discovery::{Follower, Health, Host};
 use turnshift::settings::Facts;
 
 /// The module's deadline lies so much before the caller's: a deadline counts from the caller's send, and the
@@ -553,6 +553,21 @@
     }
 }
 
+impl Follower for Engine {
+    fn ready(&self) -> bool {
+        Engine::ready(self)
+    }
+    fn list(self: &Rc<Self>, kind: ListKind, hosts: Vec<Host>, older: bool) {
+        Engine::list(self, kind, hosts, older);
+    }
+    fn list_failed(self: &Rc<Self>) {
+        Engine::list_failed(self);
+    }
+    fn note(&self, line: String) {
+        log!("{line}");
+    }
+}
+
 fn resolved(
     request: RequestId,
     number: usize,
--- a/src/bin/heathroad/main.rs
+++ b/src/bin/heathroad/main.rs
@@ -4,7 +4,6 @@
 
 mod backend;
 mod config;
-mod discovery;
 mod engine;
 mod front;
 mod handover;
@@ -14,7 +13,6 @@
 
 use backend::Pool;
 use config::Config;
-use discovery::Waits;
 use engine::{Engine, millis};
 use front::{Front, Stop};
 use handover::Handover;
@@ -33,6 +31,7 @@
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{Instant, sleep, timeout_at};
 use turnshift::api::ListKind;
+use turnshift::discovery::{self, Waits};
 use turnshift::settings::Site;
 
 /// After SIGTERM new connections go on coming for so long.
@@ -91,7 +90,8 @@
     let must_ask = config.facts.settings.must_ask;
     let engine = Engine::new(config.facts.clone(), config.seed, pool.clone(), watching);
     let engine = engine.map_err(|e| e.to_string())?;
-    let known = config.known.map(|page| page.entries()).unwrap_or_default();
+    let (known, complaint) = config.known.map(|page| page.entries()).unwrap_or_default();
+    complaint.into_iter().for_each(|line| log!("{line}"));
     engine.list(ListKind::Cached, known, false);
     let door = match config.management {
         Some(address) => Some(open_door(address, &engine).await?),
--- a/src/bin/heathroad/discovery.rs
+++ b/src/discovery.rs
@@ -1,7 +1,7 @@
-//! Discovery: the list of backends, and the watch on its changes.
+//! Discovery: the list of backends, and the watch on its changes. The proxy follows it, and so does the scale run,
+//! whose hollow proxies are to make the same calls.
 
-use crate::engine::Engine;
-use crate::log::log;
+use crate::api::ListKind;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1::{SendRequest, handshake};
@@ -15,7 +15,6 @@
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, timeout};
-use turnshift::api::ListKind;
 
 /// A list older than one that was had before is held against it for so long: what a new address has to tell counts as
 /// told 4 s after the move, and discovery may have begun anew.
@@ -53,6 +52,18 @@
     }
 }
 
+/// Whoever follows discovery: is told what it answers.
+pub trait Follower {
+    /// Whether a backend takes work by the list that is held.
+    fn ready(&self) -> bool;
+    /// A list, or changes to it; one `older` than what was told before brings no backend back.
+    fn list(self: &Rc<Self>, kind: ListKind, hosts: Vec<Host>, older: bool);
+    /// A call failed, where the list must be asked for.
+    fn list_failed(self: &Rc<Self>);
+    /// A line for the log.
+    fn note(&self, line: String);
+}
+
 /// A list, or changes to one.
 #[derive(Deserialize)]
 pub struct Page {
@@ -110,8 +121,8 @@
         }
     }
 
-    /// Its entries; those that can't be read are logged in one line and passed over.
-    pub fn entries(self) -> Vec<Host> {
+    /// Its entries; those that can't be read are passed over, and a line for the log says so.
+    pub fn entries(self) -> (Vec<Host>, Option<String>) {
         let (mut good, mut bad, mut example) = (Vec::new(), 0, String::new());
         for value in self.hosts {
             match Host::deserialize(&value) {
@@ -120,17 +131,14 @@
                 Err(e) => (bad, example) = (bad + 1, format!("{value}: {e}")),
             }
         }
-        if bad > 0 {
-            log!("discovery: {bad} entries passed over, such as {example}");
-        }
-        good
+        (good, (bad > 0).then(|| format!("discovery: {bad} entries passed over, such as {example}")))
     }
 }
 
 /// Follows discovery for ever. Where the list must be asked for, it does so when the module says so and tells
 /// it of failures; elsewhere it watches all the time. `newest` is the latest version had from any address.
 pub async fn follow(
-    engine: Rc<Engine>,
+    follower: Rc<impl Follower>,
     address: SocketAddr,
     must_ask: bool,
     waits: Waits,
@@ -148,7 +156,7 @@
         let asked = Instant::now();
         let answer = ask(&mut link, address, seq, waits, failing).await;
         let page = answer.and_then(|page| {
-            let sound = page.sound(seq, engine.ready());
+            let sound = page.sound(seq, follower.ready());
             seq = seq.filter(|_| sound.is_ok());
             sound
         });
@@ -170,7 +178,9 @@
                 }
                 if news {
                     let kind = if page.whole { ListKind::Full } else { ListKind::Delta };
-                    engine.list(kind, page.entries(), older);
+                    let (hosts, complaint) = page.entries();
+                    complaint.into_iter().for_each(|line| follower.note(line));
+                    follower.list(kind, hosts, older);
                 }
                 // Nor is discovery that repeats itself asked without a pause.
                 if (!news || repeated) && asked.elapsed() < LULL {
@@ -179,12 +189,12 @@
             }
             Err(e) => {
                 if !std::mem::replace(&mut failing, true) {
-                    log!("discovery: {e}");
+                    follower.note(format!("discovery: {e}"));
                 }
                 link = None;
                 if must_ask {
                     // The module decides when to ask again.
-                    engine.list_failed();
+                    follower.list_failed();
                 }
                 sleep(waits.pause).await;
             }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,10 +1,10 @@
-//! A load balancer's decisions for services that call services, as a library without I/O.
+//! A load balancer's decisions for services that call services, without I/O.
 //!
 //! Each [`Balancer`] is one copy in front of one tier. It learns one concurrency limit for its own calls,
 //! splits it into slices by worth, refuses low-worth requests first once past it, and picks servers inside a
 //! subset of the tier that is as large as its load. It is told what happens ([`api::Event`]) at a clock time
 //! and answers with what to do ([`api::Action`]). It owns no clock, thread or socket: the same settings,
-//! seed and events give the same actions.
+//! seed and events give the same actions. [`discovery`], which does call the network, stands apart from it.
 //!
 //! A proxy embeds it like this:
 //!
@@ -75,6 +75,7 @@
 
 pub mod api;
 mod balancer;
+pub mod discovery;
 pub mod settings;
 mod state;
 
