Bound the pause between calls for the list by the time after which it counts as told

Cause: after failed calls Balancer::on_list doubled the pause up to 1.2 times ask_within (12 s where asking is due every 10 s, 72 s at a minute), and the first call of a start was spread over 0.4 times that. What discovery has counts as told 6 s after it could be reached, whatever call failed before. Ruled out by reading: a wake-up lost between list_failed and the module's Watch (whenever the flag is false a timer of the module is pending, and the watch channel's version tells of a change between the look and the wait), and the connect time-out (bounded by the grace).

Change: the longest pause is a third of the term (2 s), or ask_within where that is shorter. The first pause after a success is 0.25 to 0.5 of it, further ones 0.5 to 1 of it; the first call of a start is spread over the whole of it. An older watch, a list that names nobody, a 503, a connect that fails for want of descriptors, a new address after SIGHUP and a silent agent all go the same way. 720 copies that fail on together make at most 480 calls a second.

--- a/src/api.rs
+++ b/src/api.rs
@@ -5,6 +5,10 @@
 
 use std::fmt;
 
+/// What discovery has, and can be reached for, counts as told so many milliseconds later at the latest,
+/// whatever call failed, was refused or was given up meanwhile.
+pub const TOLD_WITHIN: f64 = 6000.0;
+
 /// Identifies a client request at one copy; never reused.
 pub type RequestId = u64;
 /// Identifies a backend; the same at every copy and across restarts of its process.
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -38,6 +38,8 @@
 const PROVEN_MS: f64 = 60_000.0; // how long a rate of answers proves what a warm backend bears
 const RETRY_SHARE: f64 = 0.1; // repeats of what may have run, as a share of requests: no storm
 const RETRY_DEPTH: f64 = 10.0;
+const ASK_PAUSE: f64 = TOLD_WITHIN / 3.0; // longest between calls for the list: the rest is for the calls
+const ASK_FIRST: f64 = 0.5; // share of it after the first failure
 
 impl Backend {
     fn ejected(&self) -> bool {
@@ -161,7 +163,7 @@
             limiter: Limiter { classes, ..Limiter::default() },
             buckets: vec![(f64::MAX, 0.0); settings.tenants.len()],
             retry_tokens: RETRY_DEPTH,
-            ask_backoff: 1.0,
+            ask_backoff: ASK_FIRST,
             processes: 1.0,
             // One for all classes: in a full queue the longer hold would take every slot of its slice.
             hold: HOLD[settings.tier.min(1) as usize]
@@ -178,7 +180,7 @@
             out.push(Action::WakeMe { delay: self.period(), token: HOUSEKEEPING });
             if self.s.must_ask {
                 // Copies start together: the first call is spread so that discovery is not run over.
-                let share = 0.4 * self.rng.f64();
+                let share = self.rng.f64();
                 self.ask_later(share, out);
             }
         }
@@ -217,21 +219,22 @@
         (self.s.tick * HOUSE_TICKS).max(1.0)
     }
 
-    /// Asks for the list after a share of the time in which asking is due.
+    /// Asks for the list after a share of the longest pause.
     fn ask_later(&mut self, share: f64, out: &mut Vec<Action>) {
         if !std::mem::replace(&mut self.asking, true) {
-            out.push(Action::WakeMe { delay: share * self.s.rules.ask_within, token: ASK });
+            let longest = self.s.rules.ask_within.clamp(1.0, ASK_PAUSE);
+            out.push(Action::WakeMe { delay: share * longest, token: ASK });
         }
     }
 
     fn on_list(&mut self, now: f64, kind: ListKind, entries: Vec<Entry>, out: &mut Vec<Action>) {
         if kind == ListKind::Failed {
             // Jittered and doubling, so that copies that failed together do not call together again.
-            let share = 0.1 * self.ask_backoff * (0.5 + self.rng.f64());
-            self.ask_backoff = (self.ask_backoff * 2.0).min(8.0);
+            let share = self.ask_backoff * (1.0 - 0.5 * self.rng.f64());
+            self.ask_backoff = (self.ask_backoff * 2.0).min(1.0);
             return self.ask_later(share, out);
         }
-        self.ask_backoff = 1.0;
+        self.ask_backoff = ASK_FIRST;
         if kind != ListKind::Delta {
             self.backends.values_mut().for_each(|b| b.entry.phase = Phase::Gone);
         }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -553,6 +553,60 @@
     assert!(a.iter().zip(&b).all(|(x, y)| (x - y).abs() > 1.0), "in step: {a:?} {b:?}");
 }
 
+/// How long a copy waits before its first call for the list, and after each of so many that fail at once.
+fn pauses(ask_within: f64, seed: u64, failures: usize) -> Vec<f64> {
+    let mut s = Settings { must_ask: true, ..plain(4) };
+    s.rules.ask_within = ask_within;
+    let mut balancer = Balancer::new(s, seed).expect("settings are sound");
+    let (mut now, mut kind, mut pauses) = (1000.0, ListKind::Cached, Vec::new());
+    for _ in 0..=failures {
+        let mut actions = Vec::new();
+        balancer.handle(now, Event::List { kind, entries: vec![] }, &mut actions);
+        // The first event asks for a timer of another kind, too.
+        let Some(Action::WakeMe { delay, token }) = actions.pop() else { panic!("a timer") };
+        now += delay;
+        balancer.handle(now, Event::Wake { token }, &mut actions);
+        assert!(actions.contains(&Action::Watch { on: true }), "the timer is that of the call");
+        (kind, _) = (ListKind::Failed, pauses.push(delay));
+    }
+    pauses
+}
+
+/// What discovery has counts as told 6 s after it could be reached, however many calls failed before: a third of
+/// that is the most that passes between two calls, and no more than the time in which asking is due.
+#[test]
+fn calls_for_the_list_follow_each_other_within_a_third_of_the_term() {
+    for ask_within in [100.0, 300.0, 1000.0, 2000.0, 5000.0, 10_000.0, 60_000.0, 3_600_000.0] {
+        let longest = f64::min(ask_within, TOLD_WITHIN / 3.0);
+        for seed in 0..200 {
+            let pauses = pauses(ask_within, seed, 20);
+            assert!(pauses.iter().all(|&p| p > 0.0 && p <= longest), "{ask_within} {seed}: {pauses:?}");
+            // What keeps failing is asked at most twice in the longest pause.
+            assert!(pauses[3..].iter().all(|&p| p >= longest / 2.0), "{ask_within} {seed}: {pauses:?}");
+        }
+    }
+}
+
+/// 720 copies that start, or failed together, do not call together: no tenth of the longest of their pauses holds
+/// more than three in ten of their calls, and each makes at most one call in 0.7 of the longest pause, in the mean.
+#[test]
+fn calls_for_the_list_are_spread_over_the_copies() {
+    for ask_within in [300.0, 10_000.0] {
+        let fleet: Vec<Vec<f64>> = (0..720).map(|seed| pauses(ask_within, seed, 8)).collect();
+        for failures in 0..=8 {
+            let mut waits: Vec<f64> = fleet.iter().map(|p| p[failures]).collect();
+            waits.sort_by(f64::total_cmp);
+            let tenth = waits[719] / 10.0;
+            let most =
+                (0..720).map(|i| waits[i..].iter().take_while(|&&w| w < waits[i] + tenth).count()).max();
+            assert!(most < Some(720 * 3 / 10), "{ask_within}, failure {failures}: {most:?} calls together");
+            let mean = waits.iter().sum::<f64>() / 720.0;
+            let longest = f64::min(ask_within, TOLD_WITHIN / 3.0);
+            assert!(failures < 2 || mean > 0.7 * longest, "{ask_within}: a mean pause of {mean} ms");
+        }
+    }
+}
+
 #[test]
 fn unsound_settings_name_the_field() {
     type Change = fn(&mut Settings);
--- /dev/null
+++ b/tests/told.rs
@@ -0,0 +1,153 @@
+//! What discovery has counts as told 6 s after it could be reached, whatever the proxy's calls met before:
+//! the started program, where it must ask for its list. The only times in these tests are that term.
+
+mod rig;
+
+use rig::*;
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::sync::mpsc;
+use tokio::time::{sleep, timeout};
+use turnshift::api::TOLD_WITHIN;
+
+/// A port that is taken, and on which nobody listens yet: connects are refused.
+fn refusing() -> (TcpSocket, SocketAddr) {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a port");
+    let address = socket.local_addr().expect("bound");
+    (socket, address)
+}
+
+/// An agent that ends its first connections at their first call, then tells a list; the calls as they come.
+fn agent(listener: TcpListener, failing: usize, hosts: Vec<Value>) -> mpsc::UnboundedReceiver<String> {
+    let (came, calls) = mpsc::unbounded_channel();
+    tokio::spawn(async move {
+        for n in 0.. {
+            let (mut stream, _) = listener.accept().await.expect("a connection");
+            let (came, hosts) = (came.clone(), hosts.clone());
+            tokio::spawn(async move {
+                let mut seen = Vec::new();
+                while stream.read_buf(&mut seen).await.is_ok_and(|n| n > 0) {
+                    if !seen.ends_with(b"\r\n\r\n") {
+                        continue;
+                    }
+                    let call = String::from_utf8(std::mem::take(&mut seen)).expect("text");
+                    let watch = call.contains("after=9&");
+                    // The test may be over.
+                    let _ = came.send(call);
+                    if n < failing {
+                        return;
+                    }
+                    let page = if watch {
+                        sleep(Duration::from_millis(200)).await;
+                        json!({"seq": 9, "whole": false, "hosts": []})
+                    } else {
+                        json!({"seq": 9, "whole": true, "hosts": hosts})
+                    };
+                    let page = page.to_string();
+                    let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{page}", page.len());
+                    let _ = stream.write_all(answer.as_bytes()).await;
+                }
+            });
+        }
+    });
+    calls
+}
+
+/// A call that comes within the term.
+async fn in_term<T>(call: impl Future<Output = T>) -> T {
+    timeout(Duration::from_millis(TOLD_WITHIN as u64), call).await.expect("within the term")
+}
+
+/// Where asking is due so rarely, a pause that follows from that alone is longer than the term.
+fn rarely() -> Value {
+    let mut settings = settings();
+    settings["discovery"] = "subscribe".into();
+    settings["guarantees"]["askWithin"] = 120_000.0.into();
+    settings
+}
+
+/// Waits until the log says so.
+async fn logged(proxy: &mut Proxy, says: &str) {
+    let log = proxy.log.as_mut().expect("it is read");
+    while !log.next_line().await.expect("readable").expect("it goes on").contains(says) {}
+}
+
+/// Waits until a call shows that the list is held.
+async fn held(calls: &mut mpsc::UnboundedReceiver<String>) {
+    while !soon(calls.recv()).await.expect("it calls").contains("after=9&") {}
+}
+
+/// A start with discovery down, its return, and calls that fail still.
+#[tokio::test]
+async fn discovery_that_is_back_is_asked_within_the_term() {
+    let orders = Arc::new(Orders::default());
+    let (a, b) = (Backend::start("a", &orders).await, Backend::start("b", &orders).await);
+    let (socket, address) = refusing();
+    let known = json!({"seq": 1, "whole": true, "hosts": [a.line("SERVING"), b.line("SERVING")]});
+    let config = json!({"name": "n0", "listen": "127.0.0.1:0", "discovery": address.to_string(),
+                        "seed": "8c1f30d27a5be964", "known": known,
+                        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256}, "settings": rarely()});
+    let mut proxy = Proxy::start_as(&config, "exec \"$0\"").await;
+    in_term(logged(&mut proxy, "refused")).await;
+    for _ in 0..20 {
+        assert_eq!(proxy.call("look").await.0, 200);
+    }
+    assert!(orders.by("a") > 0, "what it knew is used");
+    let listener = socket.listen(16).expect("it listens");
+    let mut calls = agent(listener, 3, vec![a.line("DRAINING"), b.line("SERVING")]);
+    for _ in 0..4 {
+        in_term(calls.recv()).await.expect("it calls");
+    }
+    held(&mut calls).await;
+    let before = orders.by("a");
+    for _ in 0..20 {
+        assert_eq!(proxy.call("look").await, (200, "b".into()));
+    }
+    assert_eq!(orders.by("a"), before, "nothing new to the drained one");
+}
+
+/// A new configuration names an address where nobody answers yet.
+#[tokio::test]
+async fn a_new_address_that_comes_up_late_is_asked_within_the_term() {
+    let orders = Arc::new(Orders::default());
+    let (a, b) = (Backend::start("a", &orders).await, Backend::start("b", &orders).await);
+    let discovery = Discovery::start(vec![a.line("SERVING"), b.line("SERVING")]).await;
+    let mut proxy = Proxy::settled(&discovery, rarely()).await;
+    let (socket, address) = refusing();
+    let mut config = discovery.config(rarely());
+    config["discovery"] = address.to_string().into();
+    proxy.reload(&config.to_string(), "read again").await;
+    in_term(logged(&mut proxy, "refused")).await;
+    let listener = socket.listen(16).expect("it listens");
+    let mut calls = agent(listener, 0, vec![a.line("DRAINING"), b.line("SERVING")]);
+    in_term(calls.recv()).await.expect("it calls");
+    held(&mut calls).await;
+    let before = orders.by("a");
+    for _ in 0..20 {
+        assert_eq!(proxy.call("look").await, (200, "b".into()));
+    }
+    assert_eq!(orders.by("a"), before, "nothing new to the drained one");
+}
+
+/// Connects to the agent neither succeed nor fail at first.
+#[tokio::test]
+async fn an_agent_that_was_silent_is_asked_within_the_term() {
+    let orders = Arc::new(Orders::default());
+    let b = Backend::start("b", &orders).await;
+    let (listener, _queue) = silent().await;
+    let address = listener.local_addr().expect("bound");
+    let config = json!({"name": "n0", "listen": "127.0.0.1:0", "discovery": address.to_string(),
+                        "seed": "8c1f30d27a5be964",
+                        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256}, "settings": rarely()});
+    let mut proxy = Proxy::start_as(&config, "exec \"$0\"").await;
+    in_term(logged(&mut proxy, "no connection in time")).await;
+    let mut calls = agent(listener, 0, vec![b.line("SERVING")]);
+    in_term(calls.recv()).await.expect("it calls");
+    held(&mut calls).await;
+    assert_eq!(proxy.call("look").await, (200, "b".into()));
+}
