Waits on discovery: a long grace may not stretch a round past the time after which a change is told

Cause: with a grace from 1 s on, a watch waited 2 s and each step of a call up to 1 s. A watch that is given up in the middle of a late answer, the module's first pause and an answer as late came to 5.35 s with steps of 0.45 s, and to over 6 s with longer ones.

Change: a watch waits at most a sixth of the term (1 s), a step at most a twelfth (0.5 s). Then a watch that is given up, the pause and a late answer take 5 sixths of the term at most, by construction; so do a call that is given up after others, the longest pause and that answer. A grace of 500 ms has what it had (1 s, 0.25 s). Not shown by a test: a connection that itself comes up late, since on loopback it either comes at once or is tried again after 1 s.

The test fails without the change.

--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -1,7 +1,7 @@
 //! Discovery: the list of backends, and the watch on its changes. The proxy follows it, and so does the scale run,
 //! whose hollow proxies are to make the same calls.
 
-use crate::api::ListKind;
+use crate::api::{ListKind, TOLD_WITHIN};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1::{SendRequest, handshake};
@@ -21,12 +21,19 @@
 const DOUBT: Duration = Duration::from_secs(3);
 /// Pause after an answer without news that came at once; a watch goes on if asked within 200 ms.
 const LULL: Duration = Duration::from_millis(100);
+/// [`TOLD_WITHIN`] in whole milliseconds.
+const TOLD: u64 = TOLD_WITHIN as u64;
 /// Longest list.
 const MAX_LIST: usize = 8 << 20;
 
 /// How long is waited. What discovery has to tell once it is back after a silence counts as told at once, so that a
 /// whole round of a call that is not answered and the pause after it has to fit well into the grace of a drain. Asking
 /// costs nothing: the agent is next door.
+///
+/// For a long grace, and where the module says when to ask again, [`TOLD_WITHIN`] is the bound. Each call takes
+/// its wait and at most thrice the patience, for the connection, the answer and the rest of it. A watch that is
+/// given up, the module's first pause and an answer as late take 5, 2 and 3 twelfths of the term; a call that is
+/// given up after others, the module's longest pause and that answer 3, 4 and 3.
 #[derive(Clone, Copy)]
 pub struct Waits {
     /// A watch, for a change. One that fell silent has to be noticed long before what it misses counts as told, 6 s
@@ -45,8 +52,8 @@
             wait.clamp(Duration::from_millis(least), Duration::from_millis(most))
         };
         Waits {
-            watch: within(grace * 2, 200, 2000),
-            patience: within(grace / 2, 50, 1000),
+            watch: within(grace * 2, 200, TOLD / 6),
+            patience: within(grace / 2, 50, TOLD / 12),
             pause: within(grace / 8, 5, 250),
         }
     }
--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -300,6 +300,34 @@
     println!("the longest: {longest:?}");
 }
 
+/// The watch, or a call after others that failed, ends late and in the middle of its answer, and the next one
+/// is answered as late.
+#[tokio::test(start_paused = true)]
+async fn a_change_is_told_within_the_term_by_an_agent_that_is_late() {
+    let mut longest = Duration::ZERO;
+    for (grace, late) in [(500, 225), (2000, 450), (10_000, 450)] {
+        for (failures, seed) in [1, 9].into_iter().flat_map(|f| (0..10).map(move |seed| (f, seed))) {
+            let tasks = LocalSet::new();
+            let work = async {
+                let (listener, address) = listening().await;
+                let calls = late_agent(listener, Duration::from_millis(late), move |n| match n {
+                    0 => Do::List(7, true, 1),
+                    n if n <= failures => Do::Half,
+                    _ => Do::List(10, true, 2),
+                });
+                let grace = Duration::from_millis(grace);
+                let seat = Seat::follow(address, settings(true, 60_000.0), seed, grace, true);
+                came(&calls, failures + 1).await;
+                seat.told_of(2).await - calls.borrow()[failures].0
+            };
+            let took = tasks.run_until(work).await;
+            longest = longest.max(took);
+            assert!(took <= WITHIN, "{grace} {failures} {seed}: {took:?}");
+        }
+    }
+    println!("the longest: {longest:?}");
+}
+
 /// Refused for long, at the start or later, and then reached at any moment.
 #[tokio::test(start_paused = true)]
 async fn a_change_is_told_within_the_term_after_refusals() {
