Ask a caller's socket whether it is still there right before an attempt's first byte

Cause: an attempt was begun as long as the caller's own task had not run since its client closed (a weak count in Life::Owed). That task waits its turn behind all that is queued, and up to 50 ms more where bytes lie before the end (Socket::left), so that a loop turn that lasts long, or a small share of a core, let attempts begin after the close. Ruled out: the order within one turn (the hops from a backend's answer to the next attempt's first byte are more than the caller's one) and a wait for a connection (the weak count was asked there).

Change: Presence asks the system (a peek; behind unread bytes, what the reactor was told) in the permit that is asked before a connect and at the first byte. An attempt that comes back unserved asks too, before the module hears of it: a caller that has gone is a hang-up first, so that no further attempt is decided.

call, connected and status of tests/ends.rs move to the rig unchanged.

--- a/src/bin/heathroad/backend.rs
+++ b/src/bin/heathroad/backend.rs
@@ -2,7 +2,7 @@
 
 use crate::stream::{
     Flow, Frames, MAX_BODY, MAX_HEAD, MAX_HEADERS, Outgoing, Payload, Permit, Progress, STALL, Upload,
-    Watched, prepare,
+    Wanted, Watched, prepare,
 };
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
@@ -16,7 +16,7 @@
 use std::future::poll_fn;
 use std::io;
 use std::net::SocketAddr;
-use std::rc::{Rc, Weak};
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -274,8 +274,8 @@
     pub target: Rc<Target>,
     /// When it is given up.
     pub not_past: Instant,
-    /// Lives for as long as its request is owed an answer.
-    pub wanted: Weak<()>,
+    /// Whether anybody still waits for it.
+    pub wanted: Wanted,
     /// Withdraws it.
     pub cancelled: oneshot::Receiver<()>,
 }
@@ -286,10 +286,11 @@
     pub async fn run(self, pool: Rc<Pool>) -> End {
         let Attempt { call, target, not_past, wanted, cancelled } = self;
         let (grace, told) = (pool.limits.drain_grace, target.clone());
-        // Whatever the attempt has to wait for, its request may be over by then, and the backend may have been told
-        // to drain: half the grace leaves room for a late loop and a slow write.
+        // Whatever the attempt has to wait for, its request may be over by then, or its caller gone unnoticed, and the
+        // backend may have been told to drain: half the grace leaves room for a late loop and a slow write.
         let permit: Permit = Rc::new(move || {
-            wanted.strong_count() > 0 && told.drained.get().is_none_or(|told| told.elapsed() <= grace / 2)
+            wanted.upgrade().is_some_and(|there| there())
+                && told.drained.get().is_none_or(|told| told.elapsed() <= grace / 2)
         });
         tokio::select! {
             biased;
@@ -525,10 +526,17 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::stream::Socket;
+    use socket2::SockRef;
     use tokio::io::AsyncReadExt;
     use tokio::net::TcpListener;
     use tokio::task::{LocalSet, spawn_local};
 
+    fn look() -> Call {
+        let (id, uri) = (HeaderValue::from_static("1"), Uri::from_static("/look"));
+        Call { method: Method::GET, uri, host: None, id, key: None, body: Payload::Whole(Bytes::new()) }
+    }
+
     /// With a single place: one at rest gives way, and an attempt that is given up leaves it at once.
     #[tokio::test]
     async fn a_place_for_a_connection_is_waited_for() {
@@ -541,21 +549,11 @@
         tasks
             .run_until(async {
                 let target = Rc::new(pool.target(dial, 0.0));
-                let id = HeaderValue::from_static("1");
-                let uri = Uri::from_static("/look");
-                let call = Call {
-                    method: Method::GET,
-                    uri,
-                    host: None,
-                    id,
-                    key: None,
-                    body: Payload::Whole(Bytes::new()),
-                };
                 let (cancel, cancelled) = oneshot::channel();
                 let not_past = Instant::now() + connect;
-                let (call, target) = (Rc::new(call), target.clone());
-                let (owed, permit): (Rc<()>, Permit) = (Rc::default(), Rc::new(|| true));
-                let wanted = Rc::downgrade(&owed);
+                let (call, target) = (Rc::new(look()), target.clone());
+                let permit: Permit = Rc::new(|| true);
+                let wanted = Rc::downgrade(&permit);
                 let attempt = Attempt { call, target: target.clone(), not_past, wanted, cancelled };
                 let ended = spawn_local(attempt.run(pool.clone()));
                 let (mut backend, _) = listener.accept().await.expect("it came");
@@ -568,4 +566,51 @@
             })
             .await;
     }
+
+    /// A caller has left, and nobody has told: its own task has yet to get its turn, and an attempt for it is about to
+    /// be written, on a connection that is kept or that comes up, or once there is a place for one.
+    #[tokio::test]
+    async fn what_its_caller_has_just_left_is_not_sent() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let dial = listener.local_addr().expect("bound");
+        let door = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let at = door.local_addr().expect("bound");
+        let (connect, idle) = (Duration::from_secs(20), Duration::from_secs(60));
+        let tasks = LocalSet::new();
+        tasks
+            .run_until(async {
+                for kept in [true, false] {
+                    let limits = Limits { connections: 1, connect, idle, drain_grace: connect };
+                    let pool = Rc::new(Pool::new(limits));
+                    let target = Rc::new(pool.target(dial, 0.0));
+                    let permit: Permit = Rc::new(|| true);
+                    let link = pool.connect(dial, &permit).await.expect("it listens");
+                    let (mut backend, _) = listener.accept().await.expect("it came");
+                    // Held by an attempt, or at rest.
+                    let mut held = Some(link);
+                    if kept {
+                        pool.keep(&target, held.take().expect("held"));
+                    }
+                    let far = TcpStream::connect(at).await.expect("it listens");
+                    let near = Socket::new(door.accept().await.expect("it came").0);
+                    let presence = near.presence();
+                    let there: Permit = Rc::new(move || presence.holds());
+                    let (wanted, not_past) = (Rc::downgrade(&there), Instant::now() + connect);
+                    let (_cancel, cancelled) = oneshot::channel();
+                    let (call, target) = (Rc::new(look()), target.clone());
+                    let attempt = Attempt { call, target: target.clone(), not_past, wanted, cancelled };
+                    let ended = spawn_local(attempt.run(pool.clone()));
+                    if !kept {
+                        // It waits for the place.
+                        tokio::task::yield_now().await;
+                    }
+                    SockRef::from(&far).shutdown(std::net::Shutdown::Write).expect("open");
+                    drop(held);
+                    assert_eq!(ended.await.expect("no panic").outcome(), Outcome::Moot, "kept: {kept}");
+                    pool.close(&target);
+                    assert_eq!(backend.read(&mut [0; 1024]).await.expect("a close"), 0, "kept: {kept}");
+                }
+            })
+            .await;
+    }
 }
--- a/src/bin/heathroad/engine.rs
+++ b/src/bin/heathroad/engine.rs
@@ -6,6 +6,7 @@
 use crate::front::printed;
 use crate::handover::Marks;
 use crate::log::log;
+use crate::stream::Permit;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::fmt::Write;
@@ -55,6 +56,8 @@
     pub tenant: u16,
     /// What it is about.
     pub key: Option<String>,
+    /// Whether its caller is still there.
+    pub there: Permit,
     /// When its head had come.
     pub received: Instant,
     /// How long its caller waits.
@@ -91,7 +94,7 @@
 /// What a request is owed. The way to the caller is spent by its one answer, and with it goes what keeps its attempts
 /// wanted that have not been begun.
 enum Life {
-    Owed(oneshot::Sender<Answer>, Rc<()>),
+    Owed(oneshot::Sender<Answer>, Permit),
     Over,
 }
 
@@ -127,6 +130,10 @@
     fn owed(&self) -> bool {
         matches!(self.life, Life::Owed(..))
     }
+    /// Whether it is owed an answer that nobody is there to take.
+    fn deserted(&self) -> bool {
+        matches!(&self.life, Life::Owed(_, there) if !there())
+    }
     fn done(&self) -> bool {
         !self.owed() && self.attempts.iter().all(|(_, stand)| matches!(stand, Stand::Ended(..)))
     }
@@ -290,7 +297,7 @@
             let id = s.next;
             s.next += 1;
             let (call, class, received) = (Rc::new(incoming.call), incoming.class, incoming.received);
-            let life = Life::Owed(caller, Rc::default());
+            let life = Life::Owed(caller, incoming.there);
             let open = Open { call, class, received, life, attempts: Vec::new() };
             s.requests.insert(id, open);
             id
@@ -309,7 +316,8 @@
         }
         tokio::select! {
             biased;
-            answer = answer => answer.unwrap_or(Answer::Failed),
+            // None comes to a caller that has gone; its connection, which is about to notice, ends this.
+            Ok(answer) = answer => answer,
             // The module answers in time; this guards against a late loop and against its silence.
             () = sleep_until(end - BACKSTOP.min(limit)) => Answer::TimedOut,
         }
@@ -501,7 +509,7 @@
         let target = s.backends.get(&backend).and_then(|k| k.target.as_ref());
         let within = number < self.facts.settings.caps.try_limit as usize;
         let wanted = match &open.life {
-            Life::Owed(_, wanted) if within => Some(Rc::downgrade(wanted)),
+            Life::Owed(_, there) if within => Some(Rc::downgrade(there)),
             _ => None,
         };
         let Some((target, wanted)) = target.zip(wanted) else {
@@ -522,7 +530,7 @@
 
     /// An attempt ended. The first served answer goes to the caller by itself.
     fn ended(self: &Rc<Self>, request: RequestId, number: usize, end: End) {
-        let event = {
+        let (left, event) = {
             let s = &mut *self.state.borrow_mut();
             let Some(open) = s.requests.get_mut(&request) else { return };
             let Some((backend, stand)) = open.attempts.get_mut(number) else { return };
@@ -534,7 +542,16 @@
                 End::Broken(status) => self.log(s, request, &format!("broken off by its caller, {status}")),
                 _ => {}
             }
+            // What comes next is decided with this outcome, and perhaps at once: a further attempt.
+            let left =
+                matches!(end, End::Unserved(_)) && s.requests.get(&request).is_some_and(Open::deserted);
+            if left {
+                self.log(s, request, "left unanswered");
+            }
             let Some(open) = s.requests.get_mut(&request) else { return };
+            if left {
+                open.life = Life::Over;
+            }
             match end {
                 End::Served(body) => open.answer(Answer::Served(body)),
                 End::Broken(status) => open.answer(Answer::Broken(status)),
@@ -547,8 +564,11 @@
             let wait = took.as_secs_f64() * 1000.0;
             let event = resolved(request, number, backend, outcome, wait, open);
             s.forget(request);
-            event
+            (left, event)
         };
+        if left {
+            self.tell(Event::Hangup { request });
+        }
         self.tell(event);
     }
 }
--- a/src/bin/heathroad/front.rs
+++ b/src/bin/heathroad/front.rs
@@ -4,7 +4,8 @@
 use crate::engine::{Answer, Engine, Incoming, MARGIN, millis};
 use crate::log::log;
 use crate::stream::{
-    Flow, Frames, MAX_BODY, MAX_HEAD, MAX_HEADERS, Payload, Peek, Progress, Socket, Upload, Watched, prepare,
+    Flow, Frames, MAX_BODY, MAX_HEAD, MAX_HEADERS, Payload, Peek, Permit, Presence, Progress, Socket, Upload,
+    Watched, prepare,
 };
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
@@ -167,6 +168,7 @@
     /// It was served with what a backend made for it.
     served: Cell<bool>,
     progress: Rc<Progress>,
+    presence: Presence,
     /// Its next answer is the last on its connection.
     last: Cell<bool>,
     leaving: Cell<bool>,
@@ -249,7 +251,7 @@
 }
 
 impl Seated {
-    fn new(room: &Rc<Room>, progress: Rc<Progress>) -> Self {
+    fn new(room: &Rc<Room>, progress: Rc<Progress>, presence: Presence) -> Self {
         let number = room.next.get();
         room.next.set(number + 1);
         let seat = Rc::new(Seat {
@@ -259,6 +261,7 @@
             answered: Cell::new(false),
             served: Cell::new(false),
             progress,
+            presence,
             last: Cell::new(false),
             leaving: Cell::new(false),
             leave: Notify::new(),
@@ -395,7 +398,7 @@
         let prepared = prepare(&stream);
         let socket = Socket::new(stream);
         let watched = Watched::new(socket.clone());
-        let seated = Seated::new(&self.room, watched.progress());
+        let seated = Seated::new(&self.room, watched.progress(), socket.presence());
         let seat = &seated.seat;
         seat.progress.expect_head();
         if prepared.is_err() {
@@ -611,7 +614,9 @@
         let received = seat.progress.heard().map_or(received, |heard| heard.max(received));
         let call = Call { method, uri, host, id, key, body };
         let (class, tenant) = (class as u16, tenant as u16);
-        Ok((Incoming { call, class, tenant, key: about, received, patience, allowance }, held))
+        let presence = seat.presence.clone();
+        let there: Permit = Rc::new(move || presence.holds());
+        Ok((Incoming { call, class, tenant, key: about, there, received, patience, allowance }, held))
     }
 }
 
--- a/src/bin/heathroad/stream.rs
+++ b/src/bin/heathroad/stream.rs
@@ -12,7 +12,7 @@
 use std::io;
 use std::mem::MaybeUninit;
 use std::pin::{Pin, pin};
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::task::{Context, Poll, Waker, ready};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest, copy, sink};
@@ -41,6 +41,8 @@
 
 /// Tells whether what is about to be begun is still allowed and wanted.
 pub type Permit = Rc<dyn Fn() -> bool>;
+/// Lives for as long as a request is owed an answer, and then tells whether its caller is still there.
+pub type Wanted = Weak<dyn Fn() -> bool>;
 
 /// How far the messages on a connection have got.
 #[derive(Default)]
@@ -322,6 +324,11 @@
         Socket(Rc::new(RefCell::new(TokioIo::new(stream))))
     }
 
+    /// What tells whether the other side is still there, also after this hand has let go of the socket.
+    pub fn presence(&self) -> Presence {
+        Presence(Rc::downgrade(&self.0))
+    }
+
     /// Comes back once the other side has ended its sending while `waits` holds, also where bytes lie before that end
     /// which nobody reads.
     pub async fn left(&self, waits: impl Fn() -> bool) {
@@ -364,6 +371,25 @@
     }
 }
 
+/// Tells whether a caller is still there. Holds nothing open.
+#[derive(Clone)]
+pub struct Presence(Weak<RefCell<TokioIo<TcpStream>>>);
+
+impl Presence {
+    /// Whether it is so now. The task of a caller that leaves may wait long for its turn, or for bytes before the end
+    /// to be read, so the system is asked. Where such bytes lie it does not show the end, but the reactor was told of
+    /// that when it last looked.
+    pub fn holds(&self) -> bool {
+        let Some(socket) = self.0.upgrade().map(Socket) else { return false };
+        let seen = SockRef::from(socket.0.borrow().inner()).peek(&mut [MaybeUninit::uninit()]);
+        match seen {
+            Ok(0) => false,
+            Ok(_) => !socket.closed(),
+            Err(e) => e.kind() == io::ErrorKind::WouldBlock,
+        }
+    }
+}
+
 impl Peek for Socket {
     fn unread(&self) -> bool {
         self.0.borrow().unread()
@@ -594,6 +620,43 @@
         assert_eq!(write.await.expect_err("nobody reads").kind(), io::ErrorKind::TimedOut);
     }
 
+    #[tokio::test]
+    async fn whether_a_caller_is_there_is_known_at_once() {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let addr = listener.local_addr().expect("bound");
+        let pair = async || {
+            let far = TcpStream::connect(addr).await.expect("it listens");
+            let (near, _) = listener.accept().await.expect("it came");
+            let near = Socket::new(near);
+            (near.presence(), near, far)
+        };
+        let end = |far: &TcpStream| SockRef::from(far).shutdown(std::net::Shutdown::Write).expect("open");
+
+        let (presence, _near, far) = pair().await;
+        assert!(presence.holds());
+        assert_eq!(far.try_write(b"more").expect("there is room"), 4);
+        assert!(presence.holds(), "bytes are no end");
+        // No wait lies between: neither the reactor nor any task has heard of it.
+        let (presence, _near, far) = pair().await;
+        end(&far);
+        assert!(!presence.holds());
+        let (presence, _near, far) = pair().await;
+        SockRef::from(&far).set_linger(Some(Duration::ZERO)).expect("open");
+        drop(far);
+        assert!(!presence.holds(), "reset");
+        // Of an end behind bytes that lie unread the reactor has to tell first.
+        let (presence, _near, far) = pair().await;
+        assert_eq!(far.try_write(b"more").expect("there is room"), 4);
+        end(&far);
+        sleep(Duration::ZERO).await;
+        while presence.holds() {
+            tokio::task::yield_now().await;
+        }
+        let (presence, near, _far) = pair().await;
+        drop(near);
+        assert!(!presence.holds(), "this side has let go");
+    }
+
     #[tokio::test]
     async fn nothing_is_written_where_something_lies_unread() {
         let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
--- a/tests/ends.rs
+++ b/tests/ends.rs
@@ -5,7 +5,6 @@
 
 use rig::*;
 use serde_json::Value;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -34,26 +33,6 @@
     Scene { orders, _a: a, _discovery: discovery, proxy }
 }
 
-fn call(line: &str, id: &str) -> String {
-    format!("{line} HTTP/1.1\r\nHost: o\r\nReq-Id: {id}\r\nReq-Owner: acme\r\nReq-Deadline-Ms: 60000\r\n\r\n")
-}
-
-async fn connected(addr: SocketAddr) -> TcpStream {
-    soon(TcpStream::connect(addr)).await.expect("the system takes it")
-}
-
-/// The status of the next answer on a connection; none where it ends without.
-async fn status(stream: &mut TcpStream) -> Option<u16> {
-    let mut answer = Vec::new();
-    while !answer.windows(4).any(|w| w == b"\r\n\r\n") {
-        if soon(stream.read_buf(&mut answer)).await.ok()? == 0 {
-            return None;
-        }
-    }
-    let text = String::from_utf8(answer).ok()?;
-    text.split(' ').nth(1)?.parse().ok()
-}
-
 /// Reads the answer to a call whose body is the backend's name.
 async fn served(stream: &mut TcpStream) -> bool {
     let mut answer = Vec::new();
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -46,6 +46,8 @@
     Half,
     /// Serves once it is told to.
     Hold(Arc<Notify>),
+    /// Declines once it is told to.
+    DeclineLater(Arc<Notify>),
 }
 
 /// What backends have in common: the orders for the next requests, wherever they go, and what came.
@@ -229,6 +231,11 @@
             release.notified().await;
             left.1 = false;
         }
+        Do::DeclineLater(release) => {
+            release.notified().await;
+            *reply.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+            reply.headers_mut().insert("srv-declined", "1".parse().expect("a value"));
+        }
     }
     Ok(reply)
 }
@@ -543,3 +550,50 @@
         tokio::time::sleep(Duration::from_millis(10)).await;
     }
 }
+
+/// A request as bytes.
+pub fn call(line: &str, id: &str) -> String {
+    format!("{line} HTTP/1.1\r\nHost: o\r\nReq-Id: {id}\r\nReq-Owner: acme\r\nReq-Deadline-Ms: 60000\r\n\r\n")
+}
+
+pub async fn connected(addr: SocketAddr) -> TcpStream {
+    soon(TcpStream::connect(addr)).await.expect("the system takes it")
+}
+
+/// The status of the next answer on a connection; none where it ends without.
+pub async fn status(stream: &mut TcpStream) -> Option<u16> {
+    let mut answer = Vec::new();
+    while !answer.windows(4).any(|w| w == b"\r\n\r\n") {
+        if soon(stream.read_buf(&mut answer)).await.ok()? == 0 {
+            return None;
+        }
+    }
+    let text = String::from_utf8(answer).ok()?;
+    text.split(' ').nth(1)?.parse().ok()
+}
+
+/// What the system's table says of a connection.
+pub struct Row {
+    pub local: u16,
+    pub remote: u16,
+    pub state: u8,
+    /// Bytes that came and were not read.
+    pub unread: u32,
+}
+
+/// The other side has ended its sending, and this side has not.
+pub const CLOSE_WAIT: u8 = 8;
+
+/// The system's table of connections.
+pub fn table() -> Vec<Row> {
+    let port = |address: &str| u16::from_str_radix(address.rsplit(':').next()?, 16).ok();
+    let row = |line: &str| {
+        let fields: Vec<&str> = line.split_whitespace().collect();
+        let [_, local, remote, state, queues, ..] = fields.as_slice() else { return None };
+        let unread = queues.split_once(':').and_then(|(_, unread)| u32::from_str_radix(unread, 16).ok())?;
+        let state = u8::from_str_radix(state, 16).ok()?;
+        Some(Row { local: port(local)?, remote: port(remote)?, state, unread })
+    };
+    let text = std::fs::read_to_string("/proc/net/tcp").expect("a table");
+    text.lines().filter_map(row).collect()
+}
