--- a/tests/gone.rs
+++ b/tests/gone.rs
@@ -5,7 +5,6 @@
 
 use rig::*;
 use socket2::SockRef;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
@@ -41,38 +40,36 @@
     Reset,
 }
 
-/// Leaves, and comes back once the proxy's system knows.
-async fn leave(caller: TcpStream, proxy: SocketAddr, how: Leave) -> Option<TcpStream> {
-    let port = caller.local_addr().expect("bound").port();
-    let known = || table().into_iter().find(|row| row.local == proxy.port() && row.remote == port);
+/// Leaves. What is left of the connection on this side can still be read.
+fn leave(caller: TcpStream, how: Leave) -> Option<TcpStream> {
+    let socket = SockRef::from(&caller);
     match how {
-        Leave::End => {
-            SockRef::from(&caller).shutdown(std::net::Shutdown::Write).expect("open");
-            soon(async {
-                while known().is_some_and(|row| row.state != CLOSE_WAIT) {
-                    yield_now().await;
-                }
-            })
-            .await;
-            Some(caller)
-        }
-        Leave::Reset => {
-            SockRef::from(&caller).set_linger(Some(Duration::ZERO)).expect("open");
-            drop(caller);
-            soon(async {
-                while known().is_some() {
-                    yield_now().await;
-                }
-            })
-            .await;
-            None
-        }
+        Leave::End => socket.shutdown(std::net::Shutdown::Write).expect("open"),
+        Leave::Reset => socket.set_linger(Some(Duration::ZERO)).expect("open"),
     }
+    matches!(how, Leave::End).then_some(caller)
+}
+
+/// Waits until the system, on the proxy's side, knows of each caller's end.
+async fn known(proxy: &Proxy, callers: &[u16]) {
+    let open = |row: &Row| {
+        row.local == proxy.addr.port() && callers.contains(&row.remote) && row.state == ESTABLISHED
+    };
+    soon(async {
+        while table().iter().any(open) {
+            yield_now().await;
+        }
+    })
+    .await;
+}
+
+fn port(caller: &TcpStream) -> u16 {
+    caller.local_addr().expect("bound").port()
 }
 
 /// By the time that others have had answers, what came before them has been read.
-async fn others_are_answered(proxy: &Proxy) {
-    for _ in 0..10 {
+async fn others_are_answered(proxy: &Proxy, others: usize) {
+    for _ in 0..others {
         let mut other = connected(proxy.addr).await;
         other.write_all(b"GET /health/ready HTTP/1.1\r\nHost: o\r\n\r\n").await.expect("open");
         assert_eq!(status(&mut other).await, Some(200));
@@ -91,8 +88,10 @@
         caller.write_all(call("GET /look", &format!("gone-{n}")).as_bytes()).await.expect("open");
         s.orders.came(came + 1).await;
         caller.write_all("x".repeat(60_000).as_bytes()).await.expect("open");
-        others_are_answered(&s.proxy).await;
-        let mut caller = leave(caller, s.proxy.addr, Leave::End).await.expect("open");
+        others_are_answered(&s.proxy, 10).await;
+        let mut caller = leave(caller, Leave::End).expect("open");
+        // By then the end has come too, behind the bytes.
+        others_are_answered(&s.proxy, 1).await;
         release.notify_one();
         assert_eq!(status(&mut caller).await, None, "{n}: the proxy knows that it left");
         assert_eq!(s.proxy.call("look").await.0, 200);
@@ -124,10 +123,9 @@
             }
         })
         .await;
-        let mut left = Vec::new();
-        for caller in callers {
-            left.extend(leave(caller, s.proxy.addr, how).await);
-        }
+        let ports: Vec<u16> = callers.iter().map(port).collect();
+        let mut left: Vec<_> = callers.into_iter().filter_map(|caller| leave(caller, how)).collect();
+        known(&s.proxy, &ports).await;
         s.proxy.go_on().await;
         for caller in &mut left {
             assert_eq!(status(caller).await, None, "{how:?}");
@@ -148,14 +146,16 @@
     s.proxy.pause().await;
     let queued = connected(s.proxy.addr).await;
     let two = connected(s.proxy.addr).await;
-    let mut left = Vec::new();
+    let (mut left, mut ports) = (Vec::new(), Vec::new());
     let behind = call("POST /once", "three") + &call("POST /once", "four");
     for (mut caller, text) in
         [(open, call("POST /once", "one")), (queued, call("POST /once", "two")), (two, behind)]
     {
         caller.write_all(text.as_bytes()).await.expect("open");
-        left.extend(leave(caller, s.proxy.addr, Leave::End).await);
+        ports.push(port(&caller));
+        left.extend(leave(caller, Leave::End));
     }
+    known(&s.proxy, &ports).await;
     s.proxy.go_on().await;
     for caller in &mut left {
         // What the proxy says to one that left is of no matter, as long as it lets go of it.
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -581,8 +581,8 @@
     pub unread: u32,
 }
 
-/// The other side has ended its sending, and this side has not.
-pub const CLOSE_WAIT: u8 = 8;
+/// Neither side has ended its sending.
+pub const ESTABLISHED: u8 = 1;
 
 /// The system's table of connections.
 pub fn table() -> Vec<Row> {
