Cold budgets hold for the sum of all copies when a whole tier restarts

Cause: what a warm backend bears was taken as the rate of answers in the limiter's last window over the warmth of the subset just now. When most of a tier restarts, the warmth falls at once and the rate only with the next window: each copy proved to itself several times what its backends bear, kept that peak for a minute, and the copies' budgets together went past the rule's. Besides, the quota counted only until a copy's first answer: where all are cold, the budget then fell to what the few answers prove.

Change: a window's answers are counted over the warmth of the same time. The quota counts as a floor all the time.

--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -66,15 +66,16 @@
 }
 
 impl Limiter {
-    fn update(&mut self, passed: f64) {
+    fn update(&mut self, passed: f64, warm: f64) {
         self.elapsed += passed;
+        self.warm += passed * warm;
         self.area += passed * self.classes.iter().map(|c| c.busy / c.target()).sum::<f64>();
         if self.answers + self.drops + self.timeouts < WINDOW || self.elapsed < self.mean {
             return;
         }
         let n = self.answers.max(1.0);
         let (load, seen) = (self.area / n, self.ratios / n);
-        self.rate = self.answers / self.elapsed;
+        self.rate = self.answers / self.warm;
         let busy: f64 = self.classes.iter().map(|c| c.busy).sum();
         // Time-outs are drops only while answers are slow too: lost ones alone would cut it to nothing.
         let drops = self.drops + if seen > 1.0 || self.answers == 0.0 { self.timeouts } else { 0.0 };
@@ -93,7 +94,7 @@
         let creep = if busy < 0.5 * self.total { 0.1 } else { 0.01 };
         self.classes.iter_mut().for_each(|c| c.base += (c.mean - c.base) * creep);
         (self.elapsed, self.area, self.answers, self.ratios) = (0.0, 0.0, 0.0, 0.0);
-        (self.drops, self.timeouts, self.used) = (0.0, 0.0, false);
+        (self.drops, self.timeouts, self.used, self.warm) = (0.0, 0.0, false, 0.0);
     }
 }
 
@@ -213,6 +214,11 @@
         self.free_held(now, false, out);
     }
 
+    /// Backends that it holds records of: those listed, and those gone that have attempts out.
+    pub fn backends_known(&self) -> usize {
+        self.backends.len()
+    }
+
     fn period(&self) -> f64 {
         (self.s.tick * HOUSE_TICKS).max(1.0)
     }
@@ -740,7 +746,8 @@
         out.push(Action::WakeMe { delay: self.period(), token: HOUSEKEEPING });
         let passed = (now - self.house).max(0.0);
         self.house = now;
-        self.limiter.update(passed);
+        let warm: f64 = self.subset.iter().map(|i| self.backends[i].warmth(&self.s.rules, now)).sum();
+        self.limiter.update(passed, warm.max(1.0));
         self.resumed.retain(|_, (since, _)| now - *since < self.s.rules.cold);
         self.follow_warmth(now);
         self.excess.iter_mut().for_each(|e| *e -= *e * passed / SPILL_FADE);
@@ -761,15 +768,12 @@
         self.free_held(now, true, out);
         // Cold budgets grow with the most that this copy's backends have proved to bear, at the warmth surely
         // reached: what is answered just now is little where many are cold or all are idle.
-        let warm: f64 = self.subset.iter().map(|i| self.backends[i].warmth(&self.s.rules, now)).sum();
-        self.answered += (self.limiter.rate / warm.max(1.0) - self.answered) * (passed / 1000.0).min(1.0);
+        self.answered += (self.limiter.rate - self.answered) * (passed / 1000.0).min(1.0);
         self.proven = self.answered.max(self.proven * (1.0 - passed / PROVEN_MS));
-        // Before the first answers, what the tenants may ask is what the tier bears: where all are cold,
-        // there would never be an answer.
+        // And what the tenants may ask the tier bears: where all are cold, there would hardly be an answer.
         let quota: f64 = self.s.tenants.iter().map(|t| t.quota_per_s / 1000.0).sum();
-        let unproven = quota / f64::from(self.s.copies) / (self.ring.len() as f64).max(1.0);
-        let proven = if self.answered > 0.0 { self.proven } else { unproven };
-        let each = proven * COLD_MARGIN * self.s.rules.fall_multiple * passed / self.processes;
+        let told = quota / f64::from(self.s.copies) / (self.ring.len() as f64).max(1.0);
+        let each = self.proven.max(told) * COLD_MARGIN * self.s.rules.fall_multiple * passed / self.processes;
         for id in &self.subset {
             let Some(b) = self.backends.get_mut(id) else { continue };
             b.cold_tokens = (b.cold_tokens + each * b.warmth(&self.s.rules, now)).min(1.0);
--- a/src/state.rs
+++ b/src/state.rs
@@ -99,6 +99,7 @@
     pub drops: f64,
     pub timeouts: f64,
     pub used: bool,
-    pub rate: f64,
+    pub warm: f64, // warm backends, times time
+    pub rate: f64, // answers a millisecond of a warm backend
     pub mean: f64,
 }
