front: past the places every request is refused at once, not only a late comer's

Cause: a caller at rest who is told to give way stays if he speaks just then, and whoever came for his place counts as seated all the same. So there may be more seats than places, up to the spare ones, and `overrun` refused past the places only those who came `crowded`. Where all these seats had work, nobody could be taken any more to be refused: the others waited unanswered in the system's queue for as long as the work lasted, behind 16 requests that waited for a connection to a backend, of which there are no more than places.

Change: a request is refused once as many are taken as there are places, whoever sends it.

The test (tests/full.rs): 128 descriptors, also as the process's own limit on open files; callers without a whole request, and some with requests in work on all places, fill it while discovery refuses or is silent; discovery returns with a drain.

Ruled out: a send to a drained backend, seen in trials, was the test's discovery, which answered 'version 2, no change' for a list changed while it was silent.

--- a/src/bin/heathroad/front.rs
+++ b/src/bin/heathroad/front.rs
@@ -493,7 +493,7 @@
         seat.stage.set(Stage::Body);
         let mut reply = match self.read(request, seat, begun, received).await {
             Err(reply) => *reply,
-            Ok(_) if self.overrun(seat, crowded) => write(Answer::Refused { retry_after: self.away() }),
+            Ok(_) if self.overrun(seat) => write(Answer::Refused { retry_after: self.away() }),
             Ok((incoming, _held)) => {
                 seat.stage.set(Stage::Taken);
                 let _taken = Taken::new(&self.room);
@@ -514,11 +514,12 @@
     }
 
     /// Whether there is no room for one more request. Places are held by callers at rest too: what is refused is
-    /// work past what can be carried.
-    fn overrun(&self, seat: &Seat, crowded: bool) -> bool {
+    /// work past what can be carried. Whoever was to give way and spoke just then stays, so that there may be more
+    /// callers than places: where all of them had work, nobody could be taken any more to be refused at once.
+    fn overrun(&self, seat: &Seat) -> bool {
         let (taken, most) = (self.room.taken.get(), self.connections.get());
         let newcomers = (most as f64 * NEWCOMERS) as usize;
-        crowded && taken >= most || !seat.served.get() && taken >= newcomers
+        taken >= most || !seat.served.get() && taken >= newcomers
     }
 
     fn away(&self) -> Option<Duration> {
--- /dev/null
+++ b/tests/full.rs
@@ -0,0 +1,236 @@
+//! The started program with all the descriptors that it may hold: whom it keeps some for. Its own limit on open
+//! files is the one that it is told, so that a descriptor too many is an error as in service.
+
+mod rig;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1::SendRequest;
+use rig::*;
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::SeqCst};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::{Notify, watch};
+use tokio::task::JoinSet;
+
+/// Descriptors of the proxy.
+const DESCRIPTORS: usize = 128;
+/// A send that crosses the notice of a drain may still come, by the settings.
+const GRACE: Duration = Duration::from_millis(500);
+
+/// Callers without a whole request, who come again at once when they are shut out.
+struct Crowd {
+    _tasks: JoinSet<()>,
+    /// How often one of them was.
+    shut: Arc<watch::Sender<usize>>,
+}
+
+impl Crowd {
+    fn start(addr: SocketAddr, says: &'static str) -> Self {
+        let (mut tasks, shut) = (JoinSet::new(), Arc::new(watch::Sender::new(0)));
+        for _ in 0..DESCRIPTORS {
+            let shut = shut.clone();
+            tasks.spawn(async move {
+                loop {
+                    if let Ok(mut stream) = TcpStream::connect(addr).await {
+                        let _ = stream.write_all(says.as_bytes()).await;
+                        // Shut or reset, or answered that it was too slow.
+                        let _ = stream.read_to_end(&mut Vec::new()).await;
+                        shut.send_modify(|n| *n += 1);
+                    }
+                    tokio::task::yield_now().await;
+                }
+            });
+        }
+        Crowd { _tasks: tasks, shut }
+    }
+
+    /// Waits until so many more were shut out.
+    async fn again(&self, times: usize) {
+        let before = *self.shut.borrow();
+        soon(self.shut.subscribe().wait_for(|n| *n >= before + times)).await.expect("open");
+    }
+}
+
+fn config(discovery: &Discovery, how: &str) -> Value {
+    let mut settings = settings();
+    settings["discovery"] = how.into();
+    settings["guarantees"]["askWithin"] = 1000.0.into();
+    let mut config = discovery.config(settings);
+    config["management"] = "127.0.0.1:0".into();
+    config["limits"]["sockets"] = DESCRIPTORS.into();
+    config
+}
+
+fn start() -> String {
+    format!("ulimit -n {DESCRIPTORS}; exec \"$0\"")
+}
+
+/// Status and body of the answer to a request; nothing where the connection ends first.
+async fn attempt(caller: &mut SendRequest<Full<Bytes>>) -> Option<(u16, Bytes)> {
+    caller.ready().await.ok()?;
+    let request = request("look").body(Full::default()).expect("well formed");
+    let answer = caller.send_request(request).await.ok()?;
+    let status = answer.status().as_u16();
+    Some((status, answer.into_body().collect().await.ok()?.to_bytes()))
+}
+
+/// A request on a new connection, again where that is shut unread, as it may be in a crowd, or refused.
+async fn served(addr: SocketAddr) {
+    let call =
+        async { while attempt(&mut connect(addr).await).await.is_none_or(|(status, _)| status != 200) {} };
+    soon(call).await;
+}
+
+/// Callers who send one request after another, more than there is room for.
+struct Work {
+    tasks: JoinSet<()>,
+    holds: Vec<Arc<Notify>>,
+    over: Arc<AtomicBool>,
+}
+
+impl Work {
+    /// They have been served; from now on every request that a backend gets stays in work there. Comes back when
+    /// there are as many as the proxy has room for.
+    async fn begin(proxy: &Proxy, orders: &Arc<Orders>) -> Self {
+        let (mut tasks, over) = (JoinSet::new(), Arc::new(AtomicBool::new(false)));
+        // Answers that were 200; requests that were refused, or whose connection was shut.
+        let [good, turned_away] = [(); 2].map(|()| Arc::new(watch::Sender::new(0)));
+        for _ in 0..DESCRIPTORS / 2 {
+            let (addr, over) = (proxy.addr, over.clone());
+            let (good, turned_away) = (good.clone(), turned_away.clone());
+            tasks.spawn(async move {
+                loop {
+                    let mut caller = connect(addr).await;
+                    while let Some((status, _)) = attempt(&mut caller).await {
+                        match status {
+                            200 => good.send_modify(|n| *n += 1),
+                            503 => turned_away.send_modify(|n| *n += 1),
+                            other => panic!("answered {other}"),
+                        }
+                        if status == 200 && over.load(SeqCst) {
+                            return;
+                        }
+                    }
+                    turned_away.send_modify(|n| *n += 1);
+                }
+            });
+        }
+        soon(good.subscribe().wait_for(|n| *n >= 10 * DESCRIPTORS)).await.expect("open");
+        let holds: Vec<_> = (0..10 * DESCRIPTORS).map(|_| Arc::new(Notify::new())).collect();
+        orders.give(holds.iter().cloned().map(Do::Hold));
+        let before = *turned_away.borrow();
+        let enough = before + 10 * DESCRIPTORS;
+        soon(turned_away.subscribe().wait_for(|n| *n >= enough)).await.expect("open");
+        Work { tasks, holds, over }
+    }
+
+    /// All of them are served once more.
+    async fn end(mut self) {
+        self.over.store(true, SeqCst);
+        self.holds.iter().for_each(|hold| hold.notify_one());
+        while let Some(done) = soon(self.tasks.join_next()).await {
+            done.expect("no panic");
+        }
+    }
+}
+
+/// Looks all the time how many descriptors processes hold together, and keeps the most that was seen.
+struct Watcher {
+    _task: JoinSet<()>,
+    most: Arc<AtomicUsize>,
+}
+
+impl Watcher {
+    fn start(proxies: &[&Proxy]) -> Self {
+        let most = Arc::<AtomicUsize>::default();
+        let mut task = JoinSet::new();
+        let (seen, tables) = (most.clone(), proxies.iter().map(|p| p.descriptor_table()).collect::<Vec<_>>());
+        task.spawn(async move {
+            loop {
+                let held = |table| std::fs::read_dir(table).map_or(0, |entries| entries.count());
+                seen.fetch_max(tables.iter().map(held).sum(), SeqCst);
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
+        });
+        Watcher { _task: task, most }
+    }
+}
+
+/// Callers fill the proxy while discovery is down. At its return the watch, the backends and the operators still get
+/// their descriptors: what was told meanwhile holds, requests are served, and the door answers.
+async fn full_while_discovery_is_down(how: &str, down: Agent, says: &'static str, busy: bool) {
+    let orders = Arc::new(Orders::default());
+    // So many that all the work is taken at once.
+    let mut backends = Vec::new();
+    for name in ["a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l", "m", "n", "o", "p"] {
+        backends.push(Backend::start(name, &orders).await);
+    }
+    let list = |health: &str| {
+        let (a, others) = backends.split_first().expect("some");
+        let others = others.iter().map(|backend| backend.line("SERVING"));
+        std::iter::once(a.line(health)).chain(others).collect::<Vec<_>>()
+    };
+    let discovery = Discovery::start(list("SERVING")).await;
+    let proxy = Proxy::start_as(&config(&discovery, how), &start()).await;
+    discovery.settled().await;
+    let watcher = Watcher::start(&[&proxy]);
+    discovery.set(down).await;
+    let work = if busy { Some(Work::begin(&proxy, &orders).await) } else { None };
+    let crowd = Crowd::start(proxy.addr, says);
+    crowd.again(2 * DESCRIPTORS).await;
+    assert_eq!(proxy.operate("GET", "/v1/readyz").await, 200);
+    discovery.change(list("DRAINING"));
+    discovery.set(Agent::Up).await;
+    discovery.settled().await;
+    for what in ["suspend", "resume"] {
+        assert_eq!(proxy.operate("POST", &format!("/v1/backends/b/{what}")).await, 200);
+    }
+    tokio::time::sleep(GRACE).await;
+    let before = orders.by("a");
+    if let Some(work) = work {
+        work.end().await;
+    }
+    for _ in 0..10 {
+        served(proxy.addr).await;
+    }
+    assert_eq!(orders.by("a"), before, "nothing new goes there");
+    crowd.again(1).await;
+    let most = watcher.most.load(SeqCst);
+    assert!(most < DESCRIPTORS, "one was always free, {most} were seen");
+}
+
+const IDLE: &str = "";
+const HALF: &str = "GET /look HTTP/1.1\r\nHost: o\r\n";
+
+#[tokio::test]
+async fn idle_callers_fill_it_while_discovery_refuses() {
+    full_while_discovery_is_down("automatic", Agent::Refusing, IDLE, false).await;
+    full_while_discovery_is_down("subscribe", Agent::Refusing, IDLE, false).await;
+}
+
+#[tokio::test]
+async fn idle_callers_fill_it_while_discovery_is_silent() {
+    full_while_discovery_is_down("automatic", Agent::Silent, IDLE, false).await;
+    full_while_discovery_is_down("subscribe", Agent::Silent, IDLE, false).await;
+}
+
+#[tokio::test]
+async fn half_open_callers_fill_it_while_discovery_refuses() {
+    full_while_discovery_is_down("automatic", Agent::Refusing, HALF, false).await;
+}
+
+#[tokio::test]
+async fn busy_and_idle_callers_fill_it_while_discovery_refuses() {
+    full_while_discovery_is_down("automatic", Agent::Refusing, IDLE, true).await;
+    full_while_discovery_is_down("subscribe", Agent::Refusing, IDLE, true).await;
+}
+
+#[tokio::test]
+async fn busy_and_half_open_callers_fill_it_while_discovery_is_silent() {
+    full_while_discovery_is_down("automatic", Agent::Silent, HALF, true).await;
+}
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -233,6 +233,16 @@
     Ok(reply)
 }
 
+/// Whether discovery's agent answers.
+#[derive(Clone, Copy, PartialEq)]
+pub enum Agent {
+    Up,
+    /// Its connections have ended, and it takes no new ones.
+    Refusing,
+    /// It takes connections and calls, and answers none.
+    Silent,
+}
+
 /// Discovery with a list that tests change, and the version that the proxy is known to hold.
 pub struct Discovery {
     addr: SocketAddr,
@@ -240,6 +250,7 @@
     held: Arc<watch::Sender<u64>>,
     /// Connections that are open now.
     pub open: Arc<watch::Sender<usize>>,
+    agent: Arc<watch::Sender<Agent>>,
 }
 
 impl Discovery {
@@ -249,26 +260,49 @@
         let list = Arc::new(watch::Sender::new((1, hosts)));
         let held = Arc::new(watch::Sender::new(0));
         let open = Arc::new(watch::Sender::new(0));
-        let (lists, holds, alive) = (list.clone(), held.clone(), open.clone());
+        let agent = Arc::new(watch::Sender::new(Agent::Up));
+        let (lists, holds, alive, states) = (list.clone(), held.clone(), open.clone(), agent.clone());
         tokio::spawn(async move {
+            let mut listener = Some(listener);
+            let mut state = states.subscribe();
             loop {
-                let (stream, _) = listener.accept().await.expect("a connection");
+                let taken = async {
+                    match &listener {
+                        Some(listener) => listener.accept().await.expect("a connection").0,
+                        None => std::future::pending().await,
+                    }
+                };
+                let stream = tokio::select! {
+                    stream = taken => stream,
+                    changed = state.changed() => {
+                        changed.expect("open");
+                        if *state.borrow() == Agent::Refusing {
+                            listener = None;
+                        } else if listener.is_none() {
+                            listener = Some(TcpListener::bind(addr).await.expect("its port"));
+                        }
+                        continue;
+                    }
+                };
                 let (lists, holds, alive) = (lists.clone(), holds.clone(), alive.clone());
+                let (answering, mut refusing) = (states.clone(), states.subscribe());
                 let service = service_fn(move |request: Request<Incoming>| {
-                    let (mut list, holds) = (lists.subscribe(), holds.clone());
+                    let (mut list, holds, mut state) =
+                        (lists.subscribe(), holds.clone(), answering.subscribe());
                     async move {
                         let query = request.uri().query().unwrap_or_default();
                         let told = |name: &str| {
                             query.split('&').find_map(|p| p.strip_prefix(name)?.parse::<u64>().ok())
                         };
-                        let mut news = true;
-                        if let Some(after) = told("after=") {
+                        let after = told("after=");
+                        if let Some(after) = after {
                             holds.send_replace(after);
                             let wait = Duration::from_millis(told("wait_ms=").unwrap_or_default());
-                            let newer = timeout(wait, list.wait_for(|(seq, _)| *seq > after)).await;
-                            news = newer.is_ok();
+                            let _ = timeout(wait, list.wait_for(|(seq, _)| *seq > after)).await;
                         }
+                        state.wait_for(|state| *state == Agent::Up).await.map_err(io::Error::other)?;
                         let (seq, hosts) = list.borrow().clone();
+                        let news = after.is_none_or(|after| seq > after);
                         let hosts = if news { hosts } else { Vec::new() };
                         let text = json!({"seq": seq, "whole": news, "hosts": hosts}).to_string();
                         Ok::<_, io::Error>(Response::new(Full::new(Bytes::from(text))))
@@ -276,12 +310,28 @@
                 });
                 tokio::spawn(async move {
                     alive.send_modify(|n| *n += 1);
-                    let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+                    tokio::select! {
+                        _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service) => {}
+                        _ = refusing.wait_for(|state| *state == Agent::Refusing) => {}
+                    }
                     alive.send_modify(|n| *n -= 1);
                 });
             }
         });
-        Discovery { addr, list, held, open }
+        Discovery { addr, list, held, open, agent }
+    }
+
+    /// From now on the agent answers, or not. Where it refuses, its connections have ended.
+    pub async fn set(&self, agent: Agent) {
+        self.agent.send_replace(agent);
+        if agent == Agent::Refusing {
+            soon(self.open.subscribe().wait_for(|open| *open == 0)).await.expect("open");
+        }
+    }
+
+    /// Changes the list; whether the proxy is told is another matter.
+    pub fn change(&self, hosts: Vec<Value>) {
+        self.list.send_modify(|(seq, list)| (*seq, *list) = (*seq + 1, hosts));
     }
 
     /// The configuration of a proxy that asks here.
@@ -299,7 +349,7 @@
 
     /// Changes the list and waits until the proxy holds it.
     pub async fn tell(&self, hosts: Vec<Value>) {
-        self.list.send_modify(|(seq, list)| (*seq, *list) = (*seq + 1, hosts));
+        self.change(hosts);
         self.settled().await;
     }
 }
@@ -455,6 +505,11 @@
         line.split_whitespace().next().expect("a figure").parse::<usize>().expect("a number") / 1024
     }
 
+    /// The folder that names the descriptors that it holds.
+    pub fn descriptor_table(&self) -> String {
+        format!("/proc/{}/fd", self.child.id().expect("it runs"))
+    }
+
     /// An operator's call; its status.
     pub async fn operate(&self, method: &str, path: &str) -> u16 {
         let mut door = connect(self.door.expect("a door")).await;
