--- a/src/bin/heathroad/front.rs
+++ b/src/bin/heathroad/front.rs
@@ -513,9 +513,10 @@
         crowded || seat.last.get() || *self.engine.away().borrow() || self.parting.get()
     }
 
-    /// Whether there is no room for one more request. Places are held by callers at rest too: what is refused is
-    /// work past what can be carried. Whoever was to give way and spoke just then stays, so that there may be more
-    /// callers than places: where all of them had work, nobody could be taken any more to be refused at once.
+    /// Whether there is no room for one more request. Places are held by callers at rest too: what is refused
+    /// is work past what can be carried. Whoever was to give way and spoke just then stays, so that there may
+    /// be more callers than places: where all of them had work, nobody could be taken any more to be refused
+    /// at once.
     fn overrun(&self, seat: &Seat) -> bool {
         let (taken, most) = (self.room.taken.get(), self.connections.get());
         let newcomers = (most as f64 * NEWCOMERS) as usize;
--- a/tests/full.rs
+++ b/tests/full.rs
@@ -1,5 +1,5 @@
-//! The started program with all the descriptors that it may hold: whom it keeps some for. Its own limit on open
-//! files is the one that it is told, so that a descriptor too many is an error as in service.
+//! The started program with all the descriptors that it may hold: whom it keeps some for. Its own limit on
+//! open files is the one that it is told, so that a descriptor too many is an error as in service.
 
 mod rig;
 
@@ -94,8 +94,8 @@
 }
 
 impl Work {
-    /// They have been served; from now on every request that a backend gets stays in work there. Comes back when
-    /// there are as many as the proxy has room for.
+    /// They have been served; from now on every request that a backend gets stays in work there. Comes back
+    /// when there are as many as the proxy has room for.
     async fn begin(proxy: &Proxy, orders: &Arc<Orders>) -> Self {
         let (mut tasks, over) = (JoinSet::new(), Arc::new(AtomicBool::new(false)));
         // Answers that were 200; requests that were refused, or whose connection was shut.
@@ -161,8 +161,8 @@
     }
 }
 
-/// Callers fill the proxy while discovery is down. At its return the watch, the backends and the operators still get
-/// their descriptors: what was told meanwhile holds, requests are served, and the door answers.
+/// Callers fill the proxy while discovery is down. At its return the watch, the backends and the operators
+/// still get their descriptors: what was told meanwhile holds, requests are served, and the door answers.
 async fn full_while_discovery_is_down(how: &str, down: Agent, says: &'static str, busy: bool) {
     let orders = Arc::new(Orders::default());
     // So many that all the work is taken at once.
--- a/tests/restart.rs
+++ b/tests/restart.rs
@@ -29,8 +29,8 @@
     config
 }
 
-/// With a list that it had, also an old one, it waits for nothing: its first answer says ready, and it serves, also
-/// a crowd that comes at once. What discovery has to tell at its return holds.
+/// With a list that it had, also an old one, it waits for nothing: its first answer says ready, and it
+/// serves, also a crowd that comes at once. What discovery has to tell at its return holds.
 #[tokio::test]
 async fn with_a_known_list_it_is_ready_at_once() {
     for (how, down) in [
