Put settings in force in one step of the module, between two events

Change: Balancer::configure checks a configuration whole and then puts it in force, in src/balancer/configure.rs. Classes stand in slots: one that changes gets another slot with what was learned, and requests in work keep theirs, with its effect and aim, until they are over; a free slot serves again. Slices are cut anew from the worths, calls out and held requests counted over. Tenants' buckets and charges follow their tenants. A number that is not above the one in force, and a change of tier, zone, tick or must_ask, is turned down and changes nothing.

--- a/src/api.rs
+++ b/src/api.rs
@@ -12,7 +12,7 @@
 /// Number of an attempt within its request, counted from 0 in the order of sends.
 pub type AttemptNo = u8;
 
-/// What a copy is told once, at its start.
+/// What a copy is told at its start, and what takes its place later.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Settings {
     /// This copy's number among [`copies`](Self::copies), from 0.
@@ -128,6 +128,38 @@
     pub cross_zone: f64,
 }
 
+/// Settings that take the place of those in force: see [`Balancer::configure`](crate::Balancer::configure).
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Configuration {
+    /// Its number, above that of the one in force; 0 is the next one.
+    pub version: u64,
+    /// The settings.
+    pub settings: Settings,
+    /// For each class the place of the one in force that it continues; none where it is new.
+    pub classes: Vec<Option<u16>>,
+    /// The same for each tenant.
+    pub tenants: Vec<Option<u16>>,
+    /// Stands for whatever else is told under the same number: another value is another content.
+    pub rest: u64,
+}
+
+/// What a copy holds at present.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Gauges {
+    /// Requests that are owed an answer or have attempts out.
+    pub requests: usize,
+    /// Calls that count against the limit.
+    pub calls: f64,
+    /// The same, summed over the slices of the limit.
+    pub calls_of_slices: f64,
+    /// Requests that wait for a place or a backend, and those that left while they did.
+    pub held: usize,
+    /// Records of classes: those in force, and former ones that requests may still be open under.
+    pub classes: usize,
+    /// The learned limit.
+    pub limit: f64,
+}
+
 /// Whether a backend takes new work.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum Phase {
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -1,8 +1,10 @@
 //! Every decision of a balancer copy: one learned concurrency limit, split into slices by worth, over a
 //! load-sized subset of the tier. The interface (settings, events, actions) is in `src/api.rs`.
 
+mod configure;
+
 use crate::api::*;
-use crate::state::{Attempt, Backend, Call, Lane, Latency, Limiter, Line, Request, Slice};
+use crate::state::{Attempt, Backend, Call, Lane, Latency, Limiter, Line, Request, Slice, Slot};
 use std::collections::{BTreeMap, HashMap};
 
 const HOUSEKEEPING: u64 = 0; // timer tokens
@@ -68,14 +70,14 @@
 impl Limiter {
     fn update(&mut self, passed: f64) {
         self.elapsed += passed;
-        self.area += passed * self.classes.iter().map(|c| c.busy / c.target()).sum::<f64>();
+        self.area += passed * self.classes.iter().map(|c| (c.busy[0] + c.busy[1]) / c.target()).sum::<f64>();
         if self.answers + self.drops + self.timeouts < WINDOW || self.elapsed < self.mean {
             return;
         }
         let n = self.answers.max(1.0);
         let (load, seen) = (self.area / n, self.ratios / n);
         self.rate = self.answers / self.elapsed;
-        let busy: f64 = self.classes.iter().map(|c| c.busy).sum();
+        let busy: f64 = self.classes.iter().map(|c| c.busy[0] + c.busy[1]).sum();
         // Time-outs are drops only while answers are slow too: lost ones alone would cut it to nothing.
         let drops = self.drops + if seen > 1.0 || self.answers == 0.0 { self.timeouts } else { 0.0 };
         let dropped = drops / (n + drops) * (1.0 - 1.0 / drops.max(1.0).sqrt());
@@ -101,6 +103,8 @@
 #[derive(Default)]
 pub struct Balancer {
     s: Settings,
+    version: u64, // of the settings ...
+    rest: u64,    // ... and what stands for all else that is told with them
     rng: fastrand::Rng,
     started: bool,
     backends: BTreeMap<BackendId, Backend>,
@@ -121,7 +125,8 @@
     lines: BTreeMap<u64, Line>,
     limiter: Limiter,
     slices: Vec<Slice>, // most worth first
-    slice_of: Vec<[usize; 2]>,
+    slots: Vec<Slot>,
+    slot_of: Vec<usize>, // by a class's place in the settings
     buckets: Vec<(f64, f64)>,
     inflight: f64,
     peak: f64,
@@ -137,40 +142,6 @@
 }
 
 impl Balancer {
-    /// Starts a copy that knows nothing yet; `seed` feeds its only random numbers.
-    pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
-        crate::check(&settings)?;
-        let mean = settings.classes.iter().map(|c| c.points).sum::<f64>() / settings.classes.len() as f64;
-        let (even, over) = (settings.goal.worst_class, settings.over_share_worth);
-        // The goal's weight on the worst-served class is worth that every class has alike.
-        let worth = |c: &Class| (1.0 - even) * c.points / mean.max(1e-9) + even;
-        let worths: Vec<[f64; 2]> = settings.classes.iter().map(|c| [worth(c), worth(c) * over]).collect();
-        let demoted = usize::from(settings.tier == 0 && !settings.tenants.is_empty());
-        let mut levels: Vec<f64> = worths.iter().flat_map(|w| w[..=demoted].to_vec()).collect();
-        levels.sort_by(|a, b| b.total_cmp(a));
-        levels.dedup_by(|a, b| (*a - *b).abs() < 1e-9);
-        // Work beyond its tenant's share has no claim but what is left over and the floor of one slot.
-        let claim = |l: &f64| if worths.iter().any(|w| (w[0] - l).abs() < 1e-9) { *l } else { 0.0 };
-        let sum = levels.iter().map(claim).sum::<f64>().max(1e-9);
-        let place = |w: f64| levels.iter().position(|l| (l - w).abs() < 1e-9).unwrap_or(0);
-        let classes = settings.classes.iter().map(|c| Latency { aim: c.aim, ..Latency::default() }).collect();
-        Ok(Balancer {
-            rng: fastrand::Rng::with_seed(seed),
-            slice_of: worths.iter().map(|w| w.map(place)).collect(),
-            slices: levels.iter().map(|l| Slice { share: claim(l) / sum, ..Slice::default() }).collect(),
-            limiter: Limiter { classes, ..Limiter::default() },
-            buckets: vec![(f64::MAX, 0.0); settings.tenants.len()],
-            retry_tokens: RETRY_DEPTH,
-            ask_backoff: 1.0,
-            processes: 1.0,
-            // One for all classes: in a full queue the longer hold would take every slot of its slice.
-            hold: HOLD[settings.tier.min(1) as usize]
-                * settings.classes.iter().map(|c| c.aim).fold(f64::MAX, f64::min),
-            s: settings,
-            ..Balancer::default()
-        })
-    }
-
     /// Takes one event at clock time `now` and appends what is to be done about it.
     pub fn handle(&mut self, now: f64, event: Event, out: &mut Vec<Action>) {
         if !self.started {
@@ -272,7 +243,7 @@
     /// together begin its cold budget at different phases, so that their first sends do not meet.
     fn restart(&mut self, now: f64, id: BackendId) {
         let phase = (f64::from(self.s.copy) + f64::from(id % 8191)) * 0.618_033_988_75;
-        let lanes = vec![Lane { heard: now, ..Lane::default() }; self.s.classes.len()];
+        let lanes = vec![Lane { heard: now, ..Lane::default() }; self.slots.len()];
         let b = self.backends.entry(id).or_default();
         let (calls, mut entry) = (std::mem::take(&mut b.calls), std::mem::take(&mut b.entry));
         entry.started_at = entry.started_at.max(self.resumed.get(&id).map_or(0.0, |r| r.0));
@@ -350,16 +321,18 @@
     }
 
     fn on_request(&mut self, now: f64, arrival: &Arrival, out: &mut Vec<Action>) {
-        let (id, class) = (arrival.request, usize::from(arrival.class));
-        let Some(&Class { aim, in_order, .. }) = self.s.classes.get(class) else {
+        let id = arrival.request;
+        let Some(&class) = self.slot_of.get(usize::from(arrival.class)) else {
             return out.push(Action::Fail { request: id });
         };
+        let Class { aim, in_order, .. } = self.slots[class].class;
         let budget = self.retry_tokens + RETRY_SHARE;
         self.retry_tokens = budget.min(RETRY_DEPTH.max(self.limiter.total * RETRY_SHARE));
         let tenant = usize::from(arrival.tenant);
         let over = self.s.tier == 0 && self.over_quota(now, tenant);
         let paid = (self.s.tier == 0 && !over && tenant < self.buckets.len()).then_some(tenant);
-        let slice = self.slice_of[class][usize::from(over)];
+        let (over, tries) = (usize::from(over), self.s.caps.try_limit);
+        let slice = self.slots[class].slices[over];
         let last = arrival.deadline - 2.0 * self.period();
         // Order: behind another request of its key it waits in that key's line and holds no slot.
         let key = if in_order { arrival.key } else { 0 };
@@ -377,7 +350,8 @@
         let r = Request {
             key,
             class,
-            slice,
+            over,
+            tries,
             paid,
             deadline,
             hold_until,
@@ -387,6 +361,7 @@
             attempts,
         };
         self.requests.insert(id, r);
+        self.slots[class].open += 1;
         // What comes too late for any answer, as at the end of a planned stop, only costs a backend work.
         if free && now < deadline && self.send(now, id, out) {
             return;
@@ -405,10 +380,10 @@
     /// Lets the first in a key's line go ahead, like any other request, once the key has rested.
     fn pass_turn(&mut self, now: f64, key: u64) {
         let Some(line) = self.lines.get_mut(&key).filter(|l| !l.turn && now > l.rest_until) else { return };
-        match line.ids.front().and_then(|id| self.requests.get(id).map(|r| (*id, r.slice))) {
-            Some((id, slice)) => {
+        match line.ids.front().and_then(|id| self.requests.get(id).map(|r| (*id, r.class, r.over))) {
+            Some((id, class, over)) => {
                 line.turn = true;
-                self.slices[slice].held.push_back(id);
+                self.slices[self.slots[class].slices[over]].held.push_back(id);
             }
             None => drop(self.lines.remove(&key)),
         }
@@ -452,11 +427,11 @@
         }
     }
 
-    /// Counts a call of a class and slice in (1) or out (-1).
-    fn count(&mut self, class: usize, slice: usize, by: f64) {
+    /// Counts a call of a class, within its tenant's quota (0) or beyond it (1), in (1) or out (-1).
+    fn count(&mut self, class: usize, over: usize, by: f64) {
         self.inflight += by;
-        self.slices[slice].busy += by;
-        self.limiter.classes[class].busy += by;
+        self.slices[self.slots[class].slices[over]].busy += by;
+        self.limiter.classes[class].busy[over] += by;
     }
 
     /// Sends the next attempt if a backend can take it.
@@ -487,9 +462,9 @@
         }
         b.calls.push_back(Call { request: id, sent: now, class: r.class });
         (a.sent, a.counted) = (now, !b.ejected());
-        let (class, slice) = (r.class, r.slice);
+        let (class, over) = (r.class, r.over);
         if a.counted {
-            self.count(class, slice, 1.0);
+            self.count(class, over, 1.0);
             self.peak = self.peak.max(self.inflight);
             self.limiter.used |= self.inflight >= 0.8 * self.limiter.total;
         }
@@ -507,7 +482,7 @@
     /// Ends a request: refused where a further try is harmless, failed otherwise.
     fn finish(&mut self, now: f64, id: RequestId, out: &mut Vec<Action>) {
         let Some(r) = self.requests.get(&id) else { return };
-        let Class { effect, aim, .. } = self.s.classes[r.class];
+        let Class { effect, aim, .. } = self.slots[r.class].class;
         let all = matches!(effect, Effect::Retryable | Effect::Dedup { group: Group::All, .. });
         if all || r.attempts.iter().all(|a| a.never_ran) {
             let wait = (aim * HOLD[0] * (1.0 + self.rng.f64())).min(self.s.caps.max_retry_after);
@@ -525,8 +500,9 @@
         let first = !std::mem::replace(&mut r.ended, true);
         let still: Vec<usize> = (0..r.attempts.len()).filter(|&i| r.attempts[i].out).collect();
         if still.is_empty() {
-            let key = r.key;
+            let (key, class) = (r.key, r.class);
             self.requests.remove(&id);
+            self.slots[class].open -= 1;
             // Only the first in line can have been sent: its place is kept until all its outcomes are in.
             if let Some(line) = self.lines.get_mut(&key) {
                 line.turn &= line.ids.front() != Some(&id);
@@ -550,13 +526,13 @@
         {
             line.rest_until = now + self.s.rules.settle_after_doubt;
         }
-        let (sent, counted, class, slice) = (a.sent, a.counted, r.class, r.slice);
+        let (sent, counted, class, quota) = (a.sent, a.counted, r.class, r.over);
         let over = e.closed || r.ended;
         let (hold_until, free_move) = (r.hold_until, r.attempts.iter().all(|a| a.never_ran));
         let still_out = r.attempts.iter().any(|a| a.out);
-        let spare = r.attempts.len() < self.s.caps.try_limit as usize && !r.spent;
+        let spare = r.attempts.len() < r.tries.min(self.s.caps.try_limit) as usize && !r.spent;
         if counted {
-            self.count(class, slice, -1.0);
+            self.count(class, quota, -1.0);
         }
         self.judge(now, e, class, sent);
         self.release(e.backend, out);
@@ -568,7 +544,7 @@
         }
         // Held only with an attempt to spare: those past the limit come back unsent, for ever.
         if free_move && now < hold_until && spare {
-            return self.slices[slice].held.push_back(id);
+            return self.slices[self.slots[class].slices[quota]].held.push_back(id);
         }
         self.finish(now, id, out);
     }
@@ -576,12 +552,12 @@
     /// Another attempt, within the class's effect, the deadline and, for what may have run, the retry budget.
     fn resend(&mut self, now: f64, id: RequestId, free_move: bool, out: &mut Vec<Action>) -> bool {
         let r = &self.requests[&id];
-        let allowed = match (r.attempts.iter().find(|a| !a.never_ran), self.s.classes[r.class].effect) {
+        let allowed = match (r.attempts.iter().find(|a| !a.never_ran), self.slots[r.class].class.effect) {
             (None, _) | (_, Effect::Retryable) => true,
             (Some(first), Effect::Dedup { window, .. }) => now < first.sent + window - self.s.tick,
             (Some(_), Effect::Fragile) => false,
         };
-        let spare = r.attempts.len() < self.s.caps.try_limit as usize && !r.spent;
+        let spare = r.attempts.len() < r.tries.min(self.s.caps.try_limit) as usize && !r.spent;
         let left = spare && now + self.s.tick < r.deadline;
         let sent = left && allowed && (free_move || self.retry_tokens >= 1.0) && self.send(now, id, out);
         if sent && !free_move {
@@ -592,7 +568,7 @@
 
     fn fits(&self, now: f64, r: &Request, id: BackendId, trusting: bool) -> bool {
         let Some(b) = self.backends.get(&id).filter(|b| b.entry.phase == Phase::Ready) else { return false };
-        let effect = self.s.classes[r.class].effect;
+        let effect = self.slots[r.class].class.effect;
         // A backend out of service gets a trial, one repeatable request, once its time is up.
         let trial = effect != Effect::Fragile && now >= b.ejected_until && b.calls.is_empty();
         let cold = b.warmth(&self.s.rules, now) < 1.0 && b.cold_tokens < 1.0;
@@ -728,11 +704,11 @@
         let b = &self.backends[&id];
         for Call { request, sent, .. } in b.calls.iter().copied().collect::<Vec<_>>() {
             let Some(r) = self.requests.get_mut(&request) else { continue };
-            let (class, slice, l) = (r.class, r.slice, &self.limiter.classes[r.class]);
+            let (class, over, l) = (r.class, r.over, &self.limiter.classes[r.class]);
             let long = now - sent >= means * if l.samples < WINDOW { l.aim } else { l.mean };
             let call = r.attempts.iter_mut().find(|a| a.backend == id && a.sent == sent && a.out && long);
             let counted = call.is_some_and(|a| std::mem::take(&mut a.counted));
-            self.count(class, slice, -f64::from(u8::from(counted)));
+            self.count(class, over, -f64::from(u8::from(counted)));
         }
     }
 
@@ -793,10 +769,10 @@
             }
         }
         hung.into_iter().for_each(|id| self.eject(now, id));
-        for class in 0..self.s.classes.len() {
+        for class in 0..self.slots.len() {
             let l = &self.limiter.classes[class];
             let (mean, others) = (if l.samples < WINDOW { l.aim } else { l.mean }, l.heard);
-            let first = if self.s.classes[class].effect == Effect::Fragile { 2 } else { 0 };
+            let first = if self.slots[class].class.effect == Effect::Fragile { 2 } else { 0 };
             let left = self.ring.iter().filter(|i| self.backends[i].lanes[class].left_until > 0.0).count();
             let mut room = (self.ring.len() as f64 * MAX_EJECTED).max(1.0) as usize;
             room = room.saturating_sub(left);
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,6 @@
 //! The decision module's records: plain fields, no logic. What they mean is decided in `balancer.rs`.
 
-use crate::api::{BackendId, Entry, RequestId};
+use crate::api::{BackendId, Class, Entry, RequestId};
 use std::collections::VecDeque;
 
 /// A backend, as the list and its answers tell of it.
@@ -8,7 +8,7 @@
 pub struct Backend {
     pub entry: Entry,
     pub calls: VecDeque<Call>,
-    pub lanes: Vec<Lane>, // by class
+    pub lanes: Vec<Lane>, // by slot
     pub heard: f64,
     pub slow: f64, // latency over its class's mean
     pub seen: f64,
@@ -24,7 +24,7 @@
 pub struct Call {
     pub request: RequestId,
     pub sent: f64,
-    pub class: usize,
+    pub class: usize, // slot
 }
 
 /// A class's calls at a backend: it may answer one class and swallow another.
@@ -47,9 +47,10 @@
 
 /// A request that is owed an answer, or has attempts out.
 pub struct Request {
-    pub key: u64, // of an ordered class, else 0
-    pub class: usize,
-    pub slice: usize,
+    pub key: u64,            // of an ordered class, else 0
+    pub class: usize,        // slot: it ends under what it was taken with
+    pub over: usize,         // 1: beyond its tenant's quota
+    pub tries: u32,          // most attempts, as it was taken
     pub paid: Option<usize>, // the tenant whose quota it took
     pub deadline: f64,
     pub hold_until: f64,
@@ -67,6 +68,15 @@
     pub rest_until: f64,
 }
 
+/// A class under which requests are taken, or were: one that the settings change gets another slot, and the old one
+/// stays until its requests are over.
+#[derive(Default)]
+pub struct Slot {
+    pub class: Class,
+    pub open: usize,        // requests
+    pub slices: [usize; 2], // within a tenant's quota, beyond it
+}
+
 /// A slice of the limit.
 #[derive(Default)]
 pub struct Slice {
@@ -76,14 +86,14 @@
 }
 
 /// What the limiter knows of a class.
-#[derive(Default)]
+#[derive(Default, Clone)]
 pub struct Latency {
     pub aim: f64,
     pub heard: f64,
     pub samples: f64,
     pub mean: f64,
     pub base: f64,
-    pub busy: f64,
+    pub busy: [f64; 2], // within a tenant's quota, beyond it
 }
 
 /// The learned total, judged in windows by two views: the answers' latencies, and Little's law (calls in
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -53,6 +53,8 @@
 pub struct Asked {
     pub key: u64,
     pub class: usize,
+    /// The class and the most attempts, as it was taken: settings that change later change neither.
+    pub taken: (Class, u32),
     pub deadline: f64,
     pub sends: Vec<Sent>,
     /// When it ended and how: served, refused, failed or hung up.
@@ -121,11 +123,11 @@
     /// Nothing is sent for a key while an earlier request is open, has an attempt out or left a doubt.
     fn check_order(&self, request: RequestId) {
         let a = &self.asked[&request];
-        let ordered = |class: usize| self.s.classes[class].in_order;
-        if a.key == 0 || !ordered(a.class) {
+        let ordered = |a: &Asked| a.taken.0.in_order;
+        if a.key == 0 || !ordered(a) {
             return;
         }
-        for (id, earlier) in self.asked.range(..request).filter(|(_, e)| e.key == a.key && ordered(e.class)) {
+        for (id, earlier) in self.asked.range(..request).filter(|(_, e)| e.key == a.key && ordered(e)) {
             assert!(earlier.ended.is_some(), "{request} sent before {id} is over");
             for s in &earlier.sends {
                 let rest = match s.outcome.expect("every attempt has its outcome") {
@@ -141,6 +143,10 @@
     pub fn tell(&mut self, event: Event) {
         let mut actions = Vec::new();
         self.balancer.handle(self.now, event, &mut actions);
+        self.act(actions);
+    }
+
+    fn act(&mut self, actions: Vec<Action>) {
         for action in actions {
             match action {
                 Action::Send { request, backend, not_past } => self.sent(request, backend, not_past),
@@ -184,12 +190,12 @@
         let a = self.asked.get_mut(&request).expect("sent a request that was never asked");
         assert!(a.ended.is_none(), "sent after its end");
         assert!(not_past <= a.deadline);
-        assert!(a.sends.len() < self.s.caps.try_limit as usize, "too many attempts");
+        assert!(a.sends.len() < a.taken.1.min(self.s.caps.try_limit) as usize, "too many attempts");
         let out = a.sends.iter().filter(|s| s.outcome.is_none()).count();
         assert_eq!(out, 0, "two attempts out at once");
         if let Some(ran) = a.sends.iter().find(|s| s.outcome.is_none_or(|o| !o.never_ran())) {
             let group = self.listed.get(&ran.backend).map(|e| (e.zone, e.cell));
-            match self.s.classes[a.class].effect {
+            match a.taken.0.effect {
                 Effect::Retryable => {}
                 Effect::Fragile => panic!("a fragile request that may have run was sent again"),
                 Effect::Dedup { group: g, window } => {
@@ -205,7 +211,7 @@
 
     fn refused(&mut self, request: RequestId) {
         let a = &self.asked[&request];
-        let effect = self.s.classes[a.class].effect;
+        let effect = a.taken.0.effect;
         let unrun = a.sends.iter().all(|s| s.outcome.is_some_and(Outcome::never_ran));
         let all = matches!(effect, Effect::Retryable | Effect::Dedup { group: Group::All, .. });
         assert!(unrun || all, "refused what may have run");
@@ -226,9 +232,7 @@
 
     /// A new request about a key; its id.
     pub fn ask_for(&mut self, key: u64, class: usize, tenant: u16, left: f64) -> RequestId {
-        let (request, deadline) = (self.next, self.now + left);
-        self.next += 1;
-        self.asked.insert(request, Asked { key, class, deadline, sends: Vec::new(), ended: None });
+        let (request, deadline) = self.take(key, class, left);
         self.tell(Event::Request(Arrival {
             request,
             key,
@@ -240,11 +244,32 @@
         request
     }
 
-    /// A new request whose body is still arriving; its id.
-    pub fn ask_arriving(&mut self, class: usize, left: f64) -> RequestId {
+    fn take(&mut self, key: u64, class: usize, left: f64) -> (RequestId, f64) {
         let (request, deadline) = (self.next, self.now + left);
+        let taken = (self.s.classes.get(class).cloned().unwrap_or_default(), self.s.caps.try_limit);
         self.next += 1;
-        self.asked.insert(request, Asked { key: 0, class, deadline, sends: Vec::new(), ended: None });
+        self.asked.insert(request, Asked { key, class, taken, deadline, sends: Vec::new(), ended: None });
+        (request, deadline)
+    }
+
+    /// Puts other settings in force, whose classes and tenants continue those told.
+    pub fn configure(
+        &mut self,
+        settings: Settings,
+        classes: Vec<Option<u16>>,
+        tenants: Vec<Option<u16>>,
+    ) -> Result<u64, SettingsError> {
+        let mut actions = Vec::new();
+        let next = Configuration { version: 0, settings: settings.clone(), classes, tenants, rest: 0 };
+        let number = self.balancer.configure(self.now, next, &mut actions)?;
+        self.s = settings;
+        self.act(actions);
+        Ok(number)
+    }
+
+    /// A new request whose body is still arriving; its id.
+    pub fn ask_arriving(&mut self, class: usize, left: f64) -> RequestId {
+        let (request, deadline) = self.take(0, class, left);
         let arrival = Arrival { request, key: 0, class: class as u16, tenant: 0, deadline, arriving: true };
         self.tell(Event::Request(arrival));
         request
