--- a/src/balancer/configure.rs
+++ b/src/balancer/configure.rs
@@ -144,8 +144,8 @@
         self.backends.values_mut().for_each(|b| b.lanes.truncate(most));
     }
 
-    /// Cuts the limit into slices by the classes' worths. Calls out count, and what is held waits on, in the slice
-    /// of its worth; where there is none any more, in the nearest.
+    /// Cuts the limit into slices by the classes' worths. Calls out count, and what is held waits on, in the
+    /// slice of its worth; where there is none any more, in the nearest.
     fn cut_slices(&mut self, s: &Settings) {
         let mean = s.classes.iter().map(|c| c.points).sum::<f64>() / s.classes.len() as f64;
         let (even, over) = (s.goal.worst_class, s.over_share_worth);
