SIGHUP puts the whole configuration in force, and the door shows its version

Cause: SIGHUP followed only discovery; a tenant added to the file got 400 until a restart. Change: reload.rs reads the file again, refuses it whole with one line where it can't be read, is invalid, changes what only a start can (name, listen, management, limits, tier, own zone, tick, how discovery is asked, order of the zones) or has a number that is not above the one in force, and else puts it in force in one turn: the module, the names, the open cap, the pool's times. A request is sorted once more if the settings changed while its body came, and keeps those it was taken under to its end. The watch on discovery begins anew only where its address or the grace of a drain changed; before it did at every SIGHUP. GET /v1/settings tells the version, since when, the last refusal, and the version of each process of the proxy, which stands in its locked file beside the marks.

--- a/src/bin/heathroad/backend.rs
+++ b/src/bin/heathroad/backend.rs
@@ -96,6 +96,7 @@
 }
 
 /// What the pool keeps to.
+#[derive(Clone, Copy)]
 pub struct Limits {
     /// Most connections at once, to begin with.
     pub connections: usize,
@@ -109,7 +110,7 @@
 
 /// The connections to all backends.
 pub struct Pool {
-    limits: Limits,
+    limits: Cell<Limits>,
     targets: Cell<u64>,
     /// By the target's number.
     idle: RefCell<HashMap<u64, Vec<Idle>>>,
@@ -143,6 +144,7 @@
     pub fn new(limits: Limits) -> Self {
         let places = Arc::new(Semaphore::new(limits.connections));
         let size = Cell::new(limits.connections);
+        let limits = Cell::new(limits);
         Pool { limits, targets: Cell::default(), idle: RefCell::default(), places, size }
     }
 
@@ -163,6 +165,11 @@
         gone == surplus
     }
 
+    /// Keeps to other times from now on; how many connections there may be, [`resize`](Self::resize) says.
+    pub fn keep_to(&self, connect: Duration, idle: Duration, drain_grace: Duration) {
+        self.limits.update(|limits| Limits { connect, idle, drain_grace, ..limits });
+    }
+
     /// A process to send to.
     pub fn target(&self, dial: SocketAddr, born_ms: f64) -> Target {
         let number = self.targets.get();
@@ -178,7 +185,7 @@
     /// Closes what has been idle for long. A backend closes idle connections too, and a request that crosses
     /// its close would end as a reset, which may have run: ours go clearly earlier.
     pub fn sweep(&self) {
-        let age = self.limits.idle.mul_f64(RETIRE);
+        let age = self.limits.get().idle.mul_f64(RETIRE);
         self.idle.borrow_mut().retain(|_, links| {
             links.retain(|i| !i.link.sender.is_closed() && i.since.elapsed() < age);
             !links.is_empty()
@@ -187,7 +194,7 @@
 
     /// The most recently used of those still open: the others may then grow old and be closed.
     fn reuse(&self, target: &Target) -> Option<Link> {
-        let age = self.limits.idle.mul_f64(RETIRE);
+        let age = self.limits.get().idle.mul_f64(RETIRE);
         let mut idle = self.idle.borrow_mut();
         let links = idle.get_mut(&target.number)?;
         while let Some(Idle { link, since }) = links.pop() {
@@ -219,7 +226,7 @@
             Ok(place) => place,
             Err(_) => {
                 self.evict();
-                let place = timeout(self.limits.connect, self.places.clone().acquire_owned()).await;
+                let place = timeout(self.limits.get().connect, self.places.clone().acquire_owned()).await;
                 // Without one the request was never sent, and that says nothing of the backend.
                 place.ok().and_then(Result::ok).ok_or(Outcome::Moot)?
             }
@@ -235,7 +242,7 @@
         if !permit() {
             return Err(Outcome::Moot);
         }
-        let stream = match timeout(self.limits.connect, TcpStream::connect(dial)).await {
+        let stream = match timeout(self.limits.get().connect, TcpStream::connect(dial)).await {
             Ok(Ok(stream)) => stream,
             Ok(Err(e)) if out_of_descriptors(&e) => return Err(Outcome::Moot),
             Ok(Err(_)) | Err(_) => return Err(Outcome::ConnectFailed),
@@ -285,7 +292,7 @@
     /// how a backend learns that nobody waits, so that it stops the work and frees the slot.
     pub async fn run(self, pool: Rc<Pool>) -> End {
         let Attempt { call, target, not_past, wanted, cancelled } = self;
-        let (grace, told) = (pool.limits.drain_grace, target.clone());
+        let (grace, told) = (pool.limits.get().drain_grace, target.clone());
         // Whatever the attempt has to wait for, its request may be over by then, and the backend may have been told
         // to drain: half the grace leaves room for a late loop and a slow write.
         let permit: Permit = Rc::new(move || {
--- a/src/bin/heathroad/config.rs
+++ b/src/bin/heathroad/config.rs
@@ -1,13 +1,18 @@
-//! What the proxy is told at its start: the environment and the configuration file, checked.
+//! What the proxy is told, at its start and with SIGHUP: the environment and the configuration file, checked.
 
 use serde::Deserialize;
 use std::env;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use turnshift::discovery::Page;
 use turnshift::settings::{self, Facts};
 
 /// All that a start needs.
 pub struct Config {
+    /// The proxy's name, if the file tells it.
+    pub name: Option<String>,
+    /// Its number; 0 where the file tells none.
+    pub version: u64,
     /// Where callers connect.
     pub listen: SocketAddr,
     /// Where operators call, if anywhere.
@@ -28,6 +33,9 @@
 
 #[derive(Deserialize)]
 struct File {
+    name: Option<String>,
+    #[serde(default)]
+    version: u64,
     listen: Option<String>,
     management: Option<String>,
     discovery: Option<String>,
@@ -45,39 +53,53 @@
 
 /// Fewer descriptors than this leave no room for work.
 const MIN_SOCKETS: usize = 64;
+/// Numbers beyond this are not the same for every reader of JSON.
+const MAX_VERSION: u64 = 1 << 53;
 /// Less memory than this holds no work.
 const MIN_MEMORY_MB: usize = 8;
 
 /// Reads the environment and the file that it names.
 pub fn load() -> Result<Config, String> {
-    let path = env::var("RELAY_CONFIG").map_err(|_| "RELAY_CONFIG is not set".to_string())?;
-    let text = std::fs::read(&path).map_err(|e| format!("RELAY_CONFIG: {path}: {e}"))?;
-    let told = |name| env::var(name).ok();
-    parse(&text, told("RELAY_LISTEN"), told("RELAY_MANAGEMENT"), told("RELAY_DISCOVERY"))
+    read(|told, file| told.or(file))
 }
 
-/// Reads the file again for what may change while the program runs: where discovery is. Here the file goes before
-/// the environment, which still names the old address.
-pub fn reload() -> Result<SocketAddr, String> {
-    let path = env::var("RELAY_CONFIG").map_err(|_| "RELAY_CONFIG is not set".to_string())?;
-    let text = std::fs::read(&path).map_err(|e| format!("RELAY_CONFIG: {path}: {e}"))?;
-    // It is checked as a whole: a file that no start would take is no reason to move.
-    let told = |name| env::var(name).ok();
-    parse(&text, told("RELAY_LISTEN"), told("RELAY_MANAGEMENT"), None).map(|config| config.discovery)
+/// Reads the file again. For discovery it goes before the environment, which still names the old address.
+pub fn reload() -> Result<Config, String> {
+    read(|told, file| file.or(told))
 }
 
-/// The environment's addresses, where given, go before the file's.
-fn parse(
-    text: &[u8],
-    listen: Option<String>,
-    management: Option<String>,
-    discovery: Option<String>,
-) -> Result<Config, String> {
+impl Config {
+    /// What only a start can change, with the keys.
+    pub fn fixed(&self) -> Vec<(&'static str, String)> {
+        vec![
+            ("name", format!("{:?}", self.name)),
+            ("listen", self.listen.to_string()),
+            ("management", format!("{:?}", self.management)),
+            ("limits.sockets", self.sockets.to_string()),
+            ("limits.memory_mb", self.memory.to_string()),
+        ]
+    }
+
+    /// Stands for what may change while the program runs: the same number is the same content.
+    pub fn content(&self) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        (format!("{:?}", self.facts), self.discovery).hash(&mut hasher);
+        hasher.finish()
+    }
+}
+
+/// The environment's addresses, where given, go before the file's; for discovery `first` says which does.
+fn read(first: fn(Option<String>, Option<String>) -> Option<String>) -> Result<Config, String> {
+    let path = env::var("RELAY_CONFIG").map_err(|_| "RELAY_CONFIG is not set".to_string())?;
+    let text = &std::fs::read(&path).map_err(|e| format!("RELAY_CONFIG: {path}: {e}"))?;
+    let told = |name| env::var(name).ok();
+    let (listen, management) = (told("RELAY_LISTEN"), told("RELAY_MANAGEMENT"));
     let json = &mut serde_json::Deserializer::from_slice(text);
     let file: File = serde_path_to_error::deserialize(json).map_err(|e| format!("config: {e}"))?;
     let facts = settings::read(file.settings).map_err(|e| format!("config: {e}"))?;
     let site = &facts.site;
     let wrong = [
+        (file.version > MAX_VERSION, "version: is out of range"),
         (file.limits.sockets < MIN_SOCKETS, "limits.sockets: too few to work with"),
         (file.limits.memory_mb < MIN_MEMORY_MB, "limits.memory_mb: too little to work with"),
         (site.classes.iter().any(String::is_empty), "settings: classes: one has no name"),
@@ -92,9 +114,11 @@
         return Err(format!("config: {what}"));
     }
     Ok(Config {
+        name: file.name,
+        version: file.version,
         listen: address("listen", listen.or(file.listen))?,
         management: management.or(file.management).map(|m| address("management", Some(m))).transpose()?,
-        discovery: address("discovery", discovery.or(file.discovery))?,
+        discovery: address("discovery", first(told("RELAY_DISCOVERY"), file.discovery))?,
         seed: u64::from_str_radix(&file.seed, 16).map_err(|e| format!("config: seed: {e}"))?,
         sockets: file.limits.sockets,
         memory: file.limits.memory_mb.saturating_mul(1 << 20),
--- a/src/bin/heathroad/engine.rs
+++ b/src/bin/heathroad/engine.rs
@@ -16,10 +16,11 @@
 use tokio::time::{Instant, sleep, sleep_until};
 use turnshift::Balancer;
 use turnshift::api::{
-    Action, Arrival, BackendId, Entry, Event, ListKind, Outcome, Phase, RequestId, Resolved, SettingsError,
+    Action, Arrival, BackendId, Configuration, Entry, Event, ListKind, Outcome, Phase, RequestId, Resolved,
+    SettingsError,
 };
 use turnshift::discovery::{Follower, Health, Host};
-use turnshift::settings::Facts;
+use turnshift::settings::{Facts, Site};
 
 /// The module's deadline lies so much before the caller's: a deadline counts from the caller's send, and the
 /// answer has yet to reach it.
@@ -108,7 +109,9 @@
 
 struct Open {
     call: Rc<Call>,
-    /// Place of its class in the settings.
+    /// The settings that it was taken under.
+    facts: Rc<Facts>,
+    /// Place of its class in them.
     class: u16,
     received: Instant,
     life: Life,
@@ -184,7 +187,8 @@
     state: RefCell<State>,
     pool: Rc<Pool>,
     clock: Clock,
-    facts: Facts,
+    /// The settings in force: they change in the same turn as the module's.
+    facts: RefCell<Rc<Facts>>,
     watching: watch::Sender<bool>,
     /// Whether clients are sent away.
     away: watch::Sender<bool>,
@@ -213,9 +217,43 @@
         };
         let (state, clock, last) = (RefCell::new(state), Clock::new(), Cell::new(None));
         let (away, processes) = (watch::Sender::new(false), watch::Sender::new(1));
+        let facts = RefCell::new(Rc::new(facts));
         Ok(Rc::new(Engine { state, pool, clock, facts, watching, away, processes, last }))
     }
 
+    /// The settings in force.
+    pub fn facts(&self) -> Rc<Facts> {
+        self.facts.borrow().clone()
+    }
+
+    /// Their number.
+    pub fn version(&self) -> u64 {
+        self.state.borrow().balancer.version()
+    }
+
+    /// Puts other settings in force, here and in the module, and gives their number. An error says what is wrong;
+    /// nothing has changed then. A class or tenant continues the one of its name.
+    pub fn configure(self: &Rc<Self>, facts: Facts, version: u64, rest: u64) -> Result<u64, SettingsError> {
+        let s = &mut *self.state.borrow_mut();
+        let old = self.facts();
+        let classes = continued(&old.site.classes, &facts.site.classes);
+        let tenants = continued(&old.site.tenants, &facts.site.tenants);
+        let next = Configuration { version, settings: facts.settings.clone(), classes, tenants, rest };
+        let mut actions = std::mem::take(&mut s.actions);
+        let version = s.balancer.configure(self.clock.at(Instant::now()), next, &mut actions)?;
+        self.facts.replace(Rc::new(facts));
+        self.carry_out(s, actions);
+        self.go_on(s);
+        Ok(version)
+    }
+
+    /// The longest that something lasts by the settings in force and by those that requests in work were taken under.
+    pub fn longest(&self, lasts: impl Fn(&Site) -> Duration) -> Duration {
+        let s = self.state.borrow();
+        let owed = s.requests.values().filter(|r| r.owed()).map(|r| lasts(&r.facts.site));
+        owed.fold(lasts(&self.facts().site), Duration::max)
+    }
+
     /// Whether clients are sent away, and news of it.
     pub fn away(&self) -> watch::Receiver<bool> {
         self.away.subscribe()
@@ -284,14 +322,15 @@
         let upload = incoming.call.upload().cloned();
         let request = {
             let s = &mut *self.state.borrow_mut();
-            if s.requests.len() >= self.facts.site.open_cap {
+            let facts = self.facts();
+            if s.requests.len() >= facts.site.open_cap {
                 return Answer::Refused { retry_after: None };
             }
             let id = s.next;
             s.next += 1;
             let (call, class, received) = (Rc::new(incoming.call), incoming.class, incoming.received);
             let life = Life::Owed(caller, Rc::default());
-            let open = Open { call, class, received, life, attempts: Vec::new() };
+            let open = Open { call, facts, class, received, life, attempts: Vec::new() };
             s.requests.insert(id, open);
             id
         };
@@ -381,7 +420,7 @@
     fn entry(&self, s: &mut State, h: Host, older: bool) -> Option<Entry> {
         let (backend, known) = s.known(&h.host);
         known.listed = h.health != Health::Deleted;
-        let Some(zone) = self.facts.site.zones.iter().position(|z| *z == h.site) else {
+        let Some(zone) = self.facts().site.zones.iter().position(|z| *z == h.site) else {
             if h.health == Health::Deleted {
                 return Some(Entry { backend, phase: Phase::Gone, ..Entry::default() });
             }
@@ -412,7 +451,7 @@
     /// A line for a request that is about to end unserved, so that it can be followed by its id.
     fn log(&self, s: &State, request: RequestId, how: &str) {
         let Some(open) = s.requests.get(&request).filter(|r| r.owed()) else { return };
-        let class = &self.facts.site.classes[usize::from(open.class)];
+        let class = &open.facts.site.classes[usize::from(open.class)];
         let (id, age) = (printed(&open.call.id), open.received.elapsed().as_millis());
         let mut line = format!("{id} {class} {how} after {age} ms");
         for (backend, stand) in &open.attempts {
@@ -430,16 +469,24 @@
     fn tell(self: &Rc<Self>, event: Event) {
         let s = &mut *self.state.borrow_mut();
         s.events.push_back(event);
+        self.go_on(s);
+    }
+
+    fn go_on(self: &Rc<Self>, s: &mut State) {
         while let Some(event) = s.events.pop_front() {
             let mut actions = std::mem::take(&mut s.actions);
             s.balancer.handle(self.clock.at(Instant::now()), event, &mut actions);
-            for action in actions.drain(..) {
-                self.act(s, action);
-            }
-            s.actions = actions;
+            self.carry_out(s, actions);
         }
     }
 
+    fn carry_out(self: &Rc<Self>, s: &mut State, mut actions: Vec<Action>) {
+        for action in actions.drain(..) {
+            self.act(s, action);
+        }
+        s.actions = actions;
+    }
+
     fn act(self: &Rc<Self>, s: &mut State, action: Action) {
         match action {
             Action::Send { request, backend, not_past } => self.send(s, request, backend, not_past),
@@ -499,7 +546,7 @@
         let number = open.attempts.len();
         let sent = Instant::now();
         let target = s.backends.get(&backend).and_then(|k| k.target.as_ref());
-        let within = number < self.facts.settings.caps.try_limit as usize;
+        let within = number < self.facts().settings.caps.try_limit as usize;
         let wanted = match &open.life {
             Life::Owed(_, wanted) if within => Some(Rc::downgrade(wanted)),
             _ => None,
@@ -581,6 +628,15 @@
     Event::Resolved(Resolved { request, attempt, backend, outcome, wait, closed, spent })
 }
 
+/// For each new name the place that it had before. Of two alike the first goes on.
+fn continued(old: &[String], new: &[String]) -> Vec<Option<u16>> {
+    let mut places: HashMap<&String, u16> = HashMap::new();
+    for (place, name) in (0..).zip(old) {
+        places.entry(name).or_insert(place);
+    }
+    new.iter().map(|name| places.remove(name)).collect()
+}
+
 fn hash(text: &str) -> u64 {
     let mut hasher = DefaultHasher::new();
     text.hash(&mut hasher);
@@ -698,7 +754,8 @@
                 let life = Life::Over;
                 let ended = Stand::Ended(Outcome::Error, limit);
                 let (class, received, attempts) = (0, Instant::now(), vec![(id, ended)]);
-                let open = Open { call: Rc::new(call), class, received, life, attempts };
+                let facts = engine.facts();
+                let open = Open { call: Rc::new(call), facts, class, received, life, attempts };
                 engine.state.borrow_mut().requests.insert(7, open);
                 engine.list(ListKind::Full, vec![host("s-101", Health::Serving)], false);
                 assert_eq!(engine.state.borrow().backends.len(), 2);
--- a/src/bin/heathroad/front.rs
+++ b/src/bin/heathroad/front.rs
@@ -10,6 +10,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Frame, Incoming as Inflow, SizeHint};
 use hyper::header::{ALLOW, CONNECTION, HOST, HeaderMap, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING};
+use hyper::http::request::Parts;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode, Uri};
@@ -322,8 +323,6 @@
 pub struct Front {
     /// Decides them.
     pub engine: Rc<Engine>,
-    /// The settings.
-    pub facts: Facts,
     /// Most connections at once.
     pub connections: Cell<usize>,
     /// Most bytes in the bodies of open requests.
@@ -522,7 +521,7 @@
     }
 
     fn away(&self) -> Option<Duration> {
-        let caps = &self.facts.settings.caps;
+        let caps = &self.engine.facts().settings.caps;
         caps.retry_after.then(|| millis(AWAY.min(caps.max_retry_after)))
     }
 
@@ -542,35 +541,11 @@
             return Err(wrong(StatusCode::BAD_REQUEST));
         }
         let name = head.uri.path().trim_start_matches('/').split('/').next().unwrap_or_default();
-        let class = self.facts.site.classes.iter().position(|c| c == name);
-        let class = class.ok_or_else(|| Box::new(plain(StatusCode::NOT_FOUND)))?;
+        let (facts, empty) = (self.engine.facts(), body.is_end_stream());
+        let mut sorted = sort(&facts, &head, name, empty)?;
         let bad = || wrong(StatusCode::BAD_REQUEST);
-        let id = one(&head.headers, "req-id").ok_or_else(bad)?.clone();
-        let tenants = &self.facts.site.tenants;
-        let owner = one(&head.headers, "req-owner").and_then(|o| o.to_str().ok());
-        let tenant = match owner {
-            _ if tenants.is_empty() => 0,
-            owner => tenants.iter().position(|t| Some(t.as_str()) == owner).ok_or_else(bad)?,
-        };
-        let patience =
-            one(&head.headers, "req-deadline-ms").and_then(|d| d.to_str().ok()).filter(|d| digits(d));
-        let patience = patience.and_then(|d| d.parse::<u64>().ok());
-        let patience = Duration::from_millis(patience.ok_or_else(bad)?.min(MAX_PATIENCE_MS));
-        let key = one(&head.headers, "idempotency-key").cloned();
-        let (method, keyed) = match self.facts.settings.classes[class].effect {
-            Effect::Retryable => (Method::GET, None),
-            Effect::Dedup { .. } => (Method::POST, Some(true)),
-            Effect::Fragile => (Method::POST, Some(false)),
-        };
-        if head.method != method {
-            let mut reply = plain(StatusCode::METHOD_NOT_ALLOWED);
-            let allow = HeaderValue::from_static(if method == Method::GET { "GET" } else { "POST" });
-            reply.headers_mut().insert(ALLOW, allow);
-            return Err(Box::new(reply));
-        }
-        if keyed.is_some_and(|k| k != key.is_some()) || keyed.is_none() && !body.is_end_stream() {
-            return Err(bad());
-        }
+        let Sorted { id, patience, key, .. } = sorted.clone();
+        let method = head.method.clone();
         let about = head.uri.query().and_then(|q| q.split('&').find_map(|p| p.strip_prefix("k=")));
         let about = about.filter(|k| !k.is_empty()).map(str::to_string);
         // Of two requests with one id only the first can be told from its repeat.
@@ -597,6 +572,11 @@
                 return Err(wrong(status));
             }
         };
+        // The settings may have changed while its body came: it is taken, now, under those in force, or not at all.
+        if !Rc::ptr_eq(&facts, &self.engine.facts()) {
+            sorted = sort(&self.engine.facts(), &head, name, empty)?;
+        }
+        let (class, tenant) = (sorted.class, sorted.tenant);
         let (body, allowance) = match kept {
             Kept::Whole(body) => (Payload::Whole(body), Duration::ZERO),
             Kept::Begun(data) => {
@@ -610,11 +590,53 @@
         // A request's time counts from its last byte.
         let received = seat.progress.heard().map_or(received, |heard| heard.max(received));
         let call = Call { method, uri, host, id, key, body };
-        let (class, tenant) = (class as u16, tenant as u16);
         Ok((Incoming { call, class, tenant, key: about, received, patience, allowance }, held))
     }
 }
 
+/// What a head says, once it is found in order.
+#[derive(Clone)]
+struct Sorted {
+    id: HeaderValue,
+    class: u16,
+    tenant: u16,
+    patience: Duration,
+    key: Option<HeaderValue>,
+}
+
+/// Reads a head by the settings, or says what is wrong with it.
+fn sort(facts: &Facts, head: &Parts, name: &str, empty: bool) -> Result<Sorted, Box<Reply>> {
+    let class = facts.site.classes.iter().position(|c| c == name);
+    let class = class.ok_or_else(|| Box::new(plain(StatusCode::NOT_FOUND)))?;
+    let bad = || Box::new(closing(StatusCode::BAD_REQUEST));
+    let id = one(&head.headers, "req-id").ok_or_else(bad)?.clone();
+    let tenants = &facts.site.tenants;
+    let owner = one(&head.headers, "req-owner").and_then(|o| o.to_str().ok());
+    let tenant = match owner {
+        _ if tenants.is_empty() => 0,
+        owner => tenants.iter().position(|t| Some(t.as_str()) == owner).ok_or_else(bad)?,
+    };
+    let patience = one(&head.headers, "req-deadline-ms").and_then(|d| d.to_str().ok()).filter(|d| digits(d));
+    let patience = patience.and_then(|d| d.parse::<u64>().ok());
+    let patience = Duration::from_millis(patience.ok_or_else(bad)?.min(MAX_PATIENCE_MS));
+    let key = one(&head.headers, "idempotency-key").cloned();
+    let (method, keyed) = match facts.settings.classes[class].effect {
+        Effect::Retryable => (Method::GET, None),
+        Effect::Dedup { .. } => (Method::POST, Some(true)),
+        Effect::Fragile => (Method::POST, Some(false)),
+    };
+    if head.method != method {
+        let mut reply = plain(StatusCode::METHOD_NOT_ALLOWED);
+        let allow = HeaderValue::from_static(if method == Method::GET { "GET" } else { "POST" });
+        reply.headers_mut().insert(ALLOW, allow);
+        return Err(Box::new(reply));
+    }
+    if keyed.is_some_and(|k| k != key.is_some()) || keyed.is_none() && !empty {
+        return Err(bad());
+    }
+    Ok(Sorted { id, class: class as u16, tenant: tenant as u16, patience, key })
+}
+
 /// Whether the only coding is `chunked` and no length was told beside it. The HTTP library drops such a length before
 /// it can be seen, so the head is read once more as it came; where it was not seen alone, that can't be told.
 fn plainly_chunked(codings: &[&HeaderValue], head: &[u8]) -> bool {
--- a/src/bin/heathroad/handover.rs
+++ b/src/bin/heathroad/handover.rs
@@ -1,10 +1,11 @@
 //! What the processes of one proxy share: marks in a folder of `$TMPDIR`, which outlives each of them. A mark is an
 //! empty file; its name says all, so that it is made and removed in one step and means the same once or twice.
 
-use std::cell::OnceCell;
-use std::collections::BTreeSet;
+use std::cell::{Cell, OnceCell};
+use std::collections::{BTreeMap, BTreeSet};
 use std::fs::{self, File, OpenOptions, TryLockError};
 use std::io;
+use std::os::unix::fs::FileExt;
 use std::path::{Path, PathBuf};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -34,12 +35,14 @@
     folder: Option<PathBuf>,
     /// The name of this process's file, and the file, locked for as long as the process lives.
     own: OnceCell<(String, File)>,
+    /// The version of its settings that stands there.
+    told: Cell<u64>,
 }
 
 impl Handover {
     /// The folder below the one for temporary files. Where that is not told, no mark can be made.
     pub fn new(temporary: Option<PathBuf>) -> Self {
-        Handover { folder: temporary.map(|t| t.join(FOLDER)), own: OnceCell::new() }
+        Handover { folder: temporary.map(|t| t.join(FOLDER)), own: OnceCell::new(), told: Cell::new(0) }
     }
 
     /// From now on this process counts as one that lives. A lock tells it: the system lets go of it when the process
@@ -58,6 +61,36 @@
         Ok(())
     }
 
+    /// Tells the other processes which version of the settings is in force in this one. All digits are written, so
+    /// that none of an older one are left behind them.
+    pub fn tell(&self, version: u64) -> io::Result<()> {
+        match self.own.get() {
+            Some((_, file)) if self.told.get() != version => {
+                file.write_all_at(format!("{version:020}").as_bytes(), 0)?;
+                self.told.set(version);
+                Ok(())
+            }
+            _ => Ok(()),
+        }
+    }
+
+    /// The processes that live, by their ids, each with the version that it has told, if it has.
+    pub fn versions(&self) -> io::Result<BTreeMap<u32, Option<u64>>> {
+        let mut versions = BTreeMap::new();
+        for entry in fs::read_dir(self.folder()?)? {
+            let entry = entry?;
+            let name = entry.file_name();
+            let process = name.to_str().and_then(|name| name.strip_prefix(PROCESS));
+            let id = process.and_then(|process| process.split('-').next()?.parse().ok());
+            let own = self.own.get().is_some_and(|(own, _)| name == own.as_str());
+            if let Some(id) = id.filter(|_| own || lives(&entry.path())) {
+                let version = fs::read_to_string(entry.path()).ok().and_then(|text| text.parse().ok());
+                versions.insert(id, version);
+            }
+        }
+        Ok(versions)
+    }
+
     /// Marks a backend as left out, or takes the mark away.
     pub fn suspend(&self, name: &str, on: bool) -> io::Result<()> {
         self.mark(&format!("{SUSPENDED}{}", hex(name)), on)
@@ -187,6 +220,23 @@
         assert_eq!(left, 1, "its own");
     }
 
+    #[test]
+    fn processes_that_live_see_the_versions_that_they_told() {
+        let folder = Folder::new("versions");
+        let [one, other] = [(); 2].map(|()| Handover::new(Some(folder.0.clone())));
+        one.tell(7).expect("there is no file yet");
+        one.enter().expect("writable");
+        fs::write(folder.0.join(FOLDER).join("process-9-9"), "00000000000000000009").expect("writable");
+        let seen = |h: &Handover| h.versions().expect("readable").into_values().collect::<Vec<_>>();
+        assert_eq!(seen(&other), [None], "not told, and the dead one does not count");
+        for version in [12, 9] {
+            one.tell(version).expect("writable");
+            assert_eq!((seen(&one), seen(&other)), (vec![Some(version)], vec![Some(version)]));
+        }
+        drop(one);
+        assert_eq!(seen(&other), []);
+    }
+
     #[test]
     fn what_is_no_mark_is_passed_over_and_what_fails_is_told() {
         let folder = Folder::new("odd");
--- a/src/bin/heathroad/main.rs
+++ b/src/bin/heathroad/main.rs
@@ -9,6 +9,7 @@
 mod handover;
 mod log;
 mod management;
+mod reload;
 mod stream;
 
 use backend::Pool;
@@ -18,6 +19,7 @@
 use handover::Handover;
 use log::log;
 use management::Door;
+use reload::{Record, Reload};
 use std::cell::Cell;
 use std::env;
 use std::io;
@@ -90,30 +92,29 @@
     let must_ask = config.facts.settings.must_ask;
     let engine = Engine::new(config.facts.clone(), config.seed, pool.clone(), watching);
     let engine = engine.map_err(|e| e.to_string())?;
+    let record = Rc::new(Record::new());
+    let reload = Reload::new(&config, engine.clone(), pool.clone(), record.clone())?;
     let (known, complaint) = config.known.map(|page| page.entries()).unwrap_or_default();
     complaint.into_iter().for_each(|line| log!("{line}"));
     engine.list(ListKind::Cached, known, false);
     let door = match config.management {
-        Some(address) => Some(open_door(address, &engine).await?),
+        Some(address) => Some(open_door(address, &engine, record).await?),
         None => None,
     };
-    let (waits, newest) = (Waits::new(millis(site.drain_grace)), Rc::<Cell<u64>>::default());
-    let follow = move |engine, address| {
+    let newest = Rc::<Cell<u64>>::default();
+    let follow = move |engine: Rc<Engine>, address| {
+        let waits = Waits::new(millis(engine.facts().site.drain_grace));
         spawn_local(discovery::follow(engine, address, must_ask, waits, newest.clone(), wanted.clone()))
     };
     let (followed, mut following) = (engine.clone(), follow(engine.clone(), config.discovery));
     // Also while the program stops: the old address is about to fall silent.
     spawn_local(async move {
         while reloaded.recv().await.is_some() {
-            match config::reload() {
-                Ok(address) => {
-                    log!("configuration read again, discovery at {address}");
-                    // The old watch ends at once, with its connection and its version: the new address is asked for
-                    // the whole list.
-                    following.abort();
-                    following = follow(followed.clone(), address);
-                }
-                Err(e) => log!("configuration kept: {e}"),
+            if let Some(address) = reload.again() {
+                // The old watch ends at once, with its connection and its version: the new address is asked for
+                // the whole list.
+                following.abort();
+                following = follow(followed.clone(), address);
             }
         }
     });
@@ -138,11 +139,9 @@
             kept.forget_gone();
         }
     });
-    let (last, stay) = stopping(site);
     let (stop, stopped) = watch::channel(Stop::No);
     let front = Front {
         engine: engine.clone(),
-        facts: config.facts,
         connections: Cell::new(usable(1) - usable(1) / 2),
         bodies: Cell::new(bodies(1)),
         parting: Cell::new(false),
@@ -169,6 +168,7 @@
     let _ = terminated.recv().await;
     log!("stopping, {} requests open", engine.owed());
     door.inspect(|door| door.stopping());
+    let (last, stay) = stopping(&engine);
     let end = Instant::now() + last;
     engine.end_by(end);
     if *engine.processes().borrow() > 1 {
@@ -197,12 +197,12 @@
 }
 
 /// Opens the operators' door, and follows what is marked at that of another process.
-async fn open_door(address: SocketAddr, engine: &Rc<Engine>) -> Result<Rc<Door>, String> {
+async fn open_door(address: SocketAddr, engine: &Rc<Engine>, record: Rc<Record>) -> Result<Rc<Door>, String> {
     let listener = TcpListener::bind(address).await;
     let listener = listener.map_err(|e| format!("management: {address}: {e}"))?;
     let bound = listener.local_addr().map_err(|e| format!("management: {e}"))?;
     log!("operators at {bound}");
-    let door = Door::new(engine.clone(), Handover::new(env::var_os("TMPDIR").map(Into::into)));
+    let door = Door::new(engine.clone(), Handover::new(env::var_os("TMPDIR").map(Into::into)), record);
     spawn_local(door.clone().serve(listener));
     let looking = door.clone();
     spawn_local(async move {
@@ -216,8 +216,8 @@
 
 /// How long after SIGTERM all must be answered, and how long callers may go on using the connections that they
 /// have: others may be down too, so for as long as a request still has the time in which its answer is wanted.
-fn stopping(site: &Site) -> (Duration, Duration) {
-    let waits = Some(millis(site.longest_wait)).filter(|wait| !wait.is_zero());
-    let last = waits.map_or(LONGEST, |wait| wait.min(LONGEST)) + AFTER;
-    (last, last.saturating_sub(millis(site.longest_aim)).max(LINGER))
+fn stopping(engine: &Engine) -> (Duration, Duration) {
+    let told = |site: &Site| Some(millis(site.longest_wait)).filter(|wait| !wait.is_zero());
+    let last = engine.longest(|site| told(site).map_or(LONGEST, |wait| wait.min(LONGEST))) + AFTER;
+    (last, last.saturating_sub(engine.longest(|site| millis(site.longest_aim))).max(LINGER))
 }
--- a/src/bin/heathroad/management.rs
+++ b/src/bin/heathroad/management.rs
@@ -4,10 +4,11 @@
 use crate::engine::Engine;
 use crate::handover::Handover;
 use crate::log::log;
+use crate::reload::Record;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use hyper::header::{ALLOW, CONNECTION, HeaderValue};
+use hyper::header::{ALLOW, CONNECTION, CONTENT_TYPE, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
@@ -39,6 +40,7 @@
 pub struct Door {
     engine: Rc<Engine>,
     handover: Handover,
+    record: Rc<Record>,
     /// Whether the marks could not be read when last looked at.
     blind: Cell<bool>,
     /// Whether clients are served here: not yet, or not any more.
@@ -47,9 +49,9 @@
 
 impl Door {
     /// A door to the module. What stands marked already holds from now on.
-    pub fn new(engine: Rc<Engine>, handover: Handover) -> Rc<Self> {
+    pub fn new(engine: Rc<Engine>, handover: Handover, record: Rc<Record>) -> Rc<Self> {
         let (blind, serving) = (Cell::new(false), Cell::new(false));
-        let door = Rc::new(Door { engine, handover, blind, serving });
+        let door = Rc::new(Door { engine, handover, record, blind, serving });
         door.look();
         door
     }
@@ -76,6 +78,8 @@
             Err(e) if !was => log!("marks: {e}; what held goes on"),
             Err(_) => {}
         }
+        // A version that can't be told is shown as none by the others, and told at the next look.
+        let _ = self.handover.tell(self.engine.version());
         !self.blind.get()
     }
 
@@ -120,7 +124,7 @@
         let (head, body) = request.into_parts();
         let path: Vec<&str> = head.uri.path().split('/').skip(1).collect();
         let method = match path[..] {
-            ["v1", "readyz"] => Method::GET,
+            ["v1", "readyz" | "settings"] => Method::GET,
             ["v1", "backends", _, "suspend" | "resume"] | ["v1", "proxy", "drain" | "activate"] => {
                 Method::POST
             }
@@ -140,11 +144,22 @@
         match path[..] {
             ["v1", "backends", id, what] => self.backend(id, what == "suspend"),
             ["v1", "proxy", what] => self.mark(self.handover.drain(what == "drain"), what, "proxy"),
+            ["v1", "settings"] => self.settings(),
             _ if self.engine.ready() && self.serving.get() => say(StatusCode::OK, "ready"),
             _ => say(StatusCode::SERVICE_UNAVAILABLE, "not ready"),
         }
     }
 
+    /// Which settings are in force here and in the other processes of this proxy, and the last that were refused.
+    fn settings(&self) -> Reply {
+        self.look();
+        let processes = self.handover.versions().unwrap_or_default();
+        let mut reply =
+            say(StatusCode::OK, &self.record.shown(self.engine.version(), &processes).to_string());
+        reply.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        reply
+    }
+
     fn backend(&self, id: &str, suspend: bool) -> Reply {
         // The other process may have been told more of it.
         self.look();
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -443,6 +443,28 @@
         self.signal("-HUP", says).await;
     }
 
+    /// Replaces the configuration, sends SIGHUP, and gives the log's next line.
+    pub async fn reload_line(&mut self, config: &str) -> String {
+        std::fs::write(&self.config, config).expect("the folder for tests takes a file");
+        self.kill("-HUP").await;
+        let log = self.log.as_mut().expect("it is read");
+        soon(log.next_line()).await.expect("readable").expect("it goes on")
+    }
+
+    /// Its process.
+    pub fn id(&self) -> u32 {
+        self.child.id().expect("it runs")
+    }
+
+    /// What the operators' door shows.
+    pub async fn shown(&self, path: &str) -> Value {
+        let mut door = connect(self.door.expect("a door")).await;
+        let call = Request::get(path).header("host", "door").body(Full::default()).expect("well formed");
+        let answer = soon(door.send_request(call)).await.expect("an answer");
+        let text = soon(answer.into_body().collect()).await.expect("a whole one").to_bytes();
+        serde_json::from_slice(&text).expect("JSON")
+    }
+
     pub async fn ended(&mut self) -> ExitStatus {
         soon(self.child.wait()).await.expect("it ran")
     }
