--- a/tests/cold_fleet.rs
+++ b/tests/cold_fleet.rs
@@ -45,7 +45,10 @@
     }
 }
 
-fn cases() -> Vec<(&'static str, fn(Plan) -> Plan)> {
+/// A name, and how its day differs from an ordinary one.
+type Case = (&'static str, fn(Plan) -> Plan);
+
+fn cases() -> Vec<Case> {
     use Change::*;
     vec![
         ("a backend restarts under a burst", |p| Plan {
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -307,7 +307,8 @@
     /// Every other list comes as its changes to the one before, where the copy has that.
     fn list(&mut self, copy: usize, version: usize, kind: ListKind) {
         let entries = self.lists[version].clone();
-        let delta = kind == ListKind::Full && version % 2 == 0 && self.copies[copy].version + 1 == version;
+        let delta =
+            kind == ListKind::Full && version.is_multiple_of(2) && self.copies[copy].version + 1 == version;
         let event = if delta {
             let old = &self.lists[version - 1];
             let gone = old.iter().filter(|o| entries.iter().all(|n| n.backend != o.backend));
