Test of a takeover: places for all its callers, however the system deals them out

Cause: the test opens 61 connections to two processes of one proxy. With 256 descriptors each has 42 places while two live, and the system deals out the first 41 by chance; where the one that stays gets 23 or more of them, the 20 later ones are too many and the oldest at rest gives way, as it should. Change: 512 descriptors. The test looks for the same with as many callers.

--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -28,10 +28,17 @@
 }
 
 async fn scene() -> Scene {
+    scene_with(256).await
+}
+
+/// A proxy that may hold so many descriptors.
+async fn scene_with(sockets: usize) -> Scene {
     let orders = Arc::new(Orders::default());
     let (a, b) = (Backend::start("a", &orders).await, Backend::start("b", &orders).await);
     let discovery = Discovery::start(vec![a.line("SERVING"), b.line("SERVING")]).await;
-    let proxy = Proxy::start_as(&with_door(&discovery), "exec \"$0\"").await;
+    let mut config = with_door(&discovery);
+    config["limits"]["sockets"] = sockets.into();
+    let proxy = Proxy::start_as(&config, "exec \"$0\"").await;
     discovery.settled().await;
     Scene { orders, a, b, discovery, proxy }
 }
@@ -198,8 +205,11 @@
 /// last on its connection, and is gone; whoever connects meanwhile or later is served by the other.
 #[tokio::test]
 async fn a_process_takes_over_from_another_and_no_connection_is_lost() {
-    let mut s = scene().await;
+    // Half of 256 descriptors would be 42 places, and the system deals out connections by chance: past them the oldest
+    // at rest gives way, which is no loss of a request but is not what is looked at here.
+    let mut s = scene_with(512).await;
     let mut config = with_door(&s.discovery);
+    config["limits"]["sockets"] = 512.into();
     config["listen"] = s.proxy.addr.to_string().into();
     let other = s.proxy.start_beside(&config).await;
     while other.operate("GET", "/v1/readyz").await != 200 {}
