--- a/src/bin/heathroad/engine.rs
+++ b/src/bin/heathroad/engine.rs
@@ -720,16 +720,57 @@
         Host { host, dial, site, block: 0, health, share: 1.0, born_ms: 0.0 }
     }
 
-    #[tokio::test]
-    async fn backends_that_are_gone_are_forgotten() {
+    fn call() -> Call {
+        Call {
+            method: hyper::Method::GET,
+            uri: hyper::Uri::from_static("/look"),
+            host: None,
+            id: hyper::header::HeaderValue::from_static("1"),
+            key: None,
+            body: Payload::Whole(bytes::Bytes::new()),
+        }
+    }
+
+    fn engine() -> Rc<Engine> {
         let limit = Duration::from_secs(1);
         let limits = Limits { connections: 4, connect: limit, idle: limit, drain_grace: limit };
         let (watching, _) = watch::channel(false);
+        Engine::new(facts(), 1, Rc::new(Pool::new(limits)), watching).expect("good settings")
+    }
+
+    /// A stop waits for as long as what was taken may last by the settings that it was taken under.
+    #[tokio::test]
+    async fn what_was_taken_before_a_change_lasts_as_long_as_then() {
+        let (engine, tasks) = (engine(), LocalSet::new());
+        let aim = |engine: &Engine| engine.longest(|site| millis(site.longest_aim));
+        let (long, short) = (Duration::from_secs(1), Duration::from_millis(200));
+        let (caller, _answer) = oneshot::channel();
+        let life = Life::Owed(caller, Rc::default());
+        let (class, received, facts) = (0, Instant::now(), engine.facts());
+        let open = Open { call: Rc::new(call()), facts, class, received, life, attempts: Vec::new() };
+        engine.state.borrow_mut().requests.insert(7, open);
+        let mut next = self::facts();
+        (next.settings.classes[0].aim, next.site.longest_aim) = (200.0, 200.0);
+        let configured = async { engine.configure(next, 3, 1) };
+        assert_eq!(tasks.run_until(configured).await, Ok(3));
+        assert_eq!((engine.version(), aim(&engine)), (3, long));
+        engine.state.borrow_mut().requests.clear();
+        assert_eq!(aim(&engine), short);
+    }
+
+    #[test]
+    fn a_class_goes_on_under_its_name_and_of_two_alike_the_first() {
+        let names = |names: &[&str]| names.iter().map(|n| n.to_string()).collect::<Vec<_>>();
+        let (old, new) = (names(&["a", "b", "b"]), names(&["b", "c", "b", "a"]));
+        assert_eq!(continued(&old, &new), [Some(1), None, None, Some(0)]);
+    }
+
+    #[tokio::test]
+    async fn backends_that_are_gone_are_forgotten() {
         let tasks = LocalSet::new();
         tasks
             .run_until(async {
-                let engine =
-                    Engine::new(facts(), 1, Rc::new(Pool::new(limits)), watching).expect("good settings");
+                let engine = engine();
                 for n in 0..100 {
                     let (old, new) = (format!("s-{n}"), format!("s-{}", n + 1));
                     if n % 2 == 0 {
@@ -743,19 +784,11 @@
                 }
                 // One that an open request was sent to stays known until the request is closed.
                 let id = engine.state.borrow().ids["s-100"];
-                let call = Call {
-                    method: hyper::Method::GET,
-                    uri: hyper::Uri::from_static("/look"),
-                    host: None,
-                    id: hyper::header::HeaderValue::from_static("1"),
-                    key: None,
-                    body: Payload::Whole(bytes::Bytes::new()),
-                };
                 let life = Life::Over;
-                let ended = Stand::Ended(Outcome::Error, limit);
+                let ended = Stand::Ended(Outcome::Error, Duration::from_secs(1));
                 let (class, received, attempts) = (0, Instant::now(), vec![(id, ended)]);
                 let facts = engine.facts();
-                let open = Open { call: Rc::new(call), facts, class, received, life, attempts };
+                let open = Open { call: Rc::new(call()), facts, class, received, life, attempts };
                 engine.state.borrow_mut().requests.insert(7, open);
                 engine.list(ListKind::Full, vec![host("s-101", Health::Serving)], false);
                 assert_eq!(engine.state.borrow().backends.len(), 2);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -67,6 +67,8 @@
 //!   than its `not_past`.
 //! - The end of the wait for an attempt that is resolved as timed out or cancelled: its backend is told, so that
 //!   the work stops there.
+//! - Between two events, other settings through [`Balancer::configure`]; names and other facts that go with them
+//!   change in the same step.
 //! - `closed` set once the request is over: the first served answer goes to the client by itself and ends it.
 //!
 //! Events about requests, attempts or backends that the copy does not know, or that are over, are passed over.
