--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -255,6 +255,8 @@
     addr: SocketAddr,
     list: Arc<watch::Sender<(u64, Vec<Value>)>>,
     held: Arc<watch::Sender<u64>>,
+    /// How often the whole list was asked for, as a watch does at its beginning.
+    pub begun: Arc<AtomicUsize>,
     /// Connections that are open now.
     pub open: Arc<watch::Sender<usize>>,
     agent: Arc<watch::Sender<Agent>>,
@@ -267,8 +269,10 @@
         let list = Arc::new(watch::Sender::new((1, hosts)));
         let held = Arc::new(watch::Sender::new(0));
         let open = Arc::new(watch::Sender::new(0));
+        let begun = Arc::<AtomicUsize>::default();
         let agent = Arc::new(watch::Sender::new(Agent::Up));
         let (lists, holds, alive, states) = (list.clone(), held.clone(), open.clone(), agent.clone());
+        let beginnings = begun.clone();
         tokio::spawn(async move {
             let mut listener = Some(listener);
             let mut state = states.subscribe();
@@ -292,10 +296,14 @@
                     }
                 };
                 let (lists, holds, alive) = (lists.clone(), holds.clone(), alive.clone());
+                let beginnings = beginnings.clone();
                 let (answering, mut refusing) = (states.clone(), states.subscribe());
                 let service = service_fn(move |request: Request<Incoming>| {
                     let (mut list, holds, mut state) =
                         (lists.subscribe(), holds.clone(), answering.subscribe());
+                    if request.uri().query().is_none() {
+                        beginnings.fetch_add(1, SeqCst);
+                    }
                     async move {
                         let query = request.uri().query().unwrap_or_default();
                         let told = |name: &str| {
@@ -325,7 +333,7 @@
                 });
             }
         });
-        Discovery { addr, list, held, open, agent }
+        Discovery { addr, list, held, begun, open, agent }
     }
 
     /// From now on the agent answers, or not. Where it refuses, its connections have ended.
@@ -500,12 +508,17 @@
         self.signal("-HUP", says).await;
     }
 
-    /// Replaces the configuration, sends SIGHUP, and gives the log's next line.
+    /// Replaces the configuration, sends SIGHUP, and gives the log's next line about configurations.
     pub async fn reload_line(&mut self, config: &str) -> String {
         std::fs::write(&self.config, config).expect("the folder for tests takes a file");
         self.kill("-HUP").await;
         let log = self.log.as_mut().expect("it is read");
-        soon(log.next_line()).await.expect("readable").expect("it goes on")
+        loop {
+            let line = soon(log.next_line()).await.expect("readable").expect("it goes on");
+            if line.contains("configuration ") {
+                return line;
+            }
+        }
     }
 
     /// Its process.
