--- a/src/bin/heathroad/engine.rs
+++ b/src/bin/heathroad/engine.rs
@@ -765,7 +765,7 @@
         let aim = |engine: &Engine| engine.longest(|site| millis(site.longest_aim));
         let (long, short) = (Duration::from_secs(1), Duration::from_millis(200));
         let (caller, _answer) = oneshot::channel();
-        let life = Life::Owed(caller, Rc::default());
+        let life = Life::Owed(caller, Rc::new(|| true));
         let (class, received, facts) = (0, Instant::now(), engine.facts());
         let open = Open { call: Rc::new(call()), facts, class, received, life, attempts: Vec::new() };
         engine.state.borrow_mut().requests.insert(7, open);
