--- /dev/null
+++ b/scale/src/fit.rs
@@ -0,0 +1,46 @@
+//! How a measure grows with the size of the fleet: a least-squares line.
+
+use serde::Serialize;
+
+/// A line through points, and how far the points are from it.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize)]
+pub struct Line {
+    /// Growth of the measure for each unit of size.
+    pub slope: f64,
+    /// The measure at size 0.
+    pub intercept: f64,
+    /// Standard error of the slope; 0 for two points, which leave none.
+    pub slope_error: f64,
+    /// Standard error of the intercept.
+    pub intercept_error: f64,
+    /// Standard deviation of the points from the line.
+    pub residual: f64,
+    /// Points.
+    pub points: usize,
+}
+
+impl Line {
+    /// The line's measure at a size.
+    pub fn at(&self, size: f64) -> f64 {
+        self.intercept + self.slope * size
+    }
+}
+
+/// The least-squares line through (size, measure); none for fewer than two sizes or what is not finite.
+pub fn line(points: &[(f64, f64)]) -> Option<Line> {
+    let n = points.len() as f64;
+    let mean = |of: fn(&(f64, f64)) -> f64| points.iter().map(of).sum::<f64>() / n;
+    let (x, y) = (mean(|p| p.0), mean(|p| p.1));
+    let xx: f64 = points.iter().map(|p| (p.0 - x).powi(2)).sum();
+    let xy: f64 = points.iter().map(|p| (p.0 - x) * (p.1 - y)).sum();
+    if !(xx > 0.0 && xx.is_finite() && xy.is_finite()) {
+        return None;
+    }
+    let slope = xy / xx;
+    let intercept = y - slope * x;
+    let rest: f64 = points.iter().map(|p| (p.1 - intercept - slope * p.0).powi(2)).sum();
+    let residual = if points.len() > 2 { (rest / (n - 2.0)).sqrt() } else { 0.0 };
+    let slope_error = residual / xx.sqrt();
+    let intercept_error = residual * (1.0 / n + x * x / xx).sqrt();
+    Some(Line { slope, intercept, slope_error, intercept_error, residual, points: points.len() })
+}
--- a/scale/src/lib.rs
+++ b/scale/src/lib.rs
@@ -3,3 +3,7 @@
 //! and backends on loopback sockets and measures them.
 
 #![forbid(unsafe_code)]
+
+pub mod fit;
+pub mod hollow;
+pub mod scenario;
