Scale run: the hollow fleet, a first running version

Every proxy is a copy of the decision module on virtual time, backends have slots, queues and warmth and call on through their own proxies, discovery is late. Eight events one after the other.

--- /dev/null
+++ b/scale/examples/hollow.rs
@@ -0,0 +1,50 @@
+//! Plays the hollow fleet of a scenario and prints what it showed: `hollow SIZE SEED [EVENT ...]`.
+
+use scale::hollow::{self, EVENTS};
+use scale::scenario::Scenario;
+use std::time::Instant;
+
+fn main() -> Result<(), Box<dyn std::error::Error>> {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    let size: usize = args.first().map_or("90", String::as_str).parse()?;
+    let seed: u64 = args.get(1).map_or("1", String::as_str).parse()?;
+    let mut events: Vec<&'static str> =
+        EVENTS.into_iter().filter(|e| args.iter().skip(2).any(|a| a == e)).collect();
+    if args.len() < 3 {
+        events = EVENTS.to_vec();
+    }
+    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/scenarios/target.toml");
+    let scenario = Scenario::load(path.as_ref())?;
+    let begun = Instant::now();
+    let report = hollow::run_events(&scenario, size, seed, &events)?;
+    let took = begun.elapsed().as_secs_f64();
+    println!(
+        "size {size} seed {seed}: {} proxies, {:.0} virtual s in {took:.1} s, decisions {:016x}",
+        report.proxies, report.played_s, report.decisions
+    );
+    for e in &report.events {
+        println!("{}", e.name);
+        for (name, p) in [("before", &e.before), ("during", &e.during), ("after", &e.after)] {
+            let attempts: u64 = p.hops.iter().map(|h| h.attempts).sum();
+            let calls: u64 = p.hops.iter().map(|h| h.calls).sum();
+            let factors: Vec<String> = p.hops.iter().map(|h| format!("{:.3}", h.factor())).collect();
+            println!(
+                "  {name:6} share {:.4} requests {} calls/s {:.0} attempts/call {:.4} list messages {} entries {}",
+                p.worth.share(),
+                p.worth.requests,
+                calls as f64 / p.seconds,
+                attempts as f64 / calls as f64,
+                p.control.messages,
+                p.control.entries,
+            );
+            println!("         factor by hop {}", factors.join(" "));
+            println!("         {:?}", p.module);
+        }
+        let windows: Vec<String> = e.windows.iter().map(|w| format!("{:.3}", w.share())).collect();
+        println!("  windows {}", windows.join(" "));
+        println!("  lost s of full service: during {:.3}, after {:.3}", e.lost_s[0], e.lost_s[1]);
+        println!("  in force {:?}, not yet {}", e.in_force, e.not_in_force);
+    }
+    println!("{:?}", report.checks);
+    Ok(())
+}
--- /dev/null
+++ b/scale/src/hollow/agenda.rs
@@ -0,0 +1,111 @@
+//! What happens when, in virtual time.
+
+use std::cmp::Ordering;
+use std::collections::BinaryHeap;
+use turnshift::api::{Outcome, RequestId};
+
+/// Something that happens.
+#[derive(Debug, Clone, Copy)]
+pub enum Happening {
+    /// A client makes a call; the next one follows.
+    Client,
+    /// A client that was refused tries again.
+    TryAgain { class: u16, tries: u32, born: f64 },
+    /// A proxy's timer is due.
+    Wake { copy: usize, token: u64 },
+    /// An attempt comes to its backend.
+    Arrive { request: RequestId, attempt: usize },
+    /// A backend has done its own work on it.
+    Worked { request: RequestId, attempt: usize },
+    /// Its outcome comes to the proxy.
+    Reply { request: RequestId, attempt: usize, outcome: Outcome },
+    /// Its backend learns that nobody waits for it any more.
+    Withdraw { request: RequestId, attempt: usize },
+    /// A call's time is over.
+    Expire { request: RequestId },
+    /// Longer than anything is owed after that.
+    Overdue { request: RequestId },
+    /// Discovery takes notice of a backend as it is now; changed at `since`.
+    Publish { backend: usize, since: f64 },
+    /// A change comes to a proxy.
+    Tell { copy: usize, change: usize },
+    /// A whole list comes to a proxy.
+    TellAll { copy: usize },
+    /// A step of the scenario.
+    Step(Step),
+}
+
+/// What the scenario does to the fleet.
+#[derive(Debug, Clone, Copy)]
+pub enum Step {
+    /// Another part of the report begins.
+    Part(usize),
+    /// A change of configuration: a backend's weight.
+    Change,
+    /// A backend is drained and restarted.
+    Restart { backend: Option<usize> },
+    /// A backend's process ends.
+    Stop { backend: usize },
+    /// It is back, cold.
+    Start { backend: usize },
+    /// A machine goes silent, proxy and backend, and comes back after so many ms.
+    LoseMachine { backend: Option<usize>, back: f64 },
+    /// A machine is back.
+    MachineBack { backend: usize },
+    /// A zone goes silent, or is back.
+    Zone { zone: u16, on: bool },
+    /// Regions lose each other, or are joined again.
+    Cut { on: bool },
+    /// Every proxy gets the whole list.
+    Resync,
+    /// Discovery is down, or back.
+    Discovery { on: bool },
+    /// A proxy is replaced by a new process.
+    Replace { proxy: usize },
+}
+
+struct Entry {
+    at: f64,
+    no: u64,
+    what: Happening,
+}
+
+impl PartialEq for Entry {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other) == Ordering::Equal
+    }
+}
+impl Eq for Entry {}
+impl PartialOrd for Entry {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+impl Ord for Entry {
+    /// The earliest is the greatest; of one time, the first that was put down.
+    fn cmp(&self, other: &Self) -> Ordering {
+        other.at.total_cmp(&self.at).then(other.no.cmp(&self.no))
+    }
+}
+
+/// The queue of what is to happen.
+#[derive(Default)]
+pub struct Agenda {
+    heap: BinaryHeap<Entry>,
+    no: u64,
+}
+
+impl Agenda {
+    /// Puts down what happens at `at`.
+    pub fn at(&mut self, at: f64, what: Happening) {
+        self.no += 1;
+        self.heap.push(Entry { at, no: self.no, what });
+    }
+    /// The next thing before `end`.
+    pub fn next(&mut self, end: f64) -> Option<(f64, Happening)> {
+        if self.heap.peek()?.at >= end {
+            return None;
+        }
+        self.heap.pop().map(|e| (e.at, e.what))
+    }
+}
--- a/scale/src/hollow/mod.rs
+++ b/scale/src/hollow/mod.rs
@@ -1,21 +1,179 @@
 //! The hollow fleet: every proxy a copy of the decision module, on virtual time, the same for a seed. No socket, no
 //! clock.
+//!
+//! What it models: the ways between zones and regions, backends with slots, queues and warmth that call on through
+//! their own proxies, processes that end and machines that fall silent, and discovery's delays. What it doesn't: a
+//! proxy's processor time, the bytes of messages, connections beyond the first to each backend.
 
-use crate::scenario::Scenario;
-use serde::Serialize;
+mod agenda;
+mod backend;
+mod fleet;
+mod plan;
+mod registry;
+mod report;
+mod tally;
 
-/// What a run of one size showed.
-#[derive(Debug, Clone, PartialEq, Serialize)]
-pub struct Report {
-    /// Backends, each with its proxy.
-    pub size: usize,
-    /// What fed the random numbers.
-    pub seed: u64,
-    /// A hash over all decisions.
-    pub decisions: u64,
-}
+pub use report::{Checks, Control, EventReport, Hop, Module, Part, Report, Spread, Worth};
+
+use crate::scenario::{Invalid, Scenario};
+use agenda::{Happening, Step};
+use backend::ColdRule;
+use fleet::Fleet;
+use rand::Rng;
+use tally::Tally;
+
+/// What happens to the fleet, in this order, each after a quiet time.
+pub const EVENTS: [&str; 8] = [
+    "changes",
+    "zone lost and back",
+    "regions cut",
+    "whole list to all",
+    "all proxies replaced",
+    "release",
+    "machines lost",
+    "discovery down",
+];
 
 /// Plays a fleet of `size` backends, each with its proxy, through all events.
-pub fn run(_scenario: &Scenario, size: usize, seed: u64) -> Report {
-    Report { size, seed, decisions: 0 }
+pub fn run(scenario: &Scenario, size: usize, seed: u64) -> Result<Report, Invalid> {
+    run_events(scenario, size, seed, &EVENTS)
+}
+
+/// The same with some of the events only.
+pub fn run_events(
+    scenario: &Scenario,
+    size: usize,
+    seed: u64,
+    events: &[&'static str],
+) -> Result<Report, Invalid> {
+    let r = &scenario.run;
+    // Parts begin and end with windows.
+    let window = r.window_s * 1000.0;
+    let whole = |s: f64| (s * 1000.0 / window).ceil().max(1.0) * window;
+    let (steady, event, after) = (whole(r.steady_s), whole(r.event_s), whole(r.after_s));
+    let cold = ColdRule {
+        multiple: scenario.guarantee("fallMultiple"),
+        within: scenario.guarantee("fall").max(1.0),
+    };
+    let begin = 1000.0;
+    // The first part is the start, until the limits are learned, and the last is the end, until all is answered.
+    let tally = Tally::new(2 + 3 * events.len(), scenario.target.depth, begin, window, cold);
+    let mut fleet = Fleet::new(scenario, size, seed, tally)?;
+    let mut report = Report { size, seed, proxies: fleet.proxies.len(), ..Report::default() };
+    let mut now = begin + steady;
+    fleet.play(now)?;
+    for (i, &name) in events.iter().enumerate() {
+        let part = 1 + 3 * i;
+        let (starts, ends, over) = (now + steady, now + steady + event, now + steady + event + after);
+        for (step, at) in [(part, now), (part + 1, starts), (part + 2, ends)] {
+            fleet.agenda.at(at, Happening::Step(Step::Part(step)));
+        }
+        plan_event(&mut fleet, name, starts, ends);
+        if name == "regions cut" {
+            fleet.play(ends)?;
+            fleet.checks.lost_while_cut += fleet.lost_while_cut();
+        }
+        fleet.play(over)?;
+        now = over;
+        report.events.push(EventReport { name, ..EventReport::default() });
+    }
+    fleet.agenda.at(now, Happening::Step(Step::Part(1 + 3 * events.len())));
+    // What is still on its way comes, so that lists and requests can be judged.
+    let tail = scenario.of_classes("giveUp").into_iter().fold(5000.0, f64::max);
+    fleet.play(now + whole(tail / 1000.0))?;
+    fleet.checks.lists_behind = fleet.behind();
+    for (i, event_report) in report.events.iter_mut().enumerate() {
+        let (part, starts) = (1 + 3 * i, begin + steady + (steady + event + after) * i as f64);
+        let t = &fleet.tally;
+        let (before, mut windows) = t.close(part, starts + steady);
+        let (during, middle) = t.close(part + 1, starts + steady + event);
+        let (later, rest) = t.close(part + 2, starts + steady + event + after);
+        let share = before.worth.share();
+        let lost = |windows: &[Worth]| windows.iter().map(|w| (share - w.share()) * r.window_s).sum::<f64>();
+        event_report.lost_s = [lost(&middle), lost(&rest)];
+        windows.extend(middle.into_iter().chain(rest));
+        (event_report.before, event_report.during, event_report.after) = (before, during, later);
+        event_report.windows = windows;
+        event_report.in_force = t.spread(&[part + 1, part + 2]);
+        let of = |c: &&registry::Change| c.missing > 0 && (part + 1..=part + 2).contains(&c.part);
+        event_report.not_in_force = fleet.changes.log.iter().filter(of).count();
+    }
+    report.played_s = (fleet.now - begin) / 1000.0;
+    report.decisions = fleet.tally.decisions;
+    report.checks = fleet.checks;
+    Ok(report)
+}
+
+/// Puts down what an event does between `starts` and `ends`.
+fn plan_event(fleet: &mut Fleet, name: &str, starts: f64, ends: f64) {
+    let scenario = fleet.scenario;
+    let mut at = |time: f64, step: Step| fleet.agenda.at(time, Happening::Step(step));
+    let lasts = ends - starts;
+    // The first zone is of the first region.
+    let zone = 0;
+    match name {
+        "zone lost and back" => {
+            at(starts, Step::Zone { zone, on: false });
+            at(ends, Step::Zone { zone, on: true });
+        }
+        "regions cut" => {
+            at(starts, Step::Cut { on: true });
+            at(ends, Step::Cut { on: false });
+        }
+        "whole list to all" => at(starts, Step::Resync),
+        "all proxies replaced" => {
+            // One change of configuration that needs a restart, in force within its time.
+            let within = (scenario.target.in_force_within_s * 1000.0).min(lasts);
+            let proxies = fleet.proxies.len();
+            for proxy in 0..proxies {
+                let time = starts + within * proxy as f64 / proxies as f64;
+                fleet.agenda.at(time, Happening::Step(Step::Replace { proxy }));
+            }
+        }
+        "release" => {
+            // Every fifth backend, spread over three quarters of the event.
+            let wave: Vec<usize> = (0..fleet.backends.len()).step_by(5).collect();
+            for (i, &backend) in wave.iter().enumerate() {
+                let time = starts + 0.75 * lasts * i as f64 / wave.len() as f64;
+                fleet.agenda.at(time, Happening::Step(Step::Restart { backend: Some(backend) }));
+            }
+        }
+        "machines lost" => {
+            // A rack: backends that stand side by side, and with them their proxies.
+            let rack = (fleet.backends.len() / 36).max(1);
+            for backend in 0..rack {
+                at(
+                    starts,
+                    Step::LoseMachine { backend: Some(backend * 29 % fleet.backends.len()), back: lasts },
+                );
+            }
+        }
+        "discovery down" => {
+            at(starts, Step::Discovery { on: false });
+            at(ends, Step::Discovery { on: true });
+        }
+        _ => {}
+    }
+    if matches!(name, "changes" | "regions cut" | "discovery down") {
+        let per_ms = scenario.changes_per_s() / 1000.0;
+        let t = &scenario.target;
+        let share = |per_day: f64| per_day / t.changes_per_day.max(1e-9);
+        let (restarts, failures) = (share(t.restarts_per_day), share(t.machine_failures_per_day));
+        let mut time = starts;
+        while per_ms > 0.0 {
+            time += -(1.0 - fleet.rng.random::<f64>()).ln() / per_ms;
+            if time >= ends {
+                break;
+            }
+            let kind = fleet.rng.random::<f64>();
+            let step = if kind < restarts {
+                Step::Restart { backend: None }
+            } else if kind < restarts + failures {
+                Step::LoseMachine { backend: None, back: scenario.backend.restart_s * 1000.0 }
+            } else {
+                Step::Change
+            };
+            fleet.agenda.at(time, Happening::Step(step));
+        }
+    }
 }
--- a/scale/src/scenario.rs
+++ b/scale/src/scenario.rs
@@ -92,8 +92,10 @@
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Run {
-    /// Calls a second for each backend, over all depths.
+    /// Calls a second for each backend, of real processes.
     pub calls_per_s_per_backend: f64,
+    /// Calls a second for each backend of the hollow fleet, over all depths.
+    pub hollow_calls_per_s_per_backend: f64,
     /// Times as many changes a second as the target has.
     pub change_compression: f64,
     /// Seconds before an event.
@@ -116,8 +118,10 @@
 pub struct Calls {
     /// Share of calls whose backend calls on, as long as the target's depth allows.
     pub onward_share: f64,
-    /// Share of the time left to a call that it gives the next hop.
-    pub try_share: f64,
+    /// Milliseconds of the time left that a backend keeps for its own answer when it calls on.
+    pub reserve_ms: f64,
+    /// Share of each class in clients' calls, in the order of the settings.
+    pub mix: Vec<f64>,
     /// Further tries of a client whose call was refused.
     pub client_retries: u32,
     /// Pause before such a try, in milliseconds, where the refusal advises none.
@@ -186,6 +190,13 @@
 
 impl std::error::Error for Invalid {}
 
+impl Invalid {
+    /// What another part turned down.
+    pub fn of(e: impl fmt::Display) -> Self {
+        Invalid(e.to_string())
+    }
+}
+
 /// Most sizes, and most backends of one, that a run takes on.
 const MOST: (usize, usize) = (16, 4096);
 
@@ -233,6 +244,19 @@
         settings::read(self.settings_of(copy, copies, tier, zone)).map_err(Invalid)
     }
 
+    /// A figure of the settings that the decision module isn't told, as of `classes`; 0 where it is left out.
+    pub fn of_classes(&self, key: &str) -> Vec<f64> {
+        let classes = self.settings.get("classes").and_then(Value::as_array);
+        let figure = |class: &Value| class.get(key).and_then(Value::as_f64).unwrap_or(0.0);
+        classes.map(|c| c.iter().map(figure).collect()).unwrap_or_default()
+    }
+
+    /// The same of `guarantees`.
+    pub fn guarantee(&self, key: &str) -> f64 {
+        let guarantees = self.settings.get("guarantees");
+        guarantees.and_then(|g| g.get(key)).and_then(Value::as_f64).unwrap_or(0.0)
+    }
+
     /// Region of a zone: zones are dealt out to the regions in turn.
     pub fn region_of(&self, zone: u16) -> usize {
         usize::from(zone) % self.target.regions
@@ -258,6 +282,9 @@
         for (i, &size) in self.sizes.iter().enumerate() {
             figures.push((format!("sizes[{i}]"), size as f64, t.services as f64, MOST.1 as f64));
         }
+        for (i, &share) in c.mix.iter().enumerate() {
+            figures.push((format!("calls.mix[{i}]"), share, 0.0, 1.0));
+        }
         let rest = [
             ("target.calls_per_s", t.calls_per_s, 0.0, day),
             ("target.depth", t.depth as f64, 1.0, t.services as f64),
@@ -280,6 +307,7 @@
             ("limits.processes", l.processes as f64, 1.0, 300.0),
             ("limits.run_s", l.run_s, 1.0, 300.0),
             ("run.calls_per_s_per_backend", r.calls_per_s_per_backend, 0.001, 10_000.0),
+            ("run.hollow_calls_per_s_per_backend", r.hollow_calls_per_s_per_backend, 0.001, 10_000.0),
             ("run.change_compression", r.change_compression, 0.0, 1e6),
             ("run.steady_s", r.steady_s, 0.1, 3600.0),
             ("run.event_s", r.event_s, 0.1, 3600.0),
@@ -288,7 +316,7 @@
             ("run.real_processes", r.real_processes as f64, 0.0, l.processes as f64),
             ("run.entry_per_backend", r.entry_per_backend, 0.0, 1.0),
             ("calls.onward_share", c.onward_share, 0.0, 1.0),
-            ("calls.try_share", c.try_share, 0.01, 1.0),
+            ("calls.reserve_ms", c.reserve_ms, 0.0, 1e6),
             ("calls.client_retries", f64::from(c.client_retries), 0.0, 10.0),
             ("calls.client_backoff_ms", c.client_backoff_ms, 1.0, day),
             ("backend.work_ms", b.work_ms, 0.001, 1e6),
@@ -319,6 +347,10 @@
 
     fn check_settings(&self) -> Result<(), Invalid> {
         let facts = self.facts(0, 1, 0, 0)?;
+        let (mix, classes) = (&self.calls.mix, facts.settings.classes.len());
+        if mix.len() != classes || mix.iter().sum::<f64>() <= 0.0 {
+            return Err(Invalid(format!("calls.mix: {mix:?} gives no share to each of {classes} classes")));
+        }
         turnshift::Balancer::new(facts.settings, 0).map(drop).map_err(|e| Invalid(e.to_string()))
     }
 }
