Scale run: what was under way when an event began is the event's

Requests made up to the longest wait before an event are hit by it; they stood in the quiet time that it is measured against.

--- a/scale/src/hollow/mod.rs
+++ b/scale/src/hollow/mod.rs
@@ -20,6 +20,7 @@
 use backend::ColdRule;
 use fleet::Fleet;
 use rand::Rng;
+use report::sum;
 use tally::Tally;
 
 /// What happens to the fleet, in this order, each after a quiet time.
@@ -56,6 +57,8 @@
         within: scenario.guarantee("fall").max(1.0),
     };
     let begin = 1000.0;
+    let longest = scenario.of_classes("giveUp").into_iter().fold(0.0, f64::max);
+    let lead = (longest / window).ceil() as usize;
     // The first part is the start, until the limits are learned, and the last is the end, until all is answered.
     let tally = Tally::new(2 + 3 * events.len(), scenario.target.depth, begin, window, cold);
     let mut fleet = Fleet::new(scenario, size, seed, tally)?;
@@ -79,14 +82,18 @@
     }
     fleet.agenda.at(now, Happening::Step(Step::Part(1 + 3 * events.len())));
     // What is still on its way comes, so that lists and requests can be judged.
-    let tail = scenario.of_classes("giveUp").into_iter().fold(5000.0, f64::max);
-    fleet.play(now + whole(tail / 1000.0))?;
+    fleet.play(now + whole(longest.max(5000.0) / 1000.0))?;
     fleet.checks.lists_behind = fleet.behind();
     for (i, event_report) in report.events.iter_mut().enumerate() {
         let (part, starts) = (1 + 3 * i, begin + steady + (steady + event + after) * i as f64);
         let t = &fleet.tally;
-        let (before, mut windows) = t.close(part, starts + steady);
-        let (during, middle) = t.close(part + 1, starts + steady + event);
+        // A request that was under way when the event began is the event's.
+        let (mut before, mut windows) = t.close(part, starts + steady);
+        let lead = windows.split_off(windows.len().saturating_sub(lead).max(1).min(windows.len()));
+        before.worth = sum(&windows);
+        let (mut during, middle) = t.close(part + 1, starts + steady + event);
+        let middle: Vec<Worth> = lead.into_iter().chain(middle).collect();
+        during.worth = sum(&middle);
         let (later, rest) = t.close(part + 2, starts + steady + event + after);
         let share = before.worth.share();
         let lost = |windows: &[Worth]| windows.iter().map(|w| (share - w.share()) * r.window_s).sum::<f64>();
--- a/scale/src/hollow/report.rs
+++ b/scale/src/hollow/report.rs
@@ -66,8 +66,7 @@
     pub fn share(&self) -> f64 {
         if self.asked > 0.0 { self.served / self.asked } else { 1.0 }
     }
-    /// Both together.
-    pub fn add(&mut self, other: &Worth) {
+    fn add(&mut self, other: &Worth) {
         self.requests += other.requests;
         self.in_time += other.in_time;
         self.late += other.late;
@@ -78,12 +77,19 @@
     }
 }
 
+/// Of all windows.
+pub(super) fn sum(windows: &[Worth]) -> Worth {
+    let mut sum = Worth::default();
+    windows.iter().for_each(|w| sum.add(w));
+    sum
+}
+
 /// A part of the run.
 #[derive(Debug, Clone, Default, PartialEq, Serialize)]
 pub struct Part {
     /// Virtual seconds.
     pub seconds: f64,
-    /// Clients' requests made in it.
+    /// Clients' requests made in it; those that were under way when an event began are the event's.
     pub worth: Worth,
     /// Events that the decision modules were told.
     pub module: Module,
--- a/scale/src/hollow/tally.rs
+++ b/scale/src/hollow/tally.rs
@@ -1,7 +1,7 @@
 //! Counts what happens, part by part of the run.
 
 use super::backend::ColdRule;
-use super::report::{Hop, Part, Spread, Worth};
+use super::report::{Hop, Part, Spread, Worth, sum};
 use hdrhistogram::Histogram;
 use turnshift::api::Action;
 
@@ -113,7 +113,7 @@
         let windows = self.windows(self.begins[part], end);
         let mut closed = self.parts[part].clone();
         closed.seconds = (end - self.begins[part]) / 1000.0;
-        windows.iter().for_each(|w| closed.worth.add(w));
+        closed.worth = sum(&windows);
         (closed, windows)
     }
 
