--- a/scale/examples/hollow.rs
+++ b/scale/examples/hollow.rs
@@ -1,4 +1,5 @@
-//! Plays the hollow fleet of a scenario and prints what it showed: `hollow SIZE SEED [EVENT ...]`.
+//! Plays the hollow fleet of the target's scenario and prints what it showed: `hollow SIZE SEED [EVENT ...]`. With
+//! `EVENT_S` in the environment the events last for so many seconds.
 
 use scale::hollow::{self, EVENTS};
 use scale::scenario::Scenario;
@@ -14,7 +15,10 @@
         events = EVENTS.to_vec();
     }
     let path = concat!(env!("CARGO_MANIFEST_DIR"), "/scenarios/target.toml");
-    let scenario = Scenario::load(path.as_ref())?;
+    let mut scenario = Scenario::load(path.as_ref())?;
+    if let Ok(seconds) = std::env::var("EVENT_S") {
+        scenario.run.event_s = seconds.parse()?;
+    }
     let begun = Instant::now();
     let report = hollow::run_events(&scenario, size, seed, &events)?;
     let took = begun.elapsed().as_secs_f64();
@@ -38,7 +42,8 @@
                 p.control.entries,
             );
             println!("         factor by hop {}", factors.join(" "));
-            println!("         {:?}", p.module);
+            let connects: u64 = p.hops.iter().map(|h| h.connects).sum();
+            println!("         connects {connects} {:?}", p.module);
         }
         let windows: Vec<String> = e.windows.iter().map(|w| format!("{:.3}", w.share())).collect();
         println!("  windows {}", windows.join(" "));
--- /dev/null
+++ b/scale/examples/housekeeping.rs
@@ -0,0 +1,105 @@
+//! Measures what the decision module costs at 25, 180, 720 and 2,880 listed backends: a housekeeping, idle and under
+//! load, and a whole list. Prints the least and the median of several rounds, for the machine is shared.
+
+use scale::scenario::Scenario;
+use std::hint::black_box;
+use std::time::Instant;
+use turnshift::Balancer;
+use turnshift::api::*;
+
+const ROUNDS: usize = 9;
+const HOUSEKEEPING: u64 = 0;
+
+fn entries(n: usize) -> Vec<Entry> {
+    (1..=n as u32)
+        .map(|backend| Entry { backend, weight: 1.0, zone: (backend % 8) as u16, ..Entry::default() })
+        .collect()
+}
+
+struct Copy {
+    balancer: Balancer,
+    now: f64,
+    next: RequestId,
+    out: Vec<(f64, RequestId, BackendId, f64)>,
+    actions: Vec<Action>,
+}
+
+impl Copy {
+    /// `per_s` calls a second, each answered after 20 ms, for `ms`; seconds spent in housekeeping, and how many.
+    fn play(&mut self, ms: f64, per_s: f64, period: f64) -> (f64, usize) {
+        let (end, mut spent, mut count) = (self.now + ms, 0.0, 0);
+        let mut owed = 0.0;
+        while self.now < end {
+            self.now += period;
+            let due = self.now;
+            let ready = self.out.iter().partition::<Vec<_>, _>(|o| o.0 <= due);
+            self.out = ready.1;
+            for (at, request, backend, sent) in ready.0 {
+                let (attempt, outcome, wait) = (0, Outcome::Ok, at - sent);
+                let r = Resolved { request, attempt, backend, outcome, wait, closed: true, spent: false };
+                self.balancer.handle(self.now, Event::Resolved(r), &mut self.actions);
+                self.actions.clear();
+            }
+            owed += per_s * period / 1000.0;
+            while owed >= 1.0 {
+                owed -= 1.0;
+                let (request, deadline) = (self.next, self.now + 1200.0);
+                self.next += 1;
+                let a = Arrival { request, key: 0, class: 0, tenant: 0, deadline, arriving: false };
+                self.balancer.handle(self.now, Event::Request(a), &mut self.actions);
+                for action in self.actions.drain(..) {
+                    if let Action::Send { request, backend, .. } = action {
+                        self.out.push((self.now + 20.0, request, backend, self.now));
+                    }
+                }
+            }
+            let begun = Instant::now();
+            self.balancer.handle(self.now, Event::Wake { token: HOUSEKEEPING }, &mut self.actions);
+            spent += begun.elapsed().as_secs_f64();
+            count += 1;
+            black_box(&self.actions);
+            self.actions.clear();
+        }
+        (spent, count)
+    }
+}
+
+fn least_and_median(mut of: Vec<f64>) -> (f64, f64) {
+    of.sort_by(f64::total_cmp);
+    (of[0], of[of.len() / 2])
+}
+
+fn main() -> Result<(), Box<dyn std::error::Error>> {
+    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/scenarios/target.toml");
+    let scenario = Scenario::load(path.as_ref())?;
+    println!(
+        "listed  copies  calls/s  housekeeping us (least, median)  core share (least)  whole list us (least, median)"
+    );
+    for listed in [25, 180, 720, 2880] {
+        for (copies, per_s) in [(1, 0.0), (75, 0.0), (1, 65.0), (75, 65.0), (75, 650.0)] {
+            let (mut each, mut lists, mut period) = (Vec::new(), Vec::new(), 0.0);
+            for round in 0..ROUNDS {
+                let settings = scenario.facts(0, copies, 1, 0)?.settings;
+                period = settings.tick * 10.0;
+                let balancer = Balancer::new(settings, round as u64)?;
+                let (now, next) = (1000.0, 1);
+                let mut copy = Copy { balancer, now, next, out: Vec::new(), actions: Vec::new() };
+                let full = |n| Event::List { kind: ListKind::Full, entries: entries(n) };
+                copy.balancer.handle(copy.now, full(listed), &mut copy.actions);
+                copy.play(2000.0, per_s, period);
+                let (spent, count) = copy.play(10_000.0, per_s, period);
+                each.push(spent / count as f64 * 1e6);
+                let list = full(listed);
+                let begun = Instant::now();
+                copy.balancer.handle(copy.now, list, &mut copy.actions);
+                lists.push(begun.elapsed().as_secs_f64() * 1e6);
+            }
+            let ((least, median), (list, list_median)) = (least_and_median(each), least_and_median(lists));
+            println!(
+                "{listed:6}  {copies:6}  {per_s:7.0}  {least:10.2} {median:10.2}  {:17.3}%  {list:10.1} {list_median:10.1}",
+                least / period / 10.0
+            );
+        }
+    }
+    Ok(())
+}
--- a/scale/src/hollow/agenda.rs
+++ b/scale/src/hollow/agenda.rs
@@ -1,7 +1,7 @@
 //! What happens when, in virtual time.
 
 use std::cmp::Ordering;
-use std::collections::BinaryHeap;
+use std::collections::{BTreeMap, BinaryHeap};
 use turnshift::api::{Outcome, RequestId};
 
 /// Something that happens.
@@ -88,10 +88,17 @@
     }
 }
 
+/// What lies further ahead than the present slice of so many ms waits unsorted: most timers outlive their calls, and
+/// in one heap they would make every other step slow.
+const SLICE: f64 = 8.0;
+
 /// The queue of what is to happen.
 #[derive(Default)]
 pub struct Agenda {
-    heap: BinaryHeap<Entry>,
+    near: BinaryHeap<Entry>,
+    /// The slice up to which all is in `near`.
+    sorted: u64,
+    far: BTreeMap<u64, Vec<Entry>>,
     no: u64,
 }
 
@@ -99,13 +106,23 @@
     /// Puts down what happens at `at`.
     pub fn at(&mut self, at: f64, what: Happening) {
         self.no += 1;
-        self.heap.push(Entry { at, no: self.no, what });
+        let (entry, slice) = (Entry { at, no: self.no, what }, (at / SLICE) as u64);
+        if slice <= self.sorted {
+            self.near.push(entry);
+        } else {
+            self.far.entry(slice).or_default().push(entry);
+        }
     }
     /// The next thing before `end`.
     pub fn next(&mut self, end: f64) -> Option<(f64, Happening)> {
-        if self.heap.peek()?.at >= end {
+        while self.near.is_empty() {
+            let (slice, entries) = self.far.pop_first()?;
+            self.sorted = slice;
+            self.near = entries.into();
+        }
+        if self.near.peek()?.at >= end {
             return None;
         }
-        self.heap.pop().map(|e| (e.at, e.what))
+        self.near.pop().map(|e| (e.at, e.what))
     }
 }
--- a/scale/src/hollow/mod.rs
+++ b/scale/src/hollow/mod.rs
@@ -24,13 +24,14 @@
 use tally::Tally;
 
 /// What happens to the fleet, in this order, each after a quiet time.
-pub const EVENTS: [&str; 8] = [
+pub const EVENTS: [&str; 9] = [
     "changes",
     "zone lost and back",
     "regions cut",
     "whole list to all",
     "all proxies replaced",
     "release",
+    "all replaced in a release",
     "machines lost",
     "discovery down",
 ];
@@ -111,6 +112,25 @@
     Ok(report)
 }
 
+/// One change of configuration that needs a restart of every proxy, in force within its time.
+fn replace_all(fleet: &mut Fleet, starts: f64, lasts: f64) {
+    let within = (fleet.scenario.target.in_force_within_s * 1000.0).min(lasts);
+    let proxies = fleet.proxies.len();
+    for proxy in 0..proxies {
+        let time = starts + within * proxy as f64 / proxies as f64;
+        fleet.agenda.at(time, Happening::Step(Step::Replace { proxy }));
+    }
+}
+
+/// Every fifth backend is restarted, spread over three quarters of the event.
+fn release(fleet: &mut Fleet, starts: f64, lasts: f64) {
+    let wave: Vec<usize> = (0..fleet.backends.len()).step_by(5).collect();
+    for (i, &backend) in wave.iter().enumerate() {
+        let time = starts + 0.75 * lasts * i as f64 / wave.len() as f64;
+        fleet.agenda.at(time, Happening::Step(Step::Restart { backend: Some(backend) }));
+    }
+}
+
 /// Puts down what an event does between `starts` and `ends`.
 fn plan_event(fleet: &mut Fleet, name: &str, starts: f64, ends: f64) {
     let scenario = fleet.scenario;
@@ -128,22 +148,12 @@
             at(ends, Step::Cut { on: false });
         }
         "whole list to all" => at(starts, Step::Resync),
-        "all proxies replaced" => {
-            // One change of configuration that needs a restart, in force within its time.
-            let within = (scenario.target.in_force_within_s * 1000.0).min(lasts);
-            let proxies = fleet.proxies.len();
-            for proxy in 0..proxies {
-                let time = starts + within * proxy as f64 / proxies as f64;
-                fleet.agenda.at(time, Happening::Step(Step::Replace { proxy }));
-            }
-        }
-        "release" => {
-            // Every fifth backend, spread over three quarters of the event.
-            let wave: Vec<usize> = (0..fleet.backends.len()).step_by(5).collect();
-            for (i, &backend) in wave.iter().enumerate() {
-                let time = starts + 0.75 * lasts * i as f64 / wave.len() as f64;
-                fleet.agenda.at(time, Happening::Step(Step::Restart { backend: Some(backend) }));
-            }
+        "all proxies replaced" => replace_all(fleet, starts, lasts),
+        "release" => release(fleet, starts, lasts),
+        "all replaced in a release" => {
+            // The new proxies find backends that are cold or on their way out.
+            release(fleet, starts, lasts);
+            replace_all(fleet, starts + 0.5 * lasts, 0.5 * lasts);
         }
         "machines lost" => {
             // A rack: backends that stand side by side, and with them their proxies.
@@ -167,9 +177,9 @@
         let share = |per_day: f64| per_day / t.changes_per_day.max(1e-9);
         let (restarts, failures) = (share(t.restarts_per_day), share(t.machine_failures_per_day));
         let mut time = starts;
-        while per_ms > 0.0 {
+        loop {
             time += -(1.0 - fleet.rng.random::<f64>()).ln() / per_ms;
-            if time >= ends {
+            if per_ms <= 0.0 || time >= ends {
                 break;
             }
             let kind = fleet.rng.random::<f64>();
