--- a/scale/examples/housekeeping.rs
+++ b/scale/examples/housekeeping.rs
@@ -1,5 +1,5 @@
 //! Measures what the decision module costs at 25, 180, 720 and 2,880 listed backends: a housekeeping, idle and under
-//! load, and a whole list. Prints the least and the median of several rounds, for the machine is shared.
+//! load, a whole list, and memory under churn. Prints the least and the median of several rounds, for the machine is shared.
 
 use scale::scenario::Scenario;
 use std::hint::black_box;
@@ -101,5 +101,36 @@
             );
         }
     }
+    churn(&scenario)
+}
+
+/// Resident memory of 200 copies whose 720 backends are all replaced, a hundred times over.
+fn churn(scenario: &Scenario) -> Result<(), Box<dyn std::error::Error>> {
+    const COPIES: u32 = 200;
+    let resident = || -> Result<f64, procfs::ProcError> {
+        Ok(procfs::process::Process::myself()?.statm()?.resident as f64 * procfs::page_size() as f64 / 1024.0)
+    };
+    let begun = resident()?;
+    let mut copies = Vec::new();
+    for copy in 0..COPIES {
+        copies.push(Balancer::new(scenario.facts(copy, COPIES, 1, 0)?.settings, copy.into())?);
+    }
+    let mut actions = Vec::new();
+    for round in 0..=100u32 {
+        let now = 1000.0 + 50.0 * f64::from(round);
+        for copy in &mut copies {
+            let mut list = entries(720);
+            list.iter_mut().for_each(|e| {
+                (e.backend, e.started_at) = (e.backend + round * 720, now * f64::from(round.min(1)));
+            });
+            copy.handle(now, Event::List { kind: ListKind::Full, entries: list }, &mut actions);
+            copy.handle(now, Event::Wake { token: HOUSEKEEPING }, &mut actions);
+            actions.clear();
+        }
+        if [0, 1, 2, 5, 10, 20, 50, 100].contains(&round) {
+            let each = (resident()? - begun) / f64::from(COPIES);
+            println!("churn: {round:3} times all 720 backends replaced, {each:.0} kB resident a copy");
+        }
+    }
     Ok(())
 }
--- a/scale/src/hollow/mod.rs
+++ b/scale/src/hollow/mod.rs
@@ -112,13 +112,16 @@
     Ok(report)
 }
 
-/// One change of configuration that needs a restart of every proxy, in force within its time.
+/// Changes of configuration that need a restart of every proxy, one on the heels of the other, each in force within
+/// its time.
 fn replace_all(fleet: &mut Fleet, starts: f64, lasts: f64) {
     let within = (fleet.scenario.target.in_force_within_s * 1000.0).min(lasts);
     let proxies = fleet.proxies.len();
-    for proxy in 0..proxies {
-        let time = starts + within * proxy as f64 / proxies as f64;
-        fleet.agenda.at(time, Happening::Step(Step::Replace { proxy }));
+    for round in 0..(lasts / within) as usize {
+        for proxy in 0..proxies {
+            let time = starts + within * (round as f64 + proxy as f64 / proxies as f64);
+            fleet.agenda.at(time, Happening::Step(Step::Replace { proxy }));
+        }
     }
 }
 
--- a/scale/tests/hollow.rs
+++ b/scale/tests/hollow.rs
@@ -49,6 +49,17 @@
     sound(&report.checks);
 }
 
+/// The same of the target's fleet, at few calls and for a short time.
+#[test]
+fn the_rules_hold_in_a_fleet_of_720() {
+    let mut s = scenario();
+    (s.run.steady_s, s.run.event_s, s.run.after_s) = (1.0, 3.0, 2.0);
+    s.run.hollow_calls_per_s_per_backend = 2.0;
+    let report = hollow::run_events(&s, 720, 7, &["release", "regions cut"]).expect("sound");
+    assert!(report.proxies >= 720 && report.checks.cold_starts > 100, "{:?}", report.checks);
+    sound(&report.checks);
+}
+
 /// A change is in force at the last proxy after what discovery takes, and once the regions are joined again where
 /// they were cut.
 #[test]
