--- a/scale/tests/hollow.rs
+++ b/scale/tests/hollow.rs
@@ -92,6 +92,26 @@
     }
 }
 
+/// Backends that bear little while cold, and copies that know it: their sum stays under what chance allows, also where
+/// new copies meet cold backends.
+#[test]
+fn cold_backends_are_spared_by_the_sum_of_all_copies() {
+    let mut s = scenario();
+    (s.backend.cold_capacity, s.backend.cold_s) = (0.05, 60.0);
+    let guarantees = s.settings["guarantees"].as_object_mut().expect("a table");
+    guarantees.insert("cold".to_string(), 60_000.0.into());
+    guarantees.insert("coldFrom".to_string(), 0.05.into());
+    guarantees.insert("fallMultiple".to_string(), 1.0.into());
+    s.run.hollow_calls_per_s_per_backend = 64.0;
+    // Many copies to few services: each has few calls out, so that only the budget spares the cold.
+    (s.target.services, s.target.depth) = (2, 2);
+    let events = ["release", "zone lost and back", "all replaced in a release"];
+    for (size, seed) in [(20, 1), (60, 2), (120, 3)] {
+        let report = hollow::run_events(&s, size, seed, &events).expect("sound");
+        sound(&report.checks);
+    }
+}
+
 /// A cold backend that gets too much falls, and that is seen: copies that were told of no cold start spare none.
 #[test]
 fn a_cold_backend_that_gets_too_much_falls() {
