--- a/scale/src/hollow/registry.rs
+++ b/scale/src/hollow/registry.rs
@@ -288,18 +288,20 @@
         }
     }
 
-    /// Proxies that do not hold what discovery has published for the service that they follow.
+    /// Proxies that do not hold what discovery has published for the service that they follow, and to which nothing is
+    /// on its way.
     pub fn behind(&self) -> u64 {
         let behind = |c: &&super::fleet::Copy| {
-            let live = c.alive && !c.replaced;
-            live && self.backends.iter().zip(&self.changes.published).any(|(b, e)| {
-                b.service == c.service
-                    && match c.held.get(&e.backend) {
-                        Some(h) if h.phase == Phase::Gone => e.phase != Phase::Gone,
-                        Some(h) => (h.phase, h.weight, h.started_at) != (e.phase, e.weight, e.started_at),
-                        None => e.phase != Phase::Gone,
-                    }
-            })
+            let (live, on_the_way) = (c.alive && !c.replaced, c.told_at > self.now);
+            live && !on_the_way
+                && self.backends.iter().zip(&self.changes.published).any(|(b, e)| {
+                    b.service == c.service
+                        && match c.held.get(&e.backend) {
+                            Some(h) if h.phase == Phase::Gone => e.phase != Phase::Gone,
+                            Some(h) => (h.phase, h.weight, h.started_at) != (e.phase, e.weight, e.started_at),
+                            None => e.phase != Phase::Gone,
+                        }
+                })
         };
         self.copies.iter().filter(behind).count() as u64
     }
