--- a/scale/examples/hollow.rs
+++ b/scale/examples/hollow.rs
@@ -1,5 +1,5 @@
 //! Plays the hollow fleet of the target's scenario and prints what it showed: `hollow SIZE SEED [EVENT ...]`. With
-//! `EVENT_S` in the environment the events last for so many seconds.
+//! `EVENT_S` and `STEADY_S` in the environment the events, and the quiet time before each, last for so many seconds.
 
 use scale::hollow::{self, EVENTS};
 use scale::scenario::Scenario;
@@ -16,8 +16,10 @@
     }
     let path = concat!(env!("CARGO_MANIFEST_DIR"), "/scenarios/target.toml");
     let mut scenario = Scenario::load(path.as_ref())?;
-    if let Ok(seconds) = std::env::var("EVENT_S") {
-        scenario.run.event_s = seconds.parse()?;
+    for (name, figure) in [("EVENT_S", &mut scenario.run.event_s), ("STEADY_S", &mut scenario.run.steady_s)] {
+        if let Ok(seconds) = std::env::var(name) {
+            *figure = seconds.parse()?;
+        }
     }
     let begun = Instant::now();
     let report = hollow::run_events(&scenario, size, seed, &events)?;
@@ -42,12 +44,13 @@
                 p.control.entries,
             );
             println!("         factor by hop {}", factors.join(" "));
-            let connects: u64 = p.hops.iter().map(|h| h.connects).sum();
-            println!("         connects {connects} {:?}", p.module);
+            println!("         {:?}", p.module);
         }
         let windows: Vec<String> = e.windows.iter().map(|w| format!("{:.3}", w.share())).collect();
         println!("  windows {}", windows.join(" "));
         println!("  lost s of full service: during {:.3}, after {:.3}", e.lost_s[0], e.lost_s[1]);
+        let connects = |p: &hollow::Part| p.hops.iter().map(|h| h.connects).sum::<u64>();
+        println!("  new connections {} {} {}", connects(&e.before), connects(&e.during), connects(&e.after));
         println!("  in force {:?}, not yet {}", e.in_force, e.not_in_force);
     }
     println!("{:?}", report.checks);
--- a/scale/src/hollow/mod.rs
+++ b/scale/src/hollow/mod.rs
@@ -23,17 +23,17 @@
 use report::sum;
 use tally::Tally;
 
-/// What happens to the fleet, in this order, each after a quiet time.
+/// What happens to the fleet, in this order, each after a quiet time; those that leave most backends cold come last.
 pub const EVENTS: [&str; 9] = [
     "changes",
     "zone lost and back",
     "regions cut",
     "whole list to all",
     "all proxies replaced",
-    "release",
-    "all replaced in a release",
     "machines lost",
     "discovery down",
+    "release",
+    "all replaced in a release",
 ];
 
 /// Plays a fleet of `size` backends, each with its proxy, through all events.
