--- a/scale/examples/hollow.rs
+++ b/scale/examples/hollow.rs
@@ -1,5 +1,6 @@
-//! Plays the hollow fleet of the target's scenario and prints what it showed: `hollow SIZE SEED [EVENT ...]`. With
-//! `EVENT_S` and `STEADY_S` in the environment the events, and the quiet time before each, last for so many seconds.
+//! Plays the hollow fleet of the target's scenario and prints what it showed: `hollow SIZE SEED [EVENT ...]`.
+//! With `EVENT_S` and `STEADY_S` in the environment the events, and the quiet time before each, last for so
+//! many seconds.
 
 use scale::hollow::{self, EVENTS};
 use scale::scenario::Scenario;
@@ -35,7 +36,7 @@
             let calls: u64 = p.hops.iter().map(|h| h.calls).sum();
             let factors: Vec<String> = p.hops.iter().map(|h| format!("{:.3}", h.factor())).collect();
             println!(
-                "  {name:6} share {:.4} requests {} calls/s {:.0} attempts/call {:.4} list messages {} entries {}",
+                "  {name:6} share {:.4} requests {} calls/s {:.0} attempts/call {:.4} messages {} entries {}",
                 p.worth.share(),
                 p.worth.requests,
                 calls as f64 / p.seconds,
--- a/scale/examples/housekeeping.rs
+++ b/scale/examples/housekeeping.rs
@@ -1,5 +1,6 @@
-//! Measures what the decision module costs at 25, 180, 720 and 2,880 listed backends: a housekeeping, idle and under
-//! load, a whole list, and memory under churn. Prints the least and the median of several rounds, for the machine is shared.
+//! Measures what the decision module costs at 25, 180, 720 and 2,880 listed backends: a housekeeping, idle
+//! and under load, a whole list, and memory under churn. Prints the least and the median of several rounds,
+//! for the machine is shared.
 
 use scale::scenario::Scenario;
 use std::hint::black_box;
@@ -25,7 +26,8 @@
 }
 
 impl Copy {
-    /// `per_s` calls a second, each answered after 20 ms, for `ms`; seconds spent in housekeeping, and how many.
+    /// `per_s` calls a second, each answered after 20 ms, for `ms`; seconds spent in housekeeping, and how
+    /// many.
     fn play(&mut self, ms: f64, per_s: f64, period: f64) -> (f64, usize) {
         let (end, mut spent, mut count) = (self.now + ms, 0.0, 0);
         let mut owed = 0.0;
@@ -72,9 +74,8 @@
 fn main() -> Result<(), Box<dyn std::error::Error>> {
     let path = concat!(env!("CARGO_MANIFEST_DIR"), "/scenarios/target.toml");
     let scenario = Scenario::load(path.as_ref())?;
-    println!(
-        "listed  copies  calls/s  housekeeping us (least, median)  core share (least)  whole list us (least, median)"
-    );
+    println!("us: least and median of {ROUNDS} rounds; core share: of the least");
+    println!("listed  copies  calls/s  housekeeping us        core share  whole list us");
     for listed in [25, 180, 720, 2880] {
         for (copies, per_s) in [(1, 0.0), (75, 0.0), (1, 65.0), (75, 65.0), (75, 650.0)] {
             let (mut each, mut lists, mut period) = (Vec::new(), Vec::new(), 0.0);
@@ -96,7 +97,7 @@
             }
             let ((least, median), (list, list_median)) = (least_and_median(each), least_and_median(lists));
             println!(
-                "{listed:6}  {copies:6}  {per_s:7.0}  {least:10.2} {median:10.2}  {:17.3}%  {list:10.1} {list_median:10.1}",
+                "{listed:6}  {copies:6}  {per_s:7.0}  {least:8.2} {median:8.2}  {:12.3}%  {list:.1} {list_median:.1}",
                 least / period / 10.0
             );
         }
--- a/scale/src/hollow/agenda.rs
+++ b/scale/src/hollow/agenda.rs
@@ -88,8 +88,8 @@
     }
 }
 
-/// What lies further ahead than the present slice of so many ms waits unsorted: most timers outlive their calls, and
-/// in one heap they would make every other step slow.
+/// What lies further ahead than the present slice of so many ms waits unsorted: most timers outlive their
+/// calls, and in one heap they would make every other step slow.
 const SLICE: f64 = 8.0;
 
 /// The queue of what is to happen.
--- a/scale/src/hollow/fleet.rs
+++ b/scale/src/hollow/fleet.rs
@@ -1,5 +1,5 @@
-//! The fleet in virtual time: carries out what the copies of the decision module decide, and tells them what comes
-//! of it.
+//! The fleet in virtual time: carries out what the copies of the decision module decide, and tells them what
+//! comes of it.
 
 use super::agenda::{Agenda, Happening};
 use super::backend::Backend;
--- a/scale/src/hollow/mod.rs
+++ b/scale/src/hollow/mod.rs
@@ -1,9 +1,9 @@
-//! The hollow fleet: every proxy a copy of the decision module, on virtual time, the same for a seed. No socket, no
-//! clock.
+//! The hollow fleet: every proxy a copy of the decision module, on virtual time, the same for a seed. No
+//! socket, no clock.
 //!
-//! What it models: the ways between zones and regions, backends with slots, queues and warmth that call on through
-//! their own proxies, processes that end and machines that fall silent, and discovery's delays. What it doesn't: a
-//! proxy's processor time, the bytes of messages, connections beyond the first to each backend.
+//! What it models: the ways between zones and regions, backends with slots, queues and warmth that call on
+//! through their own proxies, processes that end and machines that fall silent, and discovery's delays. What
+//! it doesn't: a proxy's processor time, the bytes of messages, connections beyond the first to each backend.
 
 mod agenda;
 mod backend;
@@ -23,7 +23,8 @@
 use report::sum;
 use tally::Tally;
 
-/// What happens to the fleet, in this order, each after a quiet time; those that leave most backends cold come last.
+/// What happens to the fleet, in this order, each after a quiet time; those that leave most backends cold
+/// come last.
 pub const EVENTS: [&str; 9] = [
     "changes",
     "zone lost and back",
@@ -60,7 +61,8 @@
     let begin = 1000.0;
     let longest = scenario.of_classes("giveUp").into_iter().fold(0.0, f64::max);
     let lead = (longest / window).ceil() as usize;
-    // The first part is the start, until the limits are learned, and the last is the end, until all is answered.
+    // The first part is the start, until the limits are learned, and the last is the end, until all is
+    // answered.
     let tally = Tally::new(2 + 3 * events.len(), scenario.target.depth, begin, window, cold);
     let mut fleet = Fleet::new(scenario, size, seed, tally)?;
     let mut report = Report { size, seed, proxies: fleet.proxies.len(), ..Report::default() };
@@ -112,8 +114,8 @@
     Ok(report)
 }
 
-/// Changes of configuration that need a restart of every proxy, one on the heels of the other, each in force within
-/// its time.
+/// Changes of configuration that need a restart of every proxy, one on the heels of the other, each in force
+/// within its time.
 fn replace_all(fleet: &mut Fleet, starts: f64, lasts: f64) {
     let within = (fleet.scenario.target.in_force_within_s * 1000.0).min(lasts);
     let proxies = fleet.proxies.len();
--- a/scale/src/hollow/plan.rs
+++ b/scale/src/hollow/plan.rs
@@ -1,4 +1,5 @@
-//! Who is where and who calls whom: services in layers, each calling one of the next layer, as deep as the target says.
+//! Who is where and who calls whom: services in layers, each calling one of the next layer, as deep as the
+//! target says.
 
 use crate::scenario::Scenario;
 
--- a/scale/src/hollow/registry.rs
+++ b/scale/src/hollow/registry.rs
@@ -288,8 +288,8 @@
         }
     }
 
-    /// Proxies that do not hold what discovery has published for the service that they follow, and to which nothing is
-    /// on its way.
+    /// Proxies that do not hold what discovery has published for the service that they follow, and to which
+    /// nothing is on its way.
     pub fn behind(&self) -> u64 {
         let behind = |c: &&super::fleet::Copy| {
             let (live, on_the_way) = (c.alive && !c.replaced, c.told_at > self.now);
--- a/scale/tests/hollow.rs
+++ b/scale/tests/hollow.rs
@@ -39,8 +39,9 @@
     assert!(checks.cold_worst > 0.0, "{checks:?}");
 }
 
-/// Nobody sends to what it was told is draining, gone or unlisted; the last good list holds while regions are cut from
-/// each other; all end at the newest list; every request is ended; cold backends stay under the sum of all copies.
+/// Nobody sends to what it was told is draining, gone or unlisted; the last good list holds while regions are
+/// cut from each other; all end at the newest list; every request is ended; cold backends stay under the sum
+/// of all copies.
 #[test]
 fn the_rules_hold_through_all_events() {
     let report = played();
@@ -61,8 +62,8 @@
     sound(&report.checks);
 }
 
-/// A change is in force at the last proxy after what discovery takes, and once the regions are joined again where
-/// they were cut.
+/// A change is in force at the last proxy after what discovery takes, and once the regions are joined again
+/// where they were cut.
 #[test]
 fn changes_come_into_force_everywhere() {
     let s = scenario();
@@ -93,8 +94,8 @@
     }
 }
 
-/// Backends that bear little while cold, and copies that know it: their sum stays under what chance allows, also where
-/// new copies meet cold backends.
+/// Backends that bear little while cold, and copies that know it: their sum stays under what chance allows,
+/// also where new copies meet cold backends.
 #[test]
 fn cold_backends_are_spared_by_the_sum_of_all_copies() {
     let mut s = scenario();
@@ -113,7 +114,8 @@
     }
 }
 
-/// A cold backend that gets too much falls, and that is seen: copies that were told of no cold start spare none.
+/// A cold backend that gets too much falls, and that is seen: copies that were told of no cold start spare
+/// none.
 #[test]
 fn a_cold_backend_that_gets_too_much_falls() {
     let mut s = scenario();
