--- a/scale/examples/hollow.rs
+++ b/scale/examples/hollow.rs
@@ -45,6 +45,7 @@
                 p.control.entries,
             );
             println!("         factor by hop {}", factors.join(" "));
+            println!("         {:?}", p.worth);
             println!("         {:?}", p.module);
         }
         let windows: Vec<String> = e.windows.iter().map(|w| format!("{:.3}", w.share())).collect();
--- a/scale/examples/housekeeping.rs
+++ b/scale/examples/housekeeping.rs
@@ -95,9 +95,9 @@
                 copy.balancer.handle(copy.now, list, &mut copy.actions);
                 lists.push(begun.elapsed().as_secs_f64() * 1e6);
             }
-            let ((least, median), (list, list_median)) = (least_and_median(each), least_and_median(lists));
+            let ((least, median), (list, whole)) = (least_and_median(each), least_and_median(lists));
             println!(
-                "{listed:6}  {copies:6}  {per_s:7.0}  {least:8.2} {median:8.2}  {:12.3}%  {list:.1} {list_median:.1}",
+                "{listed:6}  {copies:6}  {per_s:7.0}  {least:8.2} {median:8.2}  {:12.3}%  {list:.1} {whole:.1}",
                 least / period / 10.0
             );
         }
