--- a/scale/src/lib.rs
+++ b/scale/src/lib.rs
@@ -6,4 +6,6 @@
 
 pub mod fit;
 pub mod hollow;
+pub mod real;
+pub mod report;
 pub mod scenario;
--- /dev/null
+++ b/scale/src/real/backends.rs
@@ -0,0 +1,305 @@
+//! Hollow backends: many listeners in one process that serve, are silent, are gone or are cold. One that is told to
+//! call on does so as a client of the next proxy, with the time that is left.
+
+use super::client::{Answer, Call, Client};
+use super::loopback;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::header::HeaderMap;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+use std::sync::{Arc, Mutex, OnceLock, PoisonError};
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep};
+
+/// Connections that the system keeps waiting to be accepted.
+const QUEUE: u32 = 1024;
+/// So much of the time that is left is kept from the next hop, for the way back.
+const MARGIN: Duration = Duration::from_millis(1);
+
+/// What a backend does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Mode {
+    /// Answers.
+    Serving,
+    /// Keeps connections open and says nothing. The system still takes new connections for it.
+    Silent,
+    /// Its process is gone: connections are reset, new ones refused.
+    Gone,
+}
+
+/// What all of them have in common.
+pub struct Work {
+    /// Time that a warm one works on a call.
+    pub warm: Duration,
+    /// Time that one works at its start, which falls to that of a warm one.
+    pub cold: Duration,
+    /// How long that takes.
+    pub cold_for: Duration,
+    /// A draining one may be sent to for so long after the change.
+    pub grace: Duration,
+}
+
+/// Where calls go on to.
+pub struct Next {
+    /// Through proxies.
+    pub proxies: Vec<SocketAddr>,
+    /// Straight to backends.
+    pub backends: Vec<SocketAddr>,
+}
+
+/// Counts over all backends.
+#[derive(Default)]
+pub struct Counts {
+    /// Calls that came through proxies.
+    pub calls: AtomicU64,
+    /// Those of them that came to a backend past the grace of its drain.
+    pub late_to_draining: AtomicU64,
+    /// Connections.
+    pub connections: AtomicU64,
+}
+
+struct Common {
+    work: Work,
+    counts: Counts,
+    client: Client,
+    next: OnceLock<Next>,
+    turn: AtomicU64,
+}
+
+/// One of them.
+pub struct Backend {
+    /// Where it listens.
+    pub address: SocketAddr,
+    mode: watch::Sender<Mode>,
+    since: Mutex<Since>,
+}
+
+#[derive(Default)]
+struct Since {
+    started: Option<Instant>,
+    draining: Option<Instant>,
+}
+
+/// All of them; they end when it is dropped.
+pub struct Backends {
+    /// By number.
+    pub all: Vec<Arc<Backend>>,
+    common: Arc<Common>,
+    tasks: tokio::task::JoinSet<()>,
+}
+
+impl Backends {
+    /// Starts so many, warm.
+    ///
+    /// # Errors
+    ///
+    /// If an address can't be listened on.
+    pub fn start(count: usize, work: Work) -> io::Result<Self> {
+        let common = Common {
+            work,
+            counts: Counts::default(),
+            client: Client::new(1 << 48),
+            next: OnceLock::new(),
+            turn: AtomicU64::new(0),
+        };
+        let (common, mut tasks) = (Arc::new(common), tokio::task::JoinSet::new());
+        let mut all = Vec::new();
+        for number in 0..count {
+            let listener = listen((loopback(3, number), 0).into())?;
+            let backend = Arc::new(Backend {
+                address: listener.local_addr()?,
+                mode: watch::Sender::new(Mode::Serving),
+                since: Mutex::default(),
+            });
+            tasks.spawn(backend.clone().run(listener, common.clone()));
+            all.push(backend);
+        }
+        Ok(Backends { all, common, tasks })
+    }
+
+    /// Tells them where calls go on to; holds from the first time on.
+    pub fn connect(&self, next: Next) {
+        // A second time changes nothing, as said.
+        let _ = self.common.next.set(next);
+    }
+
+    /// What has come.
+    pub fn counts(&self) -> &Counts {
+        &self.common.counts
+    }
+
+    /// How many run.
+    pub fn running(&self) -> usize {
+        self.tasks.len()
+    }
+}
+
+fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(QUEUE)
+}
+
+impl Backend {
+    /// Changes what it does.
+    pub fn set(&self, mode: Mode) {
+        self.mode.send_replace(mode);
+    }
+
+    /// It is a new process from now on: cold.
+    pub fn restart(&self) {
+        let mut since = self.since.lock().unwrap_or_else(PoisonError::into_inner);
+        *since = Since { started: Some(Instant::now()), draining: None };
+    }
+
+    /// The list says from now on that it drains.
+    pub fn drain(&self) {
+        self.since.lock().unwrap_or_else(PoisonError::into_inner).draining = Some(Instant::now());
+    }
+
+    async fn run(self: Arc<Self>, listener: TcpListener, common: Arc<Common>) {
+        let (mut listener, mut mode) = (Some(listener), self.mode.subscribe());
+        loop {
+            let gone = *mode.borrow_and_update() == Mode::Gone;
+            if gone {
+                listener = None;
+            } else if listener.is_none() {
+                listener = listen(self.address).inspect_err(|e| tracing::warn!("{}: {e}", self.address)).ok();
+            }
+            let accepted = async {
+                match &listener {
+                    Some(listener) => listener.accept().await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                changed = mode.changed() => if changed.is_err() { return },
+                accepted = accepted => match accepted {
+                    Ok((stream, _)) => {
+                        common.counts.connections.fetch_add(1, Relaxed);
+                        tokio::spawn(self.clone().connection(stream, common.clone()));
+                    }
+                    // Descriptors, which come free again.
+                    Err(_) => sleep(Duration::from_millis(10)).await,
+                }
+            }
+        }
+    }
+
+    async fn connection(self: Arc<Self>, stream: TcpStream, common: Arc<Common>) {
+        // The first only makes answers quicker; by the second its end is a reset, as when a process is gone.
+        let _ = (stream.set_nodelay(true), stream.set_zero_linger());
+        let mut mode = self.mode.subscribe();
+        let service = service_fn(|request| self.answer(request, &common));
+        let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+        tokio::select! {
+            // Its caller has gone, as callers may.
+            _ = connection => {}
+            _ = mode.wait_for(|mode| *mode == Mode::Gone) => {}
+        }
+    }
+
+    async fn answer(&self, request: Request<Incoming>, common: &Common) -> io::Result<Response<Full<Bytes>>> {
+        let (head, body) = request.into_parts();
+        body.collect().await.map_err(io::Error::other)?;
+        let received = Instant::now();
+        let query = Query::parse(head.uri.query().unwrap_or_default());
+        if !query.direct {
+            common.counts.calls.fetch_add(1, Relaxed);
+            let draining = self.since.lock().unwrap_or_else(PoisonError::into_inner).draining;
+            if draining.is_some_and(|since| since.elapsed() > common.work.grace) {
+                common.counts.late_to_draining.fetch_add(1, Relaxed);
+            }
+        }
+        let work = self.work(&common.work);
+        if !work.is_zero() {
+            sleep(work).await;
+        }
+        let status = match query.hops {
+            0 => StatusCode::OK,
+            _ => self.call_on(&head.headers, &head.method, head.uri.path(), &query, received, common).await,
+        };
+        // One that is silent answers once it is heard again, if its caller still waits.
+        let mut mode = self.mode.subscribe();
+        let _ = mode.wait_for(|mode| *mode != Mode::Silent).await;
+        let mut reply = Response::new(Full::from("served"));
+        *reply.status_mut() = status;
+        Ok(reply)
+    }
+
+    /// How long it works on a call now.
+    fn work(&self, work: &Work) -> Duration {
+        let since = self.since.lock().unwrap_or_else(PoisonError::into_inner).started;
+        let age = since.map_or(1.0, |since| {
+            since.elapsed().as_secs_f64() / work.cold_for.as_secs_f64().max(f64::MIN_POSITIVE)
+        });
+        work.warm + work.cold.saturating_sub(work.warm).mul_f64((1.0 - age).max(0.0))
+    }
+
+    /// The next hop's answer decides this one's.
+    async fn call_on(
+        &self,
+        headers: &HeaderMap,
+        method: &hyper::Method,
+        path: &str,
+        query: &Query,
+        received: Instant,
+        common: &Common,
+    ) -> StatusCode {
+        let Some(next) = common.next.get() else { return StatusCode::INTERNAL_SERVER_ERROR };
+        let to = if query.direct { &next.backends } else { &next.proxies };
+        let turn = common.turn.fetch_add(1, Relaxed) as usize;
+        let Some(&to) = to.get(turn % to.len().max(1)) else { return StatusCode::INTERNAL_SERVER_ERROR };
+        let told = headers.get("req-deadline-ms").and_then(|value| value.to_str().ok()?.parse().ok());
+        let left = Duration::from_millis(told.unwrap_or(0)).saturating_sub(received.elapsed() + MARGIN);
+        let call = Call {
+            class: path.trim_start_matches('/').to_string(),
+            method: method.clone(),
+            keyed: headers.contains_key("idempotency-key"),
+            query: Query { hops: query.hops - 1, direct: query.direct }.text(),
+            patience: left,
+        };
+        match common.client.call(to, &call).await {
+            Answer::Served => StatusCode::OK,
+            _ => StatusCode::INTERNAL_SERVER_ERROR,
+        }
+    }
+}
+
+/// What a backend is told to do with a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Query {
+    /// Calls that are to follow, one behind the other.
+    pub hops: usize,
+    /// Whether they go straight to backends.
+    pub direct: bool,
+}
+
+impl Query {
+    /// As it stands in a request; what can't be read counts as not there.
+    pub fn parse(text: &str) -> Self {
+        let figure = |name: &str| {
+            let mut pairs = text.split('&').filter_map(|pair| pair.split_once('='));
+            pairs
+                .find(|(key, _)| *key == name)
+                .and_then(|(_, value)| value.parse::<usize>().ok())
+                .unwrap_or(0)
+        };
+        Query { hops: figure("hops"), direct: figure("direct") != 0 }
+    }
+
+    /// The text.
+    pub fn text(self) -> String {
+        format!("hops={}&direct={}", self.hops, u8::from(self.direct))
+    }
+}
--- /dev/null
+++ b/scale/src/real/children.rs
@@ -0,0 +1,158 @@
+//! The processes of a run: real proxies and hosts of hollow ones. None outlives it.
+
+use super::copies::{Activity, Orders};
+use anyhow::{Context, anyhow, bail};
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::Stdio;
+use std::time::Duration;
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader, Lines};
+use tokio::process::{Child, ChildStderr, ChildStdin, ChildStdout, Command};
+use tokio::time::timeout;
+
+/// No process takes longer than this to say what it must.
+const SOON: Duration = Duration::from_secs(30);
+
+/// A real proxy.
+pub struct Proxy {
+    child: Child,
+    /// Its process.
+    pub pid: u32,
+    /// Where callers connect.
+    pub address: SocketAddr,
+    /// It is not read any more, but a log without an end would be an error to write to.
+    _log: Lines<BufReader<ChildStderr>>,
+}
+
+/// A process of hollow proxies.
+pub struct Host {
+    child: Child,
+    /// Its process.
+    pub pid: u32,
+    /// How many proxies it holds.
+    pub copies: usize,
+    input: ChildStdin,
+    output: Lines<BufReader<ChildStdout>>,
+}
+
+/// All of them. Dropped, they are killed; after [`stop`](Self::stop) none is left, not even as a dead entry.
+#[derive(Default)]
+pub struct Children {
+    /// Real proxies.
+    pub proxies: Vec<Proxy>,
+    /// Processes of hollow ones.
+    pub hosts: Vec<Host>,
+}
+
+impl Children {
+    /// Starts a real proxy and waits until it listens.
+    ///
+    /// # Errors
+    ///
+    /// If it can't be started, ends, or does not listen in time.
+    pub async fn start_proxy(&mut self, program: &Path, config: &Value, folder: &Path) -> anyhow::Result<()> {
+        let name = config["name"].as_str().unwrap_or("proxy");
+        let folder = folder.join(name);
+        std::fs::create_dir_all(&folder)?;
+        let path = folder.join("config.json");
+        std::fs::write(&path, config.to_string())?;
+        let mut child = Command::new(program)
+            .env_remove("RELAY_NAME")
+            .env_remove("RELAY_LISTEN")
+            .env_remove("RELAY_MANAGEMENT")
+            .env_remove("RELAY_DISCOVERY")
+            .env("RELAY_CONFIG", &path)
+            .env("TMPDIR", &folder)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(Stdio::piped())
+            .kill_on_drop(true)
+            .spawn()
+            .with_context(|| format!("{}: does not start", program.display()))?;
+        let pid = child.id().ok_or_else(|| anyhow!("{name}: ended at once"))?;
+        tracing::debug!("process {pid}: {name}");
+        let log = child.stderr.take().ok_or_else(|| anyhow!("{name}: has no log"))?;
+        let mut log = BufReader::new(log).lines();
+        let mut said = String::new();
+        let address = timeout(SOON, async {
+            while let Some(line) = log.next_line().await? {
+                if let Some((_, address)) = line.split_once("listening on ") {
+                    return Ok(Some(address.parse()?));
+                }
+                said = line;
+            }
+            anyhow::Ok(None)
+        });
+        let listening = address.await.unwrap_or_else(|_| bail!("{name}: does not listen in time"));
+        let address = match listening {
+            Ok(Some(address)) => address,
+            other => {
+                // So that nothing of it is left.
+                let _ = child.kill().await;
+                return Err(other
+                    .err()
+                    .unwrap_or_else(|| anyhow!("{name}: ended before it listened: {said}")));
+            }
+        };
+        self.proxies.push(Proxy { child, pid, address, _log: log });
+        Ok(())
+    }
+
+    /// Starts a process of hollow proxies by this program's own hidden command.
+    ///
+    /// # Errors
+    ///
+    /// If it can't be started or does not take its orders.
+    pub async fn start_host(&mut self, program: &Path, orders: &Orders) -> anyhow::Result<()> {
+        let mut child = Command::new(program)
+            .arg(super::HOST_COMMAND)
+            .stdin(Stdio::piped())
+            .stdout(Stdio::piped())
+            .kill_on_drop(true)
+            .spawn()
+            .with_context(|| format!("{}: does not start", program.display()))?;
+        let (pid, pipes) = (child.id(), child.stdin.take().zip(child.stdout.take()));
+        let Some((pid, (input, output))) = pid.zip(pipes) else { bail!("hollow proxies: ended at once") };
+        tracing::info!("process {pid}: {} hollow proxies", orders.copies.len());
+        let output = BufReader::new(output).lines();
+        self.hosts.push(Host { child, pid, copies: orders.copies.len(), input, output });
+        let Some(host) = self.hosts.last_mut() else { unreachable!("it was pushed") };
+        let mut line = serde_json::to_vec(orders)?;
+        line.push(b'\n');
+        host.input.write_all(&line).await.context("hollow proxies: ended at their start")?;
+        Ok(())
+    }
+
+    /// What the hollow proxies did since they were asked last, all together.
+    ///
+    /// # Errors
+    ///
+    /// If one of their processes has ended or does not answer in time.
+    pub async fn activity(&mut self) -> anyhow::Result<Activity> {
+        for host in &mut self.hosts {
+            host.input.write_all(b"\n").await.context("hollow proxies: ended early")?;
+        }
+        let mut sum = Activity::default();
+        for host in &mut self.hosts {
+            let line = timeout(SOON, host.output.next_line()).await.context("hollow proxies: silent")??;
+            let line = line.ok_or_else(|| anyhow!("hollow proxies: ended early"))?;
+            sum = sum.plus(serde_json::from_str(&line)?);
+        }
+        Ok(sum)
+    }
+
+    /// Ends them all and waits until they are gone.
+    pub async fn stop(&mut self) {
+        let proxies = self.proxies.drain(..).map(|p| p.child);
+        let mut children: Vec<Child> = proxies.chain(self.hosts.drain(..).map(|h| h.child)).collect();
+        for child in &mut children {
+            // One that has ended needs no kill.
+            let _ = child.start_kill();
+        }
+        for child in &mut children {
+            // Killed, it ends whatever it does; the wait takes its entry away.
+            let _ = child.wait().await;
+        }
+    }
+}
--- /dev/null
+++ b/scale/src/real/copies.rs
@@ -0,0 +1,253 @@
+//! Hollow proxies: many to a process, each with its own decision module, its own watch on discovery and its timers, as
+//! a proxy has them, and no connections of callers or to backends.
+
+use serde::{Deserialize, Serialize};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::io::{BufRead, Write};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::sync::{mpsc, watch};
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{Instant, sleep};
+use turnshift::Balancer;
+use turnshift::api::{Action, BackendId, Entry, Event, ListKind, Phase};
+use turnshift::discovery::{Follower, Health, Host, Waits, follow};
+use turnshift::settings::{self, Facts};
+
+/// A timer that comes later than this is late.
+const LATE: Duration = Duration::from_millis(20);
+
+/// What a process of hollow proxies is told at its start, as one line.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Orders {
+    /// Its proxies.
+    pub copies: Vec<CopyOrders>,
+}
+
+/// The same for one of them.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct CopyOrders {
+    /// Its settings, as a real proxy's file has them.
+    pub settings: serde_json::Value,
+    /// Feeds its random numbers.
+    pub seed: u64,
+    /// Where it asks for the list.
+    pub discovery: SocketAddr,
+}
+
+/// What the proxies of a process did since they were asked last.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+pub struct Activity {
+    /// Timers that came due.
+    pub wakes: u64,
+    /// Those that came more than 20 ms late: the machine does not carry the process.
+    pub late_wakes: u64,
+    /// Lists and changes handled.
+    pub lists: u64,
+    /// Lines for the log.
+    pub notes: u64,
+}
+
+impl Activity {
+    /// Both together.
+    pub fn plus(self, other: Activity) -> Activity {
+        Activity {
+            wakes: self.wakes + other.wakes,
+            late_wakes: self.late_wakes + other.late_wakes,
+            lists: self.lists + other.lists,
+            notes: self.notes + other.notes,
+        }
+    }
+}
+
+struct State {
+    balancer: Balancer,
+    /// Backends that the list names: the module's number, and the start of one that drains.
+    listed: HashMap<String, (BackendId, Option<f64>)>,
+    names: HashMap<BackendId, String>,
+    ready: usize,
+}
+
+struct Copy {
+    state: RefCell<State>,
+    facts: Facts,
+    start: Instant,
+    base: f64,
+    watching: watch::Sender<bool>,
+    activity: Rc<Cell<Activity>>,
+}
+
+impl Copy {
+    fn new(orders: &CopyOrders, activity: Rc<Cell<Activity>>) -> Result<Rc<Self>, String> {
+        let facts = settings::read(&orders.settings)?;
+        let balancer = Balancer::new(facts.settings.clone(), orders.seed).map_err(|e| e.to_string())?;
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Ok(Rc::new(Copy {
+            state: RefCell::new(State { balancer, listed: HashMap::new(), names: HashMap::new(), ready: 0 }),
+            facts,
+            start: Instant::now(),
+            base: unix.as_secs_f64() * 1000.0,
+            watching: watch::Sender::new(false),
+            activity,
+        }))
+    }
+
+    fn count(&self, what: impl FnOnce(&mut Activity)) {
+        let mut activity = self.activity.get();
+        what(&mut activity);
+        self.activity.set(activity);
+    }
+
+    fn tell(self: &Rc<Self>, event: Event) {
+        let mut actions = Vec::new();
+        let now = self.base + self.start.elapsed().as_secs_f64() * 1000.0;
+        self.state.borrow_mut().balancer.handle(now, event, &mut actions);
+        for action in actions {
+            match action {
+                Action::WakeMe { delay, token } => {
+                    let copy = self.clone();
+                    let delay = Duration::from_secs_f64((delay / 1000.0).clamp(0.0, 86_400.0));
+                    spawn_local(async move {
+                        let due = Instant::now() + delay;
+                        sleep(delay).await;
+                        let late = due.elapsed() > LATE;
+                        copy.count(|a| {
+                            (a.wakes, a.late_wakes) = (a.wakes + 1, a.late_wakes + u64::from(late))
+                        });
+                        copy.tell(Event::Wake { token });
+                    });
+                }
+                Action::Watch { on } => {
+                    self.watching.send_replace(on);
+                }
+                // The others are about requests and connections, of which there are none.
+                _ => {}
+            }
+        }
+    }
+
+    /// The module's entry for a line of the list; the same rules as at the real proxy.
+    fn entry(&self, s: &mut State, host: Host, older: bool) -> Option<Entry> {
+        let zone = self.facts.site.zones.iter().position(|zone| *zone == host.site);
+        if zone.is_none() && host.health != Health::Deleted {
+            return None;
+        }
+        let (backend, draining) = s.listed.get(&host.host).copied().unwrap_or_else(|| {
+            let mut hasher = DefaultHasher::new();
+            host.host.hash(&mut hasher);
+            let mut id = hasher.finish() as BackendId;
+            while s.names.contains_key(&id) {
+                id = id.wrapping_add(1);
+            }
+            (id, None)
+        });
+        let phase = match host.health {
+            Health::Serving if older && draining == Some(host.born_ms) => Phase::Draining,
+            Health::Serving => Phase::Ready,
+            Health::Draining => Phase::Draining,
+            Health::Deleted => Phase::Gone,
+        };
+        if phase == Phase::Gone {
+            s.listed.remove(&host.host);
+            s.names.remove(&backend);
+        } else {
+            s.names.insert(backend, host.host.clone());
+            let draining = (phase == Phase::Draining).then_some(host.born_ms);
+            s.listed.insert(host.host, (backend, draining));
+        }
+        Some(Entry {
+            backend,
+            phase,
+            zone: zone.unwrap_or(0) as u16,
+            started_at: host.born_ms.max(0.0),
+            weight: host.share.max(0.0),
+            cell: host.block,
+        })
+    }
+}
+
+impl Follower for Copy {
+    fn ready(&self) -> bool {
+        self.state.borrow().ready > 0
+    }
+
+    fn list(self: &Rc<Self>, kind: ListKind, hosts: Vec<Host>, older: bool) {
+        let entries = {
+            let s = &mut *self.state.borrow_mut();
+            let before = match kind {
+                ListKind::Delta => None,
+                _ => {
+                    s.names.clear();
+                    Some(std::mem::take(&mut s.listed))
+                }
+            };
+            let mut entries = Vec::with_capacity(hosts.len());
+            for host in hosts {
+                // A backend keeps its number from list to list.
+                if let Some((name, known)) = before.as_ref().and_then(|b| b.get_key_value(&host.host)) {
+                    s.listed.insert(name.clone(), *known);
+                }
+                entries.extend(self.entry(s, host, older));
+            }
+            s.ready = s.listed.values().filter(|(_, draining)| draining.is_none()).count();
+            entries
+        };
+        self.count(|a| a.lists += 1);
+        self.tell(Event::List { kind, entries });
+    }
+
+    fn list_failed(self: &Rc<Self>) {
+        self.watching.send_replace(false);
+        self.tell(Event::List { kind: ListKind::Failed, entries: Vec::new() });
+    }
+
+    fn note(&self, line: String) {
+        self.count(|a| a.notes += 1);
+        tracing::debug!("{line}");
+    }
+}
+
+/// The whole life of a process of hollow proxies: its orders as the first line of its standard input, then for each
+/// further line what it did since the last one, and its end with the input's.
+///
+/// # Errors
+///
+/// If its orders can't be read or its settings can't be used.
+pub fn serve() -> anyhow::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let mut first = String::new();
+    std::io::stdin().lock().read_line(&mut first)?;
+    let orders: Orders = serde_json::from_str(&first)?;
+    drop(first);
+    let (asked, mut asks) = mpsc::unbounded_channel();
+    std::thread::spawn(move || {
+        for line in std::io::stdin().lock().lines() {
+            if line.is_err() || asked.send(()).is_err() {
+                return;
+            }
+        }
+    });
+    LocalSet::new().block_on(&runtime, async {
+        let activity = Rc::new(Cell::new(Activity::default()));
+        for orders in &orders.copies {
+            let copy = Copy::new(orders, activity.clone()).map_err(anyhow::Error::msg)?;
+            let must_ask = copy.facts.settings.must_ask;
+            let grace = Duration::from_secs_f64((copy.facts.site.drain_grace / 1000.0).clamp(0.0, 86_400.0));
+            let (waits, newest) = (Waits::new(grace), Rc::default());
+            let wanted = copy.watching.subscribe();
+            copy.tell(Event::List { kind: ListKind::Cached, entries: Vec::new() });
+            spawn_local(follow(copy, orders.discovery, must_ask, waits, newest, wanted));
+        }
+        drop(orders);
+        while asks.recv().await.is_some() {
+            let mut out = std::io::stdout().lock();
+            serde_json::to_writer(&mut out, &activity.take())?;
+            writeln!(out)?;
+            out.flush()?;
+        }
+        Ok(())
+    })
+}
--- /dev/null
+++ b/scale/src/real/counted.rs
@@ -0,0 +1,97 @@
+//! A connection that counts what goes over it.
+
+use std::io::{self, IoSlice};
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+use std::task::{Context, Poll, ready};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+/// What went over many connections.
+#[derive(Debug, Default)]
+pub struct Traffic {
+    read: AtomicU64,
+    written: AtomicU64,
+    calls: AtomicU64,
+}
+
+/// The same at one instant.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Volume {
+    /// Bytes both ways, without the headers of TCP and IP.
+    pub bytes: u64,
+    /// Calls and their answers.
+    pub messages: u64,
+}
+
+impl Traffic {
+    /// A call was answered.
+    pub fn answered(&self) {
+        self.calls.fetch_add(1, Relaxed);
+    }
+
+    /// All so far.
+    pub fn volume(&self) -> Volume {
+        Volume {
+            bytes: self.read.load(Relaxed) + self.written.load(Relaxed),
+            messages: 2 * self.calls.load(Relaxed),
+        }
+    }
+}
+
+/// The connection.
+pub struct Counted {
+    stream: TcpStream,
+    traffic: Arc<Traffic>,
+}
+
+impl Counted {
+    /// Counts into `traffic` from now on.
+    pub fn new(stream: TcpStream, traffic: Arc<Traffic>) -> Self {
+        Counted { stream, traffic }
+    }
+}
+
+impl AsyncRead for Counted {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(cx, buffer))?;
+        self.traffic.read.fetch_add((buffer.filled().len() - before) as u64, Relaxed);
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for Counted {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        let written = ready!(Pin::new(&mut self.stream).poll_write(cx, bytes))?;
+        self.traffic.written.fetch_add(written as u64, Relaxed);
+        Poll::Ready(Ok(written))
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        parts: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let written = ready!(Pin::new(&mut self.stream).poll_write_vectored(cx, parts))?;
+        self.traffic.written.fetch_add(written as u64, Relaxed);
+        Poll::Ready(Ok(written))
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- /dev/null
+++ b/scale/src/real/play.rs
@@ -0,0 +1,439 @@
+//! One size of the run: the fleet is started, measured phase by phase, and ended.
+
+use super::backends::{Backends, Mode, Next, Work};
+use super::children::Children;
+use super::client::{Call, Client, TENANT};
+use super::copies::{CopyOrders, Orders};
+use super::load::{Class, Load, Tally};
+use super::plan::{Need, PROXY_MEMORY_MB, PROXY_SOCKETS};
+use super::registry::{self, Health, Host, Registry};
+use super::usage;
+use super::{Options, histogram};
+use crate::report::{Added, Phase, Quantiles, Size};
+use crate::scenario::{Scenario, zone_name};
+use anyhow::Context;
+use hyper::Method;
+use rand::rngs::StdRng;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use serde_json::{Value, json};
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+use std::sync::atomic::Ordering::Relaxed;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::time::{Instant, sleep, sleep_until};
+
+/// All proxies hold the first list by then.
+const START: Duration = Duration::from_secs(30);
+/// The protocol page allows so much more at every time limit.
+const GRANTED: Duration = Duration::from_millis(50);
+/// Backends that calls straight to them go to, for each real proxy: as many as the proxy's subset at the least.
+const DIRECT_PER_PROXY: usize = 5;
+
+/// A fleet that runs.
+struct Fleet<'a> {
+    scenario: &'a Scenario,
+    size: usize,
+    registry: Registry,
+    backends: Backends,
+    load: Arc<Load>,
+    children: &'a mut Children,
+    /// Backends as the list has them, by number.
+    hosts: Vec<Host>,
+    rng: StdRng,
+}
+
+/// Plays a size. The processes that it starts are left to the caller, who ends them.
+///
+/// # Errors
+///
+/// If the fleet can't be started or a process of it ends early.
+pub async fn size(
+    scenario: &Scenario,
+    options: &Options,
+    size: usize,
+    children: &mut Children,
+) -> anyhow::Result<Size> {
+    let need = Need::of(scenario, size);
+    need.check(scenario, size)?;
+    let folder = tempfile::tempdir().context("folder for temporary files")?;
+    let begun = Instant::now();
+    let mut fleet = Fleet::start(scenario, options, size, need, children, folder.path()).await?;
+    let (registry, real) = (&fleet.registry, need.real);
+    let holding = registry.in_force(1, START).await;
+    if holding < size {
+        tracing::warn!("size {size}: only {holding} proxies hold the first list after {START:?}");
+    }
+    let start_s = begun.elapsed().as_secs_f64();
+    let (whole_list_bytes, _) = (registry.whole_bytes(), registry.propagation());
+    let phases = fleet.phases().await?;
+    let resident = |pid| usage::of(pid).map(|u| u.resident as f64);
+    let proxies = fleet.children.proxies.iter().map(|p| p.pid);
+    let pids = proxies.chain(fleet.children.hosts.iter().map(|h| h.pid)).chain([std::process::id()]);
+    let resident: f64 = pids.map(resident).sum::<anyhow::Result<f64>>()?;
+    Ok(Size {
+        size,
+        real,
+        hollow: size - real,
+        processes: 1 + real + need.hosts,
+        start_s,
+        holding_first_list: holding,
+        whole_list_bytes,
+        total_resident_mb: resident / 1e6,
+        phases,
+    })
+}
+
+fn millis(ms: f64) -> Duration {
+    Duration::from_secs_f64(ms.max(0.0) / 1000.0)
+}
+
+fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+}
+
+/// The settings' classes as a client sees them; queries are most of the calls.
+fn classes(scenario: &Scenario) -> Vec<Class> {
+    let list = scenario.settings.get("classes").and_then(Value::as_array).cloned().unwrap_or_default();
+    let figure = |class: &Value, key: &str| class[key].as_f64().unwrap_or(0.0);
+    let class = |(place, class): (usize, &Value)| Class {
+        call: Call {
+            class: class["name"].as_str().unwrap_or_default().to_string(),
+            method: if class["semantics"] == "retryable" { Method::GET } else { Method::POST },
+            keyed: class["semantics"] == "dedup",
+            query: String::new(),
+            patience: millis(figure(class, "giveUp")),
+        },
+        share: if place == 0 { 8.0 } else { 1.0 },
+        points: figure(class, "points"),
+        aim: millis(figure(class, "aim")),
+        late_worth: figure(class, "lateWorth"),
+    };
+    list.iter().enumerate().map(class).collect()
+}
+
+impl<'a> Fleet<'a> {
+    async fn start(
+        scenario: &'a Scenario,
+        options: &Options,
+        size: usize,
+        need: Need,
+        children: &'a mut Children,
+        folder: &std::path::Path,
+    ) -> anyhow::Result<Self> {
+        let (plan, zones) = (&scenario.real, scenario.target.zones);
+        let figure = |part: &str, key: &str| scenario.settings.get(part).and_then(|p| p[key].as_f64());
+        let grace = figure("guarantees", "stopSendingWithin").unwrap_or(0.0);
+        let cold_for = Duration::from_secs_f64(scenario.backend.cold_s);
+        let work = Work {
+            warm: millis(plan.work_ms),
+            cold: millis(plan.cold_work_ms),
+            cold_for,
+            grace: millis(grace) + GRANTED,
+        };
+        let backends = Backends::start(size, work).context("hollow backends")?;
+        let hosts = backends.all.iter().enumerate().map(|(number, backend)| {
+            let (zone, cell) = (zone_name(number % zones), (number / zones / 4) as u16);
+            Host::serving(format!("s-{number:04}"), backend.address, zone, cell)
+        });
+        let hosts: Vec<Host> = hosts.collect();
+        let registry = Registry::start(hosts.clone(), size).await.context("stand-in of discovery")?;
+        let mut rng = StdRng::seed_from_u64(options.seed ^ size as u64);
+        let settings = |copy: usize| {
+            let mut settings = scenario.settings_of(copy as u32, size as u32, 0, (copy % zones) as u16);
+            settings["tenants"] = json!([{"name": TENANT, "quotaPerS": 1e9}]);
+            settings
+        };
+        let hollow: Vec<usize> = (need.real..size).collect();
+        for copies in hollow.chunks(plan.hollow_per_process) {
+            let copies = copies.iter().map(|&copy| CopyOrders {
+                settings: settings(copy),
+                seed: rng.random(),
+                discovery: registry.addresses()[copy],
+            });
+            children.start_host(&options.program, &Orders { copies: copies.collect() }).await?;
+        }
+        for copy in 0..need.real {
+            let config = json!({
+                "name": format!("n{copy}"),
+                "listen": "127.0.0.1:0",
+                "discovery": registry.addresses()[copy].to_string(),
+                "seed": format!("{:016x}", rng.random::<u64>()),
+                "limits": {"cores": 1.0, "memory_mb": PROXY_MEMORY_MB, "sockets": PROXY_SOCKETS},
+                "settings": settings(copy),
+            });
+            children.start_proxy(&options.heathroad, &config, folder).await?;
+        }
+        let proxies: Vec<_> = children.proxies.iter().map(|p| p.address).collect();
+        let direct: Vec<_> = backends.all.iter().map(|b| b.address).collect();
+        let direct = direct[..size.min(DIRECT_PER_PROXY * need.real.max(1))].to_vec();
+        backends.connect(Next { proxies: proxies.clone(), backends: direct.clone() });
+        let load = Arc::new(Load {
+            client: Arc::new(Client::new(1)),
+            classes: classes(scenario),
+            depths: plan.depths.clone(),
+            proxies,
+            backends: direct,
+            late: millis(plan.late_ms),
+        });
+        Ok(Fleet { scenario, size, registry, backends, load, children, hosts, rng })
+    }
+
+    async fn phases(&mut self) -> anyhow::Result<Vec<Phase>> {
+        let zone = self.rng.random_range(0..self.scenario.target.zones);
+        let region = self.rng.random_range(0..self.scenario.target.regions);
+        let of_zone: Vec<usize> = (0..self.size).filter(|n| n % self.scenario.target.zones == zone).collect();
+        let of_region =
+            |n: &usize| self.scenario.region_of((n % self.scenario.target.zones) as u16) == region;
+        let of_region: Vec<usize> = (0..self.size).filter(of_region).collect();
+        let mut phases = Vec::new();
+        phases.push(self.phase("idle", Traffic::None, Happening::Nothing).await?);
+        phases.push(self.phase("steady", Traffic::Compared, Happening::Nothing).await?);
+        phases.push(self.phase("idle, changes", Traffic::None, Happening::Changes).await?);
+        phases.push(self.phase("changes", Traffic::Proxied, Happening::Changes).await?);
+        phases.push(self.phase("zone lost", Traffic::Proxied, Happening::Lost(&of_zone)).await?);
+        phases.push(self.phase("zone back", Traffic::Proxied, Happening::Back(&of_zone)).await?);
+        phases.push(
+            self.phase("region cut", Traffic::Proxied, Happening::Mode(&of_region, Mode::Silent)).await?,
+        );
+        phases.push(
+            self.phase("region heard", Traffic::Proxied, Happening::Mode(&of_region, Mode::Serving)).await?,
+        );
+        phases.push(self.phase("resync", Traffic::Proxied, Happening::Resync).await?);
+        Ok(phases)
+    }
+
+    /// Measures what happens, under a load.
+    async fn phase(&mut self, name: &str, traffic: Traffic, what: Happening<'_>) -> anyhow::Result<Phase> {
+        let plan = &self.scenario.real;
+        let time = Duration::from_secs_f64(plan.phase_s);
+        tracing::info!("size {}: {name}", self.size);
+        self.children.activity().await?;
+        let before = Readings::take(self)?;
+        let rate = match traffic {
+            Traffic::None => 0.0,
+            _ => plan.hops_per_s_per_proxy * self.children.proxies.len() as f64,
+        };
+        let (load, seed, direct) =
+            (self.load.clone(), self.rng.random(), matches!(traffic, Traffic::Compared));
+        let calls = tokio::spawn(async move { load.run(seed, rate, time, direct).await });
+        self.make(what, Instant::now() + time).await;
+        let tally = calls.await.context("the load's generator")?;
+        // What the last change still has to do; the term counts from the change.
+        let most = Duration::from_secs_f64(self.scenario.target.in_force_within_s);
+        let seq = self.registry.version();
+        self.registry.in_force(seq, most).await;
+        let after = Readings::take(self)?;
+        let activity = self.children.activity().await?;
+        let spread = self.registry.propagation();
+        let wall = (after.at - before.at).as_secs_f64();
+        let share = |after: &[usage::Usage], before: &[usage::Usage]| -> Vec<f64> {
+            let used = after.iter().zip(before).map(|(a, b)| a.processor.saturating_sub(b.processor));
+            used.map(|used| 100.0 * used.as_secs_f64() / wall).collect()
+        };
+        let (real, hosts) = (share(&after.proxies, &before.proxies), share(&after.hosts, &before.hosts));
+        let resident = |of: &[usage::Usage]| of.iter().map(|u| u.resident as f64 / 1e6).sum::<f64>();
+        let (count, hollow) =
+            (real.len().max(1) as f64, self.children.hosts.iter().map(|h| h.copies).sum::<usize>());
+        let mean = real.iter().sum::<f64>() / count;
+        let deviation = (real.iter().map(|x| (x - mean).powi(2)).sum::<f64>() / count).sqrt();
+        let per_proxy = |x: u64| x as f64 / wall / self.size as f64;
+        Ok(Phase {
+            name: name.to_string(),
+            wall_s: wall,
+            load_average: usage::load_average(),
+            asked: tally.asked,
+            served: tally.served,
+            refused: tally.refused,
+            failed: tally.failed,
+            timed_out: tally.timed_out,
+            served_by_depth: tally
+                .by_depth
+                .iter()
+                .map(|(&depth, &(asked, served))| (depth, asked, served))
+                .collect(),
+            worth_lost_percent: 100.0
+                * (1.0 - tally.earned / tally.worth.max(f64::MIN_POSITIVE))
+                * f64::from(u8::from(tally.worth > 0.0)),
+            sends_per_hop: (after.sends - before.sends) as f64 / tally.hops.max(1) as f64,
+            late_to_draining: after.late_to_draining - before.late_to_draining,
+            late_calls_percent: 100.0 * tally.late as f64 / self.sent(&tally).max(1) as f64,
+            real_core_percent: mean,
+            real_core_percent_deviation: deviation,
+            real_core_percent_max: real.iter().copied().fold(0.0, f64::max),
+            hollow_core_percent: hosts.iter().sum::<f64>() / hollow.max(1) as f64,
+            hollow_host_core_percent_max: hosts.iter().copied().fold(0.0, f64::max),
+            hollow_late_timers_percent: 100.0 * activity.late_wakes as f64 / activity.wakes.max(1) as f64,
+            registry_core_percent: 100.0 * after.registry.saturating_sub(before.registry).as_secs_f64()
+                / wall,
+            real_resident_mb: resident(&after.proxies) / count,
+            real_resident_max_mb: after.proxies.iter().map(|u| u.resident as f64 / 1e6).fold(0.0, f64::max),
+            hollow_resident_mb: resident(&after.hosts) / hollow.max(1) as f64,
+            control_kb_per_s: per_proxy(after.volume.bytes - before.volume.bytes) / 1000.0,
+            control_messages_per_s: per_proxy(after.volume.messages - before.volume.messages),
+            changes: spread.changes,
+            changes_not_in_force: spread.unfinished,
+            in_force_ms: Quantiles::of_micros(&spread.each),
+            in_force_at_last_ms: Quantiles::of_micros(&spread.last),
+            added: added(&tally),
+        })
+    }
+
+    /// Calls that were sent, straight ones too where they were served.
+    fn sent(&self, tally: &Tally) -> u64 {
+        tally.asked + tally.times.iter().filter(|((_, direct), _)| *direct).map(|(_, h)| h.len()).sum::<u64>()
+    }
+
+    async fn make(&mut self, what: Happening<'_>, end: Instant) {
+        match what {
+            Happening::Nothing => sleep_until(end).await,
+            Happening::Changes => self.changes(end).await,
+            Happening::Lost(numbers) => {
+                numbers.iter().for_each(|&n| self.backends.all[n].set(Mode::Gone));
+                sleep(millis(self.scenario.discovery.notice_ms)).await;
+                self.list(numbers, Health::Deleted);
+                sleep_until(end).await;
+            }
+            Happening::Back(numbers) => {
+                for &n in numbers {
+                    self.backends.all[n].restart();
+                    self.backends.all[n].set(Mode::Serving);
+                    self.hosts[n].born_ms = unix_ms();
+                }
+                sleep(millis(self.scenario.discovery.notice_ms)).await;
+                self.list(numbers, Health::Serving);
+                sleep_until(end).await;
+            }
+            Happening::Mode(numbers, mode) => {
+                numbers.iter().for_each(|&n| self.backends.all[n].set(mode));
+                sleep_until(end).await;
+            }
+            Happening::Resync => {
+                self.registry.resync();
+                sleep_until(end).await;
+            }
+        }
+    }
+
+    fn list(&mut self, numbers: &[usize], health: Health) {
+        for &n in numbers {
+            self.hosts[n].health = health;
+        }
+        self.registry.change(numbers.iter().map(|&n| self.hosts[n].clone()).collect());
+    }
+
+    /// Backends drain and come back as new processes, cold, one change after the other.
+    async fn changes(&mut self, end: Instant) {
+        let rate = self.scenario.changes_per_s();
+        let most = ((self.size as f64 * self.scenario.real.draining_share) as usize).max(1);
+        let mut draining = VecDeque::new();
+        let mut next = Instant::now();
+        while rate > 0.0 && next < end {
+            sleep_until(next).await;
+            if draining.len() >= most
+                && let Some(n) = draining.pop_front()
+            {
+                self.restart(n);
+            } else {
+                let serving: Vec<usize> = (0..self.size).filter(|n| !draining.contains(n)).collect();
+                let Some(&n) = serving.choose(&mut self.rng) else { break };
+                draining.push_back(n);
+                self.backends.all[n].drain();
+                self.list(&[n], Health::Draining);
+            }
+            next += Duration::from_secs_f64(1.0 / rate);
+        }
+        sleep_until(end).await;
+        // So that the next phase begins with all of them.
+        for n in draining {
+            self.restart(n);
+        }
+    }
+
+    fn restart(&mut self, n: usize) {
+        self.backends.all[n].restart();
+        self.hosts[n].born_ms = unix_ms();
+        self.list(&[n], Health::Serving);
+    }
+}
+
+/// Which calls a phase has.
+#[derive(Clone, Copy)]
+enum Traffic {
+    None,
+    Proxied,
+    /// And as many straight to backends.
+    Compared,
+}
+
+/// What happens in a phase.
+enum Happening<'a> {
+    Nothing,
+    Changes,
+    /// Backends are gone, and taken off the list when that is noticed.
+    Lost(&'a [usize]),
+    /// They are back as new processes, and listed again when that is noticed.
+    Back(&'a [usize]),
+    /// Backends do something else, which no list says.
+    Mode(&'a [usize], Mode),
+    /// Everybody is sent the whole list.
+    Resync,
+}
+
+/// What has been used and counted at an instant.
+struct Readings {
+    at: Instant,
+    proxies: Vec<usage::Usage>,
+    hosts: Vec<usage::Usage>,
+    registry: Duration,
+    volume: super::counted::Volume,
+    sends: u64,
+    late_to_draining: u64,
+}
+
+impl Readings {
+    fn take(fleet: &Fleet<'_>) -> anyhow::Result<Self> {
+        let processor = |name: &str, pids: Vec<u32>| -> anyhow::Result<Vec<usage::Usage>> {
+            let of = |pid| usage::of(pid).with_context(|| format!("{name}: ended early"));
+            pids.into_iter().map(of).collect()
+        };
+        let counts = fleet.backends.counts();
+        Ok(Readings {
+            at: Instant::now(),
+            proxies: processor("a real proxy", fleet.children.proxies.iter().map(|p| p.pid).collect())?,
+            hosts: processor("hollow proxies", fleet.children.hosts.iter().map(|h| h.pid).collect())?,
+            registry: usage::of_thread(registry::THREAD)?,
+            volume: fleet.registry.traffic().volume(),
+            sends: counts.calls.load(Relaxed),
+            late_to_draining: counts.late_to_draining.load(Relaxed),
+        })
+    }
+}
+
+/// What the proxies add to calls of each depth, against straight ones of the same phase.
+fn added(tally: &Tally) -> Vec<Added> {
+    let mut depths = BTreeMap::new();
+    for ((depth, direct), times) in &tally.times {
+        let pair = depths.entry(*depth).or_insert_with(|| (histogram(), histogram()));
+        *(if *direct { &mut pair.1 } else { &mut pair.0 }) = times.clone();
+    }
+    let compared =
+        depths.into_iter().filter(|(_, (proxied, straight))| !proxied.is_empty() && !straight.is_empty());
+    let added = |(depth, (proxied, straight)): (
+        usize,
+        (hdrhistogram::Histogram<u64>, hdrhistogram::Histogram<u64>),
+    )| {
+        let difference =
+            |q: f64| (proxied.value_at_quantile(q) as f64 - straight.value_at_quantile(q) as f64) / 1000.0;
+        Added {
+            depth,
+            straight_ms: Quantiles::of_micros(&straight),
+            proxied_ms: Quantiles::of_micros(&proxied),
+            p50_ms: difference(0.5),
+            p99_ms: difference(0.99),
+            p50_ms_per_hop: difference(0.5) / depth as f64,
+            p99_ms_per_hop: difference(0.99) / depth as f64,
+        }
+    };
+    compared.map(added).collect()
+}
--- /dev/null
+++ b/scale/src/report.rs
@@ -0,0 +1,358 @@
+//! What a run measured, as a table and as JSON.
+
+use crate::fit::{self, Line};
+use hdrhistogram::Histogram;
+use serde::Serialize;
+use std::fmt::{self, Write};
+
+/// Of a histogram, in milliseconds.
+#[derive(Debug, Clone, Copy, Default, Serialize)]
+pub struct Quantiles {
+    /// Values.
+    pub count: u64,
+    /// Half of them are within this.
+    pub p50: f64,
+    /// 99 in 100 are.
+    pub p99: f64,
+    /// All are.
+    pub max: f64,
+}
+
+impl Quantiles {
+    /// Of values in microseconds.
+    pub fn of_micros(h: &Histogram<u64>) -> Self {
+        let at = |q| h.value_at_quantile(q) as f64 / 1000.0;
+        Quantiles { count: h.len(), p50: at(0.5), p99: at(0.99), max: h.max() as f64 / 1000.0 }
+    }
+}
+
+/// What the proxies add to calls of a depth: quantiles through proxies less those of straight calls.
+#[derive(Debug, Clone, Serialize)]
+pub struct Added {
+    /// Calls one behind the other.
+    pub depth: usize,
+    /// Through proxies.
+    pub proxied_ms: Quantiles,
+    /// Straight to backends.
+    pub straight_ms: Quantiles,
+    /// Difference of the medians.
+    pub p50_ms: f64,
+    /// Difference of the 99th percentiles.
+    pub p99_ms: f64,
+    /// The first for each hop.
+    pub p50_ms_per_hop: f64,
+    /// The second for each hop.
+    pub p99_ms_per_hop: f64,
+}
+
+/// A phase of a size.
+#[derive(Debug, Clone, Serialize)]
+pub struct Phase {
+    /// Its name.
+    pub name: String,
+    /// How long it was measured, in seconds.
+    pub wall_s: f64,
+    /// Processes that wanted to run on the machine, over the last minute.
+    pub load_average: f64,
+    /// Calls of clients through proxies.
+    pub asked: u64,
+    /// Those served.
+    pub served: u64,
+    /// Turned away.
+    pub refused: u64,
+    /// Failed.
+    pub failed: u64,
+    /// Without an answer in time.
+    pub timed_out: u64,
+    /// Calls one behind the other, those asked, and those served.
+    pub served_by_depth: Vec<(usize, u64, u64)>,
+    /// Worth that the answers did not have, in percent of all.
+    pub worth_lost_percent: f64,
+    /// Requests that came to backends for each hop that clients' calls were to make.
+    pub sends_per_hop: f64,
+    /// Requests that came to a draining backend past its grace.
+    pub late_to_draining: u64,
+    /// Calls sent late by the load's generator.
+    pub late_calls_percent: f64,
+    /// Processor time of a real proxy, mean, in percent of a core.
+    pub real_core_percent: f64,
+    /// Standard deviation over the real proxies.
+    pub real_core_percent_deviation: f64,
+    /// The busiest one.
+    pub real_core_percent_max: f64,
+    /// Processor time of a hollow proxy, mean.
+    pub hollow_core_percent: f64,
+    /// The busiest process of hollow proxies: near 100 it is not carried.
+    pub hollow_host_core_percent_max: f64,
+    /// Timers of hollow proxies that came more than 20 ms late.
+    pub hollow_late_timers_percent: f64,
+    /// Processor time of the stand-in of discovery for all proxies together.
+    pub registry_core_percent: f64,
+    /// Resident memory of a real proxy, mean.
+    pub real_resident_mb: f64,
+    /// The largest one.
+    pub real_resident_max_mb: f64,
+    /// Resident memory of a hollow proxy, mean.
+    pub hollow_resident_mb: f64,
+    /// Bytes of a proxy's watch, both ways, in thousands a second, without the headers of TCP and IP.
+    pub control_kb_per_s: f64,
+    /// Calls of a proxy's watch and their answers, a second.
+    pub control_messages_per_s: f64,
+    /// Changes of the list.
+    pub changes: usize,
+    /// Those not in force at all proxies in the target's time after the phase.
+    pub changes_not_in_force: usize,
+    /// Time from a change to its being in force, over all changes and proxies.
+    pub in_force_ms: Quantiles,
+    /// Time to the last proxy, over all changes.
+    pub in_force_at_last_ms: Quantiles,
+    /// Added latency, in the phase that compares.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub added: Vec<Added>,
+}
+
+/// A size of the run.
+#[derive(Debug, Clone, Serialize)]
+pub struct Size {
+    /// Backends, each with its proxy.
+    pub size: usize,
+    /// Real proxies.
+    pub real: usize,
+    /// Hollow ones.
+    pub hollow: usize,
+    /// Processes, this program's own among them.
+    pub processes: usize,
+    /// Seconds from the start to the first list at all proxies.
+    pub start_s: f64,
+    /// Proxies that held it then.
+    pub holding_first_list: usize,
+    /// Size of the whole list.
+    pub whole_list_bytes: usize,
+    /// Resident memory of all processes at the end, in MB.
+    pub total_resident_mb: f64,
+    /// What was measured.
+    pub phases: Vec<Phase>,
+}
+
+/// How a measure grows with the size.
+#[derive(Debug, Clone, Serialize)]
+pub struct Slope {
+    /// Phase and measure.
+    pub measure: String,
+    /// The measure at each size.
+    pub points: Vec<(usize, f64)>,
+    /// The line through them.
+    pub line: Line,
+}
+
+/// The machine while the run was on.
+#[derive(Debug, Clone, Serialize)]
+pub struct Machine {
+    /// Its cores.
+    pub cores: usize,
+    /// Processes that wanted to run at the start, over the last minute.
+    pub load_average_before: f64,
+}
+
+/// The real part of a run.
+#[derive(Debug, Clone, Serialize)]
+pub struct Real {
+    /// Feeds its random numbers.
+    pub seed: u64,
+    /// Where it ran.
+    pub machine: Machine,
+    /// Its sizes.
+    pub sizes: Vec<Size>,
+    /// Over the sizes.
+    pub slopes: Vec<Slope>,
+    /// What the machine could not carry, in words; figures of such phases are no proxy's.
+    pub not_carried: Vec<String>,
+}
+
+/// A busier process of hollow proxies has no room left.
+const FULL_CORE_PERCENT: f64 = 90.0;
+/// More of the calls or timers late than this, and the machine did not carry the phase.
+const LATE_PERCENT: f64 = 1.0;
+
+type Measure = (&'static str, fn(&Phase) -> f64);
+
+const MEASURES: [Measure; 8] = [
+    ("core % of a real proxy", |p| p.real_core_percent),
+    ("core % of a hollow proxy", |p| p.hollow_core_percent),
+    ("core % of discovery", |p| p.registry_core_percent),
+    ("MB of a real proxy", |p| p.real_resident_mb),
+    ("MB of a hollow proxy", |p| p.hollow_resident_mb),
+    ("control KB/s of a proxy", |p| p.control_kb_per_s),
+    ("control messages/s of a proxy", |p| p.control_messages_per_s),
+    ("ms in force at the last, p99", |p| p.in_force_at_last_ms.p99),
+];
+
+impl Real {
+    /// Of sizes that were played.
+    pub fn new(seed: u64, machine: Machine, sizes: Vec<Size>) -> Self {
+        let not_carried = not_carried(&sizes);
+        Real { seed, machine, slopes: slopes(&sizes), sizes, not_carried }
+    }
+}
+
+fn slopes(sizes: &[Size]) -> Vec<Slope> {
+    let mut slopes = Vec::new();
+    let Some(first) = sizes.first() else { return slopes };
+    let mut fit = |measure: String, points: Vec<(usize, f64)>| {
+        let line = fit::line(&points.iter().map(|&(size, x)| (size as f64, x)).collect::<Vec<_>>());
+        slopes.extend(line.map(|line| Slope { measure, points, line }));
+    };
+    fit(
+        "bytes of the whole list".into(),
+        sizes.iter().map(|s| (s.size, s.whole_list_bytes as f64)).collect(),
+    );
+    for (place, phase) in first.phases.iter().enumerate() {
+        for (name, of) in MEASURES {
+            let points: Vec<(usize, f64)> =
+                sizes.iter().filter_map(|s| Some((s.size, of(s.phases.get(place)?)))).collect();
+            if points.iter().any(|(_, x)| *x != 0.0) {
+                fit(format!("{}: {name}", phase.name), points);
+            }
+        }
+    }
+    slopes
+}
+
+fn not_carried(sizes: &[Size]) -> Vec<String> {
+    let mut lines = Vec::new();
+    for size in sizes {
+        if size.holding_first_list < size.size {
+            lines.push(format!(
+                "size {}: {} of the proxies held the first list in time",
+                size.size, size.holding_first_list
+            ));
+        }
+        for phase in &size.phases {
+            let at = format!("size {}, {}", size.size, phase.name);
+            if phase.hollow_host_core_percent_max > FULL_CORE_PERCENT {
+                let most = phase.hollow_host_core_percent_max;
+                lines.push(format!("{at}: a process of hollow proxies took {most:.0}% of a core"));
+            }
+            if phase.hollow_late_timers_percent > LATE_PERCENT {
+                let late = phase.hollow_late_timers_percent;
+                lines.push(format!(
+                    "{at}: {late:.1}% of the hollow proxies' timers came more than 20 ms late"
+                ));
+            }
+            if phase.late_calls_percent > LATE_PERCENT {
+                lines.push(format!("{at}: {:.1}% of the calls were sent late", phase.late_calls_percent));
+            }
+            if phase.registry_core_percent > FULL_CORE_PERCENT {
+                let most = phase.registry_core_percent;
+                lines.push(format!("{at}: the stand-in of discovery took {most:.0}% of a core"));
+            }
+        }
+    }
+    lines
+}
+
+impl fmt::Display for Real {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Machine { cores, load_average_before } = self.machine;
+        writeln!(
+            f,
+            "real part, seed {}, {cores} cores, load average {load_average_before:.1} before",
+            self.seed
+        )?;
+        for s in &self.sizes {
+            writeln!(
+                f,
+                "\nsize {}: {} real and {} hollow proxies, {} processes, {:.0} MB in all; first list at {} after \
+                 {:.1} s; whole list {:.1} kB",
+                s.size,
+                s.real,
+                s.hollow,
+                s.processes,
+                s.total_resident_mb,
+                s.holding_first_list,
+                s.start_s,
+                s.whole_list_bytes as f64 / 1000.0
+            )?;
+            f.write_str(&table(s))?;
+            for a in s.phases.iter().flat_map(|p| &p.added) {
+                writeln!(
+                    f,
+                    "  depth {:>2}: added p50 {:.3} ms, p99 {:.3} ms; a hop {:.3}, {:.3} ({} calls, {} straight)",
+                    a.depth,
+                    a.p50_ms,
+                    a.p99_ms,
+                    a.p50_ms_per_hop,
+                    a.p99_ms_per_hop,
+                    a.proxied_ms.count,
+                    a.straight_ms.count
+                )?;
+            }
+        }
+        writeln!(
+            f,
+            "\nslopes: for each 100 proxies and backends ± standard error; at size 0 ± standard error"
+        )?;
+        for Slope { measure, line: l, .. } in &self.slopes {
+            writeln!(
+                f,
+                "  {measure:<52} {:>10.4} ± {:<9.4} {:>10.4} ± {:<9.4}",
+                100.0 * l.slope,
+                100.0 * l.slope_error,
+                l.intercept,
+                l.intercept_error
+            )?;
+        }
+        for line in &self.not_carried {
+            writeln!(f, "not carried by this machine: {line}")?;
+        }
+        Ok(())
+    }
+}
+
+fn table(size: &Size) -> String {
+    let mut text = format!(
+        "  {:<14}{:>7}{:>7}{:>8}{:>7}{:>7}{:>8}{:>8}{:>8}{:>7}{:>8}{:>8}{:>9}{:>9}{:>7}{:>6}{:>6}\n",
+        "phase",
+        "asked",
+        "served",
+        "lost %",
+        "sends",
+        "drain!",
+        "real %",
+        "+-",
+        "hollow%",
+        "disc %",
+        "real MB",
+        "KB/s",
+        "msg/s",
+        "changes",
+        "last99",
+        "late%",
+        "slow%"
+    );
+    for p in &size.phases {
+        // Writing to a string does not fail.
+        let _ = writeln!(
+            text,
+            "  {:<14}{:>7}{:>7}{:>8.2}{:>7.2}{:>7}{:>8.2}{:>8.2}{:>8.2}{:>7.1}{:>8.1}{:>8.2}{:>9.2}{:>9}{:>7.0}{:>6.1}{:>6.1}",
+            p.name,
+            p.asked,
+            p.served,
+            p.worth_lost_percent,
+            p.sends_per_hop,
+            p.late_to_draining,
+            p.real_core_percent,
+            p.real_core_percent_deviation,
+            p.hollow_core_percent,
+            p.registry_core_percent,
+            p.real_resident_mb,
+            p.control_kb_per_s,
+            p.control_messages_per_s,
+            format!("{}/{}", p.changes - p.changes_not_in_force, p.changes),
+            p.in_force_at_last_ms.p99,
+            p.late_calls_percent,
+            p.hollow_late_timers_percent
+        );
+    }
+    text
+}
--- a/scale/src/scenario.rs
+++ b/scale/src/scenario.rs
@@ -1,5 +1,6 @@
 //! The scenario file: the target's figures by name, and those of the run that scales it down.
 
+use crate::real::plan::Plan;
 use serde::Deserialize;
 use serde_json::{Map, Value};
 use std::fmt;
@@ -20,6 +21,8 @@
     pub limits: Limits,
     /// How the run is laid out.
     pub run: Run,
+    /// How the real part is laid out.
+    pub real: Plan,
     /// How services call each other.
     pub calls: Calls,
     /// What a hollow backend is like.
@@ -243,7 +246,8 @@
         self.target.changes_per_day / 86_400.0 * self.run.change_compression
     }
 
-    fn check(&self) -> Result<(), Invalid> {
+    /// Whether its figures are in their ranges; an error names the key.
+    pub fn check(&self) -> Result<(), Invalid> {
         let (t, l, r, b) = (&self.target, &self.limits, &self.run, &self.backend);
         let (c, n, d) = (&self.calls, &self.network, &self.discovery);
         let sizes = self.sizes.len();
@@ -313,7 +317,10 @@
         // What is no number is in no range.
         match figures.into_iter().find(|(_, x, least, most)| !(least..=most).contains(&x)) {
             Some((key, x, least, most)) => Err(Invalid(format!("{key}: {x} is not in {least} to {most}"))),
-            None => self.check_settings(),
+            None => match self.real.check() {
+                Some(wrong) => Err(Invalid(wrong)),
+                None => self.check_settings(),
+            },
         }
     }
 
