Scale run: tests of the real part, a run of real proxies alone, shorter reports

Ten tests on loopback connections without wall-clock thresholds: the stand-in's whole lists, deltas, waiting watches and resync, hollow backends, chains, no process or folder left after an error or SIGINT, one line for a bad scenario or too few descriptors, and one small run end to end.

--- a/scale/src/main.rs
+++ b/scale/src/main.rs
@@ -5,7 +5,7 @@
 use anyhow::{Context, bail};
 use clap::{Parser, Subcommand};
 use scale::real;
-use scale::report::{Machine, Real};
+use scale::report::{Machine, Real, rounded};
 use scale::scenario::Scenario;
 use serde_json::json;
 use std::path::{Path, PathBuf};
@@ -39,6 +39,9 @@
         /// The real proxy's program.
         #[arg(long, default_value = "target/release/heathroad")]
         heathroad: PathBuf,
+        /// Real proxies alone, with the whole size listed.
+        #[arg(long)]
+        without_hollow: bool,
     },
     /// Reads a scenario and says whether it and the machine's limits allow a run.
     Check {
@@ -66,24 +69,24 @@
         Command::HollowProxies => real::copies::serve(),
         Command::Check { scenario } => {
             let scenario = Scenario::load(&scenario)?;
-            real::check(&scenario)?;
+            real::check(&scenario, true)?;
             println!("the scenario can be run: sizes {:?}", scenario.sizes);
             Ok(())
         }
-        Command::Run { scenario, sizes, seed, json, heathroad } => {
+        Command::Run { scenario, sizes, seed, json, heathroad, without_hollow } => {
             let mut scenario = Scenario::load(&scenario)?;
             if !sizes.is_empty() {
                 scenario.sizes = sizes;
             }
             scenario.seed = seed.unwrap_or(scenario.seed);
             scenario.check()?;
-            run(&scenario, heathroad, json.as_deref())
+            run(&scenario, heathroad, !without_hollow, json.as_deref())
         }
     }
 }
 
-fn run(scenario: &Scenario, heathroad: PathBuf, json: Option<&Path>) -> anyhow::Result<()> {
-    real::check(scenario)?;
+fn run(scenario: &Scenario, heathroad: PathBuf, hollow: bool, json: Option<&Path>) -> anyhow::Result<()> {
+    real::check(scenario, hollow)?;
     if !heathroad.is_file() {
         bail!("--heathroad: {}: no such program", heathroad.display());
     }
@@ -91,6 +94,7 @@
         seed: scenario.seed,
         heathroad,
         program: std::env::current_exe().context("this program's own path")?,
+        hollow,
         time: Duration::from_secs_f64(scenario.limits.run_s),
     };
     let machine = Machine {
@@ -102,9 +106,8 @@
     let real = Real::new(scenario.seed, machine, sizes);
     print!("{real}");
     if let Some(path) = json {
-        let report = json!({"real": real});
-        std::fs::write(path, serde_json::to_vec_pretty(&report)?)
-            .with_context(|| format!("--json: {}", path.display()))?;
+        let report = rounded(json!({"real": real}));
+        std::fs::write(path, report.to_string()).with_context(|| format!("--json: {}", path.display()))?;
     }
     Ok(())
 }
--- a/scale/src/real/children.rs
+++ b/scale/src/real/children.rs
@@ -71,7 +71,7 @@
             .spawn()
             .with_context(|| format!("{}: does not start", program.display()))?;
         let pid = child.id().ok_or_else(|| anyhow!("{name}: ended at once"))?;
-        tracing::debug!("process {pid}: {name}");
+        tracing::info!("process {pid}: real proxy {name}");
         let log = child.stderr.take().ok_or_else(|| anyhow!("{name}: has no log"))?;
         let mut log = BufReader::new(log).lines();
         let mut said = String::new();
--- a/scale/src/real/mod.rs
+++ b/scale/src/real/mod.rs
@@ -35,6 +35,8 @@
     pub heathroad: PathBuf,
     /// This program, which hosts the hollow proxies.
     pub program: PathBuf,
+    /// Whether hollow proxies fill a size up.
+    pub hollow: bool,
     /// Time for all sizes.
     pub time: Duration,
 }
@@ -44,8 +46,8 @@
 /// # Errors
 ///
 /// A line that names the limit and the need.
-pub fn check(scenario: &Scenario) -> anyhow::Result<()> {
-    scenario.sizes.iter().try_for_each(|&size| plan::Need::of(scenario, size).check(scenario, size))
+pub fn check(scenario: &Scenario, hollow: bool) -> anyhow::Result<()> {
+    scenario.sizes.iter().try_for_each(|&size| plan::Need::of(scenario, size, hollow).check(scenario, size))
 }
 
 /// Plays the sizes one after the other. No process that it started is left when it returns, however it ends.
@@ -55,7 +57,7 @@
 /// If a size needs more than there is, the fleet can't be started, one of its processes ends early, the time is over,
 /// or a signal comes.
 pub async fn run(scenario: &Scenario, options: &Options) -> anyhow::Result<Vec<Size>> {
-    check(scenario)?;
+    check(scenario, options.hollow)?;
     let (mut interrupt, mut terminate) = (signal(SignalKind::interrupt())?, signal(SignalKind::terminate())?);
     let mut children = Children::default();
     let played = tokio::select! {
--- a/scale/src/real/plan.rs
+++ b/scale/src/real/plan.rs
@@ -51,6 +51,8 @@
 pub struct Need {
     /// Real proxies.
     pub real: usize,
+    /// Proxies of both kinds, each with its watch.
+    pub watches: usize,
     /// Processes of hollow ones.
     pub hosts: usize,
     /// Descriptors of this process.
@@ -67,13 +69,14 @@
 pub const PROXY_MEMORY_MB: usize = 192;
 
 impl Need {
-    /// Of a size.
-    pub fn of(scenario: &Scenario, size: usize) -> Self {
+    /// Of a size, with or without its hollow proxies.
+    pub fn of(scenario: &Scenario, size: usize, hollow: bool) -> Self {
         let real = scenario.run.real_processes.min(size);
-        let hosts = (size - real).div_ceil(scenario.real.hollow_per_process);
-        // A listener of discovery, a watch and a backend for each, and two pipes for each process.
-        let descriptors = 3 * size + (PER_PROXY + 2) * real + 2 * hosts + RESERVED;
-        Need { real, hosts, descriptors }
+        let watches = if hollow { size } else { real };
+        let hosts = (watches - real).div_ceil(scenario.real.hollow_per_process);
+        // A backend; for each proxy a listener of discovery and a watch; two pipes for each process.
+        let descriptors = size + 2 * watches + (PER_PROXY + 2) * real + 2 * hosts + RESERVED;
+        Need { real, watches, hosts, descriptors }
     }
 
     /// Whether the machine and the scenario's limits allow it; the limits are left as they are.
--- a/scale/src/report.rs
+++ b/scale/src/report.rs
@@ -3,6 +3,7 @@
 use crate::fit::{self, Line};
 use hdrhistogram::Histogram;
 use serde::Serialize;
+use serde_json::Value;
 use std::fmt::{self, Write};
 
 /// Of a histogram, in milliseconds.
@@ -80,6 +81,8 @@
     pub real_core_percent_deviation: f64,
     /// The busiest one.
     pub real_core_percent_max: f64,
+    /// Timers of a hollow proxy that came due: fewer than the module asks for where the machine does not carry them.
+    pub hollow_wakes_per_s: f64,
     /// Processor time of a hollow proxy, mean.
     pub hollow_core_percent: f64,
     /// The busiest process of hollow proxies: near 100 it is not carried.
@@ -141,7 +144,7 @@
     pub measure: String,
     /// The measure at each size.
     pub points: Vec<(usize, f64)>,
-    /// The line through them.
+    /// The line through them; timely measures leave out phases that the machine did not carry.
     pub line: Line,
 }
 
@@ -174,17 +177,27 @@
 /// More of the calls or timers late than this, and the machine did not carry the phase.
 const LATE_PERCENT: f64 = 1.0;
 
-type Measure = (&'static str, fn(&Phase) -> f64);
+/// A measure that grows with the size.
+struct Measure {
+    name: &'static str,
+    of: fn(&Phase) -> f64,
+    /// Whether a phase that the machine did not carry says nothing of it.
+    timely: bool,
+}
+
+const fn measure(name: &'static str, of: fn(&Phase) -> f64, timely: bool) -> Measure {
+    Measure { name, of, timely }
+}
 
 const MEASURES: [Measure; 8] = [
-    ("core % of a real proxy", |p| p.real_core_percent),
-    ("core % of a hollow proxy", |p| p.hollow_core_percent),
-    ("core % of discovery", |p| p.registry_core_percent),
-    ("MB of a real proxy", |p| p.real_resident_mb),
-    ("MB of a hollow proxy", |p| p.hollow_resident_mb),
-    ("control KB/s of a proxy", |p| p.control_kb_per_s),
-    ("control messages/s of a proxy", |p| p.control_messages_per_s),
-    ("ms in force at the last, p99", |p| p.in_force_at_last_ms.p99),
+    measure("core % of a real proxy", |p| p.real_core_percent, false),
+    measure("core % of a hollow proxy", |p| p.hollow_core_percent, true),
+    measure("core % of discovery", |p| p.registry_core_percent, true),
+    measure("MB of a real proxy", |p| p.real_resident_mb, false),
+    measure("MB of a hollow proxy", |p| p.hollow_resident_mb, false),
+    measure("control KB/s of a proxy", |p| p.control_kb_per_s, true),
+    measure("control messages/s of a proxy", |p| p.control_messages_per_s, true),
+    measure("ms in force at the last, p99", |p| p.in_force_at_last_ms.p99, true),
 ];
 
 impl Real {
@@ -202,55 +215,74 @@
         let line = fit::line(&points.iter().map(|&(size, x)| (size as f64, x)).collect::<Vec<_>>());
         slopes.extend(line.map(|line| Slope { measure, points, line }));
     };
-    fit(
-        "bytes of the whole list".into(),
-        sizes.iter().map(|s| (s.size, s.whole_list_bytes as f64)).collect(),
-    );
+    let bytes = sizes.iter().map(|s| (s.size, s.whole_list_bytes as f64));
+    fit("bytes of the whole list".to_string(), bytes.collect());
     for (place, phase) in first.phases.iter().enumerate() {
-        for (name, of) in MEASURES {
-            let points: Vec<(usize, f64)> =
-                sizes.iter().filter_map(|s| Some((s.size, of(s.phases.get(place)?)))).collect();
+        for measure in &MEASURES {
+            let phases = sizes.iter().filter_map(|s| Some((s.size, s.phases.get(place)?)));
+            let carried = phases.filter(|(_, phase)| !measure.timely || phase.troubles().is_empty());
+            let points: Vec<_> = carried.map(|(size, phase)| (size, (measure.of)(phase))).collect();
             if points.iter().any(|(_, x)| *x != 0.0) {
-                fit(format!("{}: {name}", phase.name), points);
+                fit(format!("{}: {}", phase.name, measure.name), points);
             }
         }
     }
     slopes
 }
 
+impl Phase {
+    /// What the machine could not carry.
+    fn troubles(&self) -> Vec<String> {
+        let figures = [
+            (
+                self.hollow_host_core_percent_max,
+                FULL_CORE_PERCENT,
+                "of a core for a process of hollow proxies",
+            ),
+            (self.hollow_late_timers_percent, LATE_PERCENT, "of hollow proxies' timers more than 20 ms late"),
+            (self.late_calls_percent, LATE_PERCENT, "of the calls sent late"),
+            (self.registry_core_percent, FULL_CORE_PERCENT, "of a core for the stand-in of discovery"),
+        ];
+        let over = figures.into_iter().filter(|(figure, most, _)| figure > most);
+        over.map(|(figure, _, what)| format!("{figure:.1}% {what}")).collect()
+    }
+}
+
 fn not_carried(sizes: &[Size]) -> Vec<String> {
     let mut lines = Vec::new();
     for size in sizes {
-        if size.holding_first_list < size.size {
-            lines.push(format!(
-                "size {}: {} of the proxies held the first list in time",
-                size.size, size.holding_first_list
-            ));
+        let proxies = size.real + size.hollow;
+        if size.holding_first_list < proxies {
+            let held = size.holding_first_list;
+            lines
+                .push(format!("size {}: {held} of {proxies} proxies held the first list in time", size.size));
         }
         for phase in &size.phases {
-            let at = format!("size {}, {}", size.size, phase.name);
-            if phase.hollow_host_core_percent_max > FULL_CORE_PERCENT {
-                let most = phase.hollow_host_core_percent_max;
-                lines.push(format!("{at}: a process of hollow proxies took {most:.0}% of a core"));
-            }
-            if phase.hollow_late_timers_percent > LATE_PERCENT {
-                let late = phase.hollow_late_timers_percent;
-                lines.push(format!(
-                    "{at}: {late:.1}% of the hollow proxies' timers came more than 20 ms late"
-                ));
-            }
-            if phase.late_calls_percent > LATE_PERCENT {
-                lines.push(format!("{at}: {:.1}% of the calls were sent late", phase.late_calls_percent));
-            }
-            if phase.registry_core_percent > FULL_CORE_PERCENT {
-                let most = phase.registry_core_percent;
-                lines.push(format!("{at}: the stand-in of discovery took {most:.0}% of a core"));
+            let troubles = phase.troubles();
+            if !troubles.is_empty() {
+                lines.push(format!("size {}, {}: {}", size.size, phase.name, troubles.join("; ")));
             }
         }
     }
     lines
 }
 
+/// The report with figures of five digits, so that it stays short.
+pub fn rounded(report: Value) -> Value {
+    match report {
+        Value::Number(x) if x.is_f64() => x.as_f64().map_or(Value::Null, |x| round(x).into()),
+        Value::Array(list) => list.into_iter().map(rounded).collect(),
+        Value::Object(map) => map.into_iter().map(|(key, value)| (key, rounded(value))).collect(),
+        other => other,
+    }
+}
+
+fn round(x: f64) -> f64 {
+    // What is too small or large to be scaled stays as it is.
+    let scale = 10f64.powf(4.0 - x.abs().log10().floor());
+    if scale.is_normal() && (x * scale).is_finite() { (x * scale).round() / scale } else { x }
+}
+
 impl fmt::Display for Real {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Machine { cores, load_average_before } = self.machine;
@@ -290,16 +322,17 @@
         }
         writeln!(
             f,
-            "\nslopes: for each 100 proxies and backends ± standard error; at size 0 ± standard error"
+            "\nslopes: for each 100 listed ± standard error; at size 0 ± standard error; sizes in the fit"
         )?;
         for Slope { measure, line: l, .. } in &self.slopes {
             writeln!(
                 f,
-                "  {measure:<52} {:>10.4} ± {:<9.4} {:>10.4} ± {:<9.4}",
+                "  {measure:<52} {:>10.4} ± {:<9.4} {:>10.4} ± {:<9.4} {}",
                 100.0 * l.slope,
                 100.0 * l.slope_error,
                 l.intercept,
-                l.intercept_error
+                l.intercept_error,
+                l.points
             )?;
         }
         for line in &self.not_carried {
--- /dev/null
+++ b/scale/tests/real.rs
@@ -0,0 +1,418 @@
+//! The real part's own pieces on loopback connections, and the program: no test here waits for a time to pass, and
+//! what must come is waited for.
+
+use scale::real::backends::{Backends, Mode, Next, Work};
+use scale::real::client::{Answer, Call, Client};
+use scale::real::registry::{Health, Host, Registry};
+use scale::scenario::Scenario;
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::os::unix::fs::PermissionsExt;
+use std::path::{Path, PathBuf};
+use std::process::{Output, Stdio};
+use std::sync::Arc;
+use std::sync::atomic::Ordering::Relaxed;
+use std::time::Duration;
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::TcpStream;
+use tokio::process::Command;
+use tokio::time::timeout;
+
+/// No test waits longer than this for what must come.
+const LONG: Duration = Duration::from_secs(60);
+const TARGET: &str = include_str!("../scenarios/target.toml");
+
+async fn soon<T>(what: impl Future<Output = T>) -> T {
+    timeout(LONG, what).await.expect("it comes")
+}
+
+/// A connection to the stand-in, with what went over it.
+struct Watch {
+    stream: TcpStream,
+    bytes: usize,
+}
+
+impl Watch {
+    async fn open(address: SocketAddr) -> Self {
+        let stream = soon(TcpStream::connect(address)).await.expect("it listens");
+        Watch { stream, bytes: 0 }
+    }
+
+    async fn ask(&mut self, path: &str) {
+        let head = format!("GET {path} HTTP/1.1\r\nHost: registry\r\n\r\n");
+        self.stream.write_all(head.as_bytes()).await.expect("open");
+        self.bytes += head.len();
+    }
+
+    /// Status and body.
+    async fn answer(&mut self) -> (u16, Value) {
+        let mut text = Vec::new();
+        soon(async {
+            loop {
+                let head = text.windows(4).position(|four| four == b"\r\n\r\n").map(|at| at + 4);
+                if let Some(at) = head {
+                    let head = String::from_utf8(text[..at].to_vec()).expect("text").to_lowercase();
+                    let status = head.split(' ').nth(1).and_then(|s| s.parse().ok()).expect("a status");
+                    let length = head.lines().find_map(|line| line.strip_prefix("content-length: "));
+                    let length: usize = length.expect("a length").parse().expect("a number");
+                    if text.len() == at + length {
+                        self.bytes += text.len();
+                        return (status, serde_json::from_slice(&text[at..]).unwrap_or(Value::Null));
+                    }
+                }
+                assert_ne!(self.stream.read_buf(&mut text).await.expect("open"), 0);
+            }
+        })
+        .await
+    }
+
+    async fn call(&mut self, path: &str) -> (u16, Value) {
+        self.ask(path).await;
+        self.answer().await
+    }
+
+    /// A watch: the page.
+    async fn page(&mut self, path: &str) -> (u64, bool, Vec<(String, String)>) {
+        self.ask(path).await;
+        self.news().await
+    }
+
+    async fn news(&mut self) -> (u64, bool, Vec<(String, String)>) {
+        let (status, page) = self.answer().await;
+        assert_eq!(status, 200);
+        let host = |h: &Value| {
+            assert!(h["dial"].as_str().is_some_and(|dial| dial.parse::<SocketAddr>().is_ok()));
+            assert!(h["site"].is_string() && h["class"].is_string() && h["block"].is_u64());
+            assert!(h["share"].is_f64() && h["born_ms"].is_u64());
+            (h["host"].as_str().expect("a name").into(), h["health"].as_str().expect("a health").into())
+        };
+        let hosts = page["hosts"].as_array().expect("entries").iter().map(host).collect();
+        (page["seq"].as_u64().expect("a version"), page["whole"].as_bool().expect("whole or not"), hosts)
+    }
+}
+
+fn host(number: u16) -> Host {
+    let dial = SocketAddr::from(([127, 0, 0, 1], 1000 + number));
+    Host::serving(format!("s-{number}"), dial, "z0".to_string(), 0)
+}
+
+fn named(hosts: &[(u16, &str)]) -> Vec<(String, String)> {
+    hosts.iter().map(|(number, health)| (format!("s-{number}"), (*health).to_string())).collect()
+}
+
+#[tokio::test]
+async fn a_watch_waits_for_news_and_gets_what_changed() {
+    let registry = Registry::start(vec![host(1), host(2), host(3)], 1).await.expect("it listens");
+    let mut watch = Watch::open(registry.addresses()[0]).await;
+    let all = named(&[(1, "SERVING"), (2, "SERVING"), (3, "SERVING")]);
+    assert_eq!(watch.page("/registry/instances").await, (1, true, all.clone()));
+    assert_eq!(watch.page("/registry/instances?after=1&wait_ms=1").await, (1, false, vec![]), "no news");
+    // The stand-in has the watch before the change is made: its answer is news that was not there when it asked.
+    watch.ask("/registry/instances?after=1&wait_ms=60000").await;
+    assert_eq!(registry.in_force(1, LONG).await, 1);
+    let drained = Host { health: Health::Draining, ..host(2) };
+    assert_eq!(registry.change(vec![drained]), 2);
+    assert_eq!(watch.news().await, (2, false, named(&[(2, "DRAINING")])));
+    // Changes made while nobody watches come together, the last state of each.
+    registry.change(vec![Host { health: Health::Deleted, ..host(1) }, host(4)]);
+    registry.change(vec![Host { health: Health::Draining, ..host(4) }]);
+    let both = named(&[(1, "DELETED"), (4, "DRAINING")]);
+    assert_eq!(watch.page("/registry/instances?after=2&wait_ms=60000").await, (4, false, both));
+    // The whole list lacks what is gone; a version of another time gets it at once.
+    let whole = named(&[(2, "DRAINING"), (3, "SERVING"), (4, "DRAINING")]);
+    assert_eq!(watch.page("/registry/instances").await, (4, true, whole.clone()));
+    assert_eq!(watch.page("/registry/instances?after=99&wait_ms=60000").await, (4, true, whole));
+    for (path, status) in [
+        ("/registry", 404),
+        ("/registry/instances?after=x", 400),
+        ("/registry/instances?after=1&wait_ms=-1", 400),
+    ] {
+        assert_eq!(watch.call(path).await.0, status, "{path}");
+    }
+    // Every byte counts, both ways, and every call that was answered with a list.
+    let volume = registry.traffic().volume();
+    assert_eq!((volume.bytes, volume.messages), (watch.bytes as u64, 2 * 6));
+}
+
+#[tokio::test]
+async fn a_resync_sends_everybody_the_whole_list() {
+    let registry = Registry::start(vec![host(1), host(2)], 2).await.expect("it listens");
+    let mut watches = Vec::new();
+    for &address in registry.addresses() {
+        let mut watch = Watch::open(address).await;
+        watch.ask("/registry/instances?after=1&wait_ms=60000").await;
+        watches.push(watch);
+    }
+    assert_eq!(registry.in_force(1, LONG).await, 2);
+    assert_eq!(registry.resync(), 2);
+    let all = named(&[(1, "SERVING"), (2, "SERVING")]);
+    for watch in &mut watches {
+        assert_eq!(watch.news().await, (2, true, all.clone()));
+    }
+    // After it, changes are told as such again.
+    registry.change(vec![host(2)]);
+    for watch in &mut watches {
+        let changed = watch.page("/registry/instances?after=2&wait_ms=60000").await;
+        assert_eq!(changed, (3, false, named(&[(2, "SERVING")])));
+    }
+}
+
+#[tokio::test]
+async fn a_change_is_in_force_where_a_proxy_asks_for_news_of_it() {
+    let registry = Registry::start(vec![host(1)], 2).await.expect("it listens");
+    let mut watches = Vec::new();
+    for &address in registry.addresses() {
+        watches.push(Watch::open(address).await);
+    }
+    let (two, three) = (registry.change(vec![host(1)]), registry.change(vec![host(1)]));
+    assert_eq!((two, three), (2, 3));
+    // One holds both, the other the first.
+    watches[0].page("/registry/instances?after=3&wait_ms=1").await;
+    watches[1].page("/registry/instances?after=2&wait_ms=1").await;
+    assert_eq!(registry.in_force(2, LONG).await, 2);
+    assert_eq!(registry.in_force(3, Duration::ZERO).await, 1);
+    let spread = registry.propagation();
+    assert_eq!((spread.changes, spread.unfinished), (2, 1));
+    assert_eq!((spread.each.len(), spread.last.len()), (3, 1));
+    assert_eq!(registry.propagation().changes, 0, "told once");
+}
+
+fn work() -> Work {
+    Work { warm: Duration::ZERO, cold: Duration::ZERO, cold_for: LONG, grace: Duration::ZERO }
+}
+
+fn call(query: &str) -> Call {
+    Call {
+        class: "query".to_string(),
+        method: hyper::Method::GET,
+        keyed: false,
+        query: query.to_string(),
+        patience: LONG,
+    }
+}
+
+#[tokio::test]
+async fn backends_serve_are_silent_are_gone_and_come_back() {
+    let backends = Backends::start(1, work()).expect("it listens");
+    let (backend, client) = (&backends.all[0], Arc::new(Client::new(1)));
+    assert_eq!(client.call(backend.address, &call("")).await, Answer::Served);
+    // Silent: the call is there, and is answered once the backend is heard again.
+    backend.set(Mode::Silent);
+    let (caller, address) = (client.clone(), backend.address);
+    let asked = tokio::spawn(async move { caller.call(address, &call("")).await });
+    soon(async {
+        while backends.counts().calls.load(Relaxed) < 2 {
+            tokio::task::yield_now().await;
+        }
+    })
+    .await;
+    assert!(!asked.is_finished());
+    backend.set(Mode::Serving);
+    assert_eq!(soon(asked).await.expect("it ends"), Answer::Served);
+    // Gone: an open connection ends, and new ones are refused.
+    let mut open = TcpStream::connect(address).await.expect("it listens");
+    let _ = client.call(address, &call("")).await;
+    backend.set(Mode::Gone);
+    assert!(!soon(open.read(&mut [0; 1])).await.is_ok_and(|n| n > 0));
+    soon(async {
+        while TcpStream::connect(address).await.is_ok() {
+            tokio::task::yield_now().await;
+        }
+    })
+    .await;
+    assert_eq!(client.call(address, &call("")).await, Answer::Failed);
+    backend.restart();
+    backend.set(Mode::Serving);
+    soon(async {
+        while client.call(address, &call("")).await != Answer::Served {
+            tokio::task::yield_now().await;
+        }
+    })
+    .await;
+    // What comes past the grace of a drain is counted.
+    assert_eq!(backends.counts().late_to_draining.load(Relaxed), 0);
+    backend.drain();
+    assert_eq!(client.call(address, &call("")).await, Answer::Served);
+    assert_eq!(backends.counts().late_to_draining.load(Relaxed), 1);
+}
+
+#[tokio::test]
+async fn a_chain_is_as_deep_as_its_call_says_and_fails_with_its_last() {
+    let backends = Backends::start(2, work()).expect("they listen");
+    let client = Client::new(1);
+    let to: Vec<SocketAddr> = backends.all.iter().map(|b| b.address).collect();
+    backends.connect(Next { proxies: to.clone(), backends: to.clone() });
+    assert_eq!(client.call(to[0], &call("hops=9&direct=0")).await, Answer::Served);
+    assert_eq!(backends.counts().calls.load(Relaxed), 10, "each hop");
+    assert_eq!(client.call(to[0], &call("hops=9&direct=1")).await, Answer::Served);
+    assert_eq!(backends.counts().calls.load(Relaxed), 10, "straight ones are not counted");
+    backends.all[1].set(Mode::Gone);
+    soon(async {
+        while TcpStream::connect(to[1]).await.is_ok() {
+            tokio::task::yield_now().await;
+        }
+    })
+    .await;
+    assert_eq!(client.call(to[0], &call("hops=2&direct=0")).await, Answer::Failed);
+}
+
+/// A scenario of a few processes and short phases, in a folder of its own.
+fn scenario(folder: &Path, changes: &[(&str, &str)]) -> PathBuf {
+    let mut text = TARGET.to_string();
+    let small =
+        [("sizes = [90, 180, 360, 720]", "sizes = [29]"), ("real_processes = 24", "real_processes = 2")];
+    for (from, to) in small.iter().chain(changes) {
+        assert!(text.contains(from), "{from}");
+        text = text.replacen(from, to, 1);
+    }
+    let path = folder.join("scenario.toml");
+    std::fs::write(&path, text).expect("the folder takes a file");
+    path
+}
+
+fn program(folder: &Path) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_scale"));
+    command.env("TMPDIR", folder).kill_on_drop(true).stdin(Stdio::null());
+    command
+}
+
+/// A program in a real proxy's place.
+fn stand_in(folder: &Path, script: &str) -> PathBuf {
+    let path = folder.join("proxy.sh");
+    std::fs::write(&path, format!("#!/bin/sh\n{script}\n")).expect("the folder takes a file");
+    let runs = std::fs::Permissions::from_mode(0o755);
+    std::fs::set_permissions(&path, runs).expect("it is ours");
+    path
+}
+
+/// The processes that a log names.
+fn started(log: &str) -> Vec<u32> {
+    let ids = log.lines().filter_map(|line| line.split_once("process ")?.1.split_once(':'));
+    ids.filter_map(|(id, _)| id.parse().ok()).collect()
+}
+
+fn nothing_is_left(log: &str, folder: &Path) {
+    let processes = started(log);
+    assert!(!processes.is_empty(), "{log}");
+    for id in processes {
+        assert!(!Path::new(&format!("/proc/{id}")).exists(), "{id} is left: {log}");
+    }
+    let folders =
+        std::fs::read_dir(folder).expect("a folder").filter(|e| e.as_ref().is_ok_and(|e| e.path().is_dir()));
+    assert_eq!(folders.count(), 0, "of temporary files");
+}
+
+fn last_line(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stderr).lines().last().unwrap_or_default().to_string()
+}
+
+#[tokio::test]
+async fn nothing_is_left_of_a_run_whose_proxy_ends_early() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let (scenario, proxy) =
+        (scenario(folder.path(), &[]), stand_in(folder.path(), "echo no room >&2; exit 3"));
+    let run = program(folder.path()).arg("run").arg(scenario).arg("--heathroad").arg(proxy).output();
+    let output = soon(run).await.expect("it starts");
+    assert!(!output.status.success());
+    assert_eq!(last_line(&output), "scale: n0: ended before it listened: no room");
+    nothing_is_left(&String::from_utf8_lossy(&output.stderr), folder.path());
+}
+
+#[tokio::test]
+async fn nothing_is_left_of_a_run_that_is_interrupted() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let script = "echo listening on 127.0.0.1:1 >&2; exec sleep 600";
+    let (scenario, proxy) = (scenario(folder.path(), &[]), stand_in(folder.path(), script));
+    let mut command = program(folder.path());
+    let command = command.arg("run").arg(scenario).arg("--heathroad").arg(proxy).stderr(Stdio::piped());
+    let mut run = command.spawn().expect("it starts");
+    let mut lines = BufReader::new(run.stderr.take().expect("piped")).lines();
+    let mut log = String::new();
+    // One process of hollow proxies and two real ones.
+    while started(&log).len() < 3 {
+        let line = soon(lines.next_line()).await.expect("readable").expect("it goes on");
+        log = format!("{log}{line}\n");
+    }
+    let id = run.id().expect("it runs").to_string();
+    let sent = soon(Command::new("kill").args(["-INT", &id]).status()).await;
+    assert!(sent.expect("kill runs").success());
+    assert!(!soon(run.wait()).await.expect("it ran").success());
+    while let Some(line) = soon(lines.next_line()).await.expect("readable") {
+        log = format!("{log}{line}\n");
+    }
+    assert_eq!(log.lines().last(), Some("scale: interrupted"));
+    nothing_is_left(&log, folder.path());
+}
+
+#[tokio::test]
+async fn a_scenario_that_can_not_be_run_gives_one_line_that_names_the_key() {
+    let folder = tempfile::tempdir().expect("a folder");
+    for (from, to, key) in [
+        ("phase_s = 5.0", "phase_s = 0.0", "real.phase_s"),
+        ("depths = [1, 2, 5, 10]", "depths = [1, 0]", "real.depths[1]"),
+        ("hollow_per_process = 60", "hollow_per_process = 0", "real.hollow_per_process"),
+        ("work_ms = 0.0", "work_ms = nan", "real.work_ms"),
+        ("processes = 300", "processes = 3", "limits.processes"),
+    ] {
+        let scenario = scenario(folder.path(), &[(from, to)]);
+        for command in ["check", "run"] {
+            let output = soon(program(folder.path()).arg(command).arg(&scenario).output()).await;
+            let output = output.expect("it starts");
+            let said = String::from_utf8_lossy(&output.stderr).to_string();
+            assert!(!output.status.success() && output.stdout.is_empty(), "{command} {to}");
+            assert!(said.lines().count() == 1 && said.contains(key), "{command} {to}: {said}");
+        }
+    }
+    let scenario = scenario(folder.path(), &[]);
+    assert!(Scenario::load(&scenario).is_ok());
+    let output = soon(program(folder.path()).arg("check").arg(&scenario).output()).await.expect("it starts");
+    assert!(output.status.success(), "{}", last_line(&output));
+}
+
+#[tokio::test]
+async fn too_few_descriptors_are_told_before_anything_is_started() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let scenario = scenario(folder.path(), &[]);
+    let command = "ulimit -n 128; exec \"$0\" run \"$1\" --heathroad /bin/false";
+    let mut shell = Command::new("/bin/sh");
+    let shell = shell.args(["-c", command, env!("CARGO_BIN_EXE_scale")]).arg(scenario).output();
+    let output = soon(shell).await.expect("it starts");
+    assert!(!output.status.success());
+    let said = String::from_utf8_lossy(&output.stderr).to_string();
+    assert_eq!(said, "scale: descriptors: the limit is 128, and size 29 needs 1024\n");
+}
+
+/// The whole way, with the release build of the proxy as the checks make it before the tests.
+#[tokio::test]
+async fn a_small_run_measures_every_phase_and_leaves_nothing() {
+    let proxy = Path::new(env!("CARGO_MANIFEST_DIR")).join("../target/release/heathroad");
+    assert!(proxy.is_file(), "cargo build --release comes first");
+    let folder = tempfile::tempdir().expect("a folder");
+    let (scenario, json) =
+        (scenario(folder.path(), &[("phase_s = 5.0", "phase_s = 0.5")]), folder.path().join("r.json"));
+    let mut command = program(folder.path());
+    let run =
+        command.arg("run").arg(scenario).arg("--heathroad").arg(proxy).arg("--json").arg(&json).output();
+    let output = soon(run).await.expect("it starts");
+    assert!(output.status.success(), "{}", last_line(&output));
+    nothing_is_left(&String::from_utf8_lossy(&output.stderr), folder.path());
+    let report: Value = serde_json::from_slice(&std::fs::read(json).expect("a report")).expect("JSON");
+    let size = &report["real"]["sizes"][0];
+    assert_eq!((&size["size"], &size["real"], &size["hollow"]), (&29.into(), &2.into(), &27.into()));
+    assert_eq!(size["holding_first_list"], 29);
+    let phases = size["phases"].as_array().expect("phases");
+    let names: Vec<&str> = phases.iter().filter_map(|p| p["name"].as_str()).collect();
+    let events = ["zone lost", "zone back", "region cut", "region heard", "resync"];
+    assert_eq!(names, [&["idle", "steady", "idle, changes", "changes"][..], &events[..]].concat());
+    for phase in phases {
+        let count = |key: &str| phase[key].as_u64().expect(key);
+        let ended = ["served", "refused", "failed", "timed_out"].map(count).iter().sum::<u64>();
+        assert_eq!(count("asked"), ended, "{phase}");
+        let name = phase["name"].as_str().expect("a name");
+        assert_eq!(count("asked") > 0, !name.starts_with("idle"), "{name}");
+        assert_eq!(
+            count("changes") > 0,
+            name.contains("changes") || name.contains("zone") || name == "resync"
+        );
+    }
+}
