--- a/scale/src/main.rs
+++ b/scale/src/main.rs
@@ -2,6 +2,148 @@
 
 #![forbid(unsafe_code)]
 
-fn main() {
-    println!("scale");
+use anyhow::{Context, bail};
+use clap::{Parser, Subcommand, ValueEnum};
+use scale::report::{Hollow, Machine, Real, rounded};
+use scale::scenario::Scenario;
+use scale::{hollow, real};
+use serde_json::{Map, to_value};
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::{Duration, Instant};
+use tracing_subscriber::filter::LevelFilter;
+
+/// The fleet of a target size on one machine, measured at several sizes.
+#[derive(Parser)]
+#[command(version)]
+struct Arguments {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Plays a scenario and prints what was measured.
+    Run {
+        /// The scenario file.
+        scenario: PathBuf,
+        /// Sizes in place of the file's, parted by commas.
+        #[arg(long, value_delimiter = ',')]
+        sizes: Vec<usize>,
+        /// A seed in place of the file's.
+        #[arg(long)]
+        seed: Option<u64>,
+        /// A file that takes the report as JSON.
+        #[arg(long)]
+        json: Option<PathBuf>,
+        /// The real proxy's program.
+        #[arg(long, default_value = "target/release/heathroad")]
+        heathroad: PathBuf,
+        /// What is played.
+        #[arg(long, value_enum, default_value_t = Part::All)]
+        part: Part,
+        /// In the real part, real proxies alone, with the whole size listed.
+        #[arg(long)]
+        without_hollow: bool,
+    },
+    /// Reads a scenario and says whether it and the machine's limits allow a run.
+    Check {
+        /// The scenario file.
+        scenario: PathBuf,
+    },
+    /// Hosts hollow proxies for a run.
+    #[command(name = real::HOST_COMMAND, hide = true)]
+    HollowProxies,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, ValueEnum)]
+enum Part {
+    /// The decision modules of a fleet on virtual time, the same for a seed.
+    Hollow,
+    /// Processes on loopback sockets.
+    Real,
+    /// Both, the real part first.
+    All,
+}
+
+fn main() -> ExitCode {
+    tracing_subscriber::fmt().with_max_level(LevelFilter::INFO).with_writer(std::io::stderr).init();
+    match start() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("scale: {e:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn start() -> anyhow::Result<()> {
+    match Arguments::parse().command {
+        Command::HollowProxies => real::copies::serve(),
+        Command::Check { scenario } => {
+            let scenario = Scenario::load(&scenario)?;
+            real::check(&scenario, true)?;
+            println!("the scenario can be run: sizes {:?}", scenario.sizes);
+            Ok(())
+        }
+        Command::Run { scenario, sizes, seed, json, heathroad, part, without_hollow } => {
+            let mut scenario = Scenario::load(&scenario)?;
+            if !sizes.is_empty() {
+                scenario.sizes = sizes;
+            }
+            scenario.seed = seed.unwrap_or(scenario.seed);
+            scenario.check()?;
+            let (mut report, begun) = (Map::new(), Instant::now());
+            if part != Part::Hollow {
+                let real = play_real(&scenario, heathroad, !without_hollow)?;
+                print!("{real}");
+                report.insert("real".to_string(), rounded(to_value(real)?));
+            }
+            if part != Part::Real {
+                let hollow = play_hollow(&scenario, begun)?;
+                print!("{hollow}");
+                report.insert("hollow".to_string(), rounded(to_value(hollow)?));
+            }
+            match json {
+                Some(path) => std::fs::write(&path, serde_json::to_vec(&report)?)
+                    .with_context(|| format!("--json: {}", path.display())),
+                None => Ok(()),
+            }
+        }
+    }
+}
+
+/// Begins no size once the time of the whole run is over.
+fn play_hollow(scenario: &Scenario, begun: Instant) -> anyhow::Result<Hollow> {
+    let mut sizes = Vec::new();
+    for &size in &scenario.sizes {
+        let limit = scenario.limits.run_s;
+        if begun.elapsed().as_secs_f64() > limit {
+            bail!("limits.run_s: the run is not over after {limit} s");
+        }
+        tracing::info!("size {size}: hollow part");
+        sizes.push(hollow::run(scenario, size, scenario.seed)?);
+    }
+    Ok(Hollow::new(sizes))
+}
+
+fn play_real(scenario: &Scenario, heathroad: PathBuf, hollow: bool) -> anyhow::Result<Real> {
+    real::check(scenario, hollow)?;
+    if !heathroad.is_file() {
+        bail!("--heathroad: {}: no such program", heathroad.display());
+    }
+    let options = real::Options {
+        seed: scenario.seed,
+        heathroad,
+        program: std::env::current_exe().context("this program's own path")?,
+        hollow,
+        time: Duration::from_secs_f64(scenario.limits.run_s),
+    };
+    let machine = Machine {
+        cores: std::thread::available_parallelism().map_or(1, usize::from),
+        load_average_before: real::usage::load_average(),
+    };
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
+    let sizes = runtime.block_on(real::run(scenario, &options))?;
+    Ok(Real::new(scenario.seed, machine, sizes))
 }
