--- a/scale/tests/real.rs
+++ b/scale/tests/real.rs
@@ -209,18 +209,18 @@
         fields.get(2).is_some_and(|remote| remote.ends_with(&port)) && fields.get(3) == Some(&SYN_SENT)
     };
     let under_way = || std::fs::read_to_string("/proc/net/tcp").expect("a table").lines().any(waits);
+    let mut found = None;
     soon(async {
-        loop {
+        while found.is_none() {
             let connect = tokio::spawn(TcpStream::connect(address));
-            while !connect.is_finished() {
-                if under_way() && !connect.is_finished() {
-                    return connect;
-                }
+            while !connect.is_finished() && !under_way() {
                 tokio::time::sleep(Duration::from_millis(10)).await;
             }
+            found = Some(connect).filter(|connect| !connect.is_finished());
         }
     })
-    .await
+    .await;
+    found.expect("it is under way")
 }
 
 #[tokio::test]
