--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -260,8 +260,8 @@
         *b = Backend { entry, calls, lanes, slow: 1.0, heard: now, cold_tokens, ..Backend::default() };
     }
 
-    /// Backends that the list says take work and the operators have not left out, in the ring's order. One walk
-    /// costs far less than looking each of them up.
+    /// Backends that the list says take work and the operators have not left out, in the ring's order. One
+    /// walk costs far less than looking each of them up.
     fn members(&self) -> impl Iterator<Item = (BackendId, &Backend)> {
         let takes = |(id, b): &(&BackendId, &Backend)| {
             b.entry.phase == Phase::Ready && !self.suspended.contains_key(id)
