Hollow backends wait for an address that a process just being started still holds

Cause, by a trace of system calls: the listener that takes the old one's place got EADDRINUSE, and the backend was shut for good. A child that another test is starting holds the old listener between fork and exec. Change: the address is tried again for up to 5 s. Ruled out: the queue of one and the table of connections.

--- a/scale/src/real/backends.rs
+++ b/scale/src/real/backends.rs
@@ -57,6 +57,9 @@
     pub backends: Vec<SocketAddr>,
 }
 
+/// An address that is still held is tried again so often.
+const LET_GO: usize = 500;
+
 /// Counts over all backends.
 #[derive(Default)]
 pub struct Counts {
@@ -164,9 +167,25 @@
 }
 
 impl Door {
-    /// The door for a mode. One whose address can't be had is shut, which the log says.
-    fn of(mode: Mode, address: SocketAddr) -> Self {
-        let door = match mode {
+    /// The door for a mode. One whose address can't be had is shut, which the log says. A process that is just being
+    /// started holds all that this one had open for a moment, an old listener too: that is waited out.
+    async fn of(mode: Mode, address: SocketAddr) -> Self {
+        let mut door = Door::at_once(mode, address);
+        for _ in 0..LET_GO {
+            if !door.as_ref().is_err_and(|e| e.kind() == io::ErrorKind::AddrInUse) {
+                break;
+            }
+            sleep(Duration::from_millis(10)).await;
+            door = Door::at_once(mode, address);
+        }
+        door.unwrap_or_else(|e| {
+            tracing::warn!("{address}: {e}");
+            Door::Shut
+        })
+    }
+
+    fn at_once(mode: Mode, address: SocketAddr) -> io::Result<Self> {
+        match mode {
             Mode::Serving => listen(address, QUEUE).map(Door::Open),
             Mode::Silent => listen(address, 0).map(|listener| {
                 let mut filler = JoinSet::new();
@@ -177,11 +196,7 @@
                 Door::Blocked { _listener: listener, _filler: filler }
             }),
             Mode::Gone => Ok(Door::Shut),
-        };
-        door.unwrap_or_else(|e| {
-            tracing::warn!("{address}: {e}");
-            Door::Shut
-        })
+        }
     }
 
     async fn accept(&self) -> io::Result<TcpStream> {
@@ -220,7 +235,7 @@
                     // The old one has to let go of the address first.
                     drop(std::mem::replace(&mut door, Door::Shut));
                     let mode = *mode.borrow_and_update();
-                    door = Door::of(mode, self.address);
+                    door = Door::of(mode, self.address).await;
                 }
                 accepted = door.accept() => match accepted {
                     Ok(stream) => {
