--- a/src/bin/heathroad/engine.rs
+++ b/src/bin/heathroad/engine.rs
@@ -2,10 +2,10 @@
 //! carries out its actions. Keeps the ids, the clock, the timers and each request's life.
 
 use crate::backend::{Attempt, Call, Content, End, Pool, Target};
-use crate::discovery::{Health, Host};
 use crate::front::printed;
 use crate::handover::Marks;
 use crate::log::log;
+use crate::stream::Permit;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::fmt::Write;
@@ -17,9 +17,11 @@
 use tokio::time::{Instant, sleep, sleep_until};
 use turnshift::Balancer;
 use turnshift::api::{
-    Action, Arrival, BackendId, Entry, Event, ListKind, Outcome, Phase, RequestId, Resolved, SettingsError,
+    Action, Arrival, BackendId, Configuration, Entry, Event, ListKind, Outcome, Phase, RequestId, Resolved,
+    SettingsError,
 };
-use turnshift::settings::Facts;
+use turnshift::discovery::{Follower, Health, Host};
+use turnshift::settings::{Facts, Site};
 
 /// The module's deadline lies so much before the caller's: a deadline counts from the caller's send, and the
 /// answer has yet to reach it.
@@ -55,6 +57,8 @@
     pub tenant: u16,
     /// What it is about.
     pub key: Option<String>,
+    /// Whether its caller is still there.
+    pub there: Permit,
     /// When its head had come.
     pub received: Instant,
     /// How long its caller waits.
@@ -91,7 +95,7 @@
 /// What a request is owed. The way to the caller is spent by its one answer, and with it goes what keeps its attempts
 /// wanted that have not been begun.
 enum Life {
-    Owed(oneshot::Sender<Answer>, Rc<()>),
+    Owed(oneshot::Sender<Answer>, Permit),
     Over,
 }
 
@@ -108,7 +112,9 @@
 
 struct Open {
     call: Rc<Call>,
-    /// Place of its class in the settings.
+    /// The settings that it was taken under.
+    facts: Rc<Facts>,
+    /// Place of its class in them.
     class: u16,
     received: Instant,
     life: Life,
@@ -127,6 +133,10 @@
     fn owed(&self) -> bool {
         matches!(self.life, Life::Owed(..))
     }
+    /// Whether it is owed an answer that nobody is there to take.
+    fn deserted(&self) -> bool {
+        matches!(&self.life, Life::Owed(_, there) if !there())
+    }
     fn done(&self) -> bool {
         !self.owed() && self.attempts.iter().all(|(_, stand)| matches!(stand, Stand::Ended(..)))
     }
@@ -184,7 +194,8 @@
     state: RefCell<State>,
     pool: Rc<Pool>,
     clock: Clock,
-    facts: Facts,
+    /// The settings in force: they change in the same turn as the module's.
+    facts: RefCell<Rc<Facts>>,
     watching: watch::Sender<bool>,
     /// Whether clients are sent away.
     away: watch::Sender<bool>,
@@ -213,9 +224,43 @@
         };
         let (state, clock, last) = (RefCell::new(state), Clock::new(), Cell::new(None));
         let (away, processes) = (watch::Sender::new(false), watch::Sender::new(1));
+        let facts = RefCell::new(Rc::new(facts));
         Ok(Rc::new(Engine { state, pool, clock, facts, watching, away, processes, last }))
     }
 
+    /// The settings in force.
+    pub fn facts(&self) -> Rc<Facts> {
+        self.facts.borrow().clone()
+    }
+
+    /// Their number.
+    pub fn version(&self) -> u64 {
+        self.state.borrow().balancer.version()
+    }
+
+    /// Puts other settings in force, here and in the module, and gives their number. An error says what is wrong;
+    /// nothing has changed then. A class or tenant continues the one of its name.
+    pub fn configure(self: &Rc<Self>, facts: Facts, version: u64, rest: u64) -> Result<u64, SettingsError> {
+        let s = &mut *self.state.borrow_mut();
+        let old = self.facts();
+        let classes = continued(&old.site.classes, &facts.site.classes);
+        let tenants = continued(&old.site.tenants, &facts.site.tenants);
+        let next = Configuration { version, settings: facts.settings.clone(), classes, tenants, rest };
+        let mut actions = std::mem::take(&mut s.actions);
+        let version = s.balancer.configure(self.clock.at(Instant::now()), next, &mut actions)?;
+        self.facts.replace(Rc::new(facts));
+        self.carry_out(s, actions);
+        self.go_on(s);
+        Ok(version)
+    }
+
+    /// The longest that something lasts by the settings in force and by those that requests in work were taken under.
+    pub fn longest(&self, lasts: impl Fn(&Site) -> Duration) -> Duration {
+        let s = self.state.borrow();
+        let owed = s.requests.values().filter(|r| r.owed()).map(|r| lasts(&r.facts.site));
+        owed.fold(lasts(&self.facts().site), Duration::max)
+    }
+
     /// Whether clients are sent away, and news of it.
     pub fn away(&self) -> watch::Receiver<bool> {
         self.away.subscribe()
@@ -284,14 +329,15 @@
         let upload = incoming.call.upload().cloned();
         let request = {
             let s = &mut *self.state.borrow_mut();
-            if s.requests.len() >= self.facts.site.open_cap {
+            let facts = self.facts();
+            if s.requests.len() >= facts.site.open_cap {
                 return Answer::Refused { retry_after: None };
             }
             let id = s.next;
             s.next += 1;
             let (call, class, received) = (Rc::new(incoming.call), incoming.class, incoming.received);
-            let life = Life::Owed(caller, Rc::default());
-            let open = Open { call, class, received, life, attempts: Vec::new() };
+            let life = Life::Owed(caller, incoming.there);
+            let open = Open { call, facts, class, received, life, attempts: Vec::new() };
             s.requests.insert(id, open);
             id
         };
@@ -309,7 +355,8 @@
         }
         tokio::select! {
             biased;
-            answer = answer => answer.unwrap_or(Answer::Failed),
+            // None comes to a caller that has gone; its connection, which is about to notice, ends this.
+            Ok(answer) = answer => answer,
             // The module answers in time; this guards against a late loop and against its silence.
             () = sleep_until(end - BACKSTOP.min(limit)) => Answer::TimedOut,
         }
@@ -381,7 +428,7 @@
     fn entry(&self, s: &mut State, h: Host, older: bool) -> Option<Entry> {
         let (backend, known) = s.known(&h.host);
         known.listed = h.health != Health::Deleted;
-        let Some(zone) = self.facts.site.zones.iter().position(|z| *z == h.site) else {
+        let Some(zone) = self.facts().site.zones.iter().position(|z| *z == h.site) else {
             if h.health == Health::Deleted {
                 return Some(Entry { backend, phase: Phase::Gone, ..Entry::default() });
             }
@@ -412,7 +459,7 @@
     /// A line for a request that is about to end unserved, so that it can be followed by its id.
     fn log(&self, s: &State, request: RequestId, how: &str) {
         let Some(open) = s.requests.get(&request).filter(|r| r.owed()) else { return };
-        let class = &self.facts.site.classes[usize::from(open.class)];
+        let class = &open.facts.site.classes[usize::from(open.class)];
         let (id, age) = (printed(&open.call.id), open.received.elapsed().as_millis());
         let mut line = format!("{id} {class} {how} after {age} ms");
         for (backend, stand) in &open.attempts {
@@ -430,14 +477,22 @@
     fn tell(self: &Rc<Self>, event: Event) {
         let s = &mut *self.state.borrow_mut();
         s.events.push_back(event);
+        self.go_on(s);
+    }
+
+    fn go_on(self: &Rc<Self>, s: &mut State) {
         while let Some(event) = s.events.pop_front() {
             let mut actions = std::mem::take(&mut s.actions);
             s.balancer.handle(self.clock.at(Instant::now()), event, &mut actions);
-            for action in actions.drain(..) {
-                self.act(s, action);
-            }
-            s.actions = actions;
+            self.carry_out(s, actions);
+        }
+    }
+
+    fn carry_out(self: &Rc<Self>, s: &mut State, mut actions: Vec<Action>) {
+        for action in actions.drain(..) {
+            self.act(s, action);
         }
+        s.actions = actions;
     }
 
     fn act(self: &Rc<Self>, s: &mut State, action: Action) {
@@ -499,9 +554,9 @@
         let number = open.attempts.len();
         let sent = Instant::now();
         let target = s.backends.get(&backend).and_then(|k| k.target.as_ref());
-        let within = number < self.facts.settings.caps.try_limit as usize;
+        let within = number < self.facts().settings.caps.try_limit as usize;
         let wanted = match &open.life {
-            Life::Owed(_, wanted) if within => Some(Rc::downgrade(wanted)),
+            Life::Owed(_, there) if within => Some(Rc::downgrade(there)),
             _ => None,
         };
         let Some((target, wanted)) = target.zip(wanted) else {
@@ -522,7 +577,7 @@
 
     /// An attempt ended. The first served answer goes to the caller by itself.
     fn ended(self: &Rc<Self>, request: RequestId, number: usize, end: End) {
-        let event = {
+        let (left, event) = {
             let s = &mut *self.state.borrow_mut();
             let Some(open) = s.requests.get_mut(&request) else { return };
             let Some((backend, stand)) = open.attempts.get_mut(number) else { return };
@@ -534,7 +589,16 @@
                 End::Broken(status) => self.log(s, request, &format!("broken off by its caller, {status}")),
                 _ => {}
             }
+            // What comes next is decided with this outcome, and perhaps at once: a further attempt.
+            let left =
+                matches!(end, End::Unserved(_)) && s.requests.get(&request).is_some_and(Open::deserted);
+            if left {
+                self.log(s, request, "left unanswered");
+            }
             let Some(open) = s.requests.get_mut(&request) else { return };
+            if left {
+                open.life = Life::Over;
+            }
             match end {
                 End::Served(body) => open.answer(Answer::Served(body)),
                 End::Broken(status) => open.answer(Answer::Broken(status)),
@@ -547,12 +611,30 @@
             let wait = took.as_secs_f64() * 1000.0;
             let event = resolved(request, number, backend, outcome, wait, open);
             s.forget(request);
-            event
+            (left, event)
         };
+        if left {
+            self.tell(Event::Hangup { request });
+        }
         self.tell(event);
     }
 }
 
+impl Follower for Engine {
+    fn ready(&self) -> bool {
+        Engine::ready(self)
+    }
+    fn list(self: &Rc<Self>, kind: ListKind, hosts: Vec<Host>, older: bool) {
+        Engine::list(self, kind, hosts, older);
+    }
+    fn list_failed(self: &Rc<Self>) {
+        Engine::list_failed(self);
+    }
+    fn note(&self, line: String) {
+        log!("{line}");
+    }
+}
+
 fn resolved(
     request: RequestId,
     number: usize,
@@ -566,6 +648,15 @@
     Event::Resolved(Resolved { request, attempt, backend, outcome, wait, closed, spent })
 }
 
+/// For each new name the place that it had before. Of two alike the first goes on.
+fn continued(old: &[String], new: &[String]) -> Vec<Option<u16>> {
+    let mut places: HashMap<&String, u16> = HashMap::new();
+    for (place, name) in (0..).zip(old) {
+        places.entry(name).or_insert(place);
+    }
+    new.iter().map(|name| places.remove(name)).collect()
+}
+
 fn hash(text: &str) -> u64 {
     let mut hasher = DefaultHasher::new();
     text.hash(&mut hasher);
@@ -649,16 +740,57 @@
         Host { host, dial, site, block: 0, health, share: 1.0, born_ms: 0.0 }
     }
 
-    #[tokio::test]
-    async fn backends_that_are_gone_are_forgotten() {
+    fn call() -> Call {
+        Call {
+            method: hyper::Method::GET,
+            uri: hyper::Uri::from_static("/look"),
+            host: None,
+            id: hyper::header::HeaderValue::from_static("1"),
+            key: None,
+            body: Payload::Whole(bytes::Bytes::new()),
+        }
+    }
+
+    fn engine() -> Rc<Engine> {
         let limit = Duration::from_secs(1);
         let limits = Limits { connections: 4, connect: limit, idle: limit, drain_grace: limit };
         let (watching, _) = watch::channel(false);
+        Engine::new(facts(), 1, Rc::new(Pool::new(limits)), watching).expect("good settings")
+    }
+
+    /// A stop waits for as long as what was taken may last by the settings that it was taken under.
+    #[tokio::test]
+    async fn what_was_taken_before_a_change_lasts_as_long_as_then() {
+        let (engine, tasks) = (engine(), LocalSet::new());
+        let aim = |engine: &Engine| engine.longest(|site| millis(site.longest_aim));
+        let (long, short) = (Duration::from_secs(1), Duration::from_millis(200));
+        let (caller, _answer) = oneshot::channel();
+        let life = Life::Owed(caller, Rc::new(|| true));
+        let (class, received, facts) = (0, Instant::now(), engine.facts());
+        let open = Open { call: Rc::new(call()), facts, class, received, life, attempts: Vec::new() };
+        engine.state.borrow_mut().requests.insert(7, open);
+        let mut next = self::facts();
+        (next.settings.classes[0].aim, next.site.longest_aim) = (200.0, 200.0);
+        let configured = async { engine.configure(next, 3, 1) };
+        assert_eq!(tasks.run_until(configured).await, Ok(3));
+        assert_eq!((engine.version(), aim(&engine)), (3, long));
+        engine.state.borrow_mut().requests.clear();
+        assert_eq!(aim(&engine), short);
+    }
+
+    #[test]
+    fn a_class_goes_on_under_its_name_and_of_two_alike_the_first() {
+        let names = |names: &[&str]| names.iter().map(|n| n.to_string()).collect::<Vec<_>>();
+        let (old, new) = (names(&["a", "b", "b"]), names(&["b", "c", "b", "a"]));
+        assert_eq!(continued(&old, &new), [Some(1), None, None, Some(0)]);
+    }
+
+    #[tokio::test]
+    async fn backends_that_are_gone_are_forgotten() {
         let tasks = LocalSet::new();
         tasks
             .run_until(async {
-                let engine =
-                    Engine::new(facts(), 1, Rc::new(Pool::new(limits)), watching).expect("good settings");
+                let engine = engine();
                 for n in 0..100 {
                     let (old, new) = (format!("s-{n}"), format!("s-{}", n + 1));
                     if n % 2 == 0 {
@@ -672,18 +804,11 @@
                 }
                 // One that an open request was sent to stays known until the request is closed.
                 let id = engine.state.borrow().ids["s-100"];
-                let call = Call {
-                    method: hyper::Method::GET,
-                    uri: hyper::Uri::from_static("/look"),
-                    host: None,
-                    id: hyper::header::HeaderValue::from_static("1"),
-                    key: None,
-                    body: Payload::Whole(bytes::Bytes::new()),
-                };
                 let life = Life::Over;
-                let ended = Stand::Ended(Outcome::Error, limit);
+                let ended = Stand::Ended(Outcome::Error, Duration::from_secs(1));
                 let (class, received, attempts) = (0, Instant::now(), vec![(id, ended)]);
-                let open = Open { call: Rc::new(call), class, received, life, attempts };
+                let facts = engine.facts();
+                let open = Open { call: Rc::new(call()), facts, class, received, life, attempts };
                 engine.state.borrow_mut().requests.insert(7, open);
                 engine.list(ListKind::Full, vec![host("s-101", Health::Serving)], false);
                 assert_eq!(engine.state.borrow().backends.len(), 2);
--- a/src/bin/heathroad/discovery.rs
+++ b/src/discovery.rs
@@ -1,7 +1,7 @@
-//! Discovery: the list of backends, and the watch on its changes.
+//! Discovery: the list of backends, and the watch on its changes. The proxy follows it, and so does the scale run,
+//! whose hollow proxies are to make the same calls.
 
-use crate::engine::Engine;
-use crate::log::log;
+use crate::api::{ListKind, TOLD_WITHIN};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1::{SendRequest, handshake};
@@ -15,19 +15,25 @@
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, timeout};
-use turnshift::api::ListKind;
 
 /// A list older than one that was had before is held against it for so long: what a new address has to tell counts as
 /// told 4 s after the move, and discovery may have begun anew.
 const DOUBT: Duration = Duration::from_secs(3);
 /// Pause after an answer without news that came at once; a watch goes on if asked within 200 ms.
 const LULL: Duration = Duration::from_millis(100);
+/// [`TOLD_WITHIN`] in whole milliseconds.
+const TOLD: u64 = TOLD_WITHIN as u64;
 /// Longest list.
 const MAX_LIST: usize = 8 << 20;
 
 /// How long is waited. What discovery has to tell once it is back after a silence counts as told at once, so that a
 /// whole round of a call that is not answered and the pause after it has to fit well into the grace of a drain. Asking
 /// costs nothing: the agent is next door.
+///
+/// For a long grace, and where the module says when to ask again, [`TOLD_WITHIN`] is the bound. Each call takes
+/// its wait and at most thrice the patience, for the connection, the answer and the rest of it. A watch that is
+/// given up, the module's first pause and an answer as late take 5, 2 and 3 twelfths of the term; a call that is
+/// given up after others, the module's longest pause and that answer 3, 4 and 3.
 #[derive(Clone, Copy)]
 pub struct Waits {
     /// A watch, for a change. One that fell silent has to be noticed long before what it misses counts as told, 6 s
@@ -46,13 +52,25 @@
             wait.clamp(Duration::from_millis(least), Duration::from_millis(most))
         };
         Waits {
-            watch: within(grace * 2, 200, 2000),
-            patience: within(grace / 2, 50, 1000),
+            watch: within(grace * 2, 200, TOLD / 6),
+            patience: within(grace / 2, 50, TOLD / 12),
             pause: within(grace / 8, 5, 250),
         }
     }
 }
 
+/// Whoever follows discovery: is told what it answers.
+pub trait Follower {
+    /// Whether a backend takes work by the list that is held.
+    fn ready(&self) -> bool;
+    /// A list, or changes to it; one `older` than what was told before brings no backend back.
+    fn list(self: &Rc<Self>, kind: ListKind, hosts: Vec<Host>, older: bool);
+    /// A call failed, where the list must be asked for.
+    fn list_failed(self: &Rc<Self>);
+    /// A line for the log.
+    fn note(&self, line: String);
+}
+
 /// A list, or changes to one.
 #[derive(Deserialize)]
 pub struct Page {
@@ -110,8 +128,8 @@
         }
     }
 
-    /// Its entries; those that can't be read are logged in one line and passed over.
-    pub fn entries(self) -> Vec<Host> {
+    /// Its entries; those that can't be read are passed over, and a line for the log says so.
+    pub fn entries(self) -> (Vec<Host>, Option<String>) {
         let (mut good, mut bad, mut example) = (Vec::new(), 0, String::new());
         for value in self.hosts {
             match Host::deserialize(&value) {
@@ -120,17 +138,14 @@
                 Err(e) => (bad, example) = (bad + 1, format!("{value}: {e}")),
             }
         }
-        if bad > 0 {
-            log!("discovery: {bad} entries passed over, such as {example}");
-        }
-        good
+        (good, (bad > 0).then(|| format!("discovery: {bad} entries passed over, such as {example}")))
     }
 }
 
 /// Follows discovery for ever. Where the list must be asked for, it does so when the module says so and tells
 /// it of failures; elsewhere it watches all the time. `newest` is the latest version had from any address.
 pub async fn follow(
-    engine: Rc<Engine>,
+    follower: Rc<impl Follower>,
     address: SocketAddr,
     must_ask: bool,
     waits: Waits,
@@ -148,7 +163,7 @@
         let asked = Instant::now();
         let answer = ask(&mut link, address, seq, waits, failing).await;
         let page = answer.and_then(|page| {
-            let sound = page.sound(seq, engine.ready());
+            let sound = page.sound(seq, follower.ready());
             seq = seq.filter(|_| sound.is_ok());
             sound
         });
@@ -170,7 +185,9 @@
                 }
                 if news {
                     let kind = if page.whole { ListKind::Full } else { ListKind::Delta };
-                    engine.list(kind, page.entries(), older);
+                    let (hosts, complaint) = page.entries();
+                    complaint.into_iter().for_each(|line| follower.note(line));
+                    follower.list(kind, hosts, older);
                 }
                 // Nor is discovery that repeats itself asked without a pause.
                 if (!news || repeated) && asked.elapsed() < LULL {
@@ -179,12 +196,12 @@
             }
             Err(e) => {
                 if !std::mem::replace(&mut failing, true) {
-                    log!("discovery: {e}");
+                    follower.note(format!("discovery: {e}"));
                 }
                 link = None;
                 if must_ask {
                     // The module decides when to ask again.
-                    engine.list_failed();
+                    follower.list_failed();
                 }
                 sleep(waits.pause).await;
             }
@@ -243,66 +260,3 @@
     });
     Ok(sender)
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use tokio::io::{AsyncReadExt, AsyncWriteExt};
-    use tokio::net::TcpListener;
-    use tokio::task::LocalSet;
-
-    #[test]
-    fn lists_that_are_older_or_name_nobody_are_not_taken() {
-        let page =
-            |seq, whole, hosts: usize| Page { seq, whole, hosts: vec![serde_json::Value::Null; hosts] };
-        let taken = |page: Page, asked, serving| page.sound(asked, serving).is_ok();
-        for whole in [false, true] {
-            assert!(taken(page(8, whole, 1), Some(7), true));
-            assert!(taken(page(7, whole, 1), Some(7), true), "the same again");
-            assert!(!taken(page(6, whole, 1), Some(7), true), "it went back");
-        }
-        assert!(taken(page(6, true, 1), None, true), "the whole list holds: discovery began anew");
-        assert!(taken(page(7, false, 0), Some(7), true), "no change");
-        assert!(!taken(page(8, true, 0), Some(7), true) && !taken(page(8, true, 0), None, true), "nobody");
-        assert!(taken(page(0, true, 0), None, false), "nobody yet");
-    }
-
-    /// What discovery has to tell counts as told 6 s later, whether or not it arrived: a watch that fell silent and
-    /// an answer that stopped short leave time for a second try. Where discovery as such was silent, what it has to
-    /// tell at its return counts at once: then a call that is not answered and the pause fit into a drain's grace.
-    #[tokio::test(start_paused = true)]
-    async fn silence_and_half_an_answer_are_noticed_before_the_change_counts_as_told() {
-        let half = "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{\"seq\":";
-        for grace in [100, 250, 500, 2000, 10_000].map(Duration::from_millis) {
-            let waits = Waits::new(grace);
-            let again = grace.saturating_sub(waits.pause);
-            let silent = Duration::from_secs(4);
-            for (answer, seq, failing, within) in [
-                ("", Some(7), false, silent),
-                (half, Some(7), false, Duration::from_secs(2)),
-                ("", Some(7), true, again),
-                ("", None, true, again),
-                (half, None, true, again),
-            ] {
-                let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-                let address = listener.local_addr().expect("bound");
-                let agent = async {
-                    let (mut stream, _) = listener.accept().await.expect("it came");
-                    assert_ne!(stream.read(&mut [0; 1024]).await.expect("open"), 0);
-                    stream.write_all(answer.as_bytes()).await.expect("open");
-                    stream
-                };
-                let asked = Instant::now();
-                let mut link = None;
-                let tasks = LocalSet::new();
-                let call = async {
-                    let page = ask(&mut link, address, seq, waits, failing).await;
-                    (page, asked.elapsed())
-                };
-                let ((page, took), _stream) = tasks.run_until(async { tokio::join!(call, agent) }).await;
-                assert!(page.is_err() && link.is_none(), "{answer:?}");
-                assert!(took <= within, "{answer:?} {grace:?}: {took:?}");
-            }
-        }
-    }
-}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,10 +1,10 @@
-//! A load balancer's decisions for services that call services, as a library without I/O.
+//! A load balancer's decisions for services that call services, without I/O.
 //!
 //! Each [`Balancer`] is one copy in front of one tier. It learns one concurrency limit for its own calls,
 //! splits it into slices by worth, refuses low-worth requests first once past it, and picks servers inside a
 //! subset of the tier that is as large as its load. It is told what happens ([`api::Event`]) at a clock time
 //! and answers with what to do ([`api::Action`]). It owns no clock, thread or socket: the same settings,
-//! seed and events give the same actions.
+//! seed and events give the same actions. [`discovery`], which does call the network, stands apart from it.
 //!
 //! A proxy embeds it like this:
 //!
@@ -67,6 +67,8 @@
 //!   than its `not_past`.
 //! - The end of the wait for an attempt that is resolved as timed out or cancelled: its backend is told, so that
 //!   the work stops there.
+//! - Between two events, other settings through [`Balancer::configure`]; names and other facts that go with them
+//!   change in the same step.
 //! - `closed` set once the request is over: the first served answer goes to the client by itself and ends it.
 //!
 //! Events about requests, attempts or backends that the copy does not know, or that are over, are passed over.
@@ -75,6 +77,7 @@
 
 pub mod api;
 mod balancer;
+pub mod discovery;
 pub mod settings;
 mod state;
 
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -46,6 +46,8 @@
     Half,
     /// Serves once it is told to.
     Hold(Arc<Notify>),
+    /// Declines once it is told to.
+    DeclineLater(Arc<Notify>),
 }
 
 /// What backends have in common: the orders for the next requests, wherever they go, and what came.
@@ -229,17 +231,35 @@
             release.notified().await;
             left.1 = false;
         }
+        Do::DeclineLater(release) => {
+            release.notified().await;
+            *reply.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+            reply.headers_mut().insert("srv-declined", "1".parse().expect("a value"));
+        }
     }
     Ok(reply)
 }
 
+/// Whether discovery's agent answers.
+#[derive(Clone, Copy, PartialEq)]
+pub enum Agent {
+    Up,
+    /// Its connections have ended, and it takes no new ones.
+    Refusing,
+    /// It takes connections and calls, and answers none.
+    Silent,
+}
+
 /// Discovery with a list that tests change, and the version that the proxy is known to hold.
 pub struct Discovery {
     addr: SocketAddr,
     list: Arc<watch::Sender<(u64, Vec<Value>)>>,
     held: Arc<watch::Sender<u64>>,
+    /// How often the whole list was asked for, as a watch does at its beginning.
+    pub begun: Arc<AtomicUsize>,
     /// Connections that are open now.
     pub open: Arc<watch::Sender<usize>>,
+    agent: Arc<watch::Sender<Agent>>,
 }
 
 impl Discovery {
@@ -249,26 +269,55 @@
         let list = Arc::new(watch::Sender::new((1, hosts)));
         let held = Arc::new(watch::Sender::new(0));
         let open = Arc::new(watch::Sender::new(0));
-        let (lists, holds, alive) = (list.clone(), held.clone(), open.clone());
+        let begun = Arc::<AtomicUsize>::default();
+        let agent = Arc::new(watch::Sender::new(Agent::Up));
+        let (lists, holds, alive, states) = (list.clone(), held.clone(), open.clone(), agent.clone());
+        let beginnings = begun.clone();
         tokio::spawn(async move {
+            let mut listener = Some(listener);
+            let mut state = states.subscribe();
             loop {
-                let (stream, _) = listener.accept().await.expect("a connection");
+                let taken = async {
+                    match &listener {
+                        Some(listener) => listener.accept().await.expect("a connection").0,
+                        None => std::future::pending().await,
+                    }
+                };
+                let stream = tokio::select! {
+                    stream = taken => stream,
+                    changed = state.changed() => {
+                        changed.expect("open");
+                        if *state.borrow() == Agent::Refusing {
+                            listener = None;
+                        } else if listener.is_none() {
+                            listener = Some(TcpListener::bind(addr).await.expect("its port"));
+                        }
+                        continue;
+                    }
+                };
                 let (lists, holds, alive) = (lists.clone(), holds.clone(), alive.clone());
+                let beginnings = beginnings.clone();
+                let (answering, mut refusing) = (states.clone(), states.subscribe());
                 let service = service_fn(move |request: Request<Incoming>| {
-                    let (mut list, holds) = (lists.subscribe(), holds.clone());
+                    let (mut list, holds, mut state) =
+                        (lists.subscribe(), holds.clone(), answering.subscribe());
+                    if request.uri().query().is_none() {
+                        beginnings.fetch_add(1, SeqCst);
+                    }
                     async move {
                         let query = request.uri().query().unwrap_or_default();
                         let told = |name: &str| {
                             query.split('&').find_map(|p| p.strip_prefix(name)?.parse::<u64>().ok())
                         };
-                        let mut news = true;
-                        if let Some(after) = told("after=") {
+                        let after = told("after=");
+                        if let Some(after) = after {
                             holds.send_replace(after);
                             let wait = Duration::from_millis(told("wait_ms=").unwrap_or_default());
-                            let newer = timeout(wait, list.wait_for(|(seq, _)| *seq > after)).await;
-                            news = newer.is_ok();
+                            let _ = timeout(wait, list.wait_for(|(seq, _)| *seq > after)).await;
                         }
+                        state.wait_for(|state| *state == Agent::Up).await.map_err(io::Error::other)?;
                         let (seq, hosts) = list.borrow().clone();
+                        let news = after.is_none_or(|after| seq > after);
                         let hosts = if news { hosts } else { Vec::new() };
                         let text = json!({"seq": seq, "whole": news, "hosts": hosts}).to_string();
                         Ok::<_, io::Error>(Response::new(Full::new(Bytes::from(text))))
@@ -276,12 +325,28 @@
                 });
                 tokio::spawn(async move {
                     alive.send_modify(|n| *n += 1);
-                    let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+                    tokio::select! {
+                        _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service) => {}
+                        _ = refusing.wait_for(|state| *state == Agent::Refusing) => {}
+                    }
                     alive.send_modify(|n| *n -= 1);
                 });
             }
         });
-        Discovery { addr, list, held, open }
+        Discovery { addr, list, held, begun, open, agent }
+    }
+
+    /// From now on the agent answers, or not. Where it refuses, its connections have ended.
+    pub async fn set(&self, agent: Agent) {
+        self.agent.send_replace(agent);
+        if agent == Agent::Refusing {
+            soon(self.open.subscribe().wait_for(|open| *open == 0)).await.expect("open");
+        }
+    }
+
+    /// Changes the list; whether the proxy is told is another matter.
+    pub fn change(&self, hosts: Vec<Value>) {
+        self.list.send_modify(|(seq, list)| (*seq, *list) = (*seq + 1, hosts));
     }
 
     /// The configuration of a proxy that asks here.
@@ -299,7 +364,7 @@
 
     /// Changes the list and waits until the proxy holds it.
     pub async fn tell(&self, hosts: Vec<Value>) {
-        self.list.send_modify(|(seq, list)| (*seq, *list) = (*seq + 1, hosts));
+        self.change(hosts);
         self.settled().await;
     }
 }
@@ -443,6 +508,33 @@
         self.signal("-HUP", says).await;
     }
 
+    /// Replaces the configuration, sends SIGHUP, and gives the log's next line about configurations.
+    pub async fn reload_line(&mut self, config: &str) -> String {
+        std::fs::write(&self.config, config).expect("the folder for tests takes a file");
+        self.kill("-HUP").await;
+        let log = self.log.as_mut().expect("it is read");
+        loop {
+            let line = soon(log.next_line()).await.expect("readable").expect("it goes on");
+            if line.contains("configuration ") {
+                return line;
+            }
+        }
+    }
+
+    /// Its process.
+    pub fn id(&self) -> u32 {
+        self.child.id().expect("it runs")
+    }
+
+    /// What the operators' door shows.
+    pub async fn shown(&self, path: &str) -> Value {
+        let mut door = connect(self.door.expect("a door")).await;
+        let call = Request::get(path).header("host", "door").body(Full::default()).expect("well formed");
+        let answer = soon(door.send_request(call)).await.expect("an answer");
+        let text = soon(answer.into_body().collect()).await.expect("a whole one").to_bytes();
+        serde_json::from_slice(&text).expect("JSON")
+    }
+
     pub async fn ended(&mut self) -> ExitStatus {
         soon(self.child.wait()).await.expect("it ran")
     }
@@ -455,6 +547,11 @@
         line.split_whitespace().next().expect("a figure").parse::<usize>().expect("a number") / 1024
     }
 
+    /// The folder that names the descriptors that it holds.
+    pub fn descriptor_table(&self) -> String {
+        format!("/proc/{}/fd", self.child.id().expect("it runs"))
+    }
+
     /// An operator's call; its status.
     pub async fn operate(&self, method: &str, path: &str) -> u16 {
         let mut door = connect(self.door.expect("a door")).await;
@@ -543,3 +640,50 @@
         tokio::time::sleep(Duration::from_millis(10)).await;
     }
 }
+
+/// A request as bytes.
+pub fn call(line: &str, id: &str) -> String {
+    format!("{line} HTTP/1.1\r\nHost: o\r\nReq-Id: {id}\r\nReq-Owner: acme\r\nReq-Deadline-Ms: 60000\r\n\r\n")
+}
+
+pub async fn connected(addr: SocketAddr) -> TcpStream {
+    soon(TcpStream::connect(addr)).await.expect("the system takes it")
+}
+
+/// The status of the next answer on a connection; none where it ends without.
+pub async fn status(stream: &mut TcpStream) -> Option<u16> {
+    let mut answer = Vec::new();
+    while !answer.windows(4).any(|w| w == b"\r\n\r\n") {
+        if soon(stream.read_buf(&mut answer)).await.ok()? == 0 {
+            return None;
+        }
+    }
+    let text = String::from_utf8(answer).ok()?;
+    text.split(' ').nth(1)?.parse().ok()
+}
+
+/// What the system's table says of a connection.
+pub struct Row {
+    pub local: u16,
+    pub remote: u16,
+    pub state: u8,
+    /// Bytes that came and were not read.
+    pub unread: u32,
+}
+
+/// Neither side has ended its sending.
+pub const ESTABLISHED: u8 = 1;
+
+/// The system's table of connections.
+pub fn table() -> Vec<Row> {
+    let port = |address: &str| u16::from_str_radix(address.rsplit(':').next()?, 16).ok();
+    let row = |line: &str| {
+        let fields: Vec<&str> = line.split_whitespace().collect();
+        let [_, local, remote, state, queues, ..] = fields.as_slice() else { return None };
+        let unread = queues.split_once(':').and_then(|(_, unread)| u32::from_str_radix(unread, 16).ok())?;
+        let state = u8::from_str_radix(state, 16).ok()?;
+        Some(Row { local: port(local)?, remote: port(remote)?, state, unread })
+    };
+    let text = std::fs::read_to_string("/proc/net/tcp").expect("a table");
+    text.lines().filter_map(row).collect()
+}
