--- a/examples/configure.rs
+++ b/crates/balancer/examples/reconfigure.rs
@@ -1,9 +1,9 @@
 //! How long it takes to put settings in force, and what 2,400 changes leave behind. Run it alone, in release:
 //! `cargo run --release --locked --example configure`.
 
+use foldhitch_balancer::Balancer;
+use foldhitch_balancer::api::*;
 use std::time::Instant;
-use turnshift::Balancer;
-use turnshift::api::*;
 
 const LISTED: u32 = 720;
 const IN_WORK: u64 = 100;
--- a/src/lib.rs
+++ b/crates/balancer/src/lib.rs
@@ -9,8 +9,8 @@
 //! A proxy embeds it like this:
 //!
 //! ```
-//! use turnshift::Balancer;
-//! use turnshift::api::*;
+//! use foldhitch_balancer::Balancer;
+//! use foldhitch_balancer::api::*;
 //!
 //! // Start: what the copy is told once.
 //! let settings = Settings {
@@ -76,12 +76,10 @@
 #![forbid(unsafe_code)]
 
 pub mod api;
-mod balancer;
-pub mod discovery;
-pub mod settings;
-mod state;
+mod policy;
+pub mod settings_format;
 
-pub use balancer::Balancer;
+pub use policy::Balancer;
 
 use api::{Settings, SettingsError, Tenant};
 
--- a/src/balancer.rs
+++ b/crates/balancer/src/policy/mod.rs
@@ -1,10 +1,11 @@
 //! Every decision of a balancer copy: one learned concurrency limit, split into slices by worth, over a
 //! load-sized subset of the tier. The interface (settings, events, actions) is in `src/api.rs`.
 
-mod configure;
+mod reconfigure;
+mod state;
 
 use crate::api::*;
-use crate::state::{Attempt, Backend, Call, Lane, Latency, Limiter, Line, Request, Slice, Slot};
+use state::{Attempt, Backend, Call, Lane, Latency, Limiter, Line, Request, Slice, Slot};
 use std::collections::{BTreeMap, HashMap};
 
 const HOUSEKEEPING: u64 = 0; // timer tokens
--- a/src/balancer/configure.rs
+++ b/crates/balancer/src/policy/reconfigure.rs
@@ -1,8 +1,8 @@
 //! The settings in force: those of the start, and one step from them to the next.
 
+use super::state::{Lane, Latency, Slice, Slot};
 use super::{ASK_FIRST, Balancer, HOLD, RETRY_DEPTH};
 use crate::api::*;
-use crate::state::{Lane, Latency, Slice, Slot};
 
 const SAME: f64 = 1e-9; // worths no further apart share a slice
 
--- a/tests/decisions.rs
+++ b/crates/balancer/tests/decisions.rs
@@ -1,11 +1,11 @@
 //! What the module decides, by kind of trouble. Each test fails without the piece that it names.
 
-mod common;
+mod support;
 
-use common::*;
+use foldhitch_balancer::Balancer;
+use foldhitch_balancer::api::*;
 use std::collections::{BTreeMap, BTreeSet};
-use turnshift::Balancer;
-use turnshift::api::*;
+use support::*;
 
 fn plain(copies: u32) -> Settings {
     settings(copies, vec![class(1000.0, 1.0, Effect::Retryable)])
--- a/tests/fleet/mod.rs
+++ b/crates/balancer/tests/fleet/mod.rs
@@ -2,10 +2,10 @@
 //! The same plan and seed give the same run. Every send is checked against what its copy was told.
 #![allow(dead_code)]
 
+use foldhitch_balancer::Balancer;
+use foldhitch_balancer::api::*;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
-use turnshift::Balancer;
-use turnshift::api::*;
 
 /// A connection rests so long before its backend closes it.
 const IDLE_MS: f64 = 5000.0;
--- a/tests/module_size.rs
+++ b/crates/balancer/tests/policy_size.rs
@@ -6,7 +6,7 @@
 
 #[test]
 fn the_module_keeps_to_its_size() {
-    let root = std::path::Path::new(env!("CARGO_MANIFEST_DIR"));
+    let root = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
     let deploy = std::fs::read_to_string(root.join("deploy/balancer.toml")).expect("the deploy file");
     let policy = deploy.lines().find(|l| l.starts_with("policy")).expect("it names the policy files");
     let files: Vec<&str> = policy.split('"').skip(1).step_by(2).collect();
--- a/tests/rules.rs
+++ b/crates/balancer/tests/protocol_rules.rs
@@ -1,9 +1,9 @@
 //! The four rules as properties over seeded random event sequences, checked by the proxy's own record.
 
-mod common;
+mod support;
 
-use common::*;
-use turnshift::api::*;
+use foldhitch_balancer::api::*;
+use support::*;
 
 const OUTCOMES: [Outcome; 7] = [
     Outcome::Ok,
--- a/tests/configure.rs
+++ b/crates/balancer/tests/reconfigure.rs
@@ -1,11 +1,11 @@
 //! Settings put in force while the module works: what requests in work are owed, what stays learned, and what is
 //! turned down.
 
-mod common;
+mod support;
 
-use common::*;
-use turnshift::Balancer;
-use turnshift::api::*;
+use foldhitch_balancer::Balancer;
+use foldhitch_balancer::api::*;
+use support::*;
 
 const RETRYABLE: Effect = Effect::Retryable;
 const FRAGILE: Effect = Effect::Fragile;
--- a/tests/cold_fleet.rs
+++ b/crates/balancer/tests/slow_start_fleet.rs
@@ -4,7 +4,7 @@
 mod fleet;
 
 use fleet::*;
-use turnshift::api::*;
+use foldhitch_balancer::api::*;
 
 const COLD: f64 = 15_000.0;
 
--- a/tests/common/mod.rs
+++ b/crates/balancer/tests/support/mod.rs
@@ -2,9 +2,9 @@
 //! sent and answered, by which the rules are checked. It models no servers: outcomes are what a test says.
 #![allow(dead_code)]
 
+use foldhitch_balancer::Balancer;
+use foldhitch_balancer::api::*;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
-use turnshift::Balancer;
-use turnshift::api::*;
 
 pub const GRACE: f64 = 20.0;
 
--- a/src/discovery.rs
+++ b/crates/discovery-client/src/lib.rs
@@ -1,8 +1,8 @@
 //! Discovery: the list of backends, and the watch on its changes. The proxy follows it, and so does the scale run,
 //! whose hollow proxies are to make the same calls.
 
-use crate::api::{ListKind, TOLD_WITHIN};
 use bytes::Bytes;
+use foldhitch_balancer::api::{ListKind, TOLD_WITHIN};
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper::{Request, StatusCode, header};
--- a/tests/discovery.rs
+++ b/crates/discovery-client/tests/polling.rs
@@ -1,5 +1,8 @@
 //! Following discovery, over loopback connections and on a paused clock: the agent does what a test says.
 
+use foldhitch_balancer::Balancer;
+use foldhitch_balancer::api::*;
+use foldhitch_discovery_client::{Follower, Host, Waits, follow};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -9,9 +12,6 @@
 use tokio::sync::watch;
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{Instant, sleep, sleep_until};
-use turnshift::Balancer;
-use turnshift::api::*;
-use turnshift::discovery::{Follower, Host, Waits, follow};
 
 /// What the agent does with a call.
 #[derive(Debug, Clone, Copy, PartialEq)]
--- a/src/bin/heathroad/management.rs
+++ b/crates/proxy/src/admin/mod.rs
@@ -1,10 +1,10 @@
 //! The operators' door: calls to leave a backend out, to send clients away and to ask whether the process is ready.
 //! It carries calls over and decides nothing.
 
-use crate::engine::Engine;
-use crate::handover::Handover;
+use crate::config::reload::Record;
+use crate::dispatcher::Engine;
 use crate::log::log;
-use crate::reload::Record;
+use crate::process_group::Handover;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
--- a/src/bin/heathroad/config.rs
+++ b/crates/proxy/src/config/mod.rs
@@ -1,12 +1,14 @@
 //! What the proxy is told, at its start and with SIGHUP: the environment and the configuration file, checked.
 
+pub mod reload;
+
+use foldhitch_balancer::settings_format::{self, Facts};
+use foldhitch_discovery_client::Page;
 use serde::Deserialize;
 use serde::de::{DeserializeOwned, IgnoredAny};
 use std::env;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
-use turnshift::discovery::Page;
-use turnshift::settings::{self, Facts};
 
 /// All that a start needs.
 pub struct Config {
@@ -101,7 +103,7 @@
     let (listen, management) = (told("RELAY_LISTEN"), told("RELAY_MANAGEMENT"));
     let json = &mut serde_json::Deserializer::from_slice(text);
     let file: File<K> = serde_path_to_error::deserialize(json).map_err(|e| format!("config: {e}"))?;
-    let facts = settings::read(file.settings).map_err(|e| format!("config: {e}"))?;
+    let facts = settings_format::read(file.settings).map_err(|e| format!("config: {e}"))?;
     let site = &facts.site;
     let wrong = [
         (file.version > MAX_VERSION, "version: is out of range"),
--- a/src/bin/heathroad/reload.rs
+++ b/crates/proxy/src/config/reload.rs
@@ -1,9 +1,9 @@
 //! SIGHUP: the configuration file is read again, and what it says is put in force in one turn, or not at all.
 
-use crate::backend::Pool;
 use crate::config::{self, Config};
-use crate::engine::{Engine, millis};
+use crate::dispatcher::{Engine, millis};
 use crate::log::log;
+use crate::upstream::Pool;
 use serde_json::{Value, json};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
--- a/src/bin/heathroad/engine.rs
+++ b/crates/proxy/src/dispatcher/mod.rs
@@ -1,11 +1,18 @@
 //! The only owner of the decision module: turns what happens on the sockets into its events, in order, and
 //! carries out its actions. Keeps the ids, the clock, the timers and each request's life.
 
-use crate::backend::{Attempt, Call, Content, End, Pool, Target};
-use crate::front::printed;
-use crate::handover::Marks;
+use crate::downstream::printed;
 use crate::log::log;
-use crate::stream::Permit;
+use crate::process_group::Marks;
+use crate::transport::Permit;
+use crate::upstream::{Attempt, Call, Content, End, Pool, Target};
+use foldhitch_balancer::Balancer;
+use foldhitch_balancer::api::{
+    Action, Arrival, BackendId, Configuration, Entry, Event, ListKind, Outcome, Phase, RequestId, Resolved,
+    SettingsError,
+};
+use foldhitch_balancer::settings_format::{Facts, Site};
+use foldhitch_discovery_client::{Follower, Health, Host};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::fmt::Write;
@@ -15,13 +22,6 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::{oneshot, watch};
 use tokio::time::{Instant, sleep, sleep_until};
-use turnshift::Balancer;
-use turnshift::api::{
-    Action, Arrival, BackendId, Configuration, Entry, Event, ListKind, Outcome, Phase, RequestId, Resolved,
-    SettingsError,
-};
-use turnshift::discovery::{Follower, Health, Host};
-use turnshift::settings::{Facts, Site};
 
 /// The module's deadline lies so much before the caller's: a deadline counts from the caller's send, and the
 /// answer has yet to reach it.
@@ -720,8 +720,8 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::backend::Limits;
-    use crate::stream::Payload;
+    use crate::transport::Payload;
+    use crate::upstream::Limits;
     use tokio::task::LocalSet;
 
     fn facts() -> Facts {
@@ -731,7 +731,7 @@
                          "window": 0.0}],
             "caps": {"cancelling": true, "retryAfter": false, "maxRetryAfter": 0.0, "tryLimit": 3, "openCap": 10},
             "guarantees": {"coldFrom": 0.1, "cold": 1000.0, "fallMultiple": 3.0}}"#;
-        turnshift::settings::parse(text.as_bytes()).expect("good settings")
+        foldhitch_balancer::settings_format::parse(text.as_bytes()).expect("good settings")
     }
 
     fn host(name: &str, health: Health) -> Host {
--- a/src/bin/heathroad/front.rs
+++ b/crates/proxy/src/downstream/mod.rs
@@ -1,13 +1,15 @@
 //! The callers' side: takes requests, checks them, and writes each one's answer.
 
-use crate::backend::{Call, Content, KEPT};
-use crate::engine::{Answer, Engine, Incoming, MARGIN, millis};
+use crate::dispatcher::{Answer, Engine, Incoming, MARGIN, millis};
 use crate::log::log;
-use crate::stream::{
+use crate::transport::{
     Flow, Frames, MAX_BODY, MAX_HEAD, MAX_HEADERS, Payload, Peek, Permit, Presence, Progress, Socket, Upload,
     Watched, prepare,
 };
+use crate::upstream::{Call, Content, KEPT};
 use bytes::{Bytes, BytesMut};
+use foldhitch_balancer::api::Effect;
+use foldhitch_balancer::settings_format::Facts;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Frame, Incoming as Inflow, SizeHint};
 use hyper::header::{ALLOW, CONNECTION, HOST, HeaderMap, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING};
@@ -28,8 +30,6 @@
 use tokio::sync::{Notify, watch};
 use tokio::task::{JoinSet, spawn_local, yield_now};
 use tokio::time::{Instant, interval, sleep, timeout};
-use turnshift::api::Effect;
-use turnshift::settings::Facts;
 
 /// A head must have come whole so long after its first byte, a connection's first head so long after the connect:
 /// callers may take `HEAD` for it, and who sends nothing, or sends for ever, is to be told so within 3 s.
--- a/src/bin/heathroad/log.rs
+++ b/crates/proxy/src/log.rs
@@ -29,10 +29,10 @@
 /// Writes a line in one piece, cut to what surely fits.
 pub fn write(line: Arguments<'_>) {
     let lost = LOST.get();
-    if lost > 0 && put(format!("heathroad: {lost} lines of this log were lost")) {
+    if lost > 0 && put(format!("foldhitch-proxy: {lost} lines of this log were lost")) {
         LOST.set(0);
     }
-    if LOST.get() > 0 || !put(format!("heathroad: {line}")) {
+    if LOST.get() > 0 || !put(format!("foldhitch-proxy: {line}")) {
         LOST.set(lost + 1);
     }
 }
--- a/src/bin/heathroad/main.rs
+++ b/crates/proxy/src/main.rs
@@ -1,25 +1,26 @@
-//! heathroad: the balancer's decisions as a real proxy on sockets. Start, signals and wiring.
+//! foldhitch-proxy: the balancer's decisions as a real proxy on sockets. Start, signals and wiring.
 
 #![forbid(unsafe_code)]
 
-mod backend;
+mod admin;
 mod config;
-mod engine;
-mod front;
-mod handover;
+mod dispatcher;
+mod downstream;
 mod log;
-mod management;
-mod reload;
-mod stream;
+mod process_group;
+mod transport;
+mod upstream;
 
-use backend::Pool;
+use admin::Door;
 use config::Config;
-use engine::{Engine, millis};
-use front::{Front, Stop};
-use handover::Handover;
+use config::reload::{Record, Reload};
+use dispatcher::{Engine, millis};
+use downstream::{Front, Stop};
+use foldhitch_balancer::api::ListKind;
+use foldhitch_balancer::settings_format::Site;
+use foldhitch_discovery_client::{self as discovery, Waits};
 use log::log;
-use management::Door;
-use reload::{Record, Reload};
+use process_group::Handover;
 use std::cell::Cell;
 use std::env;
 use std::io;
@@ -32,9 +33,7 @@
 use tokio::sync::watch;
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{Instant, sleep, timeout_at};
-use turnshift::api::ListKind;
-use turnshift::discovery::{self, Waits};
-use turnshift::settings::Site;
+use upstream::Pool;
 
 /// After SIGTERM new connections go on coming for so long.
 const LINGER: Duration = Duration::from_millis(500);
@@ -46,13 +45,13 @@
 const SWEEP: Duration = Duration::from_secs(1);
 /// Descriptors that are neither callers' nor backends' connections: standard streams, the listener, the
 /// reactor, signals, discovery, and connections that are taken only to be refused.
-const RESERVED: usize = 16 + front::SPARE;
+const RESERVED: usize = 16 + downstream::SPARE;
 /// Callers that the system keeps waiting to be accepted.
 const QUEUE: u32 = 1024;
 /// Connections that are left to a process where descriptors are short.
 const LEAST: usize = 8;
 /// With a door for operators as many again: its callers, its listener, and the folder of marks.
-const DOOR: usize = management::CALLERS + 4;
+const DOOR: usize = admin::CALLERS + 4;
 /// The bodies of open requests may fill this part of the memory; the rest is for buffers, answers and the program.
 const BODIES: usize = 4;
 
@@ -82,7 +81,7 @@
     let usable = move |processes: usize| (config.sockets / processes).saturating_sub(reserved).max(LEAST);
     let bodies = move |processes: usize| config.memory / BODIES / processes;
     let site = &config.facts.site;
-    let pool = Rc::new(Pool::new(backend::Limits {
+    let pool = Rc::new(Pool::new(upstream::Limits {
         connections: usable(1) / 2,
         connect: millis(site.connect_timeout),
         idle: millis(site.conn_idle),
@@ -123,7 +122,7 @@
     while *processes.borrow_and_update() > 1 && !engine.ready() {
         tokio::select! {
             _ = terminated.recv() => return Ok(()),
-            () = sleep(handover::LOOK) => {}
+            () = sleep(process_group::LOOK) => {}
         }
     }
     let listener = listen(config.listen, door.is_some());
@@ -155,7 +154,7 @@
             let count = *shared.borrow_and_update() as usize;
             front.resize(usable(count) - usable(count) / 2, bodies(count));
             while !pool.resize(usable(count) / 2) {
-                sleep(handover::LOOK).await;
+                sleep(process_group::LOOK).await;
             }
             if shared.changed().await.is_err() {
                 return;
@@ -207,7 +206,7 @@
     let looking = door.clone();
     spawn_local(async move {
         loop {
-            sleep(handover::LOOK).await;
+            sleep(process_group::LOOK).await;
             looking.look();
         }
     });
--- a/src/bin/heathroad/backend.rs
+++ b/crates/proxy/src/upstream/mod.rs
@@ -1,10 +1,11 @@
 //! The backends' side: a pool of kept connections, and attempts with what each ending means.
 
-use crate::stream::{
+use crate::transport::{
     Flow, Frames, MAX_BODY, MAX_HEAD, MAX_HEADERS, Outgoing, Payload, Permit, Progress, STALL, Upload,
     Wanted, Watched, prepare,
 };
 use bytes::{Bytes, BytesMut};
+use foldhitch_balancer::api::Outcome;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{Builder, SendRequest};
@@ -23,7 +24,6 @@
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, oneshot};
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, sleep_until, timeout};
-use turnshift::api::Outcome;
 
 /// Bodies up to this are kept whole, longer ones pass through.
 pub const KEPT: usize = 64 * 1024;
@@ -533,7 +533,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::stream::Socket;
+    use crate::transport::Socket;
     use socket2::SockRef;
     use tokio::io::AsyncReadExt;
     use tokio::net::TcpListener;
--- a/tests/operators.rs
+++ b/crates/proxy/tests/admin.rs
@@ -1,10 +1,10 @@
 //! The operators' door of the started program, and what its calls do to callers and backends.
 
-mod rig;
+mod support;
 
-use rig::*;
 use serde_json::Value;
 use std::sync::Arc;
+use support::*;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
--- a/tests/bodies.rs
+++ b/crates/proxy/tests/bodies.rs
@@ -1,12 +1,12 @@
 //! Bodies of any size through the started program, in every form that HTTP/1.1 has for them.
 
-mod rig;
+mod support;
 
 use http_body_util::{BodyExt, Full};
-use rig::*;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering::SeqCst};
+use support::*;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
--- a/tests/gone.rs
+++ b/crates/proxy/tests/client_disconnect.rs
@@ -1,12 +1,12 @@
 //! For a caller that has left nothing more is sent, wherever its request or the next attempt at it waits by then. The
 //! program is told of the end of a wait as early as of its caller's leave, or earlier.
 
-mod rig;
+mod support;
 
-use rig::*;
 use socket2::SockRef;
 use std::sync::Arc;
 use std::time::Duration;
+use support::*;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
--- a/tests/ends.rs
+++ b/crates/proxy/tests/connection_close.rs
@@ -1,12 +1,12 @@
 //! What is still owed at the instant in which something ends. The program is paused while the bad order is laid out
 //! in the system's queues, so that it finds it so each time.
 
-mod rig;
+mod support;
 
-use rig::*;
 use serde_json::Value;
 use std::sync::Arc;
 use std::time::Duration;
+use support::*;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::sync::Notify;
--- a/tests/full.rs
+++ b/crates/proxy/tests/descriptor_exhaustion.rs
@@ -1,17 +1,17 @@
 //! The started program with all the descriptors that it may hold: whom it keeps some for. Its own limit on
 //! open files is the one that it is told, so that a descriptor too many is an error as in service.
 
-mod rig;
+mod support;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1::SendRequest;
-use rig::*;
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::SeqCst};
 use std::time::Duration;
+use support::*;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, watch};
--- a/tests/told.rs
+++ b/crates/proxy/tests/discovery_notification.rs
@@ -1,18 +1,18 @@
 //! What discovery has counts as told 6 s after it could be reached, whatever the proxy's calls met before:
 //! the started program, where it must ask for its list. The only times in these tests are that term.
 
-mod rig;
+mod support;
 
-use rig::*;
+use foldhitch_balancer::api::TOLD_WITHIN;
 use serde_json::{Value, json};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use support::*;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::mpsc;
 use tokio::time::{sleep, timeout};
-use turnshift::api::TOLD_WITHIN;
 
 /// A port that is taken, and on which nobody listens yet: connects are refused.
 fn refusing() -> (TcpSocket, SocketAddr) {
--- a/tests/proxy.rs
+++ b/crates/proxy/tests/proxy.rs
@@ -1,12 +1,12 @@
 //! The started program on loopback sockets: what callers get, and what backends see of it.
 
-mod rig;
+mod support;
 
 use http_body_util::Full;
-use rig::*;
 use std::sync::Arc;
 use std::sync::atomic::Ordering::SeqCst;
 use std::time::{Duration, Instant};
+use support::*;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
@@ -754,7 +754,7 @@
         (good.to_string().replace("127.0.0.1:0", "nowhere"), "listen"),
         (good.to_string().replace("openCap", "other"), "openCap"),
     ] {
-        let program = std::process::Command::new(env!("CARGO_BIN_EXE_heathroad"))
+        let program = std::process::Command::new(env!("CARGO_BIN_EXE_foldhitch-proxy"))
             .env_remove("RELAY_LISTEN")
             .env_remove("RELAY_DISCOVERY")
             .env("RELAY_CONFIG", write_config(&text))
--- a/tests/reload.rs
+++ b/crates/proxy/tests/reload.rs
@@ -1,13 +1,13 @@
 //! Settings put in force with SIGHUP, at the started program with real connections.
 
-mod rig;
+mod support;
 
 use bytes::Bytes;
 use http_body_util::Full;
-use rig::*;
 use serde_json::{Value, json};
 use std::sync::Arc;
 use std::sync::atomic::Ordering::SeqCst;
+use support::*;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
--- a/tests/restart.rs
+++ b/crates/proxy/tests/restart.rs
@@ -1,10 +1,10 @@
 //! A process that starts again while discovery is down: when it is ready, and that it can serve then.
 
-mod rig;
+mod support;
 
-use rig::*;
 use serde_json::{Value, json};
 use std::sync::Arc;
+use support::*;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
--- a/tests/rig/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -435,7 +435,7 @@
         folder: std::path::PathBuf,
     ) -> Self {
         let mut child = Command::new("/bin/sh")
-            .args(["-c", command, env!("CARGO_BIN_EXE_heathroad")])
+            .args(["-c", command, env!("CARGO_BIN_EXE_foldhitch-proxy")])
             .env_remove("RELAY_LISTEN")
             // As in service: at the start the variable names the address too.
             .env("RELAY_DISCOVERY", config["discovery"].as_str().expect("text"))
--- a/scale/examples/housekeeping.rs
+++ b/crates/scale-test/examples/housekeeping.rs
@@ -2,11 +2,11 @@
 //! and under load, a whole list, and memory under churn. Prints the least and the median of several rounds,
 //! for the machine is shared.
 
-use scale::scenario::Scenario;
+use foldhitch_balancer::Balancer;
+use foldhitch_balancer::api::*;
+use foldhitch_scale_test::scenario::Scenario;
 use std::hint::black_box;
 use std::time::Instant;
-use turnshift::Balancer;
-use turnshift::api::*;
 
 const ROUNDS: usize = 9;
 const HOUSEKEEPING: u64 = 0;
--- a/scale/examples/hollow.rs
+++ b/crates/scale-test/examples/simulated.rs
@@ -2,8 +2,8 @@
 //! With `EVENT_S` and `STEADY_S` in the environment the events, and the quiet time before each, last for so
 //! many seconds.
 
-use scale::hollow::{self, EVENTS};
-use scale::scenario::Scenario;
+use foldhitch_scale_test::scenario::Scenario;
+use foldhitch_scale_test::simulated::{self, EVENTS};
 use std::time::Instant;
 
 fn main() -> Result<(), Box<dyn std::error::Error>> {
@@ -23,7 +23,7 @@
         }
     }
     let begun = Instant::now();
-    let report = hollow::run_events(&scenario, size, seed, &events)?;
+    let report = simulated::run_events(&scenario, size, seed, &events)?;
     let took = begun.elapsed().as_secs_f64();
     println!(
         "size {size} seed {seed}: {} proxies, {:.0} virtual s in {took:.1} s, decisions {:016x}",
@@ -51,7 +51,7 @@
         let windows: Vec<String> = e.windows.iter().map(|w| format!("{:.3}", w.share())).collect();
         println!("  windows {}", windows.join(" "));
         println!("  lost s of full service: during {:.3}, after {:.3}", e.lost_s[0], e.lost_s[1]);
-        let connects = |p: &hollow::Part| p.hops.iter().map(|h| h.connects).sum::<u64>();
+        let connects = |p: &simulated::Part| p.hops.iter().map(|h| h.connects).sum::<u64>();
         println!("  new connections {} {} {}", connects(&e.before), connects(&e.during), connects(&e.after));
         println!("  in force {:?}, not yet {}", e.in_force, e.not_in_force);
     }
--- a/scale/src/lib.rs
+++ b/crates/scale-test/src/lib.rs
@@ -5,7 +5,7 @@
 #![forbid(unsafe_code)]
 
 pub mod fit;
-pub mod hollow;
 pub mod real;
 pub mod report;
 pub mod scenario;
+pub mod simulated;
--- a/scale/src/main.rs
+++ b/crates/scale-test/src/main.rs
@@ -4,9 +4,9 @@
 
 use anyhow::{Context, bail};
 use clap::{Parser, Subcommand, ValueEnum};
-use scale::report::{Hollow, Machine, Real, rounded};
-use scale::scenario::Scenario;
-use scale::{hollow, real};
+use foldhitch_scale_test::report::{Hollow, Machine, Real, rounded};
+use foldhitch_scale_test::scenario::Scenario;
+use foldhitch_scale_test::{real, simulated};
 use serde_json::{Map, to_value};
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -37,8 +37,8 @@
         #[arg(long)]
         json: Option<PathBuf>,
         /// The real proxy's program.
-        #[arg(long, default_value = "target/release/heathroad")]
-        heathroad: PathBuf,
+        #[arg(long = "proxy", default_value = "target/release/foldhitch-proxy")]
+        proxy_program: PathBuf,
         /// What is played.
         #[arg(long, value_enum, default_value_t = Part::All)]
         part: Part,
@@ -86,7 +86,7 @@
             println!("the scenario can be run: sizes {:?}", scenario.sizes);
             Ok(())
         }
-        Command::Run { scenario, sizes, seed, json, heathroad, part, without_hollow } => {
+        Command::Run { scenario, sizes, seed, json, proxy_program, part, without_hollow } => {
             let mut scenario = Scenario::load(&scenario)?;
             if !sizes.is_empty() {
                 scenario.sizes = sizes;
@@ -95,7 +95,7 @@
             scenario.check()?;
             let (mut report, begun) = (Map::new(), Instant::now());
             if part != Part::Hollow {
-                let real = play_real(&scenario, heathroad, !without_hollow)?;
+                let real = play_real(&scenario, proxy_program, !without_hollow)?;
                 print!("{real}");
                 report.insert("real".to_string(), rounded(to_value(real)?));
             }
@@ -122,19 +122,19 @@
             bail!("limits.run_s: the run is not over after {limit} s");
         }
         tracing::info!("size {size}: hollow part");
-        sizes.push(hollow::run(scenario, size, scenario.seed)?);
+        sizes.push(simulated::run(scenario, size, scenario.seed)?);
     }
     Ok(Hollow::new(sizes))
 }
 
-fn play_real(scenario: &Scenario, heathroad: PathBuf, hollow: bool) -> anyhow::Result<Real> {
+fn play_real(scenario: &Scenario, proxy_program: PathBuf, hollow: bool) -> anyhow::Result<Real> {
     real::check(scenario, hollow)?;
-    if !heathroad.is_file() {
-        bail!("--heathroad: {}: no such program", heathroad.display());
+    if !proxy_program.is_file() {
+        bail!("--proxy: {}: no such program", proxy_program.display());
     }
     let options = real::Options {
         seed: scenario.seed,
-        heathroad,
+        proxy_program,
         program: std::env::current_exe().context("this program's own path")?,
         hollow,
         time: Duration::from_secs_f64(scenario.limits.run_s),
--- a/scale/src/real/copies.rs
+++ b/crates/scale-test/src/real/copies.rs
@@ -1,6 +1,10 @@
 //! Hollow proxies: many to a process, each with its own decision module, its own watch on discovery and its timers, as
 //! a proxy has them, and no connections of callers or to backends.
 
+use foldhitch_balancer::Balancer;
+use foldhitch_balancer::api::{Action, BackendId, Entry, Event, ListKind, Phase};
+use foldhitch_balancer::settings_format::{self, Facts};
+use foldhitch_discovery_client::{Follower, Health, Host, Waits, follow};
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -12,10 +16,6 @@
 use tokio::sync::{mpsc, watch};
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{Instant, sleep};
-use turnshift::Balancer;
-use turnshift::api::{Action, BackendId, Entry, Event, ListKind, Phase};
-use turnshift::discovery::{Follower, Health, Host, Waits, follow};
-use turnshift::settings::{self, Facts};
 
 /// A timer that comes later than this is late.
 const LATE: Duration = Duration::from_millis(20);
@@ -82,7 +82,7 @@
 
 impl Copy {
     fn new(orders: &CopyOrders, activity: Rc<Cell<Activity>>) -> Result<Rc<Self>, String> {
-        let facts = settings::read(&orders.settings)?;
+        let facts = settings_format::read(&orders.settings)?;
         let balancer = Balancer::new(facts.settings.clone(), orders.seed).map_err(|e| e.to_string())?;
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         Ok(Rc::new(Copy {
--- a/scale/src/real/mod.rs
+++ b/crates/scale-test/src/real/mod.rs
@@ -32,7 +32,7 @@
     /// Feeds the random numbers.
     pub seed: u64,
     /// The real proxy's program.
-    pub heathroad: PathBuf,
+    pub proxy_program: PathBuf,
     /// This program, which hosts the hollow proxies.
     pub program: PathBuf,
     /// Whether hollow proxies fill a size up.
--- a/scale/src/real/play.rs
+++ b/crates/scale-test/src/real/play.rs
@@ -167,7 +167,7 @@
                 "limits": {"cores": 1.0, "memory_mb": PROXY_MEMORY_MB, "sockets": PROXY_SOCKETS},
                 "settings": settings(copy),
             });
-            children.start_proxy(&options.heathroad, &config, folder).await?;
+            children.start_proxy(&options.proxy_program, &config, folder).await?;
         }
         let proxies: Vec<_> = children.proxies.iter().map(|p| p.address).collect();
         let direct: Vec<_> = backends.all.iter().map(|b| b.address).collect();
--- a/scale/src/report.rs
+++ b/crates/scale-test/src/report.rs
@@ -1,7 +1,7 @@
 //! What a run measured, as a table and as JSON.
 
 use crate::fit::{self, Line};
-use crate::hollow;
+use crate::simulated;
 use hdrhistogram::Histogram;
 use serde::Serialize;
 use serde_json::Value;
@@ -408,17 +408,17 @@
 #[derive(Debug, Clone, Serialize)]
 pub struct Hollow {
     /// Its sizes.
-    pub sizes: Vec<hollow::Report>,
+    pub sizes: Vec<simulated::Report>,
     /// Over the sizes.
     pub slopes: Vec<Slope>,
 }
 
 impl Hollow {
     /// Of sizes that were played.
-    pub fn new(sizes: Vec<hollow::Report>) -> Self {
+    pub fn new(sizes: Vec<simulated::Report>) -> Self {
         let mut slopes = Vec::new();
         let events = sizes.first().map_or(&[][..], |s| &s.events);
-        type Of = fn(&hollow::EventReport, f64) -> f64;
+        type Of = fn(&simulated::EventReport, f64) -> f64;
         let measures: [(&str, Of); 3] = [
             ("s of full service lost", |e, _| e.lost_s.iter().sum()),
             ("ms in force at the last, p99", |e, _| e.in_force.p99),
@@ -428,7 +428,7 @@
         ];
         for (place, event) in events.iter().enumerate() {
             for (name, of) in measures {
-                let at = |s: &hollow::Report| Some((s.size, of(s.events.get(place)?, s.proxies as f64)));
+                let at = |s: &simulated::Report| Some((s.size, of(s.events.get(place)?, s.proxies as f64)));
                 let points: Vec<_> = sizes.iter().filter_map(at).collect();
                 let floats: Vec<_> = points.iter().map(|&(size, x)| (size as f64, x)).collect();
                 let measure = format!("{}: {name}", event.name);
--- a/scale/src/scenario.rs
+++ b/crates/scale-test/src/scenario.rs
@@ -1,11 +1,11 @@
 //! The scenario file: the target's figures by name, and those of the run that scales it down.
 
 use crate::real::plan::Plan;
+use foldhitch_balancer::settings_format::{self, Facts};
 use serde::Deserialize;
 use serde_json::{Map, Value};
 use std::fmt;
 use std::path::Path;
-use turnshift::settings::{self, Facts};
 
 /// A run, as its file tells it.
 #[derive(Debug, Clone, Deserialize)]
@@ -244,7 +244,7 @@
 
     /// The same, read as the proxy reads them.
     pub fn facts(&self, copy: u32, copies: u32, tier: u32, zone: u16) -> Result<Facts, Invalid> {
-        settings::read(self.settings_of(copy, copies, tier, zone)).map_err(Invalid)
+        settings_format::read(self.settings_of(copy, copies, tier, zone)).map_err(Invalid)
     }
 
     /// A figure of the settings that the decision module isn't told, as of `classes`; 0 where it is left out.
@@ -358,7 +358,7 @@
         if mix.len() != classes || mix.iter().sum::<f64>() <= 0.0 {
             return Err(Invalid(format!("calls.mix: {mix:?} gives no share to each of {classes} classes")));
         }
-        turnshift::Balancer::new(facts.settings, 0).map(drop).map_err(|e| Invalid(e.to_string()))
+        foldhitch_balancer::Balancer::new(facts.settings, 0).map(drop).map_err(|e| Invalid(e.to_string()))
     }
 }
 
--- a/scale/src/hollow/agenda.rs
+++ b/crates/scale-test/src/simulated/agenda.rs
@@ -1,8 +1,8 @@
 //! What happens when, in virtual time.
 
+use foldhitch_balancer::api::{Outcome, RequestId};
 use std::cmp::Ordering;
 use std::collections::{BTreeMap, BinaryHeap};
-use turnshift::api::{Outcome, RequestId};
 
 /// Something that happens.
 #[derive(Debug, Clone, Copy)]
--- a/scale/src/hollow/backend.rs
+++ b/crates/scale-test/src/simulated/backend.rs
@@ -2,8 +2,8 @@
 
 use super::report::Checks;
 use crate::scenario;
+use foldhitch_balancer::api::RequestId;
 use std::collections::{BTreeSet, VecDeque};
-use turnshift::api::RequestId;
 
 /// A backend.
 pub struct Backend {
--- a/scale/src/hollow/fleet.rs
+++ b/crates/scale-test/src/simulated/fleet.rs
@@ -8,11 +8,11 @@
 use super::report::{Checks, Worth};
 use super::tally::Tally;
 use crate::scenario::{Invalid, Scenario};
+use foldhitch_balancer::Balancer;
+use foldhitch_balancer::api::*;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use turnshift::Balancer;
-use turnshift::api::*;
 
 /// A proxy's process.
 pub struct Copy {
--- a/scale/src/hollow/registry.rs
+++ b/crates/scale-test/src/simulated/registry.rs
@@ -4,8 +4,8 @@
 use super::fleet::Fleet;
 use super::plan::Plan;
 use crate::scenario::Invalid;
+use foldhitch_balancer::api::{BackendId, Entry, Event, ListKind, Phase};
 use rand::Rng;
-use turnshift::api::{BackendId, Entry, Event, ListKind, Phase};
 
 /// What a proxy holds of a backend.
 #[derive(Debug, Clone, Copy, PartialEq)]
--- a/scale/src/hollow/tally.rs
+++ b/crates/scale-test/src/simulated/tally.rs
@@ -2,8 +2,8 @@
 
 use super::backend::ColdRule;
 use super::report::{Hop, Part, Spread, Worth, sum};
+use foldhitch_balancer::api::Action;
 use hdrhistogram::Histogram;
-use turnshift::api::Action;
 
 /// For microseconds up to an hour, three digits of each.
 fn histogram() -> Option<Histogram<u64>> {
--- a/scale/tests/real.rs
+++ b/crates/scale-test/tests/real.rs
@@ -1,10 +1,10 @@
 //! The real part's own pieces on loopback connections, and the program: no test here waits for a time to pass, and
 //! what must come is waited for.
 
-use scale::real::backends::{Backends, Mode, Next, Work};
-use scale::real::client::{Answer, Call, Client};
-use scale::real::registry::{Health, Host, Registry};
-use scale::scenario::Scenario;
+use foldhitch_scale_test::real::backends::{Backends, Mode, Next, Work};
+use foldhitch_scale_test::real::client::{Answer, Call, Client};
+use foldhitch_scale_test::real::registry::{Health, Host, Registry};
+use foldhitch_scale_test::scenario::Scenario;
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::os::unix::fs::PermissionsExt;
@@ -306,7 +306,7 @@
 }
 
 fn program(folder: &Path) -> Command {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_scale"));
+    let mut command = Command::new(env!("CARGO_BIN_EXE_foldhitch-scale-test"));
     command.env("TMPDIR", folder).kill_on_drop(true).stdin(Stdio::null());
     command
 }
@@ -346,7 +346,7 @@
     let folder = tempfile::tempdir().expect("a folder");
     let (scenario, proxy) =
         (scenario(folder.path(), &[]), stand_in(folder.path(), "echo no room >&2; exit 3"));
-    let run = program(folder.path()).arg("run").arg(scenario).arg("--heathroad").arg(proxy).output();
+    let run = program(folder.path()).arg("run").arg(scenario).arg("--proxy").arg(proxy).output();
     let output = soon(run).await.expect("it starts");
     assert!(!output.status.success());
     assert_eq!(last_line(&output), "scale: n0: ended before it listened: no room");
@@ -359,7 +359,7 @@
     let script = "echo listening on 127.0.0.1:1 >&2; exec sleep 600";
     let (scenario, proxy) = (scenario(folder.path(), &[]), stand_in(folder.path(), script));
     let mut command = program(folder.path());
-    let command = command.arg("run").arg(scenario).arg("--heathroad").arg(proxy).stderr(Stdio::piped());
+    let command = command.arg("run").arg(scenario).arg("--proxy").arg(proxy).stderr(Stdio::piped());
     let mut run = command.spawn().expect("it starts");
     let mut lines = BufReader::new(run.stderr.take().expect("piped")).lines();
     let mut log = String::new();
@@ -408,9 +408,10 @@
 async fn too_few_descriptors_are_told_before_anything_is_started() {
     let folder = tempfile::tempdir().expect("a folder");
     let scenario = scenario(folder.path(), &[]);
-    let command = "ulimit -n 128; exec \"$0\" run \"$1\" --heathroad /bin/false";
+    let command = "ulimit -n 128; exec \"$0\" run \"$1\" --proxy /bin/false";
     let mut shell = Command::new("/bin/sh");
-    let shell = shell.args(["-c", command, env!("CARGO_BIN_EXE_scale")]).arg(scenario).output();
+    let shell =
+        shell.args(["-c", command, env!("CARGO_BIN_EXE_foldhitch-scale-test")]).arg(scenario).output();
     let output = soon(shell).await.expect("it starts");
     assert!(!output.status.success());
     let said = String::from_utf8_lossy(&output.stderr).to_string();
@@ -420,7 +421,7 @@
 /// The whole way, with the release build of the proxy as the checks make it before the tests.
 #[tokio::test]
 async fn a_small_run_measures_every_phase_and_leaves_nothing() {
-    let proxy = Path::new(env!("CARGO_MANIFEST_DIR")).join("../target/release/heathroad");
+    let proxy = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../target/release/foldhitch-proxy");
     assert!(proxy.is_file(), "cargo build --release comes first");
     let folder = tempfile::tempdir().expect("a folder");
     let (scenario, json) =
@@ -429,7 +430,7 @@
     let run = command
         .arg("run")
         .arg(scenario)
-        .arg("--heathroad")
+        .arg("--proxy")
         .arg(proxy)
         .args(["--part", "real", "--json"])
         .arg(&json)
--- a/scale/tests/scenario.rs
+++ b/crates/scale-test/tests/scenario.rs
@@ -1,6 +1,6 @@
 //! A scenario that can't be run is turned down with one line that names the key.
 
-use scale::scenario::Scenario;
+use foldhitch_scale_test::scenario::Scenario;
 
 const TARGET: &str = include_str!("../scenarios/target.toml");
 
--- a/scale/tests/hollow.rs
+++ b/crates/scale-test/tests/simulated.rs
@@ -1,8 +1,8 @@
 //! The hollow fleet on virtual time: the same for a seed, and what must hold exactly. No clock decides here.
 
-use scale::fit;
-use scale::hollow::{self, Checks, EVENTS, Report};
-use scale::scenario::Scenario;
+use foldhitch_scale_test::fit;
+use foldhitch_scale_test::scenario::Scenario;
+use foldhitch_scale_test::simulated::{self, Checks, EVENTS, Report};
 use std::sync::OnceLock;
 
 const TARGET: &str = include_str!("../scenarios/target.toml");
@@ -19,14 +19,14 @@
 /// All events at CI size, played once for all tests.
 fn played() -> &'static Report {
     static REPORT: OnceLock<Report> = OnceLock::new();
-    REPORT.get_or_init(|| hollow::run(&scenario(), SIZE, 7).expect("sound"))
+    REPORT.get_or_init(|| simulated::run(&scenario(), SIZE, 7).expect("sound"))
 }
 
 #[test]
 fn the_same_seed_gives_the_same_decisions_and_another_seed_others() {
-    let again = hollow::run(&scenario(), SIZE, 7).expect("sound");
+    let again = simulated::run(&scenario(), SIZE, 7).expect("sound");
     assert_eq!(played(), &again);
-    let other = hollow::run(&scenario(), SIZE, 8).expect("sound");
+    let other = simulated::run(&scenario(), SIZE, 8).expect("sound");
     assert_ne!(played().decisions, other.decisions);
 }
 
@@ -57,7 +57,7 @@
     let mut s = scenario();
     (s.run.steady_s, s.run.event_s, s.run.after_s) = (1.0, 3.0, 2.0);
     s.run.hollow_calls_per_s_per_backend = 2.0;
-    let report = hollow::run_events(&s, 720, 7, &["release", "regions cut"]).expect("sound");
+    let report = simulated::run_events(&s, 720, 7, &["release", "regions cut"]).expect("sound");
     assert!(report.proxies >= 720 && report.checks.cold_starts > 100, "{:?}", report.checks);
     sound(&report.checks);
 }
@@ -109,7 +109,7 @@
     (s.target.services, s.target.depth) = (2, 2);
     let events = ["release", "zone lost and back", "all replaced in a release"];
     for (size, seed) in [(20, 1), (60, 2), (80, 3)] {
-        let report = hollow::run_events(&s, size, seed, &events).expect("sound");
+        let report = simulated::run_events(&s, size, seed, &events).expect("sound");
         sound(&report.checks);
     }
 }
@@ -123,7 +123,7 @@
     (s.backend.slots, s.backend.work_ms) = (8, 400.0);
     let guarantees = s.settings["guarantees"].as_object_mut().expect("a table");
     guarantees.insert("coldFrom".to_string(), 1.0.into());
-    let report = hollow::run_events(&s, SIZE, 7, &["release"]).expect("sound");
+    let report = simulated::run_events(&s, SIZE, 7, &["release"]).expect("sound");
     assert!(report.checks.cold_falls > 0 && report.checks.cold_worst > 1.0, "{:?}", report.checks);
 }
 
--- a/src/bin/turnshift-drill/main.rs
+++ b/crates/simulator-adapter/src/main.rs
@@ -5,18 +5,18 @@
 
 mod wire;
 
+use foldhitch_balancer::api::Action;
+use foldhitch_balancer::{Balancer, settings_format};
 use std::collections::HashMap;
 use std::io::{self, BufReader, Write};
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::process::ExitCode;
-use turnshift::api::Action;
-use turnshift::{Balancer, settings};
 
 fn main() -> ExitCode {
     match serve() {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
-            eprintln!("turnshift-drill: {e}");
+            eprintln!("foldhitch-simulator-adapter: {e}");
             ExitCode::FAILURE
         }
     }
@@ -36,7 +36,7 @@
                 wire::Record::Unused { instance } if instances.contains_key(&instance) => {}
                 wire::Record::Unused { instance } => return Err(format!("instance {instance} is unknown")),
                 wire::Record::Launch { instance, seed, facts } => {
-                    let settings = settings::parse(&facts)?.settings;
+                    let settings = settings_format::parse(&facts)?.settings;
                     instances.insert(instance, Balancer::new(settings, seed).map_err(|e| e.to_string())?);
                 }
                 wire::Record::Shutdown { instance } => {
--- a/src/bin/turnshift-drill/wire.rs
+++ b/crates/simulator-adapter/src/wire.rs
@@ -1,7 +1,7 @@
 //! The simulator's binary wire: frames in, replies out. Translates, never decides.
 
+use foldhitch_balancer::api::{Action, Arrival, Entry, Event, ListKind, Outcome, Phase, Resolved};
 use std::io::{self, Read};
-use turnshift::api::{Action, Arrival, Entry, Event, ListKind, Outcome, Phase, Resolved};
 
 /// One batch as it came: its clock, the number of its records and their bytes.
 pub struct Frame {
--- a/tests/wire.rs
+++ b/crates/simulator-adapter/tests/wire.rs
@@ -4,7 +4,7 @@
 use std::process::{Command, Output, Stdio};
 
 fn host(input: &[u8]) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_turnshift-drill"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_foldhitch-simulator-adapter"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
