--- a/crates/balancer/examples/reconfigure.rs
+++ b/crates/balancer/examples/reconfigure.rs
@@ -11,18 +11,22 @@
 
 fn settings(n: usize) -> Settings {
     let class = |place: usize| Class {
-        aim: 300.0 + 100.0 * place as f64 + (n % 7) as f64,
-        points: 1.0 + place as f64,
-        effect: if place.is_multiple_of(2) { Effect::Retryable } else { Effect::Fragile },
-        in_order: false,
+        latency_objective_ms: 300.0 + 100.0 * place as f64 + (n % 7) as f64,
+        priority_weight: 1.0 + place as f64,
+        idempotency: if place.is_multiple_of(2) {
+            Idempotency::Idempotent
+        } else {
+            Idempotency::NonIdempotent
+        },
+        is_ordered_by_key: false,
     };
     Settings {
-        copies: 24,
-        tick: 5.0,
-        over_share_worth: 0.05,
+        instance_count: 24,
+        tick_ms: 5.0,
+        over_quota_weight: 0.05,
         classes: (0..5).map(class).collect(),
         tenants: (0..20).map(|t| Tenant { quota_per_s: 100.0 + (n + t) as f64 }).collect(),
-        caps: Caps { cancelling: true, try_limit: 3, ..Caps::default() },
+        capabilities: Capabilities { can_cancel: true, max_attempts: 3, ..Capabilities::default() },
         ..Settings::default()
     }
 }
@@ -37,12 +41,15 @@
 fn main() -> Result<(), SettingsError> {
     let mut balancer = Balancer::new(settings(0), 42)?;
     let (mut now, mut out) = (1000.0, Vec::new());
-    let entries = (1..=LISTED).map(|backend| Entry { backend, weight: 1.0, ..Entry::default() }).collect();
-    balancer.handle(now, Event::List { kind: ListKind::Full, entries }, &mut out);
+    let endpoints = (1..=LISTED)
+        .map(|backend| EndpointInfo { backend, weight: 1.0, ..EndpointInfo::default() })
+        .collect();
+    balancer.handle(now, Event::EndpointList { kind: EndpointListKind::Full, endpoints }, &mut out);
     for request in 1..=IN_WORK {
         let (class, tenant) = ((request % 5) as u16, (request % 20) as u16);
-        let arrival = Arrival { request, key: 0, class, tenant, deadline: 1e9, arriving: false };
-        balancer.handle(now, Event::Request(arrival), &mut out);
+        let arrival =
+            RequestArrival { request, key: 0, class, tenant, deadline_ms: 1e9, is_body_streamed: false };
+        balancer.handle(now, Event::RequestArrived(arrival), &mut out);
     }
     let before = resident();
     let mut times = Vec::with_capacity(CHANGES);
@@ -50,7 +57,13 @@
         now += 50.0;
         out.clear();
         let (classes, tenants) = ((0..5).map(Some).collect(), (0..20).map(Some).collect());
-        let next = Configuration { version: 0, settings: settings(n), classes, tenants, rest: n as u64 };
+        let next = SettingsUpdate {
+            version: 0,
+            settings: settings(n),
+            continued_classes: classes,
+            continued_tenants: tenants,
+            content_hash: n as u64,
+        };
         let begun = Instant::now();
         balancer.configure(now, next, &mut out)?;
         times.push(begun.elapsed().as_secs_f64() * 1e6);
--- /dev/null
+++ b/crates/balancer/src/collections/slot_table.rs
@@ -0,0 +1,121 @@
+//! Values that can be replaced while some of them are still in use: a value keeps its slot as long as it is
+//! the same, another one gets a slot that nobody uses.
+
+use std::ops::Index;
+
+#[derive(Debug, Default)]
+struct Slot<T> {
+    value: T,
+    users: usize,
+}
+
+/// The slots, and which of them are in force, by place.
+#[derive(Debug)]
+pub struct SlotTable<T> {
+    slots: Vec<Slot<T>>,
+    slot_by_place: Vec<usize>,
+}
+
+/// A slot that got another value.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StartedSlot {
+    /// The slot.
+    pub slot: usize,
+    /// The slot of the value that it continues.
+    pub continues: Option<usize>,
+}
+
+impl<T> Default for SlotTable<T> {
+    fn default() -> Self {
+        SlotTable { slots: Vec::new(), slot_by_place: Vec::new() }
+    }
+}
+
+impl<T> Index<usize> for SlotTable<T> {
+    type Output = T;
+
+    fn index(&self, slot: usize) -> &T {
+        &self.slots[slot].value
+    }
+}
+
+impl<T: Clone + PartialEq> SlotTable<T> {
+    /// How many slots there are, in force or still in use.
+    pub fn len(&self) -> usize {
+        self.slots.len()
+    }
+
+    /// The values, by slot.
+    pub fn values(&self) -> impl Iterator<Item = &T> {
+        self.slots.iter().map(|slot| &slot.value)
+    }
+
+    /// The slot in force at a place.
+    pub fn slot_of(&self, place: u16) -> Option<usize> {
+        self.slot_by_place.get(usize::from(place)).copied()
+    }
+
+    /// Somebody begins to use a slot.
+    pub fn acquire(&mut self, slot: usize) {
+        self.slots[slot].users += 1;
+    }
+
+    /// Somebody no longer uses a slot.
+    pub fn release(&mut self, slot: usize) {
+        self.slots[slot].users -= 1;
+    }
+
+    /// Puts values in force; each may continue the one of an earlier place. Returns the slots that got another
+    /// value. None of them was in force before, so what is known by slot of a continued value is still there.
+    pub fn replace(&mut self, values: &[T], continued: &[Option<u16>]) -> Vec<StartedSlot> {
+        let before = std::mem::take(&mut self.slot_by_place);
+        let mut started = Vec::new();
+        for (value, old_place) in values.iter().zip(continued) {
+            let continues = old_place.map(|place| before[usize::from(place)]);
+            let unchanged = continues.filter(|&slot| self.slots[slot].value == *value);
+            let slot = unchanged.unwrap_or_else(|| self.start(value, &before));
+            if unchanged.is_none() {
+                started.push(StartedSlot { slot, continues });
+            }
+            self.slot_by_place.push(slot);
+        }
+        started
+    }
+
+    /// Removes the slots behind the last one in use; returns how many are left.
+    pub fn truncate(&mut self) -> usize {
+        let is_used = |&slot: &usize| self.slots[slot].users > 0 || self.slot_by_place.contains(&slot);
+        let used = (0..self.slots.len()).rfind(is_used).map_or(0, |slot| slot + 1);
+        self.slots.truncate(used);
+        used
+    }
+
+    /// Puts a value into a slot that nobody uses, a new one if there is none.
+    fn start(&mut self, value: &T, in_force_before: &[usize]) -> usize {
+        let is_free = |&slot: &usize| {
+            self.slots[slot].users == 0
+                && !in_force_before.contains(&slot)
+                && !self.slot_by_place.contains(&slot)
+        };
+        let value = value.clone();
+        match (0..self.slots.len()).find(is_free) {
+            Some(slot) => {
+                self.slots[slot].value = value;
+                slot
+            }
+            None => {
+                self.slots.push(Slot { value, users: 0 });
+                self.slots.len() - 1
+            }
+        }
+    }
+}
+
+/// Sets what is known of a slot; a new slot is the next one.
+pub fn set_slot<T>(values: &mut Vec<T>, slot: usize, value: T) {
+    if slot < values.len() {
+        values[slot] = value;
+    } else {
+        values.push(value);
+    }
+}
--- /dev/null
+++ b/crates/balancer/src/policy/admission.rs
@@ -0,0 +1,123 @@
+//! Admission: slices of the concurrency limit by priority weight, their queues, and the tenants' quotas.
+
+use super::Policy;
+use crate::api::{Class, RequestId};
+use crate::collections::{ByQuota, Quota, nearest_level, shared_levels};
+
+const SAME_WEIGHT: f64 = 1e-9; // weights no further apart share a slice
+const QUEUE_OBJECTIVE_FRACTION: f64 = 0.125; // of the objective that a request may wait in the first tier ...
+const QUEUE_OBJECTIVE_FRACTION_BEHIND: f64 = 0.5; // ... and in the tiers behind it
+const MIN_QUOTA_BURST: f64 = 2.0;
+
+impl Policy {
+    /// The design's rule: rejected unsent only past both the total limit and the slice's own.
+    pub fn admits(&self, slice: usize) -> bool {
+        let total = self.limit.total().floor();
+        let slice = self.slices.slice(slice);
+        self.slices.in_flight() < total || slice.in_flight < (total * slice.share).ceil().max(1.0)
+    }
+
+    /// The weight of a class. The objective's weight on the worst-served class is weight that all have alike.
+    fn weight_of(&self, class: &Class) -> ByQuota<f64> {
+        let classes = &self.settings.classes;
+        let mean = classes.iter().map(|class| class.priority_weight).sum::<f64>() / classes.len() as f64;
+        let even = self.settings.objective.worst_class_weight;
+        let within = (1.0 - even) * class.priority_weight / mean.max(SAME_WEIGHT) + even;
+        ByQuota { within, over: within * self.settings.over_quota_weight }
+    }
+
+    /// Cuts the limit into slices by the classes' weights. Calls in flight count, and what is queued waits
+    /// on, in the slice of its weight; where there is none any more, in the nearest.
+    pub fn cut_slices(&mut self) {
+        let has_quotas = self.settings.tier == 0 && !self.settings.tenants.is_empty();
+        let weights = self.settings.classes.iter().map(|class| self.weight_of(class));
+        let within: Vec<f64> = weights.clone().map(|weight| weight.within).collect();
+        let over: Vec<f64> = weights.map(|weight| weight.over).filter(|_| has_quotas).collect();
+        // Requests over their tenant's quota claim nothing but what is left over and the floor of one slot.
+        let levels = shared_levels(&within, &over, SAME_WEIGHT);
+        let queued = self.slices.replace(levels.iter().map(|level| level.share));
+        let weights = self.classes.values().map(|class| self.weight_of(class));
+        self.slices_of_class =
+            weights.map(|weight| weight.map(|weight| nearest_level(&levels, weight))).collect();
+        for (slices, class) in self.slices_of_class.iter().zip(&self.limit.classes) {
+            self.slices.carry_over(slices.within, class.in_flight.within);
+            self.slices.carry_over(slices.over, class.in_flight.over);
+        }
+        queued.into_iter().for_each(|id| self.enqueue(id));
+    }
+
+    pub fn free_slot(&mut self, class: usize, quota: Quota) {
+        self.slices.end(self.slices_of_class[class][quota]);
+        self.limit.end_call(class, quota);
+    }
+
+    pub fn enqueue(&mut self, id: RequestId) {
+        if let Some(request) = self.requests.get(&id) {
+            let slice = self.slices_of_class[request.class][request.quota];
+            self.slices.queue_mut(slice).push_back(id);
+        }
+    }
+
+    /// How long a request may wait; for all classes alike, or the longer wait would fill the whole queue.
+    pub fn queue_time(&self) -> f64 {
+        let objectives = self.settings.classes.iter().map(|class| class.latency_objective_ms);
+        let is_first_tier = self.settings.tier == 0;
+        let fraction = if is_first_tier { QUEUE_OBJECTIVE_FRACTION } else { QUEUE_OBJECTIVE_FRACTION_BEHIND };
+        fraction * objectives.fold(f64::MAX, f64::min)
+    }
+
+    /// Sends queued requests that are admitted, highest priority first.
+    pub fn dispatch_queued(&mut self) {
+        for slice in 0..self.slices.len() {
+            while self.admits(slice) {
+                let Some(&id) = self.slices.slice(slice).queue.front() else { break };
+                if self.requests.contains_key(&id) && !self.send(id) {
+                    break;
+                }
+                self.slices.queue_mut(slice).pop_front();
+            }
+        }
+    }
+
+    /// Goes through all queues: ends what has waited too long, and sends what is admitted.
+    pub fn expire_or_dispatch_queued(&mut self) {
+        for slice in 0..self.slices.len() {
+            for _ in 0..self.slices.slice(slice).queue.len() {
+                let is_admitted = self.admits(slice);
+                let Some(id) = self.slices.queue_mut(slice).pop_front() else { break };
+                let request = self.requests.get(&id);
+                if request.is_none_or(|request| self.now >= request.queue_deadline) {
+                    self.reject_or_fail(id);
+                } else if !is_admitted || !self.send(id) {
+                    self.slices.queue_mut(slice).push_back(id);
+                }
+            }
+        }
+    }
+
+    /// Charges a request to its tenant in the first tier. Over quota it gets a lower priority, and no worse.
+    pub fn charge_tenant(&mut self, tenant: usize) -> (Quota, Option<usize>) {
+        let settings = self.settings.tenants.get(tenant).filter(|_| self.settings.tier == 0);
+        let Some(settings) = settings else { return (Quota::Within, None) };
+        let rate_per_s = settings.quota_per_s / f64::from(self.settings.instance_count);
+        let burst = rate_per_s.max(MIN_QUOTA_BURST);
+        let quota = self.tenant_quotas.charge(tenant, self.now, rate_per_s, burst);
+        (quota, (quota == Quota::Within).then_some(tenant))
+    }
+
+    /// A client that disconnects with time to spare asks again: its tenant, charged twice for what it wants
+    /// once, would lose its own share to impatience. Not so for what was rejected or timed out: a client that
+    /// asks over and over with short limits would never be over its quota.
+    pub fn on_client_disconnected(&mut self, id: RequestId) {
+        let tenant = self.requests.get_mut(&id).and_then(|request| request.charged_tenant.take());
+        tenant.into_iter().for_each(|tenant| self.tenant_quotas.refund(tenant));
+        self.complete(id);
+    }
+
+    /// How long a rejected client should stay away; jittered, so that clients do not come back together.
+    pub fn retry_after(&mut self, objective: f64) -> f64 {
+        let wait = objective * QUEUE_OBJECTIVE_FRACTION * (1.0 + self.rng.f64());
+        let capabilities = &self.settings.capabilities;
+        if capabilities.sends_retry_after { wait.min(capabilities.max_retry_after_ms) } else { 0.0 }
+    }
+}
--- /dev/null
+++ b/crates/balancer/src/policy/endpoints.rs
@@ -0,0 +1,104 @@
+//! The endpoint list: polling for it, the backends that it names, suspension by the operators, draining.
+
+use super::state::{Backend, Health};
+use super::{POLL_TIMER, Policy};
+use crate::api::*;
+use crate::collections::ByClass;
+use crate::stats::PriorMean;
+
+const MAX_POLL_DELAY_MS: f64 = NOTIFICATION_DEADLINE_MS / 3.0; // the rest is for the polls themselves
+const POLL_BACKOFF: f64 = 0.5; // share of the longest delay after the first failure ...
+const MAX_POLL_DOUBLINGS: u32 = 1; // ... and all of it from the second on
+const POLL_JITTER: f64 = 0.5;
+
+impl Policy {
+    /// Schedules a poll after a share of the longest delay.
+    pub fn schedule_poll(&mut self, share: f64) {
+        if !self.is_poll_scheduled {
+            self.is_poll_scheduled = true;
+            let longest = self.settings.guarantees.poll_within_ms.clamp(1.0, MAX_POLL_DELAY_MS);
+            self.actions.push(Action::SetTimer { delay_ms: share * longest, token: POLL_TIMER });
+        }
+    }
+
+    pub fn on_poll_timer(&mut self) {
+        self.is_poll_scheduled = false;
+        self.actions.push(Action::PollEndpoints);
+    }
+
+    pub fn on_endpoint_list(&mut self, kind: EndpointListKind, endpoints: Vec<EndpointInfo>) {
+        if kind == EndpointListKind::Failed {
+            // Jittered, so that instances that failed together do not poll together again.
+            let share = self.poll_backoff.next(POLL_BACKOFF, MAX_POLL_DOUBLINGS);
+            let jitter = 1.0 - POLL_JITTER * self.rng.f64();
+            return self.schedule_poll(share * jitter);
+        }
+        self.poll_backoff.reset();
+        if kind != EndpointListKind::Delta {
+            self.backends.values_mut().for_each(|backend| backend.endpoint.phase = Phase::Gone);
+        }
+        for endpoint in endpoints {
+            self.on_endpoint(endpoint);
+        }
+        self.backends.retain(|_, backend| !backend.calls.is_empty() || backend.endpoint.phase != Phase::Gone);
+        self.rebuild_ring();
+    }
+
+    fn on_endpoint(&mut self, mut endpoint: EndpointInfo) {
+        let id = endpoint.backend;
+        endpoint.started_at_ms = endpoint.started_at_ms.max(self.suspensions.resumed_at(id));
+        let known = self.backends.get(&id);
+        if known.is_none_or(|backend| backend.endpoint.started_at_ms != endpoint.started_at_ms) {
+            self.reset_backend(id);
+        }
+        self.backends.entry(id).or_default().endpoint = endpoint;
+        self.release_idle_connections(id);
+    }
+
+    /// A new process of a backend: nothing known of the old one holds but where it is.
+    fn reset_backend(&mut self, id: BackendId) {
+        let old = self.backends.remove(&id).unwrap_or_default();
+        let mut backend = Backend {
+            endpoint: old.endpoint,
+            calls: old.calls,
+            relative_latency: PriorMean::new(1.0),
+            health: ByClass::new(Health::responsive_at(self.now), self.classes.len()),
+            slow_start_budget: self.initial_slow_start_budget(id),
+            ..Backend::default()
+        };
+        backend.endpoint.started_at_ms = backend.endpoint.started_at_ms.max(self.suspensions.resumed_at(id));
+        self.backends.insert(id, backend);
+    }
+
+    /// A backend that is resumed was restarted, which the list may not show: it counts as started now.
+    pub fn on_set_suspended(&mut self, id: BackendId, is_suspended: bool) {
+        if is_suspended == self.suspensions.is_suspended(id) {
+            return;
+        }
+        if is_suspended {
+            self.suspensions.suspend(id, self.subset.members().contains(&id));
+        } else {
+            self.suspensions.resume(id, self.now);
+            if self.backends.contains_key(&id) {
+                self.reset_backend(id);
+            }
+        }
+        self.actions.push(Action::SetSuspended { backend: id, is_suspended });
+        self.rebuild_ring();
+    }
+
+    /// Backends that take requests by the list and are not suspended, in ring order.
+    pub fn members(&self) -> impl Iterator<Item = (BackendId, &Backend)> {
+        let ready = self.backends.iter().filter(|(_, backend)| backend.endpoint.phase == Phase::Ready);
+        let members = ready.filter(|(id, _)| !self.suspensions.is_suspended(**id));
+        members.map(|(&id, backend)| (id, backend))
+    }
+
+    /// Closes idle connections to a draining backend: at the notice, and after each outcome there.
+    pub fn release_idle_connections(&mut self, id: BackendId) {
+        let is_leaving = self.backends.get(&id).is_some_and(|b| b.endpoint.phase != Phase::Ready);
+        if is_leaving && self.settings.guarantees.idle_release_ms > 0.0 {
+            self.actions.push(Action::CloseIdleConnections { backend: id });
+        }
+    }
+}
--- /dev/null
+++ b/crates/balancer/src/policy/request_lifecycle.rs
@@ -0,0 +1,197 @@
+//! The way of a request: arrival, attempts, outcomes, and its one final answer.
+
+use super::Policy;
+use super::state::{Attempt, Call, Request};
+use crate::api::*;
+
+impl Policy {
+    pub fn on_request(&mut self, arrival: &RequestArrival) {
+        let id = arrival.request;
+        let Some(class) = self.classes.slot_of(arrival.class) else {
+            return self.actions.push(Action::Fail { request: id });
+        };
+        self.earn_retry();
+        let mut request = self.admit(class, arrival);
+        let slice = self.slices_of_class[class][request.quota];
+        // Behind another request of its key it waits in that key's queue and holds no slot.
+        let waits_for_key = request.key != 0 && self.key_queues.push(request.key, id);
+        let is_queue_empty = self.slices.slice(slice).queue.is_empty();
+        let has_slot = !waits_for_key && is_queue_empty && self.admits(slice);
+        // With a slot but no backend, or behind its key, it waits while an answer can still be in time.
+        let is_patient = has_slot || waits_for_key;
+        let time_to_spare = self.classes[class].latency_objective_ms - self.limit.mean_latency.value();
+        let wait = if is_patient { time_to_spare } else { self.queue_time() };
+        let last_start = arrival.deadline_ms - 2.0 * self.period();
+        request.queue_deadline = (self.now + wait).min(last_start);
+        self.requests.insert(id, request);
+        self.classes.acquire(class);
+        // What comes too late for any answer, as at the end of a planned stop, only costs a backend work.
+        if has_slot && self.now < arrival.deadline_ms && self.send(id) {
+            return;
+        }
+        self.limit.is_used |= !is_patient;
+        // A client's last attempt may have less time left than the periodic run takes to come: never queued.
+        let is_queue_full = self.slices.queued() as f64 >= self.limit.total();
+        if !waits_for_key && is_queue_full || last_start <= self.now {
+            self.reject_or_fail(id);
+        } else if !waits_for_key {
+            self.enqueue(id);
+        }
+    }
+
+    /// The record of a request, charged to its tenant.
+    fn admit(&mut self, class: usize, arrival: &RequestArrival) -> Request {
+        let (quota, charged_tenant) = self.charge_tenant(usize::from(arrival.tenant));
+        Request {
+            key: if self.classes[class].is_ordered_by_key { arrival.key } else { 0 },
+            class,
+            quota,
+            charged_tenant,
+            max_attempts: self.settings.capabilities.max_attempts,
+            deadline: arrival.deadline_ms,
+            is_body_streamed: arrival.is_body_streamed,
+            ..Request::default()
+        }
+    }
+
+    /// Sends the next attempt if a backend can take it.
+    pub fn send(&mut self, id: RequestId) -> bool {
+        let Some(selected) = self.select(id) else { return false };
+        let Some(request) = self.requests.get_mut(&id) else { return false };
+        let Some(backend) = self.backends.get_mut(&selected) else { return false };
+        backend.slow_start_budget.take(); // means nothing once it is warm
+        let endpoint = backend.endpoint.clone();
+        let attempt = Attempt { endpoint, sent_at: self.now, is_in_flight: true, ..Attempt::default() };
+        request.attempts.push(attempt);
+        self.actions.push(Action::Send { request: id, backend: selected, expires_at_ms: request.deadline });
+        if !request.is_body_streamed {
+            self.begin_call(id);
+        }
+        true
+    }
+
+    /// The backend begins a request's last attempt: it counts as in flight, and its response is awaited.
+    fn begin_call(&mut self, id: RequestId) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let (class, quota) = (request.class, request.quota);
+        let attempt = request.attempts.last_mut().filter(|attempt| attempt.is_in_flight);
+        let Some(attempt) = attempt else { return };
+        let Some(backend) = self.backends.get_mut(&attempt.endpoint.backend) else { return };
+        // Who had no calls in flight owed no response: its silence begins now.
+        if backend.calls.is_empty() {
+            backend.health[None].last_response_at = self.now;
+        }
+        if backend.calls.iter().all(|call| call.class != class) {
+            backend.health[Some(class)].last_response_at = self.now;
+        }
+        backend.calls.push_back(Call { request: id, sent_at: self.now, class });
+        attempt.sent_at = self.now;
+        attempt.holds_limit_slot = !backend.health[None].ejection.is_active();
+        if attempt.holds_limit_slot {
+            self.slices.begin(self.slices_of_class[class][quota]);
+            self.limit.begin_call(class, quota, self.slices.in_flight());
+            self.peak_in_flight.record(self.slices.in_flight());
+        }
+    }
+
+    /// Until its last byte has come, a request takes none of a backend's work, however slowly it is written.
+    pub fn on_body_received(&mut self, id: RequestId, deadline: f64) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        request.deadline = deadline;
+        if std::mem::take(&mut request.is_body_streamed) {
+            self.begin_call(id);
+        }
+    }
+
+    pub fn on_attempt_finished(&mut self, result: &AttemptResult) {
+        let id = result.request;
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let attempt = request.attempts.get_mut(usize::from(result.attempt));
+        let Some(attempt) = attempt.filter(|attempt| attempt.is_in_flight) else { return };
+        attempt.is_in_flight = false;
+        attempt.never_ran = result.outcome.never_ran();
+        let call = Call { request: id, sent_at: attempt.sent_at, class: request.class };
+        let held_limit_slot = attempt.holds_limit_slot;
+        let quota = request.quota;
+        request.is_body_consumed |= result.is_body_consumed;
+        let is_over = result.is_request_closed || request.has_ended;
+        let has_another = request.has_attempt_in_flight();
+        // After these it may still be running: the next one of its key waits until that is settled.
+        if matches!(result.outcome, Outcome::Timeout | Outcome::Reset | Outcome::Cancelled) {
+            let until = self.now + self.settings.guarantees.key_quarantine_ms;
+            self.key_queues.quarantine(request.key, until);
+        }
+        if held_limit_slot {
+            self.free_slot(call.class, quota);
+        }
+        self.record_outcome(result, call);
+        self.release_idle_connections(result.backend);
+        if is_over {
+            self.complete(id);
+        } else if !has_another && !self.retry(id) {
+            self.requeue_or_end(id);
+        }
+    }
+
+    /// Queues a request that never ran again, while there is time and an attempt left: one past the limit
+    /// of attempts would come back unsent for ever.
+    fn requeue_or_end(&mut self, id: RequestId) {
+        let Some(request) = self.requests.get(&id) else { return };
+        let never_ran = request.possibly_executed_attempt().is_none();
+        if never_ran && self.now < request.queue_deadline && self.has_attempt_left(request) {
+            self.enqueue(id);
+        } else {
+            self.reject_or_fail(id);
+        }
+    }
+
+    /// Gives the final answer: rejected where a retry by the client is harmless, failed otherwise.
+    pub fn reject_or_fail(&mut self, id: RequestId) {
+        let Some(request) = self.requests.get(&id) else { return };
+        let class = &self.classes[request.class];
+        let is_repeatable = match class.idempotency {
+            Idempotency::Idempotent => true,
+            Idempotency::Deduplicated { scope, .. } => scope == DeduplicationScope::AllBackends,
+            Idempotency::NonIdempotent => false,
+        };
+        let action = if is_repeatable || request.possibly_executed_attempt().is_none() {
+            let retry_after_ms = self.retry_after(class.latency_objective_ms);
+            Action::Reject { request: id, retry_after_ms }
+        } else {
+            Action::Fail { request: id }
+        };
+        self.actions.push(action);
+        self.complete(id);
+    }
+
+    /// Nothing is pending and nothing more is sent; attempts in flight are cancelled where that is allowed.
+    pub fn complete(&mut self, id: RequestId) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let had_ended = std::mem::replace(&mut request.has_ended, true);
+        if !request.has_attempt_in_flight() {
+            let (key, class) = (request.key, request.class);
+            self.requests.remove(&id);
+            self.classes.release(class);
+            self.key_queues.remove(key, id);
+            self.dispatch_key(key);
+        } else if !had_ended && self.settings.capabilities.can_cancel {
+            let attempts = request.attempts.iter().enumerate().filter(|(_, attempt)| attempt.is_in_flight);
+            let cancel = |number| Action::Cancel { request: id, attempt: number as AttemptNumber };
+            self.actions.extend(attempts.map(|(number, _)| cancel(number)));
+        }
+    }
+
+    /// Queues the next request of an ordering key, like any other.
+    fn dispatch_key(&mut self, key: u64) {
+        let next = self.key_queues.dispatch(key, self.now);
+        next.into_iter().for_each(|id| self.enqueue(id));
+    }
+
+    /// Ends the requests that have waited too long for their key, and lets keys out of quarantine.
+    pub fn run_key_queues(&mut self) {
+        let is_overdue = |id: &RequestId| self.requests.get(id).is_some_and(|r| self.now >= r.queue_deadline);
+        let overdue: Vec<RequestId> = self.key_queues.waiting().filter(is_overdue).collect();
+        overdue.into_iter().for_each(|id| self.reject_or_fail(id));
+        self.key_queues.keys().into_iter().for_each(|key| self.dispatch_key(key));
+    }
+}
--- /dev/null
+++ b/crates/balancer/src/policy/retry.rs
@@ -0,0 +1,45 @@
+//! Retries: within the class's idempotency, the deadline, the limit of attempts and a budget.
+
+use super::Policy;
+use super::state::Request;
+use crate::api::{Idempotency, RequestId};
+
+const RETRIES_PER_REQUEST: f64 = 0.1; // of what may have run: more would be a storm
+pub const MIN_RETRY_BURST: f64 = 10.0;
+
+impl Policy {
+    /// A request earns its share of retries; their burst grows with the concurrency limit.
+    pub fn earn_retry(&mut self) {
+        let burst = MIN_RETRY_BURST.max(self.limit.total() * RETRIES_PER_REQUEST);
+        self.retry_budget.earn(RETRIES_PER_REQUEST, burst);
+    }
+
+    /// Sends another attempt if that is allowed and a backend can take it; free if the request never ran.
+    pub fn retry(&mut self, id: RequestId) -> bool {
+        let Some(request) = self.requests.get(&id) else { return false };
+        let is_free = request.possibly_executed_attempt().is_none();
+        let has_time = self.now + self.settings.tick_ms < request.deadline;
+        let is_allowed = has_time && self.has_attempt_left(request) && self.may_run_again(request);
+        let is_sent = is_allowed && (is_free || self.retry_budget.has_token()) && self.send(id);
+        if is_sent && !is_free {
+            self.retry_budget.take();
+        }
+        is_sent
+    }
+
+    /// Whether another attempt is within the limits, both as the request was admitted and as they are now.
+    pub fn has_attempt_left(&self, request: &Request) -> bool {
+        let max_attempts = request.max_attempts.min(self.settings.capabilities.max_attempts);
+        request.attempts.len() < max_attempts as usize && !request.is_body_consumed
+    }
+
+    fn may_run_again(&self, request: &Request) -> bool {
+        let Some(first) = request.possibly_executed_attempt() else { return true };
+        let last_repeat = |window_ms: f64| first.sent_at + window_ms - self.settings.tick_ms;
+        match self.classes[request.class].idempotency {
+            Idempotency::Idempotent => true,
+            Idempotency::Deduplicated { window_ms, .. } => self.now < last_repeat(window_ms),
+            Idempotency::NonIdempotent => false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/balancer/src/policy/selection.rs
@@ -0,0 +1,84 @@
+//! Selection: the cheaper one of two random members of the subset.
+
+use super::Policy;
+use super::state::{Backend, Request};
+use crate::api::*;
+use crate::collections::random_pair;
+
+const ERROR_COST: f64 = 8.0; // a failed call costs more than a slow one
+const CROSS_ZONE_COST: f64 = 0.5; // calls that a crossing counts for, where it has a price
+const MIN_WEIGHT: f64 = 0.01;
+const DRAWS: usize = 12;
+
+impl Policy {
+    /// Two random members of the subset that are eligible; the cheaper one. Past the subset only if none is,
+    /// and to ejected backends only if nothing else is left.
+    pub fn select(&mut self, id: RequestId) -> Option<BackendId> {
+        let request = self.requests.get(&id)?;
+        let mut rng = self.rng.clone();
+        let (local, remote, members) = (self.subset.local(), self.subset.remote(), self.subset.members());
+        let is_spilled = local.is_empty() || rng.f64() < self.spillover.output() && !remote.is_empty();
+        let preferred = if is_spilled { remote } else { local };
+        let mut draw = |from: &[BackendId], may_be_ejected: bool| {
+            let is_eligible = |id| self.is_eligible(request, id, may_be_ejected);
+            let (first, second) = random_pair(&mut rng, from, DRAWS, is_eligible)?;
+            let cheaper = second.filter(|&second| self.cost(second) < self.cost(first));
+            Some(cheaper.unwrap_or(first))
+        };
+        let mut stages = [preferred, members, self.subset.ring()].into_iter();
+        let selected = stages.find_map(|from| draw(from, false)).or_else(|| draw(members, true));
+        self.rng = rng;
+        selected
+    }
+
+    fn is_eligible(&self, request: &Request, id: BackendId, may_be_ejected: bool) -> bool {
+        let Some(backend) = self.backends.get(&id) else { return false };
+        let is_out_of_budget = self.warm_up_fraction(backend) < 1.0 && !backend.slow_start_budget.has_token();
+        let was_last_attempt = request.attempts.last().is_some_and(|attempt| attempt.endpoint.backend == id);
+        backend.endpoint.phase == Phase::Ready
+            && !is_out_of_budget
+            && !was_last_attempt
+            && (may_be_ejected || self.serves_or_is_probed(request, backend))
+            && self.drops_repeats(request, backend)
+    }
+
+    fn serves_or_is_probed(&self, request: &Request, backend: &Backend) -> bool {
+        // An ejected backend gets one probe, a request that can be retried, once its time is up.
+        let is_idempotent = self.classes[request.class].idempotency != Idempotency::NonIdempotent;
+        let ejection = backend.health[None].ejection;
+        let may_probe = is_idempotent && ejection.is_due(self.now) && backend.calls.is_empty();
+        // A class that is ejected there gets a probe too, idempotent or not: no other class can tell.
+        let class_ejection = backend.health[Some(request.class)].ejection;
+        let has_calls = backend.calls.iter().any(|call| call.class == request.class);
+        let may_probe_class = class_ejection.is_due(self.now) && !has_calls;
+        (!ejection.is_active() || may_probe) && (!class_ejection.is_active() || may_probe_class)
+    }
+
+    /// Whether a backend drops the repeats of a deduplicated request that may have run.
+    fn drops_repeats(&self, request: &Request, backend: &Backend) -> bool {
+        let Some(first) = request.possibly_executed_attempt() else { return true };
+        let endpoint = &backend.endpoint;
+        match self.classes[request.class].idempotency {
+            Idempotency::Deduplicated { scope: DeduplicationScope::Zone, .. } => {
+                endpoint.zone == first.endpoint.zone
+            }
+            Idempotency::Deduplicated { scope: DeduplicationScope::Cell, .. } => {
+                endpoint.cell == first.endpoint.cell
+            }
+            _ => true,
+        }
+    }
+
+    /// Expected wait at a backend beside the others': own calls, latency, errors and the warm-up.
+    fn cost(&self, id: BackendId) -> f64 {
+        let backend = &self.backends[&id];
+        let latency = backend.relative_latency.value() * (1.0 + ERROR_COST * backend.error_rate.value());
+        let has_price = self.settings.objective.cross_zone_price > 0.0;
+        let is_crossing = has_price && backend.endpoint.zone != self.settings.zone;
+        let crossing = if is_crossing { CROSS_ZONE_COST } else { 0.0 };
+        // A backend that is warming up and idle costs no more than others: its budget limits its calls.
+        let calls = backend.calls.len() as f64 / self.warm_up_fraction(backend);
+        let weight = backend.endpoint.weight.max(MIN_WEIGHT);
+        (calls * self.mean_weight / weight + 1.0 + crossing) * latency
+    }
+}
--- a/crates/balancer/src/settings_format.rs
+++ b/crates/balancer/src/settings_format.rs
@@ -1,116 +1,159 @@
-//! Reads an instance's settings from the JSON object that comes with its start: on the simulator's wire as
-//! text, at a real proxy as a part of its configuration.
+//! The settings' JSON form: on the simulator's wire as text, at a real proxy as a part of its configuration.
 
 use crate::api;
 use serde::{Deserialize, Deserializer, de::Error};
 
 /// The settings, split by who reads them.
 #[derive(Debug, Clone)]
-pub struct Facts {
+pub struct ResolvedSettings {
     /// What the decisions need.
-    pub settings: api::Settings,
+    pub balancer: api::Settings,
     /// What a proxy on real sockets needs beside them.
-    pub site: Site,
+    pub site: SiteSettings,
 }
 
 /// Names and figures that no decision needs; empty or 0 where the text leaves them out.
 #[derive(Debug, Clone, Default)]
-pub struct Site {
+pub struct SiteSettings {
     /// Names of the classes, in the order of the settings.
-    pub classes: Vec<String>,
+    pub class_names: Vec<String>,
     /// Names of the tenants.
-    pub tenants: Vec<String>,
+    pub tenant_names: Vec<String>,
     /// Names of the zones.
-    pub zones: Vec<String>,
+    pub zone_names: Vec<String>,
     /// Idle connections are closed by the backend after this, at the latest.
-    pub conn_idle: f64,
+    pub connection_idle_ms: f64,
     /// A connection not made by then has failed.
-    pub connect_timeout: f64,
-    /// Most open requests of a copy.
-    pub open_cap: usize,
-    /// Time after the notice in which sends to a draining backend must end.
-    pub drain_grace: f64,
-    /// The longest time that a client waits, over all classes.
-    pub longest_wait: f64,
-    /// The longest time within which an answer is wanted, over all classes.
-    pub longest_aim: f64,
+    pub connect_timeout_ms: f64,
+    /// Most open requests of an instance.
+    pub max_open_requests: usize,
+    /// Time after the notice within which sends to a draining backend must end.
+    pub drain_deadline_ms: f64,
+    /// The longest client timeout, over all classes.
+    pub longest_client_timeout_ms: f64,
+    /// The longest latency objective, over all classes.
+    pub longest_latency_objective_ms: f64,
 }
 
-/// A figure that must be finite and not negative.
-fn figure<'de, D: Deserializer<'de>>(d: D) -> Result<f64, D::Error> {
-    let x = f64::deserialize(d)?;
-    if x.is_finite() && x >= 0.0 { Ok(x) } else { Err(D::Error::custom("must be finite and not negative")) }
+/// Why a text holds no settings.
+#[derive(Debug, thiserror::Error)]
+pub enum SettingsFormatError {
+    /// A key is missing or holds no such value; the source names its path.
+    #[error("settings: {0}")]
+    InvalidKey(#[source] serde_path_to_error::Error<serde_json::Error>),
+    /// Something follows the settings.
+    #[error("settings: {0}")]
+    TrailingText(#[source] serde_json::Error),
+}
+
+/// Parses the text; an error names the key.
+pub fn parse(text: &[u8]) -> Result<ResolvedSettings, SettingsFormatError> {
+    let mut json = serde_json::Deserializer::from_slice(text);
+    let settings = read(&mut json)?;
+    json.end().map_err(SettingsFormatError::TrailingText)?;
+    Ok(settings)
+}
+
+/// Reads the object from where it stands; an error names the key.
+pub fn read<'de, D>(from: D) -> Result<ResolvedSettings, SettingsFormatError>
+where
+    D: Deserializer<'de, Error = serde_json::Error>,
+{
+    let object: SettingsObject =
+        serde_path_to_error::deserialize(from).map_err(SettingsFormatError::InvalidKey)?;
+    Ok(object.resolve())
+}
+
+/// Reads a figure that must be finite and not negative.
+fn figure<'de, D: Deserializer<'de>>(from: D) -> Result<f64, D::Error> {
+    let figure = f64::deserialize(from)?;
+    if figure.is_finite() && figure >= 0.0 {
+        Ok(figure)
+    } else {
+        Err(D::Error::custom("must be finite and not negative"))
+    }
 }
 
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
-struct Text {
-    slot_no: u32,
-    peers_total: u32,
+struct SettingsObject {
+    #[serde(rename = "slotNo")]
+    instance_index: u32,
+    #[serde(rename = "peersTotal")]
+    instance_count: u32,
     tier: u32,
-    locality: u16,
-    #[serde(default)]
-    localities: Vec<String>,
-    #[serde(deserialize_with = "figure")]
-    tick: f64,
-    #[serde(deserialize_with = "figure")]
-    over_share_worth: f64,
-    discovery: Discovery,
-    classes: Vec<Class>,
-    tenants: Vec<Tenant>,
-    caps: Caps,
-    guarantees: Guarantees,
-    #[serde(default)]
-    goal: Goal,
+    #[serde(rename = "locality")]
+    zone: u16,
+    #[serde(rename = "localities", default)]
+    zone_names: Vec<String>,
+    #[serde(rename = "tick", deserialize_with = "figure")]
+    tick_ms: f64,
+    #[serde(rename = "overShareWorth", deserialize_with = "figure")]
+    over_quota_weight: f64,
+    discovery: DiscoveryObject,
+    classes: Vec<ClassObject>,
+    tenants: Vec<TenantObject>,
+    #[serde(rename = "caps")]
+    capabilities: CapabilitiesObject,
+    guarantees: GuaranteesObject,
+    #[serde(rename = "goal", default)]
+    objective: ObjectiveObject,
     #[serde(default)]
-    prices: Prices,
+    prices: PricesObject,
 }
 
 #[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-enum Discovery {
-    Automatic,
-    Subscribe,
+enum DiscoveryObject {
+    #[serde(rename = "automatic")]
+    Push,
+    #[serde(rename = "subscribe")]
+    Poll,
 }
 
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
-struct Class {
+struct ClassObject {
     #[serde(default)]
     name: String,
-    #[serde(deserialize_with = "figure")]
-    aim: f64,
-    #[serde(default, deserialize_with = "figure")]
-    give_up: f64,
-    #[serde(deserialize_with = "figure")]
-    points: f64,
-    semantics: Semantics,
-    group: Group,
-    #[serde(deserialize_with = "figure")]
-    window: f64,
-    #[serde(default)]
-    fifo_by_key: bool,
+    #[serde(rename = "aim", deserialize_with = "figure")]
+    latency_objective_ms: f64,
+    #[serde(rename = "giveUp", default, deserialize_with = "figure")]
+    client_timeout_ms: f64,
+    #[serde(rename = "points", deserialize_with = "figure")]
+    priority_weight: f64,
+    #[serde(rename = "semantics")]
+    idempotency: IdempotencyObject,
+    #[serde(rename = "group")]
+    deduplication_scope: DeduplicationScopeObject,
+    #[serde(rename = "window", deserialize_with = "figure")]
+    deduplication_window_ms: f64,
+    #[serde(rename = "fifoByKey", default)]
+    is_ordered_by_key: bool,
 }
 
 #[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-enum Semantics {
-    Retryable,
-    Dedup,
-    Fragile,
+enum IdempotencyObject {
+    #[serde(rename = "retryable")]
+    Idempotent,
+    #[serde(rename = "dedup")]
+    Deduplicated,
+    #[serde(rename = "fragile")]
+    NonIdempotent,
 }
 
 #[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-enum Group {
-    All,
+enum DeduplicationScopeObject {
+    #[serde(rename = "all")]
+    AllBackends,
+    #[serde(rename = "zone")]
     Zone,
+    #[serde(rename = "cell")]
     Cell,
 }
 
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
-struct Tenant {
+struct TenantObject {
     #[serde(default)]
     name: String,
     #[serde(deserialize_with = "figure")]
@@ -118,119 +161,159 @@
 }
 
 #[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct Caps {
-    cancelling: bool,
-    retry_after: bool,
-    #[serde(deserialize_with = "figure")]
-    max_retry_after: f64,
-    try_limit: u32,
-    #[serde(default)]
-    open_cap: usize,
-    #[serde(default, deserialize_with = "figure")]
-    conn_idle: f64,
-    #[serde(default, deserialize_with = "figure")]
-    connect_timeout: f64,
+struct CapabilitiesObject {
+    #[serde(rename = "cancelling")]
+    can_cancel: bool,
+    #[serde(rename = "retryAfter")]
+    sends_retry_after: bool,
+    #[serde(rename = "maxRetryAfter", deserialize_with = "figure")]
+    max_retry_after_ms: f64,
+    #[serde(rename = "tryLimit")]
+    max_attempts: u32,
+    #[serde(rename = "openCap", default)]
+    max_open_requests: usize,
+    #[serde(rename = "connIdle", default, deserialize_with = "figure")]
+    connection_idle_ms: f64,
+    #[serde(rename = "connectTimeout", default, deserialize_with = "figure")]
+    connect_timeout_ms: f64,
 }
 
 #[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct Guarantees {
-    #[serde(deserialize_with = "figure")]
-    cold_from: f64,
-    #[serde(deserialize_with = "figure")]
-    cold: f64,
-    #[serde(deserialize_with = "figure")]
-    fall_multiple: f64,
-    #[serde(default, deserialize_with = "figure")]
-    ask_within: f64,
-    #[serde(default, deserialize_with = "figure")]
-    release_within: f64,
-    #[serde(default, deserialize_with = "figure")]
-    settle_after_doubt: f64,
-    #[serde(default, deserialize_with = "figure")]
-    stop_sending_within: f64,
+struct GuaranteesObject {
+    #[serde(rename = "coldFrom", deserialize_with = "figure")]
+    initial_capacity_fraction: f64,
+    #[serde(rename = "cold", deserialize_with = "figure")]
+    warm_up_ms: f64,
+    #[serde(rename = "fallMultiple", deserialize_with = "figure")]
+    overload_multiple: f64,
+    #[serde(rename = "askWithin", default, deserialize_with = "figure")]
+    poll_within_ms: f64,
+    #[serde(rename = "releaseWithin", default, deserialize_with = "figure")]
+    idle_release_ms: f64,
+    #[serde(rename = "settleAfterDoubt", default, deserialize_with = "figure")]
+    key_quarantine_ms: f64,
+    #[serde(rename = "stopSendingWithin", default, deserialize_with = "figure")]
+    drain_deadline_ms: f64,
 }
 
 #[derive(Deserialize, Default)]
-#[serde(rename_all = "camelCase", default)]
-struct Goal {
-    #[serde(deserialize_with = "figure")]
-    worst_class: f64,
+#[serde(default)]
+struct ObjectiveObject {
+    #[serde(rename = "worstClass", deserialize_with = "figure")]
+    worst_class_weight: f64,
 }
 
 #[derive(Deserialize, Default)]
-#[serde(rename_all = "camelCase", default)]
-struct Prices {
-    #[serde(deserialize_with = "figure")]
-    cross_zone: f64,
+#[serde(default)]
+struct PricesObject {
+    #[serde(rename = "crossZone", deserialize_with = "figure")]
+    cross_zone_price: f64,
 }
 
-/// Parses the text; an error names the key.
-pub fn parse(text: &[u8]) -> Result<Facts, String> {
-    let mut json = serde_json::Deserializer::from_slice(text);
-    let facts = read(&mut json)?;
-    json.end().map_err(|e| format!("settings: {e}"))?;
-    Ok(facts)
+impl SettingsObject {
+    fn resolve(self) -> ResolvedSettings {
+        ResolvedSettings { site: self.site(), balancer: self.balancer() }
+    }
+
+    fn site(&self) -> SiteSettings {
+        let longest =
+            |duration_ms: fn(&ClassObject) -> f64| self.classes.iter().map(duration_ms).fold(0.0, f64::max);
+        SiteSettings {
+            class_names: self.classes.iter().map(|class| class.name.clone()).collect(),
+            tenant_names: self.tenants.iter().map(|tenant| tenant.name.clone()).collect(),
+            zone_names: self.zone_names.clone(),
+            connection_idle_ms: self.capabilities.connection_idle_ms,
+            connect_timeout_ms: self.capabilities.connect_timeout_ms,
+            max_open_requests: self.capabilities.max_open_requests,
+            drain_deadline_ms: self.guarantees.drain_deadline_ms,
+            longest_client_timeout_ms: longest(|class| class.client_timeout_ms),
+            longest_latency_objective_ms: longest(|class| class.latency_objective_ms),
+        }
+    }
+
+    fn balancer(self) -> api::Settings {
+        let tenant = |tenant: &TenantObject| api::Tenant { quota_per_s: tenant.quota_per_s };
+        api::Settings {
+            instance_index: self.instance_index,
+            instance_count: self.instance_count,
+            tier: self.tier,
+            zone: self.zone,
+            tick_ms: self.tick_ms,
+            discovery_mode: self.discovery.mode(),
+            over_quota_weight: self.over_quota_weight,
+            classes: self.classes.iter().map(ClassObject::class).collect(),
+            tenants: self.tenants.iter().map(tenant).collect(),
+            capabilities: self.capabilities.capabilities(),
+            guarantees: self.guarantees.guarantees(),
+            objective: api::Objective {
+                worst_class_weight: self.objective.worst_class_weight,
+                cross_zone_price: self.prices.cross_zone_price,
+            },
+        }
+    }
 }
 
-/// Reads the object from where it stands; an error names the key.
-pub fn read<'de, D: Deserializer<'de>>(from: D) -> Result<Facts, String> {
-    let f: Text = serde_path_to_error::deserialize(from).map_err(|e| format!("settings: {e}"))?;
-    let longest = |of: fn(&Class) -> f64| f.classes.iter().map(of).fold(0.0, f64::max);
-    let site = Site {
-        classes: f.classes.iter().map(|c| c.name.clone()).collect(),
-        tenants: f.tenants.iter().map(|t| t.name.clone()).collect(),
-        zones: f.localities,
-        conn_idle: f.caps.conn_idle,
-        connect_timeout: f.caps.connect_timeout,
-        open_cap: f.caps.open_cap,
-        drain_grace: f.guarantees.stop_sending_within,
-        longest_wait: longest(|c| c.give_up),
-        longest_aim: longest(|c| c.aim),
-    };
-    let class = |c: Class| api::Class {
-        aim: c.aim,
-        points: c.points,
-        in_order: c.fifo_by_key,
-        effect: match c.semantics {
-            Semantics::Retryable => api::Effect::Retryable,
-            Semantics::Fragile => api::Effect::Fragile,
-            Semantics::Dedup => api::Effect::Dedup {
-                window: c.window,
-                group: match c.group {
-                    Group::All => api::Group::All,
-                    Group::Zone => api::Group::Zone,
-                    Group::Cell => api::Group::Cell,
-                },
+impl DiscoveryObject {
+    fn mode(&self) -> api::DiscoveryMode {
+        match self {
+            DiscoveryObject::Push => api::DiscoveryMode::Push,
+            DiscoveryObject::Poll => api::DiscoveryMode::Poll,
+        }
+    }
+}
+
+impl ClassObject {
+    fn class(&self) -> api::Class {
+        api::Class {
+            latency_objective_ms: self.latency_objective_ms,
+            priority_weight: self.priority_weight,
+            idempotency: self.idempotency(),
+            is_ordered_by_key: self.is_ordered_by_key,
+        }
+    }
+
+    fn idempotency(&self) -> api::Idempotency {
+        match self.idempotency {
+            IdempotencyObject::Idempotent => api::Idempotency::Idempotent,
+            IdempotencyObject::NonIdempotent => api::Idempotency::NonIdempotent,
+            IdempotencyObject::Deduplicated => api::Idempotency::Deduplicated {
+                window_ms: self.deduplication_window_ms,
+                scope: self.deduplication_scope.scope(),
             },
-        },
-    };
-    let settings = api::Settings {
-        copy: f.slot_no,
-        copies: f.peers_total,
-        tier: f.tier,
-        zone: f.locality,
-        tick: f.tick,
-        must_ask: matches!(f.discovery, Discovery::Subscribe),
-        over_share_worth: f.over_share_worth,
-        classes: f.classes.into_iter().map(class).collect(),
-        tenants: f.tenants.iter().map(|t| api::Tenant { quota_per_s: t.quota_per_s }).collect(),
-        caps: api::Caps {
-            cancelling: f.caps.cancelling,
-            retry_after: f.caps.retry_after,
-            max_retry_after: f.caps.max_retry_after,
-            try_limit: f.caps.try_limit,
-        },
-        rules: api::Rules {
-            cold_from: f.guarantees.cold_from,
-            cold: f.guarantees.cold,
-            fall_multiple: f.guarantees.fall_multiple,
-            ask_within: f.guarantees.ask_within,
-            release_within: f.guarantees.release_within,
-            settle_after_doubt: f.guarantees.settle_after_doubt,
-        },
-        goal: api::Goal { worst_class: f.goal.worst_class, cross_zone: f.prices.cross_zone },
-    };
-    Ok(Facts { settings, site })
+        }
+    }
+}
+
+impl DeduplicationScopeObject {
+    fn scope(&self) -> api::DeduplicationScope {
+        match self {
+            DeduplicationScopeObject::AllBackends => api::DeduplicationScope::AllBackends,
+            DeduplicationScopeObject::Zone => api::DeduplicationScope::Zone,
+            DeduplicationScopeObject::Cell => api::DeduplicationScope::Cell,
+        }
+    }
+}
+
+impl CapabilitiesObject {
+    fn capabilities(&self) -> api::Capabilities {
+        api::Capabilities {
+            can_cancel: self.can_cancel,
+            sends_retry_after: self.sends_retry_after,
+            max_retry_after_ms: self.max_retry_after_ms,
+            max_attempts: self.max_attempts,
+        }
+    }
+}
+
+impl GuaranteesObject {
+    fn guarantees(&self) -> api::Guarantees {
+        api::Guarantees {
+            initial_capacity_fraction: self.initial_capacity_fraction,
+            warm_up_ms: self.warm_up_ms,
+            overload_multiple: self.overload_multiple,
+            poll_within_ms: self.poll_within_ms,
+            idle_release_ms: self.idle_release_ms,
+            key_quarantine_ms: self.key_quarantine_ms,
+        }
+    }
 }
--- /dev/null
+++ b/crates/balancer/src/stats/capped_mean.rs
@@ -0,0 +1,29 @@
+//! A mean over a limited number of samples, in which no single one weighs much more than the others.
+
+use super::MovingAverage;
+
+/// The mean of the latest samples, with those far above it capped.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct CappedMean {
+    samples: f64,
+    mean: MovingAverage,
+}
+
+impl CappedMean {
+    /// The mean.
+    pub fn value(self) -> f64 {
+        self.mean.value()
+    }
+
+    /// Samples that the mean covers.
+    pub fn samples(self) -> f64 {
+        self.samples
+    }
+
+    /// Takes a sample into a mean over `memory` samples; it counts at most `max_ratio` times the mean.
+    pub fn record(&mut self, sample: f64, memory: f64, max_ratio: f64) {
+        self.samples = (self.samples + 1.0).min(memory);
+        let cap = max_ratio * self.mean.value().max(sample / self.samples);
+        self.mean.update_as_one_of(sample.min(cap), self.samples);
+    }
+}
--- /dev/null
+++ b/crates/balancer/src/stats/mod.rs
@@ -0,0 +1,29 @@
+//! Statistics and controllers without thresholds of the policy's own: what they are used with comes from the
+//! policy, call by call.
+
+mod backoff;
+mod capped_mean;
+mod fading_peak;
+mod latency_profile;
+mod load_window;
+mod low_discrepancy;
+mod moving_average;
+mod pi_controller;
+mod prior_mean;
+mod timed_exclusion;
+mod token_bucket;
+
+#[cfg(test)]
+mod tests;
+
+pub use backoff::Backoff;
+use capped_mean::CappedMean;
+pub use fading_peak::FadingPeak;
+pub use latency_profile::LatencyProfile;
+pub use load_window::LoadWindow;
+pub use low_discrepancy::even_phase;
+pub use moving_average::MovingAverage;
+pub use pi_controller::PiController;
+pub use prior_mean::PriorMean;
+pub use timed_exclusion::TimedExclusion;
+pub use token_bucket::TokenBucket;
--- /dev/null
+++ b/crates/balancer/src/stats/token_bucket.rs
@@ -0,0 +1,50 @@
+//! A token bucket.
+
+/// Tokens that are earned up to a capacity and taken one at a time.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct TokenBucket {
+    tokens: f64,
+    refilled_at_ms: f64,
+}
+
+impl TokenBucket {
+    /// A bucket with so many tokens; [`f64::MAX`] is a full one, whatever its capacity turns out to be.
+    pub fn with_tokens(tokens: f64) -> Self {
+        TokenBucket { tokens, refilled_at_ms: 0.0 }
+    }
+
+    /// Earns tokens.
+    pub fn earn(&mut self, tokens: f64, capacity: f64) {
+        self.tokens = (self.tokens + tokens).min(capacity);
+    }
+
+    /// Earns what a rate gives for the time since the last call.
+    pub fn refill(&mut self, now_ms: f64, rate_per_s: f64, capacity: f64) {
+        self.earn(rate_per_s * (now_ms - self.refilled_at_ms) / 1000.0, capacity);
+        self.refilled_at_ms = now_ms;
+    }
+
+    /// Whether there is a whole token.
+    pub fn has_token(self) -> bool {
+        self.tokens >= 1.0
+    }
+
+    /// Takes a token, which may leave a debt.
+    pub fn take(&mut self) {
+        self.tokens -= 1.0;
+    }
+
+    /// Takes a token if there is a whole one.
+    pub fn try_take(&mut self) -> bool {
+        let is_taken = self.has_token();
+        if is_taken {
+            self.take();
+        }
+        is_taken
+    }
+
+    /// Returns a token that was taken.
+    pub fn give_back(&mut self) {
+        self.tokens += 1.0;
+    }
+}
--- a/crates/balancer/tests/decisions.rs
+++ b/crates/balancer/tests/decisions.rs
@@ -7,8 +7,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use support::*;
 
-fn plain(copies: u32) -> Settings {
-    settings(copies, vec![class(1000.0, 1.0, Effect::Retryable)])
+fn plain(instance_count: u32) -> Settings {
+    settings(instance_count, vec![class(1000.0, 1.0, Idempotency::Idempotent)])
 }
 
 /// How many calls a copy has out when more are asked than it takes.
@@ -27,7 +27,7 @@
 
 #[test]
 fn limit_grows_while_it_is_used_and_answers_are_quick() {
-    let mut p = Proxy::new(plain(1), 1, entries(10));
+    let mut p = Proxy::new(plain(1), 1, endpoints(10));
     let start = fill(&mut p, 0, 0, 400);
     assert!(start >= 30, "a start into full traffic refuses what ten idle backends could serve: {start}");
     for _ in 0..200 {
@@ -43,8 +43,8 @@
 /// Guards against a limit that wanders off on an idle copy.
 #[test]
 fn limit_stays_while_it_is_not_used() {
-    let mut p = Proxy::new(plain(1), 1, entries(10));
-    let start = fill(&mut Proxy::new(plain(1), 1, entries(10)), 0, 0, 400);
+    let mut p = Proxy::new(plain(1), 1, endpoints(10));
+    let start = fill(&mut Proxy::new(plain(1), 1, endpoints(10)), 0, 0, 400);
     p.serve(10_000.0, 1, 0, 10.0);
     let after = fill(&mut p, 0, 0, 400);
     assert!(after <= start + 1, "{start} at first, {after} after a quiet time");
@@ -53,12 +53,12 @@
 /// A release takes each backend out and brings it back.
 #[test]
 fn limit_is_not_worn_down_by_backends_that_leave_and_return() {
-    let start = fill(&mut Proxy::new(plain(1), 1, entries(10)), 0, 0, 400);
-    let mut p = Proxy::new(plain(1), 1, entries(10));
+    let start = fill(&mut Proxy::new(plain(1), 1, endpoints(10)), 0, 0, 400);
+    let mut p = Proxy::new(plain(1), 1, endpoints(10));
     for gone in 1..=10 {
-        let left: Vec<Entry> = entries(10).into_iter().filter(|e| e.backend != gone).collect();
-        p.list(ListKind::Full, left);
-        p.list(ListKind::Full, entries(10));
+        let left: Vec<EndpointInfo> = endpoints(10).into_iter().filter(|e| e.backend != gone).collect();
+        p.list(EndpointListKind::Full, left);
+        p.list(EndpointListKind::Full, endpoints(10));
     }
     assert_eq!(fill(&mut p, 0, 0, 400), start);
 }
@@ -66,7 +66,7 @@
 #[test]
 fn limit_falls_when_answers_are_slow_and_many_are_dropped() {
     for (wait, outcome) in [(900.0, Outcome::Ok), (60.0, Outcome::Full)] {
-        let mut p = Proxy::new(plain(1), 1, entries(10));
+        let mut p = Proxy::new(plain(1), 1, endpoints(10));
         p.serve(3000.0, 4, 0, 40.0);
         let before = fill(&mut p, 0, 0, 400);
         for _ in 0..12 {
@@ -85,7 +85,7 @@
 /// The first answers after a change are the quick ones; a limit that grows on them alone overshoots.
 #[test]
 fn quick_answers_do_not_speak_for_those_still_out() {
-    let mut p = Proxy::new(plain(1), 1, entries(10));
+    let mut p = Proxy::new(plain(1), 1, endpoints(10));
     let start = fill(&mut p, 0, 0, 400);
     for _ in 0..40 {
         p.advance(p.now + 50.0);
@@ -102,9 +102,9 @@
 #[test]
 fn limit_shrinks_with_the_list() {
     let out = |gone: bool| {
-        let mut p = Proxy::new(plain(1), 1, entries(20));
+        let mut p = Proxy::new(plain(1), 1, endpoints(20));
         if gone {
-            p.list(ListKind::Full, entries(5));
+            p.list(EndpointListKind::Full, endpoints(5));
         }
         fill(&mut p, 0, 0, 400)
     };
@@ -115,10 +115,15 @@
 /// Each of many copies sees few answers in a window; that all of them are slow is enough.
 #[test]
 fn limits_fall_while_the_few_answers_of_each_copy_are_slow() {
-    let (copies, mut before, mut after) = (10, 0, 0);
-    for copy in 0..copies {
-        let mut p = Proxy::new(Settings { copy, ..plain(copies) }, 1, entries(10));
-        before += fill(&mut Proxy::new(Settings { copy, ..plain(copies) }, 1, entries(10)), 0, 0, 100);
+    let (instance_count, mut before, mut after) = (10, 0, 0);
+    for instance_index in 0..instance_count {
+        let mut p = Proxy::new(Settings { instance_index, ..plain(instance_count) }, 1, endpoints(10));
+        before += fill(
+            &mut Proxy::new(Settings { instance_index, ..plain(instance_count) }, 1, endpoints(10)),
+            0,
+            0,
+            100,
+        );
         // 20 calls a second, answered after 0.2 s and then after 0.55 s; the aim's share is 0.4 s.
         for n in 0..3000 {
             if n % 10 == 0 {
@@ -145,8 +150,8 @@
 /// into that.
 #[test]
 fn limits_fall_before_queues_take_a_third_of_the_aim() {
-    let mut p = Proxy::new(plain(4), 1, entries(10));
-    let before = fill(&mut Proxy::new(plain(4), 1, entries(10)), 0, 0, 100);
+    let mut p = Proxy::new(plain(4), 1, endpoints(10));
+    let before = fill(&mut Proxy::new(plain(4), 1, endpoints(10)), 0, 0, 100);
     p.serve(5000.0, 1, 0, 100.0);
     p.serve(10_000.0, 1, 0, 360.0);
     let after = fill(&mut p, 0, 0, 100);
@@ -157,10 +162,13 @@
 #[test]
 fn cold_backends_that_take_their_time_stay_in_service() {
     let served = |cold: bool| {
-        let mut p = Proxy::new(plain(1), 1, entries(4));
+        let mut p = Proxy::new(plain(1), 1, endpoints(4));
         p.serve(5000.0, 1, 0, 100.0);
-        let started_at = if cold { p.now } else { 0.0 };
-        p.list(ListKind::Delta, (5..=12).map(|b| Entry { started_at, ..entry(b) }).collect());
+        let started_at_ms = if cold { p.now } else { 0.0 };
+        p.list(
+            EndpointListKind::Delta,
+            (5..=12).map(|b| EndpointInfo { started_at_ms, ..endpoint(b) }).collect(),
+        );
         let (from, mut sends) = (p.now, 0);
         while p.now < from + 6000.0 {
             p.ask(0, 0, 1e5);
@@ -183,12 +191,12 @@
 /// Cold backends bring what they bear and no more: counted in full, their part would go to the warm ones.
 #[test]
 fn limit_grows_with_cold_backends_as_they_warm() {
-    let before = fill(&mut Proxy::new(plain(1), 1, entries(10)), 0, 0, 400) as f64;
+    let before = fill(&mut Proxy::new(plain(1), 1, endpoints(10)), 0, 0, 400) as f64;
     let grown = |after: f64| {
-        let mut p = Proxy::new(plain(1), 1, entries(10));
-        let started_at = p.now;
-        let cold = (11..=20).map(|b| Entry { started_at, ..entry(b) });
-        p.list(ListKind::Delta, cold.collect());
+        let mut p = Proxy::new(plain(1), 1, endpoints(10));
+        let started_at_ms = p.now;
+        let cold = (11..=20).map(|b| EndpointInfo { started_at_ms, ..endpoint(b) });
+        p.list(EndpointListKind::Delta, cold.collect());
         p.advance(p.now + after);
         fill(&mut p, 0, 0, 400) as f64 / before
     };
@@ -199,8 +207,9 @@
 
 #[test]
 fn low_worth_is_refused_first_and_its_slice_keeps_its_share() {
-    let classes = vec![class(1000.0, 9.0, Effect::Retryable), class(1000.0, 1.0, Effect::Retryable)];
-    let mut p = Proxy::new(settings(1, classes), 1, entries(10));
+    let classes =
+        vec![class(1000.0, 9.0, Idempotency::Idempotent), class(1000.0, 1.0, Idempotency::Idempotent)];
+    let mut p = Proxy::new(settings(1, classes), 1, endpoints(10));
     let total = fill(&mut p, 1, 0, 400);
     let high = fill(&mut p, 0, 0, 400) - total;
     // Past the total, the slice of share 0.9 still fills up to its own limit; that of 0.1 takes no more.
@@ -219,21 +228,22 @@
 fn greedy_tenant_is_served_from_what_is_left() {
     let mut s = plain(1);
     s.tenants = vec![Tenant { quota_per_s: 10.0 }, Tenant { quota_per_s: 10.0 }];
-    let mut p = Proxy::new(s.clone(), 1, entries(10));
+    let mut p = Proxy::new(s.clone(), 1, endpoints(10));
     let total = fill(&mut p, 0, 0, 400);
     assert!(total >= 20, "capacity left over is used: {total}");
     assert_eq!(fill(&mut p, 0, 1, 9), total + 9, "another tenant within its quota is not kept out");
     // Behind the first tier work is under way already: no demotion.
     s.tier = 1;
-    let mut p = Proxy::new(s, 1, entries(10));
+    let mut p = Proxy::new(s, 1, endpoints(10));
     let deep = fill(&mut p, 0, 0, 400);
     assert_eq!(fill(&mut p, 0, 1, 9), deep);
 }
 
 #[test]
 fn held_requests_are_freed_by_worth_and_refused_in_time() {
-    let classes = vec![class(1000.0, 9.0, Effect::Fragile), class(1000.0, 1.0, Effect::Fragile)];
-    let mut p = Proxy::new(settings(1, classes), 1, entries(5));
+    let classes =
+        vec![class(1000.0, 9.0, Idempotency::NonIdempotent), class(1000.0, 1.0, Idempotency::NonIdempotent)];
+    let mut p = Proxy::new(settings(1, classes), 1, endpoints(5));
     let out = fill(&mut p, 1, 0, 24); // the low slice fills the total and holds four more
     let low: Vec<_> = p.asked.iter().filter(|(_, a)| a.sends.is_empty()).map(|(&id, _)| id).collect();
     assert_eq!((out, low.len()), (20, 4));
@@ -252,8 +262,8 @@
 /// At the end of a planned stop there is no time left for an answer.
 #[test]
 fn what_comes_too_late_is_refused_at_once_and_not_sent_on() {
-    for effect in [Effect::Retryable, Effect::Fragile] {
-        let mut p = Proxy::new(settings(1, vec![class(1000.0, 1.0, effect)]), 1, entries(10));
+    for idempotency in [Idempotency::Idempotent, Idempotency::NonIdempotent] {
+        let mut p = Proxy::new(settings(1, vec![class(1000.0, 1.0, idempotency)]), 1, endpoints(10));
         let late = p.ask(0, 0, 0.0);
         assert_eq!((p.asked[&late].sends.len(), p.asked[&late].ended.map(|e| e.1)), (0, Some("refused")));
         let timely = p.ask(0, 0, 1.0);
@@ -263,20 +273,24 @@
 
 #[test]
 fn subsets_tile_the_tier() {
-    for (copies, n) in [(10, 60), (40, 100), (3, 30)] {
+    for (instance_count, n) in [(10, 60), (40, 100), (3, 30)] {
         let mut met_by: BTreeMap<BackendId, usize> = BTreeMap::new();
-        for copy in 0..copies {
-            let mut p = Proxy::new(Settings { copy, ..plain(copies) }, 1, entries(n));
+        for instance_index in 0..instance_count {
+            let mut p = Proxy::new(Settings { instance_index, ..plain(instance_count) }, 1, endpoints(n));
             for _ in 0..400 {
                 let id = p.ask(0, 0, 1e5);
                 p.advance(p.now + 5.0);
                 p.resolve(id, 0, Outcome::Ok);
             }
             let mine = sends_by_backend(&p);
-            assert!(copies < 4 || mine.len() * 2 < n as usize, "copy {copy} of {copies} met {}", mine.len());
+            assert!(
+                instance_count < 4 || mine.len() * 2 < n as usize,
+                "copy {instance_index} of {instance_count} met {}",
+                mine.len()
+            );
             mine.keys().for_each(|&b| *met_by.entry(b).or_default() += 1);
         }
-        assert_eq!(met_by.len(), n as usize, "{copies} copies leave backends out");
+        assert_eq!(met_by.len(), n as usize, "{instance_count} copies leave backends out");
     }
 }
 
@@ -293,7 +307,7 @@
         }
         seen.len()
     };
-    let mut p = Proxy::new(plain(40), 1, entries(80));
+    let mut p = Proxy::new(plain(40), 1, endpoints(80));
     let quiet = met(&mut p, 20_000.0);
     p.serve(6000.0, 6, 0, 200.0);
     let after = met(&mut p, 10_000.0);
@@ -305,7 +319,7 @@
 
 #[test]
 fn unlike_backends_are_loaded_by_what_they_answer() {
-    let mut p = Proxy::new(plain(1), 1, entries(10));
+    let mut p = Proxy::new(plain(1), 1, endpoints(10));
     let mut sends: BTreeMap<bool, usize> = BTreeMap::new();
     for _ in 0..4000 {
         p.ask(0, 0, 1e5);
@@ -349,7 +363,7 @@
 /// Objection: a hanging server pins slots until time-out. It is left, its calls go elsewhere, it comes back.
 #[test]
 fn a_hanging_backend_is_left_and_comes_back() {
-    let mut p = Proxy::new(plain(1), 1, entries(8));
+    let mut p = Proxy::new(plain(1), 1, endpoints(8));
     run(&mut p, 3000.0, well);
     run(&mut p, 3000.0, |s, now| if s.backend == 2 { None } else { well(s, now) });
     let stuck = p.out().iter().filter(|(_, _, s)| s.backend == 2).count();
@@ -367,8 +381,9 @@
 /// alone, also if nothing of it may run twice, and taken back for it later.
 #[test]
 fn a_backend_that_swallows_one_class_is_left_for_that_class() {
-    let classes = vec![class(1000.0, 1.0, Effect::Retryable), class(1000.0, 2.0, Effect::Fragile)];
-    let mut p = Proxy::new(settings(1, classes), 1, entries(8));
+    let classes =
+        vec![class(1000.0, 1.0, Idempotency::Idempotent), class(1000.0, 2.0, Idempotency::NonIdempotent)];
+    let mut p = Proxy::new(settings(1, classes), 1, endpoints(8));
     // How many of each class were sent to backend 2.
     let mut both = |ms: f64, swallows: bool| {
         let (end, mut sends) = (p.now + ms, [0, 0]);
@@ -402,12 +417,15 @@
 #[test]
 fn limit_does_not_fall_when_silent_backends_come_back_cold() {
     let limit = |back: bool| {
-        let mut p = Proxy::new(plain(1), 1, entries(10));
+        let mut p = Proxy::new(plain(1), 1, endpoints(10));
         run(&mut p, 3000.0, well);
         run(&mut p, 4000.0, |s, now| if s.backend <= 4 { None } else { well(s, now) });
         if back {
-            let started_at = p.now - 1000.0;
-            p.list(ListKind::Delta, (1..=4).map(|b| Entry { started_at, ..entry(b) }).collect());
+            let started_at_ms = p.now - 1000.0;
+            p.list(
+                EndpointListKind::Delta,
+                (1..=4).map(|b| EndpointInfo { started_at_ms, ..endpoint(b) }).collect(),
+            );
         }
         p.advance(p.now + 100.0);
         let out = p.out().iter().filter(|(_, _, s)| s.backend > 4).count();
@@ -420,7 +438,7 @@
 /// A pause looks like a hang. Once all that was out there is answered after all, it waits for no trial.
 #[test]
 fn a_backend_that_was_only_slow_to_answer_is_taken_back_at_once() {
-    let mut p = Proxy::new(plain(1), 1, entries(8));
+    let mut p = Proxy::new(plain(1), 1, endpoints(8));
     run(&mut p, 3000.0, well);
     run(&mut p, 1000.0, |s, now| if s.backend == 2 { None } else { well(s, now) });
     let left = run(&mut p, 200.0, |s, now| if s.backend == 2 { None } else { well(s, now) });
@@ -432,7 +450,7 @@
 /// Calls that were out before a backend was left are no trials: their errors must not lengthen its absence.
 #[test]
 fn late_errors_do_not_keep_a_backend_out() {
-    let mut p = Proxy::new(plain(1), 1, entries(8));
+    let mut p = Proxy::new(plain(1), 1, endpoints(8));
     run(&mut p, 3000.0, well);
     run(&mut p, 1000.0, |s, now| if s.backend == 2 { None } else { well(s, now) });
     // It has been left for its silence, for two seconds. What was out there fails now, one after another.
@@ -447,7 +465,7 @@
 #[test]
 fn a_backend_that_fails_fast_is_left_and_comes_back() {
     let bad = |s: &Sent, now: f64| if s.backend == 2 { Some(Outcome::Error) } else { well(s, now) };
-    let mut p = Proxy::new(plain(1), 1, entries(8));
+    let mut p = Proxy::new(plain(1), 1, endpoints(8));
     run(&mut p, 3000.0, well);
     run(&mut p, 1000.0, bad);
     let failing = run(&mut p, 2000.0, bad);
@@ -460,7 +478,7 @@
 /// A trouble shared by all is nobody's illness: the fleet is not emptied.
 #[test]
 fn errors_everywhere_eject_nobody() {
-    let mut p = Proxy::new(plain(1), 1, entries(8));
+    let mut p = Proxy::new(plain(1), 1, endpoints(8));
     run(&mut p, 3000.0, well);
     let all = |s: &Sent, now: f64| well(s, now).map(|_| Outcome::Error);
     run(&mut p, 4000.0, all);
@@ -472,7 +490,7 @@
 /// not raise the bar of illness past reach; nor may their failed connections cut the limit.
 #[test]
 fn a_dead_third_is_left() {
-    let mut p = Proxy::new(plain(1), 1, entries(9));
+    let mut p = Proxy::new(plain(1), 1, endpoints(9));
     run(&mut p, 3000.0, well);
     let dead = |s: &Sent, now: f64| {
         if s.backend <= 3 { (now - s.at >= 250.0).then_some(Outcome::ConnectFailed) } else { well(s, now) }
@@ -488,7 +506,7 @@
 /// A copy with little evidence ejects nobody on one or two samples.
 #[test]
 fn two_bad_answers_eject_nobody() {
-    let mut p = Proxy::new(plain(1), 1, entries(6));
+    let mut p = Proxy::new(plain(1), 1, endpoints(6));
     run(&mut p, 2000.0, well);
     let mut left = 2;
     for _ in 0..1000 {
@@ -514,7 +532,7 @@
 /// Repeats of what may have run are a share of the traffic: a failing fleet is not stormed.
 #[test]
 fn repeats_are_bounded() {
-    let mut p = Proxy::new(plain(1), 1, entries(8));
+    let mut p = Proxy::new(plain(1), 1, endpoints(8));
     let (mut asked, mut sent) = (0, 0);
     for _ in 0..2000 {
         p.ask(0, 0, 4000.0);
@@ -535,13 +553,14 @@
 #[test]
 fn failed_list_calls_are_repeated_with_jitter() {
     let ask = |seed| {
-        let mut p = Proxy::new(Settings { must_ask: true, ..plain(4) }, seed, entries(6));
+        let mut p =
+            Proxy::new(Settings { discovery_mode: DiscoveryMode::Poll, ..plain(4) }, seed, endpoints(6));
         let mut failed = 0;
         for _ in 0..100_000 {
             p.advance(p.now + 5.0);
             if p.watches.len() > failed {
                 failed += 1;
-                p.list(ListKind::Failed, vec![]);
+                p.list(EndpointListKind::Failed, vec![]);
             }
         }
         assert!(p.watches.len() > 6, "given up after {:?}", p.watches);
@@ -554,20 +573,20 @@
 }
 
 /// How long a copy waits before its first call for the list, and after each of so many that fail at once.
-fn pauses(ask_within: f64, seed: u64, failures: usize) -> Vec<f64> {
-    let mut s = Settings { must_ask: true, ..plain(4) };
-    s.rules.ask_within = ask_within;
+fn pauses(poll_within_ms: f64, seed: u64, failures: usize) -> Vec<f64> {
+    let mut s = Settings { discovery_mode: DiscoveryMode::Poll, ..plain(4) };
+    s.guarantees.poll_within_ms = poll_within_ms;
     let mut balancer = Balancer::new(s, seed).expect("settings are sound");
-    let (mut now, mut kind, mut pauses) = (1000.0, ListKind::Cached, Vec::new());
+    let (mut now, mut kind, mut pauses) = (1000.0, EndpointListKind::Cached, Vec::new());
     for _ in 0..=failures {
         let mut actions = Vec::new();
-        balancer.handle(now, Event::List { kind, entries: vec![] }, &mut actions);
+        balancer.handle(now, Event::EndpointList { kind, endpoints: vec![] }, &mut actions);
         // The first event asks for a timer of another kind, too.
-        let Some(Action::WakeMe { delay, token }) = actions.pop() else { panic!("a timer") };
-        now += delay;
-        balancer.handle(now, Event::Wake { token }, &mut actions);
-        assert!(actions.contains(&Action::Watch { on: true }), "the timer is that of the call");
-        (kind, _) = (ListKind::Failed, pauses.push(delay));
+        let Some(Action::SetTimer { delay_ms, token }) = actions.pop() else { panic!("a timer") };
+        now += delay_ms;
+        balancer.handle(now, Event::TimerFired { token }, &mut actions);
+        assert!(actions.contains(&Action::PollEndpoints), "the timer is that of the call");
+        (kind, _) = (EndpointListKind::Failed, pauses.push(delay_ms));
     }
     pauses
 }
@@ -576,13 +595,13 @@
 /// that is the most that passes between two calls, and no more than the time in which asking is due.
 #[test]
 fn calls_for_the_list_follow_each_other_within_a_third_of_the_term() {
-    for ask_within in [100.0, 300.0, 1000.0, 2000.0, 5000.0, 10_000.0, 60_000.0, 3_600_000.0] {
-        let longest = f64::min(ask_within, TOLD_WITHIN / 3.0);
+    for poll_within_ms in [100.0, 300.0, 1000.0, 2000.0, 5000.0, 10_000.0, 60_000.0, 3_600_000.0] {
+        let longest = f64::min(poll_within_ms, NOTIFICATION_DEADLINE_MS / 3.0);
         for seed in 0..200 {
-            let pauses = pauses(ask_within, seed, 20);
-            assert!(pauses.iter().all(|&p| p > 0.0 && p <= longest), "{ask_within} {seed}: {pauses:?}");
+            let pauses = pauses(poll_within_ms, seed, 20);
+            assert!(pauses.iter().all(|&p| p > 0.0 && p <= longest), "{poll_within_ms} {seed}: {pauses:?}");
             // What keeps failing is asked at most twice in the longest pause.
-            assert!(pauses[3..].iter().all(|&p| p >= longest / 2.0), "{ask_within} {seed}: {pauses:?}");
+            assert!(pauses[3..].iter().all(|&p| p >= longest / 2.0), "{poll_within_ms} {seed}: {pauses:?}");
         }
     }
 }
@@ -591,18 +610,21 @@
 /// more than three in ten of their calls, and each makes at most one call in 0.7 of the longest pause, in the mean.
 #[test]
 fn calls_for_the_list_are_spread_over_the_copies() {
-    for ask_within in [300.0, 10_000.0] {
-        let fleet: Vec<Vec<f64>> = (0..720).map(|seed| pauses(ask_within, seed, 8)).collect();
+    for poll_within_ms in [300.0, 10_000.0] {
+        let fleet: Vec<Vec<f64>> = (0..720).map(|seed| pauses(poll_within_ms, seed, 8)).collect();
         for failures in 0..=8 {
             let mut waits: Vec<f64> = fleet.iter().map(|p| p[failures]).collect();
             waits.sort_by(f64::total_cmp);
             let tenth = waits[719] / 10.0;
             let most =
                 (0..720).map(|i| waits[i..].iter().take_while(|&&w| w < waits[i] + tenth).count()).max();
-            assert!(most < Some(720 * 3 / 10), "{ask_within}, failure {failures}: {most:?} calls together");
+            assert!(
+                most < Some(720 * 3 / 10),
+                "{poll_within_ms}, failure {failures}: {most:?} calls together"
+            );
             let mean = waits.iter().sum::<f64>() / 720.0;
-            let longest = f64::min(ask_within, TOLD_WITHIN / 3.0);
-            assert!(failures < 2 || mean > 0.7 * longest, "{ask_within}: a mean pause of {mean} ms");
+            let longest = f64::min(poll_within_ms, NOTIFICATION_DEADLINE_MS / 3.0);
+            assert!(failures < 2 || mean > 0.7 * longest, "{poll_within_ms}: a mean pause of {mean} ms");
         }
     }
 }
@@ -611,12 +633,12 @@
 fn unsound_settings_name_the_field() {
     type Change = fn(&mut Settings);
     let cases: [(&str, Change); 6] = [
-        ("copies", |s| s.copies = 0),
-        ("copy", |s| s.copy = 9),
+        ("peersTotal", |s| s.instance_count = 0),
+        ("slotNo", |s| s.instance_index = 9),
         ("classes", |s| s.classes.clear()),
-        ("classes[0].aim", |s| s.classes[0].aim = 0.0),
-        ("tick", |s| s.tick = f64::NAN),
-        ("rules.cold_from", |s| s.rules.cold_from = -1.0),
+        ("classes[0].aim", |s| s.classes[0].latency_objective_ms = 0.0),
+        ("tick", |s| s.tick_ms = f64::NAN),
+        ("guarantees.coldFrom", |s| s.guarantees.initial_capacity_fraction = -1.0),
     ];
     for (field, change) in cases {
         let mut s = plain(2);
@@ -631,8 +653,9 @@
 /// 0.62 of one class served and 0.89 of the other, from one slice, for a longer aim).
 #[test]
 fn a_longer_aim_takes_no_more_of_a_shared_slice() {
-    let classes = vec![class(1000.0, 1.0, Effect::Fragile), class(3000.0, 1.0, Effect::Fragile)];
-    let mut p = Proxy::new(settings(1, classes), 1, entries(5));
+    let classes =
+        vec![class(1000.0, 1.0, Idempotency::NonIdempotent), class(3000.0, 1.0, Idempotency::NonIdempotent)];
+    let mut p = Proxy::new(settings(1, classes), 1, endpoints(5));
     let mut served = [0, 0];
     for round in 0..4000 {
         p.ask(round % 2, 0, 1e5);
@@ -652,9 +675,9 @@
 #[test]
 fn demoted_work_keeps_one_slot() {
     let mut s = plain(1);
-    s.over_share_worth = 0.3;
+    s.over_quota_weight = 0.3;
     s.tenants = vec![Tenant { quota_per_s: 1.0 }, Tenant { quota_per_s: 1000.0 }];
-    let mut p = Proxy::new(s, 1, entries(10));
+    let mut p = Proxy::new(s, 1, endpoints(10));
     let within = fill(&mut p, 0, 1, 400);
     let demoted = fill(&mut p, 0, 0, 100) - within;
     assert_eq!(demoted, 1, "beside {within} calls within quota");
@@ -666,7 +689,7 @@
 fn a_far_slower_backend_is_left_to_recover() {
     let slow =
         |s: &Sent, now: f64| (now - s.at >= if s.backend == 2 { 250.0 } else { 50.0 }).then_some(Outcome::Ok);
-    let mut p = Proxy::new(plain(1), 1, entries(8));
+    let mut p = Proxy::new(plain(1), 1, endpoints(8));
     run(&mut p, 3000.0, well);
     run(&mut p, 6000.0, slow);
     let longest = (0..20).fold((0, 0), |(run_, best), _| {
@@ -706,8 +729,9 @@
 /// Two zones of five, the copy in the first; answers take what `near` says there and 50 ms beyond.
 fn two_zones(price: f64) -> Proxy {
     let mut s = plain(1);
-    s.goal.cross_zone = price;
-    let zones = entries(10).into_iter().map(|e| Entry { zone: u16::from(e.backend > 5), ..e }).collect();
+    s.objective.cross_zone_price = price;
+    let zones =
+        endpoints(10).into_iter().map(|e| EndpointInfo { zone: u16::from(e.backend > 5), ..e }).collect();
     Proxy::new(s, 1, zones)
 }
 
@@ -762,7 +786,7 @@
 /// Hamilton's overloaded day: a copy with few calls must not take a jam for its baseline, however early.
 #[test]
 fn an_early_jam_is_not_taken_for_normal() {
-    let mut p = Proxy::new(plain(1), 1, entries(5));
+    let mut p = Proxy::new(plain(1), 1, endpoints(5));
     p.serve(100.0, 1, 0, 40.0);
     let start = fill(&mut p, 0, 0, 400);
     for _ in 0..30 {
@@ -778,7 +802,8 @@
 /// nothing, nor may lost calls pin its slots until their deadline.
 #[test]
 fn lost_answers_do_not_take_the_limit() {
-    let mut p = Proxy::new(settings(1, vec![class(1000.0, 1.0, Effect::Fragile)]), 1, entries(8));
+    let mut p =
+        Proxy::new(settings(1, vec![class(1000.0, 1.0, Idempotency::NonIdempotent)]), 1, endpoints(8));
     let answer = |s: &Sent, now: f64| (now - s.at >= 150.0).then_some(Outcome::Ok);
     run(&mut p, 6000.0, answer);
     // One answer in six never comes, wherever the call went.
@@ -793,7 +818,8 @@
 /// A call that is out for many times its class's mean is lost or stuck: it pins no slot until its deadline.
 #[test]
 fn silent_calls_do_not_pin_slots() {
-    let mut p = Proxy::new(settings(1, vec![class(1000.0, 1.0, Effect::Fragile)]), 1, entries(8));
+    let mut p =
+        Proxy::new(settings(1, vec![class(1000.0, 1.0, Idempotency::NonIdempotent)]), 1, endpoints(8));
     run(&mut p, 3000.0, well);
     let first = fill(&mut p, 0, 0, 400);
     p.advance(p.now + 150.0);
@@ -806,7 +832,7 @@
 /// again soon. That nothing goes to it meanwhile is checked with each action.
 #[test]
 fn a_suspended_backend_gets_nothing_until_it_is_resumed() {
-    let mut p = Proxy::new(settings(1, vec![class(400.0, 1.0, Effect::Retryable)]), 5, entries(3));
+    let mut p = Proxy::new(settings(1, vec![class(400.0, 1.0, Idempotency::Idempotent)]), 5, endpoints(3));
     let sent_to = |p: &Proxy, from: f64| {
         let sends = p.asked.values().flat_map(|a| &a.sends);
         sends.filter(|s| s.backend == 2 && s.at >= from).count()
@@ -821,30 +847,30 @@
     serve(&mut p, 5000.0);
     assert!(sent_to(&p, 0.0) > 20, "it is in use");
     for _ in 0..2 {
-        p.tell(Event::Suspend { backend: 2, on: true });
+        p.tell(Event::SetSuspended { backend: 2, is_suspended: true });
     }
-    let restarted = Entry { started_at: 5500.0, ..entry(2) };
+    let restarted = EndpointInfo { started_at_ms: 5500.0, ..endpoint(2) };
     for list in [
-        (ListKind::Full, entries(3)),
-        (ListKind::Full, vec![entry(1), entry(3)]),
-        (ListKind::Delta, vec![restarted.clone()]),
-        (ListKind::Cached, entries(3)),
-        (ListKind::Delta, vec![restarted]),
+        (EndpointListKind::Full, endpoints(3)),
+        (EndpointListKind::Full, vec![endpoint(1), endpoint(3)]),
+        (EndpointListKind::Delta, vec![restarted.clone()]),
+        (EndpointListKind::Cached, endpoints(3)),
+        (EndpointListKind::Delta, vec![restarted]),
     ] {
         p.list(list.0, list.1);
         let until = p.now + 500.0;
         serve(&mut p, until);
     }
     // Alone with it there is nobody to send to.
-    p.list(ListKind::Full, vec![entry(2)]);
+    p.list(EndpointListKind::Full, vec![endpoint(2)]);
     let request = p.ask(0, 0, 900.0);
     p.advance(p.now + 1000.0);
     assert!(p.asked[&request].ended.is_some_and(|(_, how)| how == "refused"));
-    p.list(ListKind::Full, entries(3));
+    p.list(EndpointListKind::Full, endpoints(3));
     assert_eq!(sent_to(&p, 5000.0), 0);
     // The list does not know yet that it was restarted.
     let back = p.now;
-    p.tell(Event::Suspend { backend: 2, on: false });
+    p.tell(Event::SetSuspended { backend: 2, is_suspended: false });
     assert!(p.suspended.is_empty(), "one call back undoes both");
     serve(&mut p, back + 1000.0);
     let cold = sent_to(&p, back);
@@ -854,9 +880,9 @@
 
 #[test]
 fn clients_are_sent_away_once() {
-    let mut p = Proxy::new(settings(1, vec![class(400.0, 1.0, Effect::Retryable)]), 5, entries(3));
+    let mut p = Proxy::new(settings(1, vec![class(400.0, 1.0, Idempotency::Idempotent)]), 5, endpoints(3));
     for on in [false, true, true, false, false] {
-        p.tell(Event::Drain { on });
+        p.tell(Event::SetDraining { is_draining: on });
     }
     assert_eq!(p.drains, [true, false]);
     p.ask(0, 0, 900.0);
@@ -867,8 +893,9 @@
 #[test]
 fn processes_share_the_budget_of_a_cold_backend() {
     let sent = |processes: u32| {
-        let mut p = Proxy::new(settings(1, vec![class(400.0, 1.0, Effect::Retryable)]), 5, entries(4));
-        p.tell(Event::Processes { count: processes });
+        let mut p =
+            Proxy::new(settings(1, vec![class(400.0, 1.0, Idempotency::Idempotent)]), 5, endpoints(4));
+        p.tell(Event::ProcessCount { count: processes });
         let serve = |p: &mut Proxy, until: f64| {
             while p.now < until {
                 p.ask(0, 0, 900.0);
@@ -878,7 +905,7 @@
         };
         serve(&mut p, 5000.0);
         let born = p.now;
-        p.list(ListKind::Delta, vec![Entry { started_at: born, ..entry(2) }]);
+        p.list(EndpointListKind::Delta, vec![EndpointInfo { started_at_ms: born, ..endpoint(2) }]);
         serve(&mut p, born + 4000.0);
         p.asked.values().flat_map(|a| &a.sends).filter(|s| s.backend == 2 && s.at > born).count()
     };
@@ -889,22 +916,22 @@
 /// However slowly it is written, a request takes none of the limit before its last byte has come; then it does.
 #[test]
 fn a_request_that_is_still_arriving_takes_no_slot_and_is_sent_once() {
-    let mut p = Proxy::new(settings(1, vec![class(400.0, 1.0, Effect::Fragile)]), 5, entries(2));
-    let arriving: Vec<RequestId> = (0..100).map(|_| p.ask_arriving(0, 60_000.0)).collect();
+    let mut p = Proxy::new(settings(1, vec![class(400.0, 1.0, Idempotency::NonIdempotent)]), 5, endpoints(2));
+    let is_body_streamed: Vec<RequestId> = (0..100).map(|_| p.ask_arriving(0, 60_000.0)).collect();
     assert_eq!(p.out().len(), 100, "all are sent on");
     // Nothing is missed of a backend that has not been given the whole of it.
     p.advance(p.now + 5000.0);
     let short = p.ask(0, 0, 900.0);
     assert_eq!(p.asked[&short].sends.len(), 1, "there is room");
     p.resolve(short, 0, Outcome::Ok);
-    let deadline = p.now + 900.0;
-    arriving.iter().for_each(|&request| p.tell(Event::Arrived { request, deadline }));
+    let deadline_ms = p.now + 900.0;
+    is_body_streamed.iter().for_each(|&request| p.tell(Event::BodyReceived { request, deadline_ms }));
     let late = p.ask(0, 0, 900.0);
     assert_eq!(p.asked[&late].sends.len(), 0, "now they fill the limit");
     // What went with its attempt is not sent again, though it never ran.
-    p.resolve_spent(arriving[0], 0, Outcome::Full);
-    assert!(p.asked[&arriving[0]].ended.is_some_and(|(_, how)| how == "refused"));
-    assert_eq!(p.asked[&arriving[0]].sends.len(), 1);
+    p.resolve_spent(is_body_streamed[0], 0, Outcome::Full);
+    assert!(p.asked[&is_body_streamed[0]].ended.is_some_and(|(_, how)| how == "refused"));
+    assert_eq!(p.asked[&is_body_streamed[0]].sends.len(), 1);
 }
 
 /// A backend that was in use before it was suspended is in use again when it is back, though less load has made the
@@ -923,11 +950,12 @@
         sends.map(|s| s.backend).collect::<std::collections::BTreeSet<_>>()
     };
     for backend in (1..=30).step_by(3) {
-        let mut p = Proxy::new(settings(3, vec![class(400.0, 1.0, Effect::Retryable)]), 5, entries(30));
+        let mut p =
+            Proxy::new(settings(3, vec![class(400.0, 1.0, Idempotency::Idempotent)]), 5, endpoints(30));
         assert!(serve(&mut p, 2000.0, 40).contains(&backend), "under load all are in use");
-        p.tell(Event::Suspend { backend, on: true });
+        p.tell(Event::SetSuspended { backend, is_suspended: true });
         assert!(!serve(&mut p, 32_000.0, 1).contains(&backend));
-        p.tell(Event::Suspend { backend, on: false });
+        p.tell(Event::SetSuspended { backend, is_suspended: false });
         assert!(serve(&mut p, 37_000.0, 1).contains(&backend), "{backend} is left unused");
     }
 }
--- a/crates/balancer/tests/fleet/mod.rs
+++ b/crates/balancer/tests/fleet/mod.rs
@@ -68,11 +68,11 @@
 enum Due {
     Change(usize),
     Drained(BackendId),
-    Told { copy: usize, life: u32, version: usize },
+    Told { instance_index: usize, life: u32, version: usize },
     Start(usize),
-    Wake { copy: usize, life: u32, token: u64 },
-    Ask { copy: usize, life: u32 },
-    Answer { copy: usize, life: u32, request: RequestId, attempt: usize, outcome: Outcome },
+    Wake { instance_index: usize, life: u32, token: TimerToken },
+    Ask { instance_index: usize, life: u32 },
+    Answer { instance_index: usize, life: u32, request: RequestId, attempt: usize, outcome: Outcome },
 }
 
 struct Queued {
@@ -98,7 +98,7 @@
     }
 }
 
-pub struct Copy {
+pub struct Instance {
     pub balancer: Option<Balancer>,
     pub life: u32,
     /// The newest list that it was told.
@@ -112,7 +112,7 @@
 
 struct Asked {
     class: usize,
-    deadline: f64,
+    deadline_ms: f64,
     sends: Vec<(BackendId, f64)>,
 }
 
@@ -126,7 +126,7 @@
 }
 
 pub struct Server {
-    pub entry: Entry,
+    pub endpoint: EndpointInfo,
     /// When each core is free again.
     cores: Vec<f64>,
     /// What was sent to it since its start.
@@ -137,12 +137,12 @@
 pub struct Fleet {
     pub plan: Plan,
     pub now: f64,
-    pub copies: Vec<Copy>,
+    pub instance_count: Vec<Instance>,
     pub servers: BTreeMap<BackendId, Server>,
     /// Earlier processes of backends, with the time of their end.
     pub ended: Vec<(Server, f64)>,
     /// All lists so far; copies are told the newest.
-    pub lists: Vec<Vec<Entry>>,
+    pub lists: Vec<Vec<EndpointInfo>>,
     pub answered: usize,
     pub refused: usize,
     queue: BinaryHeap<Reverse<Queued>>,
@@ -164,8 +164,8 @@
     }
 
     fn new(plan: Plan, seed: u64) -> Fleet {
-        let copies = plan.settings.copies as usize;
-        let copy = |_| Copy {
+        let instance_count = plan.settings.instance_count as usize;
+        let instance_index = |_| Instance {
             balancer: None,
             life: 0,
             version: 0,
@@ -176,7 +176,7 @@
         };
         let mut f = Fleet {
             now: 1.0,
-            copies: (0..copies).map(copy).collect(),
+            instance_count: (0..instance_count).map(instance_index).collect(),
             servers: BTreeMap::new(),
             ended: Vec::new(),
             lists: Vec::new(),
@@ -192,7 +192,7 @@
         };
         (1..=f.plan.warm).for_each(|id| f.start_server(id, 0.0));
         f.publish();
-        (0..copies).for_each(|c| f.at(1.0, Due::Start(c)));
+        (0..instance_count).for_each(|c| f.at(1.0, Due::Start(c)));
         (0..f.plan.change.len()).for_each(|n| f.at(f.plan.change[n].0, Due::Change(n)));
         f
     }
@@ -202,9 +202,9 @@
         self.queue.push(Reverse(Queued { at, seq: self.seq, due }));
     }
 
-    fn start_server(&mut self, id: BackendId, started_at: f64) {
-        let entry = Entry { backend: id, started_at, weight: 1.0, ..Entry::default() };
-        let server = Server { entry, cores: vec![0.0; self.plan.cores], work: Vec::new(), served: 0 };
+    fn start_server(&mut self, id: BackendId, started_at_ms: f64) {
+        let endpoint = EndpointInfo { backend: id, started_at_ms, weight: 1.0, ..EndpointInfo::default() };
+        let server = Server { endpoint, cores: vec![0.0; self.plan.cores], work: Vec::new(), served: 0 };
         if let Some(old) = self.servers.insert(id, server) {
             self.ended.push((old, self.now));
         }
@@ -212,12 +212,13 @@
 
     /// The list has changed: each copy hears of it within the notice.
     fn publish(&mut self) {
-        self.lists.push(self.servers.values().map(|s| s.entry.clone()).collect());
+        self.lists.push(self.servers.values().map(|s| s.endpoint.clone()).collect());
         let version = self.lists.len() - 1;
-        for copy in 0..self.copies.len() {
-            let (life, at) = (self.copies[copy].life, self.now + self.rng.f64() * self.plan.notice);
-            if self.copies[copy].balancer.is_some() {
-                self.at(at, Due::Told { copy, life, version });
+        for instance_index in 0..self.instance_count.len() {
+            let (life, at) =
+                (self.instance_count[instance_index].life, self.now + self.rng.f64() * self.plan.notice);
+            if self.instance_count[instance_index].balancer.is_some() {
+                self.at(at, Due::Told { instance_index, life, version });
             }
         }
     }
@@ -231,28 +232,28 @@
                 }
                 self.publish();
             }
-            Due::Start(copy) => self.start_copy(copy),
-            Due::Told { copy, life, version } => {
+            Due::Start(instance_index) => self.start_copy(instance_index),
+            Due::Told { instance_index, life, version } => {
                 // Lists that come out of turn are not given on: what is newer has been told.
-                let c = &self.copies[copy];
+                let c = &self.instance_count[instance_index];
                 if c.life == life && c.version < version {
-                    self.list(copy, version, ListKind::Full);
+                    self.list(instance_index, version, EndpointListKind::Full);
                 }
             }
-            Due::Wake { copy, life, token } => {
-                if self.copies[copy].life == life {
-                    self.tell(copy, Event::Wake { token });
+            Due::Wake { instance_index, life, token } => {
+                if self.instance_count[instance_index].life == life {
+                    self.tell(instance_index, Event::TimerFired { token });
                 }
             }
-            Due::Ask { copy, life } => {
-                if self.copies[copy].life == life {
-                    self.ask(copy);
-                    self.ask_later(copy);
+            Due::Ask { instance_index, life } => {
+                if self.instance_count[instance_index].life == life {
+                    self.ask(instance_index);
+                    self.ask_later(instance_index);
                 }
             }
-            Due::Answer { copy, life, request, attempt, outcome } => {
-                if self.copies[copy].life == life {
-                    self.answer(copy, request, attempt, outcome);
+            Due::Answer { instance_index, life, request, attempt, outcome } => {
+                if self.instance_count[instance_index].life == life {
+                    self.answer(instance_index, request, attempt, outcome);
                 }
             }
         }
@@ -263,11 +264,11 @@
             Change::Load(load) => self.load = load,
             Change::Shift(rest, times) => self.shift[rest as usize] = times,
             Change::RestartCopies(spread) => {
-                for copy in 0..self.copies.len() {
-                    self.copies[copy].life += 1;
-                    self.copies[copy].balancer = None;
+                for instance_index in 0..self.instance_count.len() {
+                    self.instance_count[instance_index].life += 1;
+                    self.instance_count[instance_index].balancer = None;
                     let at = self.now + self.rng.f64() * spread;
-                    self.at(at, Due::Start(copy));
+                    self.at(at, Due::Start(instance_index));
                 }
             }
             Change::RestartBackend(id) => {
@@ -279,48 +280,49 @@
                 self.publish();
             }
             Change::Replace(old, new) => {
-                self.servers.get_mut(&old).expect("it runs").entry.phase = Phase::Draining;
+                self.servers.get_mut(&old).expect("it runs").endpoint.phase = Phase::Draining;
                 self.start_server(new, self.now);
                 self.publish();
                 self.at(self.now + 2000.0, Due::Drained(old));
             }
             Change::Processes(count) => {
                 self.processes = count;
-                (0..self.copies.len()).for_each(|c| self.tell(c, Event::Processes { count }));
+                (0..self.instance_count.len()).for_each(|c| self.tell(c, Event::ProcessCount { count }));
             }
         }
     }
 
-    fn start_copy(&mut self, copy: usize) {
-        let s = Settings { copy: copy as u32, ..self.plan.settings.clone() };
+    fn start_copy(&mut self, instance_index: usize) {
+        let s = Settings { instance_index: instance_index as u32, ..self.plan.settings.clone() };
         let seed = self.rng.u64(..);
-        let c = &mut self.copies[copy];
+        let c = &mut self.instance_count[instance_index];
         c.balancer = Some(Balancer::new(s, seed).expect("settings are sound"));
         (c.idle, c.open, c.left) = (HashMap::new(), HashMap::new(), BTreeMap::new());
-        self.list(copy, self.lists.len() - 1, ListKind::Cached);
+        self.list(instance_index, self.lists.len() - 1, EndpointListKind::Cached);
         if self.processes > 1 {
-            self.tell(copy, Event::Processes { count: self.processes });
+            self.tell(instance_index, Event::ProcessCount { count: self.processes });
         }
-        self.ask_later(copy);
+        self.ask_later(instance_index);
     }
 
     /// Every other list comes as its changes to the one before, where the copy has that.
-    fn list(&mut self, copy: usize, version: usize, kind: ListKind) {
-        let entries = self.lists[version].clone();
-        let delta =
-            kind == ListKind::Full && version.is_multiple_of(2) && self.copies[copy].version + 1 == version;
+    fn list(&mut self, instance_index: usize, version: usize, kind: EndpointListKind) {
+        let endpoints = self.lists[version].clone();
+        let delta = kind == EndpointListKind::Full
+            && version.is_multiple_of(2)
+            && self.instance_count[instance_index].version + 1 == version;
         let event = if delta {
             let old = &self.lists[version - 1];
-            let gone = old.iter().filter(|o| entries.iter().all(|n| n.backend != o.backend));
-            let gone = gone.map(|o| Entry { phase: Phase::Gone, ..o.clone() });
-            let changed = entries.iter().filter(|n| !old.contains(n)).cloned();
-            Event::List { kind: ListKind::Delta, entries: changed.chain(gone).collect() }
+            let gone = old.iter().filter(|o| endpoints.iter().all(|n| n.backend != o.backend));
+            let gone = gone.map(|o| EndpointInfo { phase: Phase::Gone, ..o.clone() });
+            let changed = endpoints.iter().filter(|n| !old.contains(n)).cloned();
+            Event::EndpointList { kind: EndpointListKind::Delta, endpoints: changed.chain(gone).collect() }
         } else {
-            Event::List { kind, entries: entries.clone() }
+            Event::EndpointList { kind, endpoints: endpoints.clone() }
         };
-        let c = &mut self.copies[copy];
+        let c = &mut self.instance_count[instance_index];
         let before = std::mem::replace(&mut c.version, version);
-        for e in &entries {
+        for e in &endpoints {
             if e.phase == Phase::Ready {
                 c.left.remove(&e.backend);
             } else {
@@ -328,71 +330,74 @@
             }
         }
         for e in &self.lists[before] {
-            if entries.iter().all(|n| n.backend != e.backend) {
+            if endpoints.iter().all(|n| n.backend != e.backend) {
                 c.left.entry(e.backend).or_insert(self.now);
             }
         }
-        self.tell(copy, event);
+        self.tell(instance_index, event);
     }
 
     /// Requests a millisecond that a copy is asked.
-    fn rate(&self, copy: usize) -> f64 {
+    fn rate(&self, instance_index: usize) -> f64 {
         let uneven = |c: usize| *self.plan.uneven.get(c).or(self.plan.uneven.last()).unwrap_or(&1.0);
-        let all: f64 = (0..self.copies.len()).map(uneven).sum();
+        let all: f64 = (0..self.instance_count.len()).map(uneven).sum();
         let capacity = f64::from(self.plan.warm.max(1)) * self.plan.cores as f64 / self.plan.mean;
-        self.load * capacity * uneven(copy) / all * self.shift[copy % 5]
+        self.load * capacity * uneven(instance_index) / all * self.shift[instance_index % 5]
     }
 
-    fn ask_later(&mut self, copy: usize) {
-        let wait = -(1.0 - self.rng.f64()).ln() / self.rate(copy).max(1e-9);
-        let life = self.copies[copy].life;
-        self.at(self.now + wait, Due::Ask { copy, life });
+    fn ask_later(&mut self, instance_index: usize) {
+        let wait = -(1.0 - self.rng.f64()).ln() / self.rate(instance_index).max(1e-9);
+        let life = self.instance_count[instance_index].life;
+        self.at(self.now + wait, Due::Ask { instance_index, life });
     }
 
-    fn ask(&mut self, copy: usize) {
+    fn ask(&mut self, instance_index: usize) {
         let mut draw = self.rng.f64() * self.plan.mix.iter().map(|m| m.share).sum::<f64>();
         let of = |m: &Mix| {
             draw -= m.share;
             draw < 0.0
         };
         let class = self.plan.mix.iter().position(of).unwrap_or(0);
-        let deadline = self.now + 2.5 * self.plan.settings.classes[class].aim;
-        let c = &mut self.copies[copy];
+        let deadline_ms = self.now + 2.5 * self.plan.settings.classes[class].latency_objective_ms;
+        let c = &mut self.instance_count[instance_index];
         let request = c.next;
         c.next += 1;
-        c.open.insert(request, Asked { class, deadline, sends: Vec::new() });
+        c.open.insert(request, Asked { class, deadline_ms, sends: Vec::new() });
         let class = class as u16;
-        let arrival = Arrival { request, key: 0, class, tenant: 0, deadline, arriving: false };
-        self.tell(copy, Event::Request(arrival));
+        let arrival =
+            RequestArrival { request, key: 0, class, tenant: 0, deadline_ms, is_body_streamed: false };
+        self.tell(instance_index, Event::RequestArrived(arrival));
     }
 
-    fn tell(&mut self, copy: usize, event: Event) {
+    fn tell(&mut self, instance_index: usize, event: Event) {
         let mut actions = Vec::new();
-        let c = &mut self.copies[copy];
+        let c = &mut self.instance_count[instance_index];
         let (life, Some(balancer)) = (c.life, c.balancer.as_mut()) else { return };
         balancer.handle(self.now, event, &mut actions);
         for action in actions {
             match action {
-                Action::Send { request, backend, not_past } => self.send(copy, request, backend, not_past),
-                Action::Refuse { request, .. } | Action::Fail { request } => {
+                Action::Send { request, backend, expires_at_ms } => {
+                    self.send(instance_index, request, backend, expires_at_ms)
+                }
+                Action::Reject { request, .. } | Action::Fail { request } => {
                     self.refused += 1;
-                    self.copies[copy].open.remove(&request);
+                    self.instance_count[instance_index].open.remove(&request);
                 }
-                Action::WakeMe { delay, token } => {
-                    self.at(self.now + delay, Due::Wake { copy, life, token });
+                Action::SetTimer { delay_ms, token } => {
+                    self.at(self.now + delay_ms, Due::Wake { instance_index, life, token });
                 }
                 _ => {}
             }
         }
     }
 
-    fn send(&mut self, copy: usize, request: RequestId, backend: BackendId, not_past: f64) {
-        let c = &mut self.copies[copy];
-        let listed = self.lists[c.version].iter().find(|e| e.backend == backend).map(|e| e.started_at);
+    fn send(&mut self, instance_index: usize, request: RequestId, backend: BackendId, expires_at_ms: f64) {
+        let c = &mut self.instance_count[instance_index];
+        let listed = self.lists[c.version].iter().find(|e| e.backend == backend).map(|e| e.started_at_ms);
         let told = c.left.get(&backend);
         assert!(
             listed.is_some() && told.is_none(),
-            "copy {copy} sent to {backend}, told at {told:?} that it takes nothing"
+            "copy {instance_index} sent to {backend}, told at {told:?} that it takes nothing"
         );
         let a = c.open.get_mut(&request).expect("it is open");
         let (attempt, class) = (a.sends.len(), a.class);
@@ -404,33 +409,33 @@
         let work = self.plan.mix[class].work * chance;
         let life = c.life;
         let Some(s) = self.servers.get_mut(&backend) else {
-            let due = Due::Answer { copy, life, request, attempt, outcome: Outcome::ConnectFailed };
+            let due = Due::Answer { instance_index, life, request, attempt, outcome: Outcome::ConnectFailed };
             return self.at(self.now + TRIP_MS, due);
         };
         let mean = self.plan.mean;
         s.work.push(Work {
             at: self.now,
             amount: work + handshake,
-            told: listed == Some(s.entry.started_at),
+            told: listed == Some(s.endpoint.started_at_ms),
         });
-        let warm = warmth(&self.plan.settings.rules, &s.entry, self.now);
+        let warm = warmth(&self.plan.settings.guarantees, &s.endpoint, self.now);
         let core = s.cores.iter_mut().min_by(|a, b| a.total_cmp(b)).expect("a core");
         let begin = core.max(self.now);
         let (at, outcome) = if begin - self.now > 20.0 * mean {
             (self.now + TRIP_MS, Outcome::Full)
         } else {
             *core = begin + (work + handshake) * mean / warm;
-            if *core + TRIP_MS > not_past {
-                (not_past, Outcome::Timeout)
+            if *core + TRIP_MS > expires_at_ms {
+                (expires_at_ms, Outcome::Timeout)
             } else {
                 (*core + TRIP_MS, Outcome::Ok)
             }
         };
-        self.at(at, Due::Answer { copy, life, request, attempt, outcome });
+        self.at(at, Due::Answer { instance_index, life, request, attempt, outcome });
     }
 
-    fn answer(&mut self, copy: usize, request: RequestId, attempt: usize, outcome: Outcome) {
-        let c = &mut self.copies[copy];
+    fn answer(&mut self, instance_index: usize, request: RequestId, attempt: usize, outcome: Outcome) {
+        let c = &mut self.instance_count[instance_index];
         let Some(a) = c.open.get(&request) else { return };
         let (backend, sent) = a.sends[attempt];
         let closed = outcome == Outcome::Ok;
@@ -442,25 +447,33 @@
                 s.served += 1;
             }
         }
-        let (attempt, wait) = (attempt as AttemptNo, self.now - sent);
-        let resolved = Resolved { request, attempt, backend, outcome, wait, closed, spent: false };
-        self.tell(copy, Event::Resolved(resolved));
+        let (attempt, latency_ms) = (attempt as AttemptNumber, self.now - sent);
+        let resolved = AttemptResult {
+            request,
+            attempt,
+            backend,
+            outcome,
+            latency_ms,
+            is_request_closed: closed,
+            is_body_consumed: false,
+        };
+        self.tell(instance_index, Event::AttemptFinished(resolved));
     }
 
     /// Backends that started cold, with the end of their cold time.
     fn cold(&self) -> impl Iterator<Item = (&Server, f64)> {
-        let cold = self.plan.settings.rules.cold;
+        let cold = self.plan.settings.guarantees.warm_up_ms;
         let ended = self.ended.iter().map(|(s, end)| (s, *end));
         let all = ended.chain(self.servers.values().map(|s| (s, self.now)));
-        let of = all.filter(|(s, _)| s.entry.started_at > 0.0);
-        of.map(move |(s, end)| (s, end.min(s.entry.started_at + cold)))
+        let of = all.filter(|(s, _)| s.endpoint.started_at_ms > 0.0);
+        of.map(move |(s, end)| (s, end.min(s.endpoint.started_at_ms + cold)))
     }
 
     /// The worst window at a cold backend: work beyond its budget of N, over the 2 sqrt(N) + 2 that are
     /// chance; above 1 it falls. As in the rule, windows count of which over two thirds come from copies that
     /// were told of the start.
     pub fn worst(&self) -> f64 {
-        let (rules, window) = (&self.plan.settings.rules, self.plan.fall);
+        let (guarantees, window) = (&self.plan.settings.guarantees, self.plan.fall);
         let full = self.plan.cores as f64 / self.plan.mean;
         let mut worst = -99.0_f64;
         for (s, end) in self.cold() {
@@ -475,8 +488,8 @@
                 if told * 3.0 <= sum * 2.0 {
                     continue;
                 }
-                let since = (work.at - window).max(s.entry.started_at);
-                let n = rules.fall_multiple * full * warmth(rules, &s.entry, since) * window;
+                let since = (work.at - window).max(s.endpoint.started_at_ms);
+                let n = guarantees.overload_multiple * full * warmth(guarantees, &s.endpoint, since) * window;
                 worst = worst.max((sum - n) / (2.0 * n.sqrt() + 2.0));
             }
         }
@@ -484,8 +497,8 @@
     }
 
     /// Records that a copy holds of backends, beyond those of its list and of its open requests' attempts.
-    pub fn records_beyond_need(&self, copy: usize) -> usize {
-        let c = &self.copies[copy];
+    pub fn records_beyond_need(&self, instance_index: usize) -> usize {
+        let c = &self.instance_count[instance_index];
         let attempts: usize = c.open.values().map(|a| a.sends.len()).sum();
         let known = c.balancer.as_ref().map_or(0, Balancer::backends_known);
         known.saturating_sub(self.lists[c.version].len() + attempts)
@@ -494,12 +507,14 @@
     /// Work that cold backends got, as a share of what they could have done: the mean, and the least at one
     /// that was there for its whole cold time.
     pub fn used(&self) -> (f64, f64) {
-        let rules = &self.plan.settings.rules;
+        let guarantees = &self.plan.settings.guarantees;
         let full = self.plan.cores as f64 / self.plan.mean;
         let (mut all, mut least) = ([0.0, 0.0], f64::MAX);
-        for (s, end) in self.cold().filter(|(s, end)| *end >= s.entry.started_at + rules.cold) {
+        for (s, end) in
+            self.cold().filter(|(s, end)| *end >= s.endpoint.started_at_ms + guarantees.warm_up_ms)
+        {
             let work: f64 = s.work.iter().take_while(|w| w.at < end).map(|w| w.amount).sum();
-            let able = full * (rules.cold_from + 1.0) / 2.0 * rules.cold;
+            let able = full * (guarantees.initial_capacity_fraction + 1.0) / 2.0 * guarantees.warm_up_ms;
             all = [all[0] + work, all[1] + able];
             least = least.min(work / able);
         }
@@ -508,10 +523,10 @@
 }
 
 /// Capacity that a backend surely has, as a share of its full one.
-fn warmth(rules: &Rules, entry: &Entry, now: f64) -> f64 {
-    if entry.started_at == 0.0 {
+fn warmth(guarantees: &Guarantees, endpoint: &EndpointInfo, now: f64) -> f64 {
+    if endpoint.started_at_ms == 0.0 {
         return 1.0;
     }
-    let grown = ((now - entry.started_at) / rules.cold).clamp(0.0, 1.0);
-    rules.cold_from + (1.0 - rules.cold_from) * grown
+    let grown = ((now - endpoint.started_at_ms) / guarantees.warm_up_ms).clamp(0.0, 1.0);
+    guarantees.initial_capacity_fraction + (1.0 - guarantees.initial_capacity_fraction) * grown
 }
--- a/crates/balancer/tests/policy_size.rs
+++ b/crates/balancer/tests/policy_size.rs
@@ -1,24 +1,45 @@
-//! The decision module is meant to be ported by hand: it keeps to its size, which the page of the bench gives for all
-//! files with decisions or their records together.
+//! The decision policy keeps to its size, which the operators limit over all files that hold decisions or their
+//! records: those that the deploy file names as `policy`.
+
+use std::collections::BTreeSet;
+use std::fs;
+use std::path::{Path, PathBuf};
 
 const MAX_LINES: usize = 1200;
 const MAX_COLUMNS: usize = 110;
 
+fn root() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
+}
+
+fn policy_files() -> Vec<String> {
+    let text = fs::read_to_string(root().join("deploy/balancer.toml")).expect("the deploy file");
+    let deploy: toml::Table = text.parse().expect("TOML");
+    let files = deploy["policy"].as_array().expect("a list");
+    files.iter().map(|file| file.as_str().expect("a path").to_string()).collect()
+}
+
 #[test]
-fn the_module_keeps_to_its_size() {
-    let root = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
-    let deploy = std::fs::read_to_string(root.join("deploy/balancer.toml")).expect("the deploy file");
-    let policy = deploy.lines().find(|l| l.starts_with("policy")).expect("it names the policy files");
-    let files: Vec<&str> = policy.split('"').skip(1).step_by(2).collect();
-    assert!(!files.is_empty(), "no policy file in {policy}");
+fn the_policy_keeps_to_its_size() {
+    let files = policy_files();
+    assert!(!files.is_empty(), "no policy file");
     let mut lines = 0;
     for file in files {
-        let text = std::fs::read_to_string(root.join(file)).expect(file);
-        lines += text.lines().filter(|l| !l.trim().is_empty()).count();
-        for (n, line) in text.lines().enumerate() {
+        let text = fs::read_to_string(root().join(&file)).expect("a policy file");
+        lines += text.lines().filter(|line| !line.trim().is_empty()).count();
+        for (number, line) in text.lines().enumerate() {
             let columns = line.chars().count();
-            assert!(columns <= MAX_COLUMNS, "{file}:{}: {columns} columns", n + 1);
+            assert!(columns <= MAX_COLUMNS, "{file}:{}: {columns} columns", number + 1);
         }
     }
     assert!(lines <= MAX_LINES, "{lines} lines, {MAX_LINES} at most");
 }
+
+#[test]
+fn every_file_of_the_policy_is_counted() {
+    let folder = "crates/balancer/src/policy";
+    let entries = fs::read_dir(root().join(folder)).expect("the policy's folder");
+    let name = |entry: fs::DirEntry| format!("{folder}/{}", entry.file_name().to_string_lossy());
+    let present: BTreeSet<String> = entries.map(|entry| name(entry.expect("an entry"))).collect();
+    assert_eq!(present, policy_files().into_iter().collect());
+}
--- a/crates/balancer/tests/protocol_rules.rs
+++ b/crates/balancer/tests/protocol_rules.rs
@@ -16,15 +16,15 @@
 ];
 
 fn all_effects() -> Vec<Class> {
-    let dedup = |group, window| Effect::Dedup { group, window };
+    let dedup = |scope, window_ms| Idempotency::Deduplicated { scope, window_ms };
     vec![
-        class(400.0, 1.0, Effect::Retryable),
-        class(500.0, 5.0, Effect::Fragile),
-        class(600.0, 2.0, dedup(Group::All, 700.0)),
-        class(400.0, 2.0, dedup(Group::Zone, 900.0)),
-        class(500.0, 1.0, dedup(Group::Cell, 300.0)),
-        Class { in_order: true, ..class(500.0, 3.0, dedup(Group::Zone, 800.0)) },
-        Class { in_order: true, ..class(700.0, 3.0, Effect::Retryable) },
+        class(400.0, 1.0, Idempotency::Idempotent),
+        class(500.0, 5.0, Idempotency::NonIdempotent),
+        class(600.0, 2.0, dedup(DeduplicationScope::AllBackends, 700.0)),
+        class(400.0, 2.0, dedup(DeduplicationScope::Zone, 900.0)),
+        class(500.0, 1.0, dedup(DeduplicationScope::Cell, 300.0)),
+        Class { is_ordered_by_key: true, ..class(500.0, 3.0, dedup(DeduplicationScope::Zone, 800.0)) },
+        Class { is_ordered_by_key: true, ..class(700.0, 3.0, Idempotency::Idempotent) },
     ]
 }
 
@@ -34,13 +34,14 @@
     let mut s = settings(1 + rng.u32(..4), all_effects());
     s.tier = rng.u32(..3);
     s.tenants = vec![Tenant { quota_per_s: 50.0 }, Tenant { quota_per_s: 5.0 }];
-    s.goal.worst_class = 0.3;
+    s.objective.worst_class_weight = 0.3;
     change(&mut s);
-    let place = |rng: &mut fastrand::Rng, mut e: Entry| {
+    let place = |rng: &mut fastrand::Rng, mut e: EndpointInfo| {
         (e.zone, e.cell) = (rng.u16(..3), rng.u16(..4));
         e
     };
-    let start: Vec<Entry> = entries(rng.u32(1..20)).into_iter().map(|e| place(&mut rng, e)).collect();
+    let start: Vec<EndpointInfo> =
+        endpoints(rng.u32(1..20)).into_iter().map(|e| place(&mut rng, e)).collect();
     let mut p = Proxy::new(s, seed, start);
     for _ in 0..1500 {
         match rng.u32(..100) {
@@ -64,37 +65,37 @@
             }
             78..84 => {
                 let backend = rng.u32(1..25);
-                let mut e = place(&mut rng, entry(backend));
+                let mut e = place(&mut rng, endpoint(backend));
                 if let Some(known) = p.listed.get(&e.backend) {
                     (e.zone, e.cell) = (known.zone, known.cell);
                 }
                 e.phase = [Phase::Ready, Phase::Ready, Phase::Draining, Phase::Gone][rng.usize(..4)];
-                e.started_at = if rng.bool() { 0.0 } else { p.now - 500.0 * rng.f64() };
-                p.list(ListKind::Delta, vec![e]);
+                e.started_at_ms = if rng.bool() { 0.0 } else { p.now - 500.0 * rng.f64() };
+                p.list(EndpointListKind::Delta, vec![e]);
             }
             84..85 => {
-                let keep: Vec<Entry> =
+                let keep: Vec<EndpointInfo> =
                     p.listed.values().filter(|e| e.phase == Phase::Ready).cloned().collect();
-                let mut keep: Vec<Entry> = keep.into_iter().filter(|_| rng.u32(..5) > 0).collect();
+                let mut keep: Vec<EndpointInfo> = keep.into_iter().filter(|_| rng.u32(..5) > 0).collect();
                 keep.sort_by_key(|e| e.backend);
-                p.list(ListKind::Full, keep);
+                p.list(EndpointListKind::Full, keep);
             }
-            85..86 => p.list(ListKind::Failed, vec![]),
+            85..86 => p.list(EndpointListKind::Failed, vec![]),
             86..88 => {
                 // Events about what was never there are passed over.
-                p.tell(Event::Hangup { request: 1 << 50 });
-                p.tell(Event::Wake { token: 999 });
+                p.tell(Event::ClientDisconnected { request: 1 << 50 });
+                p.tell(Event::TimerFired { token: TimerToken(999) });
                 let (request, outcome) = (1 << 50, Outcome::Ok);
-                let stray = Resolved {
+                let stray = AttemptResult {
                     request,
                     attempt: 3,
                     backend: 77,
                     outcome,
-                    wait: 1.0,
-                    closed: true,
-                    spent: false,
+                    latency_ms: 1.0,
+                    is_request_closed: true,
+                    is_body_consumed: false,
                 };
-                p.tell(Event::Resolved(stray));
+                p.tell(Event::AttemptFinished(stray));
             }
             _ => {
                 let to = p.now + rng.f64() * 60.0;
@@ -118,19 +119,21 @@
 
 #[test]
 fn rules_hold_where_cancels_are_forbidden() {
-    (100..140).for_each(|seed| life(seed, |s| (s.caps.cancelling, s.caps.try_limit) = (false, 2)));
+    (100..140).for_each(|seed| {
+        life(seed, |s| (s.capabilities.can_cancel, s.capabilities.max_attempts) = (false, 2))
+    });
 }
 
 #[test]
 fn rules_hold_where_the_list_must_be_asked() {
-    (200..230).for_each(|seed| life(seed, |s| s.must_ask = true));
+    (200..230).for_each(|seed| life(seed, |s| s.discovery_mode = DiscoveryMode::Poll));
 }
 
 /// Guards against a copy whose hash order or clock leaks into its decisions.
 #[test]
 fn same_events_give_same_actions() {
     let run = || {
-        let mut p = Proxy::new(settings(2, all_effects()), 7, entries(12));
+        let mut p = Proxy::new(settings(2, all_effects()), 7, endpoints(12));
         p.serve(3000.0, 2, 0, 80.0);
         for _ in 0..200 {
             p.ask(1, 0, 900.0);
@@ -157,28 +160,28 @@
 /// stay under the multiple of the capacity surely reached, whatever the number of copies.
 #[test]
 fn a_cold_backend_is_not_pushed_over_by_all_copies_together() {
-    for copies in [2, 10, 40] {
+    for instance_count in [2, 10, 40] {
         let n = 8;
-        let fleet: Vec<Proxy> = (0..copies)
-            .map(|copy| {
-                let mut s = settings(copies, vec![class(2000.0, 1.0, Effect::Retryable)]);
-                s.copy = copy;
-                let mut p = Proxy::new(s, u64::from(copy), entries(n));
+        let fleet: Vec<Proxy> = (0..instance_count)
+            .map(|instance_index| {
+                let mut s = settings(instance_count, vec![class(2000.0, 1.0, Idempotency::Idempotent)]);
+                s.instance_index = instance_index;
+                let mut p = Proxy::new(s, u64::from(instance_index), endpoints(n));
                 p.serve(6000.0, 2, 0, 250.0);
                 p
             })
             .collect();
         let mut sends = Vec::new();
         for mut p in fleet {
-            let started_at = p.now;
-            p.list(ListKind::Delta, vec![Entry { started_at, ..entry(3) }]);
+            let started_at_ms = p.now;
+            p.list(EndpointListKind::Delta, vec![EndpointInfo { started_at_ms, ..endpoint(3) }]);
             for _ in 0..600 {
                 p.ask(0, 0, 1e5);
                 p.ask(0, 0, 1e5);
                 p.advance(p.now + 5.0);
                 for (id, attempt, s) in p.out() {
-                    if s.backend == 3 && s.at >= started_at {
-                        sends.push(s.at - started_at);
+                    if s.backend == 3 && s.at >= started_at_ms {
+                        sends.push(s.at - started_at_ms);
                     }
                     if p.now - s.at >= 250.0 || s.backend == 3 {
                         p.resolve(id, attempt, Outcome::Ok);
@@ -189,14 +192,14 @@
         }
         sends.sort_by(f64::total_cmp);
         // 400 requests a second a copy over 8 backends: a warm one bears at least this many a second.
-        let warm = 400.0 * f64::from(copies) / f64::from(n);
+        let warm = 400.0 * f64::from(instance_count) / f64::from(n);
         for from in 0..2000 {
             let from = f64::from(from);
             let got = sends.iter().filter(|&&t| t >= from && t < from + 1000.0).count() as f64;
             let present = 0.12 + 0.88 * from / 20_000.0;
-            assert!(got <= 3.0 * present * warm, "{copies} copies: {got} sends from {from} ms on");
+            assert!(got <= 3.0 * present * warm, "{instance_count} copies: {got} sends from {from} ms on");
         }
-        assert!(!sends.is_empty(), "{copies} copies: the cold backend gets its share");
+        assert!(!sends.is_empty(), "{instance_count} copies: the cold backend gets its share");
     }
 }
 
@@ -204,20 +207,20 @@
 /// ones about what they surely bear, and not much less: the six that are left can't bear it all.
 #[test]
 fn cold_backends_get_their_part_of_a_fleet_whose_copies_call_each_seldom() {
-    let (n, copies) = (16, 16);
+    let (n, instance_count) = (16, 16);
     let mut sends = vec![Vec::new(); 1 + n + 10];
-    for copy in 0..copies {
-        let mut s = settings(copies, vec![class(2000.0, 1.0, Effect::Retryable)]);
-        s.copy = copy;
-        let mut p = Proxy::new(s, u64::from(copy), entries(n as u32));
-        let mut rng = fastrand::Rng::with_seed(u64::from(copy));
+    for instance_index in 0..instance_count {
+        let mut s = settings(instance_count, vec![class(2000.0, 1.0, Idempotency::Idempotent)]);
+        s.instance_index = instance_index;
+        let mut p = Proxy::new(s, u64::from(instance_index), endpoints(n as u32));
+        let mut rng = fastrand::Rng::with_seed(u64::from(instance_index));
         let mut released = f64::INFINITY;
         while p.now < released + 6000.0 {
             if released.is_infinite() && p.now >= 9000.0 {
                 released = p.now;
-                let old = (1..=10).map(|b| Entry { phase: Phase::Draining, ..entry(b) });
-                let new = (17..=26).map(|b| Entry { started_at: released, ..entry(b) });
-                p.list(ListKind::Delta, old.chain(new).collect());
+                let old = (1..=10).map(|b| EndpointInfo { phase: Phase::Draining, ..endpoint(b) });
+                let new = (17..=26).map(|b| EndpointInfo { started_at_ms: released, ..endpoint(b) });
+                p.list(EndpointListKind::Delta, old.chain(new).collect());
             }
             // 20 requests a second a copy, so 20 a second a backend, as answers take 250 ms.
             if rng.f64() < 0.1 {
@@ -255,19 +258,19 @@
 #[test]
 fn the_limits_of_many_copies_begin_no_higher_together_than_those_of_few() {
     let n = 16;
-    for copies in [4, 16, 48] {
+    for instance_count in [4, 16, 48] {
         let mut admitted = 0;
-        for copy in 0..copies {
-            let mut s = settings(copies, vec![class(1200.0, 2.0, Effect::Retryable)]);
-            s.copy = copy;
-            let mut p = Proxy::new(s, u64::from(copy), entries(n));
+        for instance_index in 0..instance_count {
+            let mut s = settings(instance_count, vec![class(1200.0, 2.0, Idempotency::Idempotent)]);
+            s.instance_index = instance_index;
+            let mut p = Proxy::new(s, u64::from(instance_index), endpoints(n));
             for _ in 0..100 {
                 p.ask(0, 0, 3000.0);
             }
             admitted += p.out().len() as u32;
         }
         // Parts of a call are rounded down at each copy.
-        assert!((6 * n..=8 * n).contains(&admitted), "{copies} copies admit {admitted} calls");
+        assert!((6 * n..=8 * n).contains(&admitted), "{instance_count} copies admit {admitted} calls");
     }
 }
 
@@ -275,13 +278,14 @@
 /// from, but the settings tell what the tier bears.
 #[test]
 fn copies_without_history_use_a_tier_that_is_all_cold() {
-    let (copies, n) = (4, 8);
+    let (instance_count, n) = (4, 8);
     let mut sends = vec![Vec::new(); 1 + n];
-    for copy in 0..copies {
-        let mut s = settings(copies, vec![class(400.0, 1.0, Effect::Retryable)]);
-        (s.copy, s.tenants) = (copy, vec![Tenant { quota_per_s: 160.0 }]);
-        let cold = entries(n as u32).into_iter().map(|e| Entry { started_at: 1000.0, ..e }).collect();
-        let mut p = Proxy::new(s, u64::from(copy), cold);
+    for instance_index in 0..instance_count {
+        let mut s = settings(instance_count, vec![class(400.0, 1.0, Idempotency::Idempotent)]);
+        (s.instance_index, s.tenants) = (instance_index, vec![Tenant { quota_per_s: 160.0 }]);
+        let cold =
+            endpoints(n as u32).into_iter().map(|e| EndpointInfo { started_at_ms: 1000.0, ..e }).collect();
+        let mut p = Proxy::new(s, u64::from(instance_index), cold);
         while p.now < 9000.0 {
             p.ask(0, 0, 1000.0);
             p.advance(p.now + 25.0);
@@ -310,9 +314,9 @@
 /// A restarted copy knows its cold backends only from a cached list and has seen no rate yet.
 #[test]
 fn a_copy_without_history_spares_cold_backends() {
-    let mut s = settings(10, vec![class(400.0, 1.0, Effect::Retryable)]);
-    s.copy = 4;
-    let cold = entries(10).into_iter().map(|e| Entry { started_at: 900.0, ..e }).collect();
+    let mut s = settings(10, vec![class(400.0, 1.0, Idempotency::Idempotent)]);
+    s.instance_index = 4;
+    let cold = endpoints(10).into_iter().map(|e| EndpointInfo { started_at_ms: 900.0, ..e }).collect();
     let mut p = Proxy::new(s, 3, cold);
     for _ in 0..200 {
         p.ask(0, 0, 1000.0);
@@ -324,8 +328,12 @@
 }
 
 fn ordered() -> Proxy {
-    let effect = Effect::Dedup { group: Group::Zone, window: 800.0 };
-    Proxy::new(settings(1, vec![Class { in_order: true, ..class(1000.0, 1.0, effect) }]), 1, entries(6))
+    let idempotency = Idempotency::Deduplicated { scope: DeduplicationScope::Zone, window_ms: 800.0 };
+    Proxy::new(
+        settings(1, vec![Class { is_ordered_by_key: true, ..class(1000.0, 1.0, idempotency) }]),
+        1,
+        endpoints(6),
+    )
 }
 
 /// Order: the next request of a key waits for the first to be over with all its attempts, then for the rest
@@ -363,9 +371,10 @@
 /// Closing on drains: at the notice, and again after an outcome that comes later.
 #[test]
 fn idle_connections_to_a_draining_backend_are_closed() {
-    let mut p = Proxy::new(settings(1, vec![class(1000.0, 1.0, Effect::Fragile)]), 1, entries(1));
+    let mut p =
+        Proxy::new(settings(1, vec![class(1000.0, 1.0, Idempotency::NonIdempotent)]), 1, endpoints(1));
     let id = p.ask(0, 0, 3000.0);
-    p.list(ListKind::Delta, vec![Entry { phase: Phase::Draining, ..entry(1) }]);
+    p.list(EndpointListKind::Delta, vec![EndpointInfo { phase: Phase::Draining, ..endpoint(1) }]);
     assert_eq!(p.closed.get(&1), Some(&p.now));
     p.advance(p.now + 400.0);
     p.resolve(id, 0, Outcome::Ok);
--- a/crates/balancer/tests/reconfigure.rs
+++ b/crates/balancer/tests/reconfigure.rs
@@ -7,8 +7,8 @@
 use foldhitch_balancer::api::*;
 use support::*;
 
-const RETRYABLE: Effect = Effect::Retryable;
-const FRAGILE: Effect = Effect::Fragile;
+const RETRYABLE: Idempotency = Idempotency::Idempotent;
+const FRAGILE: Idempotency = Idempotency::NonIdempotent;
 /// Each continues the one at its place.
 const ONE: [Option<u16>; 1] = [Some(0)];
 const TWO: [Option<u16>; 2] = [Some(0), Some(1)];
@@ -42,22 +42,22 @@
 /// Nobody is out or waits, and the counts say so.
 fn assert_idle(p: &Proxy) {
     let g = p.balancer.gauges();
-    let counts = (g.requests, g.calls, g.calls_of_slices, g.held);
+    let counts = (g.requests, g.in_flight, g.in_flight_in_slices, g.queued);
     assert_eq!(counts, (0, 0.0, 0.0, 0), "what is over still counts");
 }
 
 #[test]
 fn a_request_keeps_the_effect_that_it_was_taken_with() {
     for (before, after) in [(RETRYABLE, FRAGILE), (FRAGILE, RETRYABLE)] {
-        let mut p = Proxy::new(with(vec![class(1000.0, 1.0, before)]), 1, entries(4));
+        let mut p = Proxy::new(with(vec![class(1000.0, 1.0, before)]), 1, endpoints(4));
         let old = p.ask(0, 0, 5000.0);
         p.configure(with(vec![class(1000.0, 1.0, after)]), ONE.into(), vec![]).expect("sound");
         let new = p.ask(0, 0, 5000.0);
-        for (id, effect) in [(old, before), (new, after)] {
+        for (id, idempotency) in [(old, before), (new, after)] {
             p.resolve(id, 0, Outcome::Reset);
-            let again = effect == RETRYABLE;
-            assert_eq!(sends(&p, id), if again { 2 } else { 1 }, "taken as {effect:?}");
-            assert_eq!(end(&p, id), if again { None } else { Some("failed") }, "taken as {effect:?}");
+            let again = idempotency == RETRYABLE;
+            assert_eq!(sends(&p, id), if again { 2 } else { 1 }, "taken as {idempotency:?}");
+            assert_eq!(end(&p, id), if again { None } else { Some("failed") }, "taken as {idempotency:?}");
         }
         p.out().into_iter().for_each(|(id, n, _)| p.resolve(id, n, Outcome::Ok));
         assert_idle(&p);
@@ -67,12 +67,13 @@
 /// Repeats of one that was taken with a window end with that window, and not past its attempts.
 #[test]
 fn a_request_keeps_its_window_and_its_attempts() {
-    let dedup = |window| Effect::Dedup { group: Group::All, window };
+    let dedup =
+        |window| Idempotency::Deduplicated { scope: DeduplicationScope::AllBackends, window_ms: window };
     let mut short = with(vec![class(1000.0, 1.0, dedup(200.0))]);
-    short.caps.try_limit = 2;
+    short.capabilities.max_attempts = 2;
     let long = with(vec![class(1000.0, 1.0, dedup(60_000.0))]);
     for (wait, outcome, most) in [(250.0, Outcome::Reset, 1), (5.0, Outcome::Full, 2)] {
-        let mut p = Proxy::new(short.clone(), 1, entries(8));
+        let mut p = Proxy::new(short.clone(), 1, endpoints(8));
         let old = p.ask(0, 0, 5000.0);
         p.configure(long.clone(), ONE.into(), vec![]).expect("sound");
         let new = p.ask(0, 0, 5000.0);
@@ -92,7 +93,7 @@
 #[test]
 fn a_class_that_is_gone_drains() {
     let (kept, gone) = (class(1000.0, 1.0, FRAGILE), class(400.0, 5.0, RETRYABLE));
-    let mut p = Proxy::new(with(vec![gone.clone(), kept.clone()]), 1, entries(4));
+    let mut p = Proxy::new(with(vec![gone.clone(), kept.clone()]), 1, endpoints(4));
     let old = p.ask(0, 0, 5000.0);
     p.configure(with(vec![kept.clone()]), vec![Some(1)], vec![]).expect("sound");
     assert_eq!(end(&p, old), None);
@@ -121,7 +122,7 @@
         ([0.0, 3.0], [Some(1), Some(0)], 1, 0, 3),
         ([3.0, 0.0], [None, Some(1)], 0, 3, 0),
     ] {
-        let mut p = Proxy::new(of(&[3.0, 0.0]), 1, entries(4));
+        let mut p = Proxy::new(of(&[3.0, 0.0]), 1, endpoints(4));
         let paid: Vec<RequestId> = (0..3).map(|_| p.ask(0, 0, 5000.0)).collect();
         assert!(within(&mut p, 1) > 3, "the rest of the limit");
         assert_eq!(within(&mut p, 0), 0, "all is spent");
@@ -135,14 +136,15 @@
 /// The learned limit, the mean latency of a class that only changes its worth, and cold budgets hold.
 #[test]
 fn what_was_learned_holds() {
-    let two = |points| with(vec![class(1000.0, points, RETRYABLE), class(500.0, 1.0, FRAGILE)]);
-    let mut p = Proxy::new(two(1.0), 1, entries(10));
+    let two =
+        |priority_weight| with(vec![class(1000.0, priority_weight, RETRYABLE), class(500.0, 1.0, FRAGILE)]);
+    let mut p = Proxy::new(two(1.0), 1, endpoints(10));
     p.serve(5000.0, 4, 0, 40.0);
     let before = p.balancer.gauges();
-    for points in [2.0, 3.0, 1.0] {
-        p.configure(two(points), TWO.into(), vec![]).expect("sound");
+    for priority_weight in [2.0, 3.0, 1.0] {
+        p.configure(two(priority_weight), TWO.into(), vec![]).expect("sound");
         let after = p.balancer.gauges();
-        assert_eq!((after.limit, after.calls), (before.limit, before.calls));
+        assert_eq!((after.concurrency_limit, after.in_flight), (before.concurrency_limit, before.in_flight));
     }
 }
 
@@ -151,7 +153,7 @@
 fn the_same_settings_again_change_nothing() {
     let s = Settings { tenants: tenants(&[50.0]), ..with(vec![class(300.0, 1.0, RETRYABLE)]) };
     let run = |again: bool| {
-        let mut p = Proxy::new(s.clone(), 9, entries(6));
+        let mut p = Proxy::new(s.clone(), 9, endpoints(6));
         let mut sent = Vec::new();
         for n in 0..2000u64 {
             let id = p.ask(0, 0, 900.0);
@@ -176,8 +178,10 @@
 /// Held requests wait on, in their order, and are let go once the new settings have room.
 #[test]
 fn held_requests_wait_on_in_their_order() {
-    let two = |points| with(vec![class(8000.0, points, RETRYABLE), class(8000.0, 1.0, RETRYABLE)]);
-    let mut p = Proxy::new(two(3.0), 1, entries(2));
+    let two = |priority_weight| {
+        with(vec![class(8000.0, priority_weight, RETRYABLE), class(8000.0, 1.0, RETRYABLE)])
+    };
+    let mut p = Proxy::new(two(3.0), 1, endpoints(2));
     // Both slices are full, then some are held in each.
     for n in 0..2 {
         while {
@@ -188,20 +192,20 @@
     for n in 0..4 {
         p.ask(n % 2, 0, 60_000.0);
     }
-    let held = |p: &Proxy, class: usize| -> Vec<RequestId> {
+    let queued = |p: &Proxy, class: usize| -> Vec<RequestId> {
         let waits =
             p.asked.iter().filter(|(_, a)| a.class == class && a.sends.is_empty() && a.ended.is_none());
         waits.map(|(id, _)| *id).collect()
     };
-    let (first, second) = (held(&p, 0), held(&p, 1));
+    let (first, second) = (queued(&p, 0), queued(&p, 1));
     assert!(first.len() >= 3 && second.len() >= 3, "{first:?} {second:?}");
     // The classes change places, and worths: what waits does so still, each class in its order.
     let swapped = with(vec![class(8000.0, 5.0, RETRYABLE), class(8000.0, 1.0, FRAGILE)]);
     p.configure(swapped, vec![Some(1), Some(0)], vec![]).expect("sound");
-    assert_eq!(p.balancer.gauges().held, first.len() + second.len());
+    assert_eq!(p.balancer.gauges().queued, first.len() + second.len());
     let mut order = Vec::new();
-    while !(held(&p, 0).is_empty() && held(&p, 1).is_empty()) {
-        let waits = [held(&p, 0), held(&p, 1)].concat();
+    while !(queued(&p, 0).is_empty() && queued(&p, 1).is_empty()) {
+        let waits = [queued(&p, 0), queued(&p, 1)].concat();
         let (id, n, _) = p.out().remove(0);
         p.resolve(id, n, Outcome::Ok);
         order.extend(waits.into_iter().filter(|id| sends(&p, *id) > 0));
@@ -221,7 +225,7 @@
         Settings { tenants: tenants(&[quota, 0.0]), ..s }
     };
     for (before, after) in [(2.0, 6.0), (6.0, 3.0), (3.0, 12.0), (12.0, 12.0)] {
-        let mut p = Proxy::new(of(before), 1, entries(8));
+        let mut p = Proxy::new(of(before), 1, endpoints(8));
         assert!(within(&mut p, 1) > 20, "the rest of the limit");
         assert_eq!(within(&mut p, 0), before as usize, "all of it");
         p.configure(of(after), ONE.into(), TWO.into()).expect("sound");
@@ -235,42 +239,42 @@
 #[test]
 fn a_bad_configuration_changes_nothing() {
     let s = Settings { tenants: tenants(&[5.0]), ..with(vec![class(3000.0, 1.0, RETRYABLE)]) };
-    let good = Configuration {
-        settings: Settings { over_share_worth: 0.5, ..s.clone() },
-        classes: ONE.into(),
-        tenants: ONE.into(),
-        ..Configuration::default()
+    let good = SettingsUpdate {
+        settings: Settings { over_quota_weight: 0.5, ..s.clone() },
+        continued_classes: ONE.into(),
+        continued_tenants: ONE.into(),
+        ..SettingsUpdate::default()
     };
-    let bad = |change: fn(&mut Configuration)| {
+    let bad = |change: fn(&mut SettingsUpdate)| {
         let mut next = good.clone();
         change(&mut next);
         next
     };
     let wrong = [
-        ("classes[0].aim", bad(|c| c.settings.classes[0].aim = 0.0)),
-        ("tenants[0].quota_per_s", bad(|c| c.settings.tenants[0].quota_per_s = f64::NAN)),
+        ("classes[0].aim", bad(|c| c.settings.classes[0].latency_objective_ms = 0.0)),
+        ("tenants[0].quotaPerS", bad(|c| c.settings.tenants[0].quota_per_s = f64::NAN)),
         ("classes", bad(|c| c.settings.classes.clear())),
-        ("classes", bad(|c| c.classes = vec![])),
-        ("classes", bad(|c| c.classes = vec![Some(1)])),
-        ("tenants", bad(|c| c.tenants = vec![Some(7)])),
+        ("classes", bad(|c| c.continued_classes = vec![])),
+        ("classes", bad(|c| c.continued_classes = vec![Some(1)])),
+        ("tenants", bad(|c| c.continued_tenants = vec![Some(7)])),
         (
             "tenants",
             bad(|c| {
-                c.tenants = vec![Some(0); 2];
+                c.continued_tenants = vec![Some(0); 2];
                 c.settings.tenants.push(Tenant::default());
             }),
         ),
         ("tier", bad(|c| c.settings.tier = 1)),
-        ("zone", bad(|c| c.settings.zone = 1)),
-        ("tick", bad(|c| c.settings.tick = 1.0)),
-        ("must_ask", bad(|c| c.settings.must_ask = true)),
+        ("locality", bad(|c| c.settings.zone = 1)),
+        ("tick", bad(|c| c.settings.tick_ms = 1.0)),
+        ("discovery", bad(|c| c.settings.discovery_mode = DiscoveryMode::Poll)),
         ("version", bad(|c| c.version = 6)),
         ("version", bad(|c| c.version = 7)),
-        ("version", bad(|c| (c.version, c.settings, c.rest) = (7, with(vec![]), 1))),
+        ("version", bad(|c| (c.version, c.settings, c.content_hash) = (7, with(vec![]), 1))),
     ];
     let run = |tell: bool| {
-        let mut p = Proxy::new(s.clone(), 5, entries(3));
-        let first = Configuration { version: 7, settings: s.clone(), ..good.clone() };
+        let mut p = Proxy::new(s.clone(), 5, endpoints(3));
+        let first = SettingsUpdate { version: 7, settings: s.clone(), ..good.clone() };
         assert_eq!(p.balancer.configure(p.now, first, &mut Vec::new()), Ok(7));
         for (field, next) in &wrong {
             for n in 0..30 {
@@ -297,10 +301,16 @@
 fn versions_never_go_back() {
     let s = with(vec![class(300.0, 1.0, RETRYABLE)]);
     let mut balancer = Balancer::new(s.clone(), 1).expect("sound");
-    let mut tell = |version, points, rest| {
+    let mut tell = |version, priority_weight, content_hash| {
         let mut settings = s.clone();
-        settings.classes[0].points = points;
-        let next = Configuration { version, settings, classes: ONE.into(), tenants: vec![], rest };
+        settings.classes[0].priority_weight = priority_weight;
+        let next = SettingsUpdate {
+            version,
+            settings,
+            continued_classes: ONE.into(),
+            continued_tenants: vec![],
+            content_hash,
+        };
         balancer.configure(0.0, next, &mut Vec::new()).map_err(|e| e.field)
     };
     let stale = || Err("version".to_string());
@@ -329,19 +339,20 @@
 /// Runs so many changes with traffic, and gives all ends and sends in their order.
 fn decisions(seed: u64, changes: usize) -> Vec<String> {
     let mut rng = fastrand::Rng::with_seed(seed);
-    let effect = |n: u8| match n {
+    let idempotency = |n: u8| match n {
         0 => RETRYABLE,
         1 => FRAGILE,
-        2 => Effect::Dedup { group: Group::All, window: 400.0 },
-        _ => Effect::Dedup { group: Group::Zone, window: 900.0 },
+        2 => Idempotency::Deduplicated { scope: DeduplicationScope::AllBackends, window_ms: 400.0 },
+        _ => Idempotency::Deduplicated { scope: DeduplicationScope::Zone, window_ms: 900.0 },
     };
     let new_class = |rng: &mut fastrand::Rng| Class {
-        aim: 100.0 + 100.0 * f64::from(rng.u8(..8)),
-        points: f64::from(rng.u8(1..5)),
-        effect: effect(rng.u8(..4)),
-        in_order: rng.u8(..4) == 0,
+        latency_objective_ms: 100.0 + 100.0 * f64::from(rng.u8(..8)),
+        priority_weight: f64::from(rng.u8(1..5)),
+        idempotency: idempotency(rng.u8(..4)),
+        is_ordered_by_key: rng.u8(..4) == 0,
     };
-    let list: Vec<Entry> = (1..=12).map(|b| Entry { zone: b as u16 % 3, ..entry(b) }).collect();
+    let list: Vec<EndpointInfo> =
+        (1..=12).map(|b| EndpointInfo { zone: b as u16 % 3, ..endpoint(b) }).collect();
     let start = Settings { tenants: tenants(&[20.0]), ..with(vec![new_class(&mut rng)]) };
     let mut p = Proxy::new(start, seed, list.clone());
     let mut story = Vec::new();
@@ -380,15 +391,15 @@
                 places.remove(at);
             }
             6 => {
-                s.copies = rng.u32(1..5);
-                s.copy = rng.u32(..s.copies);
+                s.instance_count = rng.u32(1..5);
+                s.instance_index = rng.u32(..s.instance_count);
             }
-            7 => s.caps.try_limit = rng.u32(1..6),
+            7 => s.capabilities.max_attempts = rng.u32(1..6),
             _ => {
-                s.goal.worst_class = f64::from(rng.u8(..10)) / 10.0;
-                s.over_share_worth = f64::from(rng.u8(..10)) / 10.0;
-                s.rules.cold = 1000.0 * f64::from(rng.u8(1..20));
-                s.goal.cross_zone = f64::from(rng.u8(..3)) / 10.0;
+                s.objective.worst_class_weight = f64::from(rng.u8(..10)) / 10.0;
+                s.over_quota_weight = f64::from(rng.u8(..10)) / 10.0;
+                s.guarantees.warm_up_ms = 1000.0 * f64::from(rng.u8(1..20));
+                s.objective.cross_zone_price = f64::from(rng.u8(..3)) / 10.0;
             }
         }
         p.configure(s, classes, places).expect("sound");
@@ -416,7 +427,7 @@
         p.forget();
         let (g, open) = (p.balancer.gauges(), p.asked.len());
         assert!(g.requests <= open, "{} requests of {open}", g.requests);
-        assert_eq!(g.calls, g.calls_of_slices);
+        assert_eq!(g.in_flight, g.in_flight_in_slices);
         assert!(g.classes <= 2 * 6 + open, "{} records of classes", g.classes);
     }
     // All that is open ends by itself.
@@ -424,7 +435,7 @@
     assert!(p.asked.values().all(|a| a.ended.is_some()), "without an answer");
     let same = (0..p.s.classes.len() as u16).map(Some).collect();
     let places = (0..p.s.tenants.len() as u16).map(Some).collect();
-    let s = Settings { over_share_worth: p.s.over_share_worth + 1.0, ..p.s.clone() };
+    let s = Settings { over_quota_weight: p.s.over_quota_weight + 1.0, ..p.s.clone() };
     p.configure(s, same, places).expect("sound");
     assert_idle(&p);
     assert!(p.balancer.gauges().classes <= 12);
--- a/crates/balancer/tests/slow_start_fleet.rs
+++ b/crates/balancer/tests/slow_start_fleet.rs
@@ -8,25 +8,33 @@
 
 const COLD: f64 = 15_000.0;
 
-fn class(aim: f64, points: f64, effect: Effect) -> Class {
-    Class { aim, points, effect, in_order: false }
+fn class(latency_objective_ms: f64, priority_weight: f64, idempotency: Idempotency) -> Class {
+    Class { latency_objective_ms, priority_weight, idempotency, is_ordered_by_key: false }
 }
 
 /// An ordinary day: ten backends, half loaded.
-fn plan(copies: u32) -> Plan {
+fn plan(instance_count: u32) -> Plan {
     let warm = 10;
-    let rules =
-        Rules { cold_from: 0.12, cold: COLD, fall_multiple: 3.0, ask_within: 10_000.0, ..Rules::default() };
+    let guarantees = Guarantees {
+        initial_capacity_fraction: 0.12,
+        warm_up_ms: COLD,
+        overload_multiple: 3.0,
+        poll_within_ms: 10_000.0,
+        ..Guarantees::default()
+    };
     let cores = 4;
     let quota_per_s = 0.9 * f64::from(warm) * 40.0;
     let settings = Settings {
-        copies,
-        tick: 5.0,
-        over_share_worth: 0.05,
-        classes: vec![class(1200.0, 2.0, Effect::Retryable), class(600.0, 5.0, Effect::Fragile)],
+        instance_count,
+        tick_ms: 5.0,
+        over_quota_weight: 0.05,
+        classes: vec![
+            class(1200.0, 2.0, Idempotency::Idempotent),
+            class(600.0, 5.0, Idempotency::NonIdempotent),
+        ],
         tenants: vec![Tenant { quota_per_s }],
-        caps: Caps { try_limit: 4, ..Caps::default() },
-        rules,
+        capabilities: Capabilities { max_attempts: 4, ..Capabilities::default() },
+        guarantees,
         ..Settings::default()
     };
     Plan {
@@ -115,8 +123,8 @@
             ..p
         }),
         ("uneven copies", |p| {
-            let copies = p.settings.copies as usize;
-            let uneven = (0..copies).map(|c| if c % 5 == 0 { 4.0 } else { 0.5 }).collect();
+            let instance_count = p.settings.instance_count as usize;
+            let uneven = (0..instance_count).map(|c| if c % 5 == 0 { 4.0 } else { 0.5 }).collect();
             Plan { uneven, change: vec![(8000.0, RestartBackend(3)), (8000.0, RestartBackend(8))], ..p }
         }),
         ("traffic goes from copy to copy", |p| Plan {
@@ -171,14 +179,14 @@
 
 /// A copy's share of the budget follows from what it sees alone, so each case is played for several seeds.
 /// `FLEET_SEEDS=40 cargo test --test cold_fleet -- --nocapture` plays more and prints the figures.
-fn bears_the_sum(copies: u32, seeds: u64) {
+fn bears_the_sum(instance_count: u32, seeds: u64) {
     let seeds = std::env::var("FLEET_SEEDS").ok().and_then(|n| n.parse().ok()).unwrap_or(seeds);
     let mut failed = Vec::new();
     for (name, case) in cases() {
         let (mut worst, mut worst_seed, mut used, mut least) = (f64::MIN, 0, 0.0, f64::MAX);
         let (mut answered, mut refused) = (0, 0);
         for seed in 0..seeds {
-            let f = Fleet::run(case(plan(copies)), seed);
+            let f = Fleet::run(case(plan(instance_count)), seed);
             if f.worst() > worst {
                 (worst, worst_seed) = (f.worst(), seed);
             }
@@ -187,7 +195,7 @@
             (answered, refused) = (answered + f.answered, refused + f.refused);
         }
         println!(
-            "{name:50}{copies:4} copies: worst {worst:5.2} (seed {worst_seed:2}), used {used:.2}, least \
+            "{name:50}{instance_count:4} copies: worst {worst:5.2} (seed {worst_seed:2}), used {used:.2}, least \
              {least:.2}; {answered} answered, {refused} refused"
         );
         if worst > 1.0 {
@@ -198,7 +206,7 @@
             failed.push(format!("{name}: cold backends get {used:.3} of what they can do"));
         }
     }
-    assert!(failed.is_empty(), "{copies} copies: {}", failed.join("; "));
+    assert!(failed.is_empty(), "{instance_count} copies: {}", failed.join("; "));
 }
 
 #[test]
@@ -224,7 +232,7 @@
     let (backends, churn) = (40, 160);
     let replace = |n: u32| (2000.0 + 100.0 * f64::from(n), Change::Replace(1 + n, 1 + n + backends));
     let mut p = plan(720);
-    (p.settings.tick, p.settings.rules.cold) = (10.0, 3000.0);
+    (p.settings.tick_ms, p.settings.guarantees.warm_up_ms) = (10.0, 3000.0);
     p.settings.tenants[0].quota_per_s = 0.9 * f64::from(backends) * 40.0;
     let change = (0..churn).map(replace).collect();
     // The last to leave is gone 2 s after its replacement, and all have heard of it a second later.
@@ -232,8 +240,8 @@
     let f = Fleet::run(Plan { change, warm: backends, end, ..p }, 1);
     let newest = f.lists.last().expect("a list").iter().map(|e| e.backend);
     assert_eq!(newest.collect::<Vec<_>>(), (churn + 1..=churn + backends).collect::<Vec<_>>());
-    for (n, copy) in f.copies.iter().enumerate() {
-        assert_eq!(copy.version, f.lists.len() - 1, "copy {n} missed the newest list");
+    for (n, instance_index) in f.instance_count.iter().enumerate() {
+        assert_eq!(instance_index.version, f.lists.len() - 1, "copy {n} missed the newest list");
         assert_eq!(f.records_beyond_need(n), 0, "copy {n} keeps records of backends that left");
     }
     let unused = f.servers.values().filter(|s| s.work.is_empty()).count();
--- a/crates/balancer/tests/support/mod.rs
+++ b/crates/balancer/tests/support/mod.rs
@@ -8,42 +8,47 @@
 
 pub const GRACE: f64 = 20.0;
 
-pub fn class(aim: f64, points: f64, effect: Effect) -> Class {
-    Class { aim, points, effect, in_order: false }
+pub fn class(latency_objective_ms: f64, priority_weight: f64, idempotency: Idempotency) -> Class {
+    Class { latency_objective_ms, priority_weight, idempotency, is_ordered_by_key: false }
 }
 
-pub fn settings(copies: u32, classes: Vec<Class>) -> Settings {
+pub fn settings(instance_count: u32, classes: Vec<Class>) -> Settings {
     Settings {
-        copies,
-        tick: 5.0,
-        over_share_worth: 0.05,
+        instance_count,
+        tick_ms: 5.0,
+        over_quota_weight: 0.05,
         classes,
-        caps: Caps { cancelling: true, retry_after: true, max_retry_after: 2000.0, try_limit: 6 },
-        rules: Rules {
-            cold_from: 0.12,
-            cold: 20_000.0,
-            fall_multiple: 3.0,
-            ask_within: 10_000.0,
-            release_within: 500.0,
-            settle_after_doubt: 300.0,
+        capabilities: Capabilities {
+            can_cancel: true,
+            sends_retry_after: true,
+            max_retry_after_ms: 2000.0,
+            max_attempts: 6,
+        },
+        guarantees: Guarantees {
+            initial_capacity_fraction: 0.12,
+            warm_up_ms: 20_000.0,
+            overload_multiple: 3.0,
+            poll_within_ms: 10_000.0,
+            idle_release_ms: 500.0,
+            key_quarantine_ms: 300.0,
         },
         ..Settings::default()
     }
 }
 
-pub fn entry(backend: BackendId) -> Entry {
-    Entry { backend, weight: 1.0, ..Entry::default() }
+pub fn endpoint(backend: BackendId) -> EndpointInfo {
+    EndpointInfo { backend, weight: 1.0, ..EndpointInfo::default() }
 }
 
-pub fn entries(n: u32) -> Vec<Entry> {
-    (1..=n).map(entry).collect()
+pub fn endpoints(n: u32) -> Vec<EndpointInfo> {
+    (1..=n).map(endpoint).collect()
 }
 
 #[derive(Debug, Clone)]
 pub struct Sent {
     pub backend: BackendId,
     pub at: f64,
-    pub not_past: f64,
+    pub expires_at_ms: f64,
     pub outcome: Option<Outcome>,
     /// When the outcome came.
     pub over: f64,
@@ -55,7 +60,7 @@
     pub class: usize,
     /// The class and the most attempts, as it was taken: settings that change later change neither.
     pub taken: (Class, u32),
-    pub deadline: f64,
+    pub deadline_ms: f64,
     pub sends: Vec<Sent>,
     /// When it ended and how: served, refused, failed or hung up.
     pub ended: Option<(f64, &'static str)>,
@@ -66,7 +71,7 @@
     pub s: Settings,
     pub now: f64,
     pub asked: BTreeMap<RequestId, Asked>,
-    pub listed: HashMap<BackendId, Entry>,
+    pub listed: HashMap<BackendId, EndpointInfo>,
     pub watches: Vec<f64>,
     /// Backends that the operators left out.
     pub suspended: BTreeSet<BackendId>,
@@ -76,12 +81,12 @@
     pub closed: HashMap<BackendId, f64>,
     /// Attempts withdrawn and still without an outcome.
     cancelled: Vec<(RequestId, usize)>,
-    timers: Vec<(f64, u64)>,
+    timers: Vec<(f64, TimerToken)>,
     next: RequestId,
 }
 
 impl Proxy {
-    pub fn new(s: Settings, seed: u64, list: Vec<Entry>) -> Self {
+    pub fn new(s: Settings, seed: u64, list: Vec<EndpointInfo>) -> Self {
         let balancer = Balancer::new(s.clone(), seed).expect("settings are sound");
         let mut p = Proxy {
             balancer,
@@ -97,25 +102,25 @@
             timers: Vec::new(),
             next: 1,
         };
-        p.list(ListKind::Cached, list);
+        p.list(EndpointListKind::Cached, list);
         p
     }
 
-    pub fn list(&mut self, kind: ListKind, entries: Vec<Entry>) {
-        if kind != ListKind::Delta && kind != ListKind::Failed {
+    pub fn list(&mut self, kind: EndpointListKind, endpoints: Vec<EndpointInfo>) {
+        if kind != EndpointListKind::Delta && kind != EndpointListKind::Failed {
             self.listed.values_mut().for_each(|e| e.phase = Phase::Gone);
         }
-        for e in &entries {
+        for e in &endpoints {
             self.listed.insert(e.backend, e.clone());
         }
-        let draining: Vec<_> = entries.iter().filter(|e| e.phase == Phase::Draining).cloned().collect();
-        self.tell(Event::List { kind, entries });
+        let draining: Vec<_> = endpoints.iter().filter(|e| e.phase == Phase::Draining).cloned().collect();
+        self.tell(Event::EndpointList { kind, endpoints });
         draining.iter().for_each(|e| self.check_release(e.backend));
     }
 
     /// Connections to a draining backend are closed at the notice and after each outcome there.
     fn check_release(&self, backend: BackendId) {
-        if self.s.rules.release_within > 0.0 && self.listed[&backend].phase == Phase::Draining {
+        if self.s.guarantees.idle_release_ms > 0.0 && self.listed[&backend].phase == Phase::Draining {
             assert_eq!(self.closed.get(&backend), Some(&self.now), "connections to {backend} are kept open");
         }
     }
@@ -123,7 +128,7 @@
     /// Nothing is sent for a key while an earlier request is open, has an attempt out or left a doubt.
     fn check_order(&self, request: RequestId) {
         let a = &self.asked[&request];
-        let ordered = |a: &Asked| a.taken.0.in_order;
+        let ordered = |a: &Asked| a.taken.0.is_ordered_by_key;
         if a.key == 0 || !ordered(a) {
             return;
         }
@@ -131,7 +136,9 @@
             assert!(earlier.ended.is_some(), "{request} sent before {id} is over");
             for s in &earlier.sends {
                 let rest = match s.outcome.expect("every attempt has its outcome") {
-                    Outcome::Timeout | Outcome::Reset | Outcome::Cancelled => self.s.rules.settle_after_doubt,
+                    Outcome::Timeout | Outcome::Reset | Outcome::Cancelled => {
+                        self.s.guarantees.key_quarantine_ms
+                    }
                     _ => 0.0,
                 };
                 assert!(self.now >= s.over + rest, "{request} sent while {id} may still run");
@@ -149,29 +156,33 @@
     fn act(&mut self, actions: Vec<Action>) {
         for action in actions {
             match action {
-                Action::Send { request, backend, not_past } => self.sent(request, backend, not_past),
-                Action::Refuse { request, .. } => self.refused(request),
+                Action::Send { request, backend, expires_at_ms } => {
+                    self.sent(request, backend, expires_at_ms)
+                }
+                Action::Reject { request, .. } => self.refused(request),
                 Action::Fail { request } => self.close(request, "failed"),
-                Action::WakeMe { delay, token } => {
-                    assert!(delay.is_finite() && delay > 0.0, "timers lie ahead");
-                    self.timers.push((self.now + delay, token));
+                Action::SetTimer { delay_ms, token } => {
+                    assert!(delay_ms.is_finite() && delay_ms > 0.0, "timers lie ahead");
+                    self.timers.push((self.now + delay_ms, token));
                 }
-                Action::Close { backend } => {
+                Action::CloseIdleConnections { backend } => {
                     self.closed.insert(backend, self.now);
                 }
-                Action::Watch { on } => {
-                    assert!(on);
+                Action::PollEndpoints => {
                     self.watches.push(self.now);
                 }
-                Action::Suspend { backend, on } => {
-                    let changed =
-                        if on { self.suspended.insert(backend) } else { self.suspended.remove(&backend) };
+                Action::SetSuspended { backend, is_suspended } => {
+                    let changed = if is_suspended {
+                        self.suspended.insert(backend)
+                    } else {
+                        self.suspended.remove(&backend)
+                    };
                     assert!(changed, "carried out twice");
                 }
-                Action::Drain { on } => self.drains.push(on),
+                Action::SetDraining { is_draining } => self.drains.push(is_draining),
                 Action::Cancel { request, attempt } => {
                     self.cancelled.push((request, usize::from(attempt)));
-                    assert!(self.s.caps.cancelling, "cancelled where that is not allowed");
+                    assert!(self.s.capabilities.can_cancel, "cancelled where that is not allowed");
                     assert!(
                         self.asked[&request].sends.len() > usize::from(attempt),
                         "cancelled what was never sent"
@@ -181,7 +192,7 @@
         }
     }
 
-    fn sent(&mut self, request: RequestId, backend: BackendId, not_past: f64) {
+    fn sent(&mut self, request: RequestId, backend: BackendId, expires_at_ms: f64) {
         self.check_order(request);
         let e = self.listed.get(&backend).expect("sent to a backend that no list named");
         assert_eq!(e.phase, Phase::Ready, "sent to a draining or gone backend");
@@ -189,31 +200,38 @@
         let (zone, cell) = (e.zone, e.cell);
         let a = self.asked.get_mut(&request).expect("sent a request that was never asked");
         assert!(a.ended.is_none(), "sent after its end");
-        assert!(not_past <= a.deadline);
-        assert!(a.sends.len() < a.taken.1.min(self.s.caps.try_limit) as usize, "too many attempts");
+        assert!(expires_at_ms <= a.deadline_ms);
+        assert!(
+            a.sends.len() < a.taken.1.min(self.s.capabilities.max_attempts) as usize,
+            "too many attempts"
+        );
         let out = a.sends.iter().filter(|s| s.outcome.is_none()).count();
         assert_eq!(out, 0, "two attempts out at once");
         if let Some(ran) = a.sends.iter().find(|s| s.outcome.is_none_or(|o| !o.never_ran())) {
             let group = self.listed.get(&ran.backend).map(|e| (e.zone, e.cell));
-            match a.taken.0.effect {
-                Effect::Retryable => {}
-                Effect::Fragile => panic!("a fragile request that may have run was sent again"),
-                Effect::Dedup { group: g, window } => {
+            match a.taken.0.idempotency {
+                Idempotency::Idempotent => {}
+                Idempotency::NonIdempotent => panic!("a fragile request that may have run was sent again"),
+                Idempotency::Deduplicated { scope: g, window_ms: window } => {
                     assert!(self.now < ran.at + window, "repeated after the window");
                     let (z, c) = group.expect("listed");
-                    assert!(g != Group::Zone || z == zone, "repeated in another zone");
-                    assert!(g != Group::Cell || c == cell, "repeated in another cell");
+                    assert!(g != DeduplicationScope::Zone || z == zone, "repeated in another zone");
+                    assert!(g != DeduplicationScope::Cell || c == cell, "repeated in another cell");
                 }
             }
         }
-        a.sends.push(Sent { backend, at: self.now, not_past, outcome: None, over: 0.0 });
+        a.sends.push(Sent { backend, at: self.now, expires_at_ms, outcome: None, over: 0.0 });
     }
 
     fn refused(&mut self, request: RequestId) {
         let a = &self.asked[&request];
-        let effect = a.taken.0.effect;
+        let idempotency = a.taken.0.idempotency;
         let unrun = a.sends.iter().all(|s| s.outcome.is_some_and(Outcome::never_ran));
-        let all = matches!(effect, Effect::Retryable | Effect::Dedup { group: Group::All, .. });
+        let all = matches!(
+            idempotency,
+            Idempotency::Idempotent
+                | Idempotency::Deduplicated { scope: DeduplicationScope::AllBackends, .. }
+        );
         assert!(unrun || all, "refused what may have run");
         self.close(request, "refused");
     }
@@ -221,7 +239,7 @@
     pub fn close(&mut self, request: RequestId, how: &'static str) {
         let a = self.asked.get_mut(&request).expect("ended a request that was never asked");
         assert!(a.ended.is_none(), "answered twice");
-        assert!(self.now <= a.deadline + GRACE, "answered {} ms late", self.now - a.deadline);
+        assert!(self.now <= a.deadline_ms + GRACE, "answered {} ms late", self.now - a.deadline_ms);
         a.ended = Some((self.now, how));
     }
 
@@ -232,24 +250,25 @@
 
     /// A new request about a key; its id.
     pub fn ask_for(&mut self, key: u64, class: usize, tenant: u16, left: f64) -> RequestId {
-        let (request, deadline) = self.take(key, class, left);
-        self.tell(Event::Request(Arrival {
+        let (request, deadline_ms) = self.take(key, class, left);
+        self.tell(Event::RequestArrived(RequestArrival {
             request,
             key,
             class: class as u16,
             tenant,
-            deadline,
-            arriving: false,
+            deadline_ms,
+            is_body_streamed: false,
         }));
         request
     }
 
     fn take(&mut self, key: u64, class: usize, left: f64) -> (RequestId, f64) {
-        let (request, deadline) = (self.next, self.now + left);
-        let taken = (self.s.classes.get(class).cloned().unwrap_or_default(), self.s.caps.try_limit);
+        let (request, deadline_ms) = (self.next, self.now + left);
+        let taken =
+            (self.s.classes.get(class).cloned().unwrap_or_default(), self.s.capabilities.max_attempts);
         self.next += 1;
-        self.asked.insert(request, Asked { key, class, taken, deadline, sends: Vec::new(), ended: None });
-        (request, deadline)
+        self.asked.insert(request, Asked { key, class, taken, deadline_ms, sends: Vec::new(), ended: None });
+        (request, deadline_ms)
     }
 
     /// Puts other settings in force, whose classes and tenants continue those told.
@@ -260,7 +279,13 @@
         tenants: Vec<Option<u16>>,
     ) -> Result<u64, SettingsError> {
         let mut actions = Vec::new();
-        let next = Configuration { version: 0, settings: settings.clone(), classes, tenants, rest: 0 };
+        let next = SettingsUpdate {
+            version: 0,
+            settings: settings.clone(),
+            continued_classes: classes,
+            continued_tenants: tenants,
+            content_hash: 0,
+        };
         let number = self.balancer.configure(self.now, next, &mut actions)?;
         self.s = settings;
         self.act(actions);
@@ -269,9 +294,16 @@
 
     /// A new request whose body is still arriving; its id.
     pub fn ask_arriving(&mut self, class: usize, left: f64) -> RequestId {
-        let (request, deadline) = self.take(0, class, left);
-        let arrival = Arrival { request, key: 0, class: class as u16, tenant: 0, deadline, arriving: true };
-        self.tell(Event::Request(arrival));
+        let (request, deadline_ms) = self.take(0, class, left);
+        let arrival = RequestArrival {
+            request,
+            key: 0,
+            class: class as u16,
+            tenant: 0,
+            deadline_ms,
+            is_body_streamed: true,
+        };
+        self.tell(Event::RequestArrived(arrival));
         request
     }
 
@@ -285,24 +317,32 @@
         self.resolve_as(request, attempt, outcome, true);
     }
 
-    fn resolve_as(&mut self, request: RequestId, attempt: usize, outcome: Outcome, spent: bool) {
+    fn resolve_as(&mut self, request: RequestId, attempt: usize, outcome: Outcome, is_body_consumed: bool) {
         let a = self.asked.get_mut(&request).expect("asked");
         let s = &mut a.sends[attempt];
         assert!(s.outcome.is_none());
         (s.outcome, s.over) = (Some(outcome), self.now);
-        let (backend, wait) = (s.backend, self.now - s.at);
+        let (backend, latency_ms) = (s.backend, self.now - s.at);
         if outcome == Outcome::Ok && a.ended.is_none() {
             self.close(request, "served");
         }
-        let closed = self.asked[&request].ended.is_some();
-        let attempt = attempt as AttemptNo;
-        self.tell(Event::Resolved(Resolved { request, attempt, backend, outcome, wait, closed, spent }));
+        let is_request_closed = self.asked[&request].ended.is_some();
+        let attempt = attempt as AttemptNumber;
+        self.tell(Event::AttemptFinished(AttemptResult {
+            request,
+            attempt,
+            backend,
+            outcome,
+            latency_ms,
+            is_request_closed,
+            is_body_consumed,
+        }));
         self.check_release(backend);
     }
 
     pub fn hang_up(&mut self, request: RequestId) {
         self.close(request, "hung up");
-        self.tell(Event::Hangup { request });
+        self.tell(Event::ClientDisconnected { request });
     }
 
     /// Attempts that are out, oldest request first.
@@ -317,12 +357,12 @@
     /// Moves the clock, firing timers and attempts' time-outs on the way.
     pub fn advance(&mut self, to: f64) {
         while self.now < to {
-            self.now = (self.now + self.s.tick).min(to);
+            self.now = (self.now + self.s.tick_ms).min(to);
             let now = self.now;
-            let due: Vec<u64> = self.timers.iter().filter(|t| t.0 <= now).map(|t| t.1).collect();
+            let due: Vec<TimerToken> = self.timers.iter().filter(|t| t.0 <= now).map(|t| t.1).collect();
             self.timers.retain(|t| t.0 > now);
-            due.into_iter().for_each(|token| self.tell(Event::Wake { token }));
-            let late: Vec<_> = self.out().into_iter().filter(|(_, _, s)| s.not_past <= now).collect();
+            due.into_iter().for_each(|token| self.tell(Event::TimerFired { token }));
+            let late: Vec<_> = self.out().into_iter().filter(|(_, _, s)| s.expires_at_ms <= now).collect();
             late.into_iter().for_each(|(id, n, _)| self.resolve(id, n, Outcome::Timeout));
             for (id, n) in std::mem::take(&mut self.cancelled) {
                 if self.asked.get(&id).is_some_and(|a| a.sends[n].outcome.is_none()) {
@@ -344,7 +384,7 @@
             for _ in 0..per_tick {
                 self.ask(class, 0, 1e5);
             }
-            self.advance(self.now + self.s.tick);
+            self.advance(self.now + self.s.tick_ms);
             for (id, n, s) in self.out() {
                 if self.now - s.at >= wait {
                     self.resolve(id, n, Outcome::Ok);
--- a/crates/discovery-client/src/lib.rs
+++ b/crates/discovery-client/src/lib.rs
@@ -2,7 +2,7 @@
 //! whose hollow proxies are to make the same calls.
 
 use bytes::Bytes;
-use foldhitch_balancer::api::{ListKind, TOLD_WITHIN};
+use foldhitch_balancer::api::{EndpointListKind, NOTIFICATION_DEADLINE_MS};
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper::{Request, StatusCode, header};
@@ -21,8 +21,8 @@
 const DOUBT: Duration = Duration::from_secs(3);
 /// Pause after an answer without news that came at once; a watch goes on if asked within 200 ms.
 const LULL: Duration = Duration::from_millis(100);
-/// [`TOLD_WITHIN`] in whole milliseconds.
-const TOLD: u64 = TOLD_WITHIN as u64;
+/// [`NOTIFICATION_DEADLINE_MS`] in whole milliseconds.
+const TOLD: u64 = NOTIFICATION_DEADLINE_MS as u64;
 /// Longest list.
 const MAX_LIST: usize = 8 << 20;
 
@@ -30,7 +30,7 @@
 /// whole round of a call that is not answered and the pause after it has to fit well into the grace of a drain. Asking
 /// costs nothing: the agent is next door.
 ///
-/// For a long grace, and where the module says when to ask again, [`TOLD_WITHIN`] is the bound. Each call takes
+/// For a long grace, and where the module says when to ask again, [`NOTIFICATION_DEADLINE_MS`] is the bound. Each call takes
 /// its wait and at most thrice the patience, for the connection, the answer and the rest of it. A watch that is
 /// given up, the module's first pause and an answer as late take 5, 2 and 3 twelfths of the term; a call that is
 /// given up after others, the module's longest pause and that answer 3, 4 and 3.
@@ -64,7 +64,7 @@
     /// Whether a backend takes work by the list that is held.
     fn ready(&self) -> bool;
     /// A list, or changes to it; one `older` than what was told before brings no backend back.
-    fn list(self: &Rc<Self>, kind: ListKind, hosts: Vec<Host>, older: bool);
+    fn list(self: &Rc<Self>, kind: EndpointListKind, hosts: Vec<Host>, older: bool);
     /// A call failed, where the list must be asked for.
     fn list_failed(self: &Rc<Self>);
     /// A line for the log.
@@ -184,7 +184,7 @@
                     doubt = None;
                 }
                 if news {
-                    let kind = if page.whole { ListKind::Full } else { ListKind::Delta };
+                    let kind = if page.whole { EndpointListKind::Full } else { EndpointListKind::Delta };
                     let (hosts, complaint) = page.entries();
                     complaint.into_iter().for_each(|line| follower.note(line));
                     follower.list(kind, hosts, older);
--- a/crates/discovery-client/tests/polling.rs
+++ b/crates/discovery-client/tests/polling.rs
@@ -110,12 +110,12 @@
 impl Seat {
     /// Follows an agent in the background.
     fn follow(address: SocketAddr, settings: Settings, seed: u64, grace: Duration, ready: bool) -> Rc<Self> {
-        let must_ask = settings.must_ask;
+        let must_ask = settings.discovery_mode == DiscoveryMode::Poll;
         let balancer = RefCell::new(Balancer::new(settings, seed).expect("settings are sound"));
         let (watching, wanted) = watch::channel(false);
         let (start, told) = (Instant::now(), RefCell::default());
         let seat = Rc::new(Seat { balancer, watching, ready, start, told });
-        seat.tell(Event::List { kind: ListKind::Cached, entries: vec![] });
+        seat.tell(Event::EndpointList { kind: EndpointListKind::Cached, endpoints: vec![] });
         let newest = Rc::<Cell<u64>>::default();
         spawn_local(follow(seat.clone(), address, must_ask, Waits::new(grace), newest, wanted));
         seat
@@ -137,15 +137,15 @@
         self.balancer.borrow_mut().handle(now, event, &mut actions);
         for action in actions {
             match action {
-                Action::WakeMe { delay, token } => {
+                Action::SetTimer { delay_ms: delay, token } => {
                     let seat = self.clone();
                     spawn_local(async move {
                         sleep(Duration::from_secs_f64(delay / 1000.0)).await;
-                        seat.tell(Event::Wake { token });
+                        seat.tell(Event::TimerFired { token });
                     });
                 }
-                Action::Watch { on } => {
-                    self.watching.send_replace(on);
+                Action::PollEndpoints => {
+                    self.watching.send_replace(true);
                 }
                 _ => {}
             }
@@ -157,22 +157,29 @@
     fn ready(&self) -> bool {
         self.ready
     }
-    fn list(self: &Rc<Self>, kind: ListKind, hosts: Vec<Host>, _older: bool) {
-        assert!(!hosts.is_empty() || kind == ListKind::Full);
+    fn list(self: &Rc<Self>, kind: EndpointListKind, hosts: Vec<Host>, _older: bool) {
+        assert!(!hosts.is_empty() || kind == EndpointListKind::Full);
         self.told.borrow_mut().push((Instant::now(), hosts.len()));
-        self.tell(Event::List { kind, entries: vec![] });
+        self.tell(Event::EndpointList { kind, endpoints: vec![] });
     }
     fn list_failed(self: &Rc<Self>) {
         self.watching.send_replace(false);
-        self.tell(Event::List { kind: ListKind::Failed, entries: vec![] });
+        self.tell(Event::EndpointList { kind: EndpointListKind::Failed, endpoints: vec![] });
     }
     fn note(&self, _line: String) {}
 }
 
-fn settings(must_ask: bool, ask_within: f64) -> Settings {
-    let classes = vec![Class { aim: 1000.0, points: 1.0, ..Class::default() }];
-    let rules = Rules { ask_within, cold: 1000.0, cold_from: 0.1, fall_multiple: 3.0, ..Rules::default() };
-    Settings { copies: 1, tick: 5.0, must_ask, classes, rules, ..Settings::default() }
+fn settings(must_ask: bool, poll_within_ms: f64) -> Settings {
+    let discovery_mode = if must_ask { DiscoveryMode::Poll } else { DiscoveryMode::Push };
+    let classes = vec![Class { latency_objective_ms: 1000.0, priority_weight: 1.0, ..Class::default() }];
+    let guarantees = Guarantees {
+        poll_within_ms,
+        warm_up_ms: 1000.0,
+        initial_capacity_fraction: 0.1,
+        overload_multiple: 3.0,
+        ..Guarantees::default()
+    };
+    Settings { instance_count: 1, tick_ms: 5.0, discovery_mode, classes, guarantees, ..Settings::default() }
 }
 
 async fn listening() -> (TcpListener, SocketAddr) {
@@ -258,7 +265,7 @@
 }
 
 /// The most that may pass before what discovery has is told: a sixth of the term is left for a slow machine.
-const WITHIN: Duration = Duration::from_millis(TOLD_WITHIN as u64 / 6 * 5);
+const WITHIN: Duration = Duration::from_millis(NOTIFICATION_DEADLINE_MS as u64 / 6 * 5);
 
 /// The last of many calls that fail comes just before discovery is back.
 #[tokio::test(start_paused = true)]
@@ -272,7 +279,7 @@
                 continue; // Older than nothing.
             }
             for grace in [100, 500, 2000, 10_000].map(Duration::from_millis) {
-                for (ask_within, seed, failures) in
+                for (poll_within_ms, seed, failures) in
                     [(100.0, 1, 9), (10_000.0, 2, 1), (10_000.0, 3, 9), (60_000.0, 4, 1), (60_000.0, 5, 9)]
                 {
                     let tasks = LocalSet::new();
@@ -283,7 +290,7 @@
                             n if n < failures + usize::from(held) => trouble,
                             _ => Do::List(10, true, 2),
                         });
-                        let settings = settings(must_ask, ask_within);
+                        let settings = settings(must_ask, poll_within_ms);
                         let seat = Seat::follow(address, settings, seed, grace, true);
                         let last = failures + usize::from(held);
                         let told = seat.told_of(2).await;
@@ -291,7 +298,7 @@
                     };
                     let took = tasks.run_until(work).await;
                     longest = longest.max(took);
-                    let case = format!("{trouble:?} {must_ask} {held} {grace:?} {ask_within} {failures}");
+                    let case = format!("{trouble:?} {must_ask} {held} {grace:?} {poll_within_ms} {failures}");
                     assert!(took <= WITHIN, "{case}: {took:?}");
                 }
             }
@@ -333,7 +340,7 @@
 async fn a_change_is_told_within_the_term_after_refusals() {
     let mut longest = Duration::ZERO;
     for must_ask in [false, true] {
-        for (ask_within, seed) in [(100.0, 1), (10_000.0, 2), (60_000.0, 3)] {
+        for (poll_within_ms, seed) in [(100.0, 1), (10_000.0, 2), (60_000.0, 3)] {
             for back in (0..40).map(|n| Duration::from_millis(500 * n + 130)) {
                 let tasks = LocalSet::new();
                 let work = async {
@@ -342,7 +349,7 @@
                     socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a port");
                     let address = socket.local_addr().expect("bound");
                     let grace = Duration::from_millis(500);
-                    let seat = Seat::follow(address, settings(must_ask, ask_within), seed, grace, false);
+                    let seat = Seat::follow(address, settings(must_ask, poll_within_ms), seed, grace, false);
                     let back = Instant::now() + back;
                     sleep_until(back).await;
                     agent(socket.listen(16).expect("it listens"), |_| Do::List(1, true, 1));
@@ -350,7 +357,7 @@
                 };
                 let took = tasks.run_until(work).await;
                 longest = longest.max(took);
-                assert!(took <= WITHIN, "{must_ask} {ask_within} {back:?}: {took:?}");
+                assert!(took <= WITHIN, "{must_ask} {poll_within_ms} {back:?}: {took:?}");
             }
         }
     }
--- a/crates/proxy/src/config/mod.rs
+++ b/crates/proxy/src/config/mod.rs
@@ -2,7 +2,7 @@
 
 pub mod reload;
 
-use foldhitch_balancer::settings_format::{self, Facts};
+use foldhitch_balancer::settings_format::{self, ResolvedSettings};
 use foldhitch_discovery_client::Page;
 use serde::Deserialize;
 use serde::de::{DeserializeOwned, IgnoredAny};
@@ -31,7 +31,7 @@
     /// The list of backends as this proxy last had it.
     pub known: Option<Page>,
     /// The settings.
-    pub facts: Facts,
+    pub facts: ResolvedSettings,
 }
 
 #[derive(Deserialize)]
@@ -109,13 +109,13 @@
         (file.version > MAX_VERSION, "version: is out of range"),
         (file.limits.sockets < MIN_SOCKETS, "limits.sockets: too few to work with"),
         (file.limits.memory_mb < MIN_MEMORY_MB, "limits.memory_mb: too little to work with"),
-        (site.classes.iter().any(String::is_empty), "settings: classes: one has no name"),
-        (site.tenants.iter().any(String::is_empty), "settings: tenants: one has no name"),
-        (site.zones.is_empty(), "settings: localities: is missing or empty"),
-        (site.open_cap == 0, "settings: caps.openCap: is missing or 0"),
-        (site.conn_idle <= 0.0, "settings: caps.connIdle: is missing or 0"),
-        (site.connect_timeout <= 0.0, "settings: caps.connectTimeout: is missing or 0"),
-        (site.drain_grace <= 0.0, "settings: guarantees.stopSendingWithin: is missing or 0"),
+        (site.class_names.iter().any(String::is_empty), "settings: classes: one has no name"),
+        (site.tenant_names.iter().any(String::is_empty), "settings: tenants: one has no name"),
+        (site.zone_names.is_empty(), "settings: localities: is missing or empty"),
+        (site.max_open_requests == 0, "settings: caps.openCap: is missing or 0"),
+        (site.connection_idle_ms <= 0.0, "settings: caps.connIdle: is missing or 0"),
+        (site.connect_timeout_ms <= 0.0, "settings: caps.connectTimeout: is missing or 0"),
+        (site.drain_deadline_ms <= 0.0, "settings: guarantees.stopSendingWithin: is missing or 0"),
     ];
     if let Some((_, what)) = wrong.iter().find(|(bad, _)| *bad) {
         return Err(format!("config: {what}"));
--- a/crates/proxy/src/config/reload.rs
+++ b/crates/proxy/src/config/reload.rs
@@ -80,7 +80,7 @@
         }
         let (old, address, content) = (self.engine.facts(), config.discovery, config.content());
         // Backends are known by the places of their zones.
-        if !config.facts.site.zones.starts_with(&old.site.zones) {
+        if !config.facts.site.zone_names.starts_with(&old.site.zone_names) {
             return Err("config: settings: localities: needs a restart, unless some are added".to_string());
         }
         let before = self.engine.version();
@@ -88,13 +88,18 @@
         let version = version.map_err(|e| format!("config: {e}"))?;
         // Nothing fails from here on.
         let site = &self.engine.facts().site;
-        self.pool.keep_to(millis(site.connect_timeout), millis(site.conn_idle), millis(site.drain_grace));
+        self.pool.keep_to(
+            millis(site.connect_timeout_ms),
+            millis(site.connection_idle_ms),
+            millis(site.drain_deadline_ms),
+        );
         if version != before {
             self.record.applied_ms.set(unix_ms());
         }
         log!("configuration read again, version {version}, discovery at {address}");
         // How long its watch waits follows from the grace of a drain.
-        let moved = self.discovery.replace(address) != address || site.drain_grace != old.site.drain_grace;
+        let moved = self.discovery.replace(address) != address
+            || site.drain_deadline_ms != old.site.drain_deadline_ms;
         Ok(moved.then_some(address))
     }
 }
