--- a/crates/proxy/src/dispatcher/mod.rs
+++ b/crates/proxy/src/dispatcher/mod.rs
@@ -8,10 +8,10 @@
 use crate::upstream::{Attempt, Call, Content, End, Pool, Target};
 use foldhitch_balancer::Balancer;
 use foldhitch_balancer::api::{
-    Action, Arrival, BackendId, Configuration, Entry, Event, ListKind, Outcome, Phase, RequestId, Resolved,
-    SettingsError,
+    Action, AttemptResult, BackendId, EndpointInfo, EndpointListKind, Event, Outcome, Phase, RequestArrival,
+    RequestId, SettingsError, SettingsUpdate,
 };
-use foldhitch_balancer::settings_format::{Facts, Site};
+use foldhitch_balancer::settings_format::{ResolvedSettings, SiteSettings};
 use foldhitch_discovery_client::{Follower, Health, Host};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet, VecDeque};
@@ -113,7 +113,7 @@
 struct Open {
     call: Rc<Call>,
     /// The settings that it was taken under.
-    facts: Rc<Facts>,
+    facts: Rc<ResolvedSettings>,
     /// Place of its class in them.
     class: u16,
     received: Instant,
@@ -195,7 +195,7 @@
     pool: Rc<Pool>,
     clock: Clock,
     /// The settings in force: they change in the same turn as the module's.
-    facts: RefCell<Rc<Facts>>,
+    facts: RefCell<Rc<ResolvedSettings>>,
     watching: watch::Sender<bool>,
     /// Whether clients are sent away.
     away: watch::Sender<bool>,
@@ -208,13 +208,13 @@
 impl Engine {
     /// Starts the module. What it asks of discovery comes through `watching`.
     pub fn new(
-        facts: Facts,
+        facts: ResolvedSettings,
         seed: u64,
         pool: Rc<Pool>,
         watching: watch::Sender<bool>,
     ) -> Result<Rc<Self>, SettingsError> {
         let state = State {
-            balancer: Balancer::new(facts.settings.clone(), seed)?,
+            balancer: Balancer::new(facts.balancer.clone(), seed)?,
             ids: HashMap::new(),
             backends: HashMap::new(),
             requests: HashMap::new(),
@@ -229,7 +229,7 @@
     }
 
     /// The settings in force.
-    pub fn facts(&self) -> Rc<Facts> {
+    pub fn facts(&self) -> Rc<ResolvedSettings> {
         self.facts.borrow().clone()
     }
 
@@ -240,12 +240,23 @@
 
     /// Puts other settings in force, here and in the module, and gives their number. An error says what is wrong;
     /// nothing has changed then. A class or tenant continues the one of its name.
-    pub fn configure(self: &Rc<Self>, facts: Facts, version: u64, rest: u64) -> Result<u64, SettingsError> {
+    pub fn configure(
+        self: &Rc<Self>,
+        facts: ResolvedSettings,
+        version: u64,
+        rest: u64,
+    ) -> Result<u64, SettingsError> {
         let s = &mut *self.state.borrow_mut();
         let old = self.facts();
-        let classes = continued(&old.site.classes, &facts.site.classes);
-        let tenants = continued(&old.site.tenants, &facts.site.tenants);
-        let next = Configuration { version, settings: facts.settings.clone(), classes, tenants, rest };
+        let classes = continued(&old.site.class_names, &facts.site.class_names);
+        let tenants = continued(&old.site.tenant_names, &facts.site.tenant_names);
+        let next = SettingsUpdate {
+            version,
+            settings: facts.balancer.clone(),
+            continued_classes: classes,
+            continued_tenants: tenants,
+            content_hash: rest,
+        };
         let mut actions = std::mem::take(&mut s.actions);
         let version = s.balancer.configure(self.clock.at(Instant::now()), next, &mut actions)?;
         self.facts.replace(Rc::new(facts));
@@ -255,7 +266,7 @@
     }
 
     /// The longest that something lasts by the settings in force and by those that requests in work were taken under.
-    pub fn longest(&self, lasts: impl Fn(&Site) -> Duration) -> Duration {
+    pub fn longest(&self, lasts: impl Fn(&SiteSettings) -> Duration) -> Duration {
         let s = self.state.borrow();
         let owed = s.requests.values().filter(|r| r.owed()).map(|r| lasts(&r.facts.site));
         owed.fold(lasts(&self.facts().site), Duration::max)
@@ -287,19 +298,19 @@
             for name in &marks.suspended {
                 let (backend, known) = s.known(name);
                 if !known.suspended {
-                    events.push(Event::Suspend { backend, on: true });
+                    events.push(Event::SetSuspended { backend, is_suspended: true });
                 }
             }
             let ended = s.backends.iter().filter(|(_, k)| k.suspended && !marks.suspended.contains(&k.name));
-            events.extend(ended.map(|(&backend, _)| Event::Suspend { backend, on: false }));
+            events.extend(ended.map(|(&backend, _)| Event::SetSuspended { backend, is_suspended: false }));
         }
         if *self.away.borrow() != marks.drain {
-            events.push(Event::Drain { on: marks.drain });
+            events.push(Event::SetDraining { is_draining: marks.drain });
         }
         let count = marks.others + 1;
         if self.processes.send_if_modified(|held| std::mem::replace(held, count) != count) {
             log!("processes of this proxy: {count}");
-            events.push(Event::Processes { count });
+            events.push(Event::ProcessCount { count });
         }
         events.into_iter().for_each(|event| self.tell(event));
     }
@@ -330,7 +341,7 @@
         let request = {
             let s = &mut *self.state.borrow_mut();
             let facts = self.facts();
-            if s.requests.len() >= facts.site.open_cap {
+            if s.requests.len() >= facts.site.max_open_requests {
                 return Answer::Refused { retry_after: None };
             }
             let id = s.next;
@@ -343,13 +354,20 @@
         };
         let _here = Here { engine: self.clone(), request };
         let (class, tenant, arriving) = (incoming.class, incoming.tenant, upload.is_some());
-        self.tell(Event::Request(Arrival { request, key, class, tenant, deadline, arriving }));
+        self.tell(Event::RequestArrived(RequestArrival {
+            request,
+            key,
+            class,
+            tenant,
+            deadline_ms: deadline,
+            is_body_streamed: arriving,
+        }));
         if let Some(upload) = upload {
             let engine = self.clone();
             tokio::task::spawn_local(async move {
                 if let Some(at) = upload.ended().await {
                     let deadline = engine.clock.at(at + upload.patience);
-                    engine.tell(Event::Arrived { request, deadline });
+                    engine.tell(Event::BodyReceived { request, deadline_ms: deadline });
                 }
             });
         }
@@ -364,10 +382,10 @@
 
     /// A list of backends, or changes to it. One `older` than what was told before takes backends out like any other,
     /// but brings none back that was told to drain: that may have been later.
-    pub fn list(self: &Rc<Self>, kind: ListKind, hosts: Vec<Host>, older: bool) {
+    pub fn list(self: &Rc<Self>, kind: EndpointListKind, hosts: Vec<Host>, older: bool) {
         let entries = {
             let s = &mut *self.state.borrow_mut();
-            if kind != ListKind::Delta {
+            if kind != EndpointListKind::Delta {
                 s.backends.values_mut().for_each(|k| k.listed = false);
             }
             let entries = hosts.into_iter().filter_map(|h| self.entry(s, h, older)).collect();
@@ -377,7 +395,7 @@
             });
             entries
         };
-        self.tell(Event::List { kind, entries });
+        self.tell(Event::EndpointList { kind, endpoints: entries });
         self.forget_gone();
     }
 
@@ -403,7 +421,7 @@
     /// A call to discovery failed.
     pub fn list_failed(self: &Rc<Self>) {
         self.watching.send_replace(false);
-        self.tell(Event::List { kind: ListKind::Failed, entries: Vec::new() });
+        self.tell(Event::EndpointList { kind: EndpointListKind::Failed, endpoints: Vec::new() });
     }
 
     /// Answers what is still open by then, and takes nothing that would last longer.
@@ -421,16 +439,16 @@
                 s.requests.values_mut().for_each(|r| r.answer(Answer::TimedOut));
                 open
             };
-            open.into_iter().for_each(|request| engine.tell(Event::Hangup { request }));
+            open.into_iter().for_each(|request| engine.tell(Event::ClientDisconnected { request }));
         });
     }
 
-    fn entry(&self, s: &mut State, h: Host, older: bool) -> Option<Entry> {
+    fn entry(&self, s: &mut State, h: Host, older: bool) -> Option<EndpointInfo> {
         let (backend, known) = s.known(&h.host);
         known.listed = h.health != Health::Deleted;
-        let Some(zone) = self.facts().site.zones.iter().position(|z| *z == h.site) else {
+        let Some(zone) = self.facts().site.zone_names.iter().position(|z| *z == h.site) else {
             if h.health == Health::Deleted {
-                return Some(Entry { backend, phase: Phase::Gone, ..Entry::default() });
+                return Some(EndpointInfo { backend, phase: Phase::Gone, ..EndpointInfo::default() });
             }
             log!("discovery: {}: zone {:?} is unknown, passed over", h.host, h.site);
             return None;
@@ -452,14 +470,15 @@
                 known.withdraw(&self.pool);
             }
         }
-        let (zone, started_at, weight, cell) = (zone as u16, h.born_ms.max(0.0), h.share.max(0.0), h.block);
-        Some(Entry { backend, phase, zone, started_at, weight, cell })
+        let (zone, started_at_ms, weight, cell) =
+            (zone as u16, h.born_ms.max(0.0), h.share.max(0.0), h.block);
+        Some(EndpointInfo { backend, phase, zone, started_at_ms, weight, cell })
     }
 
     /// A line for a request that is about to end unserved, so that it can be followed by its id.
     fn log(&self, s: &State, request: RequestId, how: &str) {
         let Some(open) = s.requests.get(&request).filter(|r| r.owed()) else { return };
-        let class = &open.facts.site.classes[usize::from(open.class)];
+        let class = &open.facts.site.class_names[usize::from(open.class)];
         let (id, age) = (printed(&open.call.id), open.received.elapsed().as_millis());
         let mut line = format!("{id} {class} {how} after {age} ms");
         for (backend, stand) in &open.attempts {
@@ -497,8 +516,8 @@
 
     fn act(self: &Rc<Self>, s: &mut State, action: Action) {
         match action {
-            Action::Send { request, backend, not_past } => self.send(s, request, backend, not_past),
-            Action::Refuse { request, retry_after } => {
+            Action::Send { request, backend, expires_at_ms } => self.send(s, request, backend, expires_at_ms),
+            Action::Reject { request, retry_after_ms: retry_after } => {
                 let retry_after = Some(millis(retry_after)).filter(|d| !d.is_zero());
                 self.log(s, request, "refused");
                 s.answer(request, Answer::Refused { retry_after });
@@ -517,22 +536,22 @@
                     let _ = cancel.send(());
                 }
             }
-            Action::WakeMe { delay, token } => {
+            Action::SetTimer { delay_ms: delay, token } => {
                 let engine = self.clone();
                 tokio::task::spawn_local(async move {
                     sleep(millis(delay)).await;
-                    engine.tell(Event::Wake { token });
+                    engine.tell(Event::TimerFired { token });
                 });
             }
-            Action::Close { backend } => {
+            Action::CloseIdleConnections { backend } => {
                 if let Some(target) = s.backends.get(&backend).and_then(|k| k.target.as_ref()) {
                     self.pool.close(target);
                 }
             }
-            Action::Watch { on } => {
-                self.watching.send_replace(on);
+            Action::PollEndpoints => {
+                self.watching.send_replace(true);
             }
-            Action::Suspend { backend, on } => {
+            Action::SetSuspended { backend, is_suspended: on } => {
                 let Some(known) = s.backends.get_mut(&backend) else { return };
                 known.suspended = on;
                 if on {
@@ -542,32 +561,33 @@
                 }
                 log!("backend {} {}", known.name, if on { "suspended" } else { "resumed" });
             }
-            Action::Drain { on } => {
+            Action::SetDraining { is_draining: on } => {
                 self.away.send_replace(on);
                 log!("clients are {}", if on { "sent away" } else { "taken again" });
             }
         }
     }
 
-    fn send(self: &Rc<Self>, s: &mut State, request: RequestId, backend: BackendId, not_past: f64) {
+    fn send(self: &Rc<Self>, s: &mut State, request: RequestId, backend: BackendId, expires_at_ms: f64) {
         let Some(open) = s.requests.get_mut(&request) else { return };
         let number = open.attempts.len();
         let sent = Instant::now();
         let target = s.backends.get(&backend).and_then(|k| k.target.as_ref());
-        let within = number < self.facts().settings.caps.try_limit as usize;
+        let within = number < self.facts().balancer.capabilities.max_attempts as usize;
         let wanted = match &open.life {
             Life::Owed(_, there) if within => Some(Rc::downgrade(there)),
             _ => None,
         };
         let Some((target, wanted)) = target.zip(wanted) else {
-            open.attempts.push((backend, Stand::Ended(Outcome::Moot, Duration::ZERO)));
-            s.events.push_back(resolved(request, number, backend, Outcome::Moot, 0.0, open));
+            open.attempts.push((backend, Stand::Ended(Outcome::NotSent, Duration::ZERO)));
+            s.events.push_back(resolved(request, number, backend, Outcome::NotSent, 0.0, open));
             return;
         };
         let (cancel, cancelled) = oneshot::channel();
         open.attempts.push((backend, Stand::Out(Out { sent, cancel: Some(cancel) })));
-        let (call, target, not_past) = (open.call.clone(), target.clone(), self.clock.instant(not_past));
-        let attempt = Attempt { call, target, not_past, wanted, cancelled };
+        let (call, target, expires_at_ms) =
+            (open.call.clone(), target.clone(), self.clock.instant(expires_at_ms));
+        let attempt = Attempt { call, target, expires_at_ms, wanted, cancelled };
         let (engine, pool) = (self.clone(), self.pool.clone());
         tokio::task::spawn_local(async move {
             let end = attempt.run(pool).await;
@@ -614,7 +634,7 @@
             (left, event)
         };
         if left {
-            self.tell(Event::Hangup { request });
+            self.tell(Event::ClientDisconnected { request });
         }
         self.tell(event);
     }
@@ -624,7 +644,7 @@
     fn ready(&self) -> bool {
         Engine::ready(self)
     }
-    fn list(self: &Rc<Self>, kind: ListKind, hosts: Vec<Host>, older: bool) {
+    fn list(self: &Rc<Self>, kind: EndpointListKind, hosts: Vec<Host>, older: bool) {
         Engine::list(self, kind, hosts, older);
     }
     fn list_failed(self: &Rc<Self>) {
@@ -645,7 +665,15 @@
 ) -> Event {
     let (attempt, closed) = (number as u8, matches!(open.life, Life::Over));
     let spent = open.call.upload().is_some_and(|upload| upload.spent());
-    Event::Resolved(Resolved { request, attempt, backend, outcome, wait, closed, spent })
+    Event::AttemptFinished(AttemptResult {
+        request,
+        attempt,
+        backend,
+        outcome,
+        latency_ms: wait,
+        is_request_closed: closed,
+        is_body_consumed: spent,
+    })
 }
 
 /// For each new name the place that it had before. Of two alike the first goes on.
@@ -712,7 +740,7 @@
             left
         };
         if left {
-            self.engine.tell(Event::Hangup { request: self.request });
+            self.engine.tell(Event::ClientDisconnected { request: self.request });
         }
     }
 }
@@ -724,7 +752,7 @@
     use crate::upstream::Limits;
     use tokio::task::LocalSet;
 
-    fn facts() -> Facts {
+    fn facts() -> ResolvedSettings {
         let text = r#"{"slotNo": 0, "peersTotal": 1, "tier": 0, "locality": 0, "localities": ["a"], "tick": 5.0,
             "overShareWorth": 0.05, "discovery": "automatic", "tenants": [],
             "classes": [{"name": "look", "aim": 1000.0, "points": 1.0, "semantics": "retryable", "group": "all",
@@ -762,7 +790,7 @@
     #[tokio::test]
     async fn what_was_taken_before_a_change_lasts_as_long_as_then() {
         let (engine, tasks) = (engine(), LocalSet::new());
-        let aim = |engine: &Engine| engine.longest(|site| millis(site.longest_aim));
+        let aim = |engine: &Engine| engine.longest(|site| millis(site.longest_latency_objective_ms));
         let (long, short) = (Duration::from_secs(1), Duration::from_millis(200));
         let (caller, _answer) = oneshot::channel();
         let life = Life::Owed(caller, Rc::new(|| true));
@@ -770,7 +798,8 @@
         let open = Open { call: Rc::new(call()), facts, class, received, life, attempts: Vec::new() };
         engine.state.borrow_mut().requests.insert(7, open);
         let mut next = self::facts();
-        (next.settings.classes[0].aim, next.site.longest_aim) = (200.0, 200.0);
+        (next.balancer.classes[0].latency_objective_ms, next.site.longest_latency_objective_ms) =
+            (200.0, 200.0);
         let configured = async { engine.configure(next, 3, 1) };
         assert_eq!(tasks.run_until(configured).await, Ok(3));
         assert_eq!((engine.version(), aim(&engine)), (3, long));
@@ -795,9 +824,9 @@
                     let (old, new) = (format!("s-{n}"), format!("s-{}", n + 1));
                     if n % 2 == 0 {
                         let hosts = vec![host(&old, Health::Deleted), host(&new, Health::Serving)];
-                        engine.list(ListKind::Delta, hosts, false);
+                        engine.list(EndpointListKind::Delta, hosts, false);
                     } else {
-                        engine.list(ListKind::Full, vec![host(&new, Health::Serving)], false);
+                        engine.list(EndpointListKind::Full, vec![host(&new, Health::Serving)], false);
                     }
                     let s = engine.state.borrow();
                     assert_eq!((s.ids.len(), s.backends.len()), (1, 1), "after {n}");
@@ -810,7 +839,7 @@
                 let facts = engine.facts();
                 let open = Open { call: Rc::new(call()), facts, class, received, life, attempts };
                 engine.state.borrow_mut().requests.insert(7, open);
-                engine.list(ListKind::Full, vec![host("s-101", Health::Serving)], false);
+                engine.list(EndpointListKind::Full, vec![host("s-101", Health::Serving)], false);
                 assert_eq!(engine.state.borrow().backends.len(), 2);
                 engine.state.borrow_mut().requests.clear();
                 engine.forget_gone();
--- a/crates/proxy/src/downstream/mod.rs
+++ b/crates/proxy/src/downstream/mod.rs
@@ -8,8 +8,8 @@
 };
 use crate::upstream::{Call, Content, KEPT};
 use bytes::{Bytes, BytesMut};
-use foldhitch_balancer::api::Effect;
-use foldhitch_balancer::settings_format::Facts;
+use foldhitch_balancer::api::Idempotency;
+use foldhitch_balancer::settings_format::ResolvedSettings;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Frame, Incoming as Inflow, SizeHint};
 use hyper::header::{ALLOW, CONNECTION, HOST, HeaderMap, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING};
@@ -526,8 +526,8 @@
     }
 
     fn away(&self) -> Option<Duration> {
-        let caps = &self.engine.facts().settings.caps;
-        caps.retry_after.then(|| millis(AWAY.min(caps.max_retry_after)))
+        let caps = &self.engine.facts().balancer.capabilities;
+        caps.sends_retry_after.then(|| millis(AWAY.min(caps.max_retry_after_ms)))
     }
 
     /// Reads a request whole, or says what is wrong with it.
@@ -612,12 +612,12 @@
 }
 
 /// Reads a head by the settings, or says what is wrong with it.
-fn sort(facts: &Facts, head: &Parts, name: &str, empty: bool) -> Result<Sorted, Box<Reply>> {
-    let class = facts.site.classes.iter().position(|c| c == name);
+fn sort(facts: &ResolvedSettings, head: &Parts, name: &str, empty: bool) -> Result<Sorted, Box<Reply>> {
+    let class = facts.site.class_names.iter().position(|c| c == name);
     let class = class.ok_or_else(|| Box::new(plain(StatusCode::NOT_FOUND)))?;
     let bad = || Box::new(closing(StatusCode::BAD_REQUEST));
     let id = one(&head.headers, "req-id").ok_or_else(bad)?.clone();
-    let tenants = &facts.site.tenants;
+    let tenants = &facts.site.tenant_names;
     let owner = one(&head.headers, "req-owner").and_then(|o| o.to_str().ok());
     let tenant = match owner {
         _ if tenants.is_empty() => 0,
@@ -627,10 +627,10 @@
     let patience = patience.and_then(|d| d.parse::<u64>().ok());
     let patience = Duration::from_millis(patience.ok_or_else(bad)?.min(MAX_PATIENCE_MS));
     let key = one(&head.headers, "idempotency-key").cloned();
-    let (method, keyed) = match facts.settings.classes[class].effect {
-        Effect::Retryable => (Method::GET, None),
-        Effect::Dedup { .. } => (Method::POST, Some(true)),
-        Effect::Fragile => (Method::POST, Some(false)),
+    let (method, keyed) = match facts.balancer.classes[class].idempotency {
+        Idempotency::Idempotent => (Method::GET, None),
+        Idempotency::Deduplicated { .. } => (Method::POST, Some(true)),
+        Idempotency::NonIdempotent => (Method::POST, Some(false)),
     };
     if head.method != method {
         let mut reply = plain(StatusCode::METHOD_NOT_ALLOWED);
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -16,8 +16,8 @@
 use config::reload::{Record, Reload};
 use dispatcher::{Engine, millis};
 use downstream::{Front, Stop};
-use foldhitch_balancer::api::ListKind;
-use foldhitch_balancer::settings_format::Site;
+use foldhitch_balancer::api::{DiscoveryMode, EndpointListKind};
+use foldhitch_balancer::settings_format::SiteSettings;
 use foldhitch_discovery_client::{self as discovery, Waits};
 use log::log;
 use process_group::Handover;
@@ -83,26 +83,26 @@
     let site = &config.facts.site;
     let pool = Rc::new(Pool::new(upstream::Limits {
         connections: usable(1) / 2,
-        connect: millis(site.connect_timeout),
-        idle: millis(site.conn_idle),
-        drain_grace: millis(site.drain_grace),
+        connect: millis(site.connect_timeout_ms),
+        idle: millis(site.connection_idle_ms),
+        drain_grace: millis(site.drain_deadline_ms),
     }));
     let (watching, wanted) = watch::channel(false);
-    let must_ask = config.facts.settings.must_ask;
+    let must_ask = config.facts.balancer.discovery_mode == DiscoveryMode::Poll;
     let engine = Engine::new(config.facts.clone(), config.seed, pool.clone(), watching);
     let engine = engine.map_err(|e| e.to_string())?;
     let record = Rc::new(Record::new());
     let reload = Reload::new(&config, engine.clone(), pool.clone(), record.clone())?;
     let (known, complaint) = config.known.map(|page| page.entries()).unwrap_or_default();
     complaint.into_iter().for_each(|line| log!("{line}"));
-    engine.list(ListKind::Cached, known, false);
+    engine.list(EndpointListKind::Cached, known, false);
     let door = match config.management {
         Some(address) => Some(open_door(address, &engine, record).await?),
         None => None,
     };
     let newest = Rc::<Cell<u64>>::default();
     let follow = move |engine: Rc<Engine>, address| {
-        let waits = Waits::new(millis(engine.facts().site.drain_grace));
+        let waits = Waits::new(millis(engine.facts().site.drain_deadline_ms));
         spawn_local(discovery::follow(engine, address, must_ask, waits, newest.clone(), wanted.clone()))
     };
     let (followed, mut following) = (engine.clone(), follow(engine.clone(), config.discovery));
@@ -216,7 +216,8 @@
 /// How long after SIGTERM all must be answered, and how long callers may go on using the connections that they
 /// have: others may be down too, so for as long as a request still has the time in which its answer is wanted.
 fn stopping(engine: &Engine) -> (Duration, Duration) {
-    let told = |site: &Site| Some(millis(site.longest_wait)).filter(|wait| !wait.is_zero());
+    let told =
+        |site: &SiteSettings| Some(millis(site.longest_client_timeout_ms)).filter(|wait| !wait.is_zero());
     let last = engine.longest(|site| told(site).map_or(LONGEST, |wait| wait.min(LONGEST))) + AFTER;
-    (last, last.saturating_sub(engine.longest(|site| millis(site.longest_aim))).max(LINGER))
+    (last, last.saturating_sub(engine.longest(|site| millis(site.longest_latency_objective_ms))).max(LINGER))
 }
--- a/crates/proxy/src/upstream/mod.rs
+++ b/crates/proxy/src/upstream/mod.rs
@@ -228,7 +228,7 @@
                 self.evict();
                 let place = timeout(self.limits.get().connect, self.places.clone().acquire_owned()).await;
                 // Without one the request was never sent, and that says nothing of the backend.
-                place.ok().and_then(Result::ok).ok_or(Outcome::Moot)?
+                place.ok().and_then(Result::ok).ok_or(Outcome::NotSent)?
             }
         };
         if self.places.available_permits() == 0 {
@@ -240,11 +240,11 @@
     async fn connect(&self, dial: SocketAddr, permit: &Permit) -> Result<Link, Outcome> {
         let place = self.place().await?;
         if !permit() {
-            return Err(Outcome::Moot);
+            return Err(Outcome::NotSent);
         }
         let stream = match timeout(self.limits.get().connect, TcpStream::connect(dial)).await {
             Ok(Ok(stream)) => stream,
-            Ok(Err(e)) if out_of_descriptors(&e) => return Err(Outcome::Moot),
+            Ok(Err(e)) if out_of_descriptors(&e) => return Err(Outcome::NotSent),
             Ok(Err(_)) | Err(_) => return Err(Outcome::ConnectFailed),
         };
         prepare(&stream).map_err(|_| Outcome::ConnectFailed)?;
@@ -280,7 +280,7 @@
     /// Where it goes.
     pub target: Rc<Target>,
     /// When it is given up.
-    pub not_past: Instant,
+    pub expires_at_ms: Instant,
     /// Whether anybody still waits for it.
     pub wanted: Wanted,
     /// Withdraws it.
@@ -291,7 +291,7 @@
     /// Carries the attempt out and tells how it ended. The connection of one that is given up is closed: that is
     /// how a backend learns that nobody waits, so that it stops the work and frees the slot.
     pub async fn run(self, pool: Rc<Pool>) -> End {
-        let Attempt { call, target, not_past, wanted, cancelled } = self;
+        let Attempt { call, target, expires_at_ms, wanted, cancelled } = self;
         let (grace, told) = (pool.limits.get().drain_grace, target.clone());
         // Whatever the attempt has to wait for, its request may be over by then, or its caller gone unnoticed, and the
         // backend may have been told to drain: half the grace leaves room for a late loop and a slow write.
@@ -301,24 +301,24 @@
         });
         tokio::select! {
             biased;
-            end = exchange(&pool, &call, &target, not_past, &permit) => end,
-            () = due(&call, not_past) => End::Unserved(Outcome::Timeout),
+            end = exchange(&pool, &call, &target, expires_at_ms, &permit) => end,
+            () = due(&call, expires_at_ms) => End::Unserved(Outcome::Timeout),
             Ok(()) = cancelled => End::Unserved(Outcome::Cancelled),
         }
     }
 }
 
 /// Comes back when the answer is too late. The time of a body that passes through counts from its last byte.
-async fn due(call: &Call, not_past: Instant) {
+async fn due(call: &Call, expires_at_ms: Instant) {
     let end = async {
         match &call.body {
-            Payload::Whole(_) => not_past,
+            Payload::Whole(_) => expires_at_ms,
             // One that breaks off is no reason to wait for less.
-            Payload::Passing(upload) => upload.ended().await.map_or(not_past, |at| at + upload.patience),
+            Payload::Passing(upload) => upload.ended().await.map_or(expires_at_ms, |at| at + upload.patience),
         }
     };
     tokio::select! {
-        () = sleep_until(not_past) => {}
+        () = sleep_until(expires_at_ms) => {}
         () = async { sleep_until(end.await).await } => {}
     }
 }
@@ -328,10 +328,10 @@
     pool: &Rc<Pool>,
     call: &Call,
     target: &Rc<Target>,
-    not_past: Instant,
+    expires_at_ms: Instant,
     permit: &Permit,
 ) -> End {
-    let end = send(pool, call, target, not_past, permit).await;
+    let end = send(pool, call, target, expires_at_ms, permit).await;
     // Whatever came of it, the caller is at fault.
     match call.upload().and_then(|upload| upload.failure()) {
         Some(status) if !matches!(end, End::Served(_)) => End::Broken(status),
@@ -339,8 +339,14 @@
     }
 }
 
-async fn send(pool: &Rc<Pool>, call: &Call, target: &Rc<Target>, not_past: Instant, permit: &Permit) -> End {
-    let moot = || End::Unserved(Outcome::Moot);
+async fn send(
+    pool: &Rc<Pool>,
+    call: &Call,
+    target: &Rc<Target>,
+    expires_at_ms: Instant,
+    permit: &Permit,
+) -> End {
+    let moot = || End::Unserved(Outcome::NotSent);
     let (mut link, answer) = loop {
         let (mut link, kept) = match pool.reuse(target) {
             Some(link) => (link, true),
@@ -350,7 +356,7 @@
             },
         };
         link.progress.permit(permit.clone());
-        let Some(request) = call.request(&link.progress, not_past) else { return moot() };
+        let Some(request) = call.request(&link.progress, expires_at_ms) else { return moot() };
         match link.sender.send_request(request).await {
             Ok(answer) => break (link, answer),
             Err(_) if !link.progress.begun() && !permit() => return moot(),
@@ -506,10 +512,10 @@
         }
     }
 
-    fn request(&self, progress: &Rc<Progress>, not_past: Instant) -> Option<Request<Outgoing>> {
+    fn request(&self, progress: &Rc<Progress>, expires_at_ms: Instant) -> Option<Request<Outgoing>> {
         // The time of a body that passes through begins with its last byte.
         let left = match &self.body {
-            Payload::Whole(_) => not_past.saturating_duration_since(Instant::now()),
+            Payload::Whole(_) => expires_at_ms.saturating_duration_since(Instant::now()),
             Payload::Passing(upload) => upload.patience,
         };
         let left = left.as_millis() as u64;
@@ -557,11 +563,11 @@
             .run_until(async {
                 let target = Rc::new(pool.target(dial, 0.0));
                 let (cancel, cancelled) = oneshot::channel();
-                let not_past = Instant::now() + connect;
+                let expires_at_ms = Instant::now() + connect;
                 let (call, target) = (Rc::new(look()), target.clone());
                 let permit: Permit = Rc::new(|| true);
                 let wanted = Rc::downgrade(&permit);
-                let attempt = Attempt { call, target: target.clone(), not_past, wanted, cancelled };
+                let attempt = Attempt { call, target: target.clone(), expires_at_ms, wanted, cancelled };
                 let ended = spawn_local(attempt.run(pool.clone()));
                 let (mut backend, _) = listener.accept().await.expect("it came");
                 assert_ne!(backend.read(&mut [0; 1024]).await.expect("open"), 0);
@@ -602,10 +608,10 @@
                     let near = Socket::new(door.accept().await.expect("it came").0);
                     let presence = near.presence();
                     let there: Permit = Rc::new(move || presence.holds());
-                    let (wanted, not_past) = (Rc::downgrade(&there), Instant::now() + connect);
+                    let (wanted, expires_at_ms) = (Rc::downgrade(&there), Instant::now() + connect);
                     let (_cancel, cancelled) = oneshot::channel();
                     let (call, target) = (Rc::new(look()), target.clone());
-                    let attempt = Attempt { call, target: target.clone(), not_past, wanted, cancelled };
+                    let attempt = Attempt { call, target: target.clone(), expires_at_ms, wanted, cancelled };
                     let ended = spawn_local(attempt.run(pool.clone()));
                     if !kept {
                         // It waits for the place.
@@ -613,7 +619,7 @@
                     }
                     SockRef::from(&far).shutdown(std::net::Shutdown::Write).expect("open");
                     drop(held);
-                    assert_eq!(ended.await.expect("no panic").outcome(), Outcome::Moot, "kept: {kept}");
+                    assert_eq!(ended.await.expect("no panic").outcome(), Outcome::NotSent, "kept: {kept}");
                     pool.close(&target);
                     assert_eq!(backend.read(&mut [0; 1024]).await.expect("a close"), 0, "kept: {kept}");
                 }
--- a/crates/proxy/tests/discovery_notification.rs
+++ b/crates/proxy/tests/discovery_notification.rs
@@ -3,7 +3,7 @@
 
 mod support;
 
-use foldhitch_balancer::api::TOLD_WITHIN;
+use foldhitch_balancer::api::NOTIFICATION_DEADLINE_MS;
 use serde_json::{Value, json};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -60,7 +60,7 @@
 
 /// A call that comes within the term.
 async fn in_term<T>(call: impl Future<Output = T>) -> T {
-    timeout(Duration::from_millis(TOLD_WITHIN as u64), call).await.expect("within the term")
+    timeout(Duration::from_millis(NOTIFICATION_DEADLINE_MS as u64), call).await.expect("within the term")
 }
 
 /// Where asking is due so rarely, a pause that follows from that alone is longer than the term.
--- a/crates/scale-test/examples/housekeeping.rs
+++ b/crates/scale-test/examples/housekeeping.rs
@@ -9,11 +9,16 @@
 use std::time::Instant;
 
 const ROUNDS: usize = 9;
-const HOUSEKEEPING: u64 = 0;
+const HOUSEKEEPING: TimerToken = TimerToken(0);
 
-fn entries(n: usize) -> Vec<Entry> {
+fn entries(n: usize) -> Vec<EndpointInfo> {
     (1..=n as u32)
-        .map(|backend| Entry { backend, weight: 1.0, zone: (backend % 8) as u16, ..Entry::default() })
+        .map(|backend| EndpointInfo {
+            backend,
+            weight: 1.0,
+            zone: (backend % 8) as u16,
+            ..EndpointInfo::default()
+        })
         .collect()
 }
 
@@ -38,8 +43,16 @@
             self.out = ready.1;
             for (at, request, backend, sent) in ready.0 {
                 let (attempt, outcome, wait) = (0, Outcome::Ok, at - sent);
-                let r = Resolved { request, attempt, backend, outcome, wait, closed: true, spent: false };
-                self.balancer.handle(self.now, Event::Resolved(r), &mut self.actions);
+                let r = AttemptResult {
+                    request,
+                    attempt,
+                    backend,
+                    outcome,
+                    latency_ms: wait,
+                    is_request_closed: true,
+                    is_body_consumed: false,
+                };
+                self.balancer.handle(self.now, Event::AttemptFinished(r), &mut self.actions);
                 self.actions.clear();
             }
             owed += per_s * period / 1000.0;
@@ -47,8 +60,15 @@
                 owed -= 1.0;
                 let (request, deadline) = (self.next, self.now + 1200.0);
                 self.next += 1;
-                let a = Arrival { request, key: 0, class: 0, tenant: 0, deadline, arriving: false };
-                self.balancer.handle(self.now, Event::Request(a), &mut self.actions);
+                let a = RequestArrival {
+                    request,
+                    key: 0,
+                    class: 0,
+                    tenant: 0,
+                    deadline_ms: deadline,
+                    is_body_streamed: false,
+                };
+                self.balancer.handle(self.now, Event::RequestArrived(a), &mut self.actions);
                 for action in self.actions.drain(..) {
                     if let Action::Send { request, backend, .. } = action {
                         self.out.push((self.now + 20.0, request, backend, self.now));
@@ -56,7 +76,7 @@
                 }
             }
             let begun = Instant::now();
-            self.balancer.handle(self.now, Event::Wake { token: HOUSEKEEPING }, &mut self.actions);
+            self.balancer.handle(self.now, Event::TimerFired { token: HOUSEKEEPING }, &mut self.actions);
             spent += begun.elapsed().as_secs_f64();
             count += 1;
             black_box(&self.actions);
@@ -80,12 +100,12 @@
         for (copies, per_s) in [(1, 0.0), (75, 0.0), (1, 65.0), (75, 65.0), (75, 650.0)] {
             let (mut each, mut lists, mut period) = (Vec::new(), Vec::new(), 0.0);
             for round in 0..ROUNDS {
-                let settings = scenario.facts(0, copies, 1, 0)?.settings;
-                period = settings.tick * 10.0;
+                let settings = scenario.facts(0, copies, 1, 0)?.balancer;
+                period = settings.tick_ms * 10.0;
                 let balancer = Balancer::new(settings, round as u64)?;
                 let (now, next) = (1000.0, 1);
                 let mut copy = Copy { balancer, now, next, out: Vec::new(), actions: Vec::new() };
-                let full = |n| Event::List { kind: ListKind::Full, entries: entries(n) };
+                let full = |n| Event::EndpointList { kind: EndpointListKind::Full, endpoints: entries(n) };
                 copy.balancer.handle(copy.now, full(listed), &mut copy.actions);
                 copy.play(2000.0, per_s, period);
                 let (spent, count) = copy.play(10_000.0, per_s, period);
@@ -114,7 +134,7 @@
     let begun = resident()?;
     let mut copies = Vec::new();
     for copy in 0..COPIES {
-        copies.push(Balancer::new(scenario.facts(copy, COPIES, 1, 0)?.settings, copy.into())?);
+        copies.push(Balancer::new(scenario.facts(copy, COPIES, 1, 0)?.balancer, copy.into())?);
     }
     let mut actions = Vec::new();
     for round in 0..=100u32 {
@@ -122,10 +142,14 @@
         for copy in &mut copies {
             let mut list = entries(720);
             list.iter_mut().for_each(|e| {
-                (e.backend, e.started_at) = (e.backend + round * 720, now * f64::from(round.min(1)));
+                (e.backend, e.started_at_ms) = (e.backend + round * 720, now * f64::from(round.min(1)));
             });
-            copy.handle(now, Event::List { kind: ListKind::Full, entries: list }, &mut actions);
-            copy.handle(now, Event::Wake { token: HOUSEKEEPING }, &mut actions);
+            copy.handle(
+                now,
+                Event::EndpointList { kind: EndpointListKind::Full, endpoints: list },
+                &mut actions,
+            );
+            copy.handle(now, Event::TimerFired { token: HOUSEKEEPING }, &mut actions);
             actions.clear();
         }
         if [0, 1, 2, 5, 10, 20, 50, 100].contains(&round) {
--- a/crates/scale-test/src/real/copies.rs
+++ b/crates/scale-test/src/real/copies.rs
@@ -2,8 +2,10 @@
 //! a proxy has them, and no connections of callers or to backends.
 
 use foldhitch_balancer::Balancer;
-use foldhitch_balancer::api::{Action, BackendId, Entry, Event, ListKind, Phase};
-use foldhitch_balancer::settings_format::{self, Facts};
+use foldhitch_balancer::api::{
+    Action, BackendId, DiscoveryMode, EndpointInfo, EndpointListKind, Event, Phase,
+};
+use foldhitch_balancer::settings_format::{self, ResolvedSettings};
 use foldhitch_discovery_client::{Follower, Health, Host, Waits, follow};
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
@@ -73,7 +75,7 @@
 
 struct Copy {
     state: RefCell<State>,
-    facts: Facts,
+    facts: ResolvedSettings,
     start: Instant,
     base: f64,
     watching: watch::Sender<bool>,
@@ -82,8 +84,8 @@
 
 impl Copy {
     fn new(orders: &CopyOrders, activity: Rc<Cell<Activity>>) -> Result<Rc<Self>, String> {
-        let facts = settings_format::read(&orders.settings)?;
-        let balancer = Balancer::new(facts.settings.clone(), orders.seed).map_err(|e| e.to_string())?;
+        let facts = settings_format::read(&orders.settings).map_err(|e| e.to_string())?;
+        let balancer = Balancer::new(facts.balancer.clone(), orders.seed).map_err(|e| e.to_string())?;
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         Ok(Rc::new(Copy {
             state: RefCell::new(State { balancer, listed: HashMap::new(), names: HashMap::new(), ready: 0 }),
@@ -107,7 +109,7 @@
         self.state.borrow_mut().balancer.handle(now, event, &mut actions);
         for action in actions {
             match action {
-                Action::WakeMe { delay, token } => {
+                Action::SetTimer { delay_ms: delay, token } => {
                     let copy = self.clone();
                     let delay = Duration::from_secs_f64((delay / 1000.0).clamp(0.0, 86_400.0));
                     spawn_local(async move {
@@ -117,11 +119,11 @@
                         copy.count(|a| {
                             (a.wakes, a.late_wakes) = (a.wakes + 1, a.late_wakes + u64::from(late))
                         });
-                        copy.tell(Event::Wake { token });
+                        copy.tell(Event::TimerFired { token });
                     });
                 }
-                Action::Watch { on } => {
-                    self.watching.send_replace(on);
+                Action::PollEndpoints => {
+                    self.watching.send_replace(true);
                 }
                 // The others are about requests and connections, of which there are none.
                 _ => {}
@@ -130,8 +132,8 @@
     }
 
     /// The module's entry for a line of the list; the same rules as at the real proxy.
-    fn entry(&self, s: &mut State, host: Host, older: bool) -> Option<Entry> {
-        let zone = self.facts.site.zones.iter().position(|zone| *zone == host.site);
+    fn entry(&self, s: &mut State, host: Host, older: bool) -> Option<EndpointInfo> {
+        let zone = self.facts.site.zone_names.iter().position(|zone| *zone == host.site);
         if zone.is_none() && host.health != Health::Deleted {
             return None;
         }
@@ -158,11 +160,11 @@
             let draining = (phase == Phase::Draining).then_some(host.born_ms);
             s.listed.insert(host.host, (backend, draining));
         }
-        Some(Entry {
+        Some(EndpointInfo {
             backend,
             phase,
             zone: zone.unwrap_or(0) as u16,
-            started_at: host.born_ms.max(0.0),
+            started_at_ms: host.born_ms.max(0.0),
             weight: host.share.max(0.0),
             cell: host.block,
         })
@@ -174,11 +176,11 @@
         self.state.borrow().ready > 0
     }
 
-    fn list(self: &Rc<Self>, kind: ListKind, hosts: Vec<Host>, older: bool) {
+    fn list(self: &Rc<Self>, kind: EndpointListKind, hosts: Vec<Host>, older: bool) {
         let entries = {
             let s = &mut *self.state.borrow_mut();
             let before = match kind {
-                ListKind::Delta => None,
+                EndpointListKind::Delta => None,
                 _ => {
                     s.names.clear();
                     Some(std::mem::take(&mut s.listed))
@@ -196,12 +198,12 @@
             entries
         };
         self.count(|a| a.lists += 1);
-        self.tell(Event::List { kind, entries });
+        self.tell(Event::EndpointList { kind, endpoints: entries });
     }
 
     fn list_failed(self: &Rc<Self>) {
         self.watching.send_replace(false);
-        self.tell(Event::List { kind: ListKind::Failed, entries: Vec::new() });
+        self.tell(Event::EndpointList { kind: EndpointListKind::Failed, endpoints: Vec::new() });
     }
 
     fn note(&self, line: String) {
@@ -234,11 +236,12 @@
         let activity = Rc::new(Cell::new(Activity::default()));
         for orders in &orders.copies {
             let copy = Copy::new(orders, activity.clone()).map_err(anyhow::Error::msg)?;
-            let must_ask = copy.facts.settings.must_ask;
-            let grace = Duration::from_secs_f64((copy.facts.site.drain_grace / 1000.0).clamp(0.0, 86_400.0));
+            let must_ask = copy.facts.balancer.discovery_mode == DiscoveryMode::Poll;
+            let grace =
+                Duration::from_secs_f64((copy.facts.site.drain_deadline_ms / 1000.0).clamp(0.0, 86_400.0));
             let (waits, newest) = (Waits::new(grace), Rc::default());
             let wanted = copy.watching.subscribe();
-            copy.tell(Event::List { kind: ListKind::Cached, entries: Vec::new() });
+            copy.tell(Event::EndpointList { kind: EndpointListKind::Cached, endpoints: Vec::new() });
             spawn_local(follow(copy, orders.discovery, must_ask, waits, newest, wanted));
         }
         drop(orders);
--- a/crates/scale-test/src/scenario.rs
+++ b/crates/scale-test/src/scenario.rs
@@ -1,7 +1,7 @@
 //! The scenario file: the target's figures by name, and those of the run that scales it down.
 
 use crate::real::plan::Plan;
-use foldhitch_balancer::settings_format::{self, Facts};
+use foldhitch_balancer::settings_format::{self, ResolvedSettings};
 use serde::Deserialize;
 use serde_json::{Map, Value};
 use std::fmt;
@@ -243,8 +243,9 @@
     }
 
     /// The same, read as the proxy reads them.
-    pub fn facts(&self, copy: u32, copies: u32, tier: u32, zone: u16) -> Result<Facts, Invalid> {
-        settings_format::read(self.settings_of(copy, copies, tier, zone)).map_err(Invalid)
+    pub fn facts(&self, copy: u32, copies: u32, tier: u32, zone: u16) -> Result<ResolvedSettings, Invalid> {
+        settings_format::read(self.settings_of(copy, copies, tier, zone))
+            .map_err(|error| Invalid(error.to_string()))
     }
 
     /// A figure of the settings that the decision module isn't told, as of `classes`; 0 where it is left out.
@@ -354,11 +355,11 @@
 
     fn check_settings(&self) -> Result<(), Invalid> {
         let facts = self.facts(0, 1, 0, 0)?;
-        let (mix, classes) = (&self.calls.mix, facts.settings.classes.len());
+        let (mix, classes) = (&self.calls.mix, facts.balancer.classes.len());
         if mix.len() != classes || mix.iter().sum::<f64>() <= 0.0 {
             return Err(Invalid(format!("calls.mix: {mix:?} gives no share to each of {classes} classes")));
         }
-        foldhitch_balancer::Balancer::new(facts.settings, 0).map(drop).map_err(|e| Invalid(e.to_string()))
+        foldhitch_balancer::Balancer::new(facts.balancer, 0).map(drop).map_err(|e| Invalid(e.to_string()))
     }
 }
 
--- a/crates/scale-test/src/simulated/agenda.rs
+++ b/crates/scale-test/src/simulated/agenda.rs
@@ -1,6 +1,6 @@
 //! What happens when, in virtual time.
 
-use foldhitch_balancer::api::{Outcome, RequestId};
+use foldhitch_balancer::api::{Outcome, RequestId, TimerToken};
 use std::cmp::Ordering;
 use std::collections::{BTreeMap, BinaryHeap};
 
@@ -12,7 +12,7 @@
     /// A client that was refused tries again.
     TryAgain { class: u16, tries: u32, born: f64 },
     /// A proxy's timer is due.
-    Wake { copy: usize, token: u64 },
+    Wake { copy: usize, token: TimerToken },
     /// An attempt comes to its backend.
     Arrive { request: RequestId, attempt: usize },
     /// A backend has done its own work on it.
@@ -64,24 +64,24 @@
     Replace { proxy: usize },
 }
 
-struct Entry {
+struct EndpointInfo {
     at: f64,
     no: u64,
     what: Happening,
 }
 
-impl PartialEq for Entry {
+impl PartialEq for EndpointInfo {
     fn eq(&self, other: &Self) -> bool {
         self.cmp(other) == Ordering::Equal
     }
 }
-impl Eq for Entry {}
-impl PartialOrd for Entry {
+impl Eq for EndpointInfo {}
+impl PartialOrd for EndpointInfo {
     fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
         Some(self.cmp(other))
     }
 }
-impl Ord for Entry {
+impl Ord for EndpointInfo {
     /// The earliest is the greatest; of one time, the first that was put down.
     fn cmp(&self, other: &Self) -> Ordering {
         other.at.total_cmp(&self.at).then(other.no.cmp(&self.no))
@@ -95,10 +95,10 @@
 /// The queue of what is to happen.
 #[derive(Default)]
 pub struct Agenda {
-    near: BinaryHeap<Entry>,
+    near: BinaryHeap<EndpointInfo>,
     /// The slice up to which all is in `near`.
     sorted: u64,
-    far: BTreeMap<u64, Vec<Entry>>,
+    far: BTreeMap<u64, Vec<EndpointInfo>>,
     no: u64,
 }
 
@@ -106,7 +106,7 @@
     /// Puts down what happens at `at`.
     pub fn at(&mut self, at: f64, what: Happening) {
         self.no += 1;
-        let (entry, slice) = (Entry { at, no: self.no, what }, (at / SLICE) as u64);
+        let (entry, slice) = (EndpointInfo { at, no: self.no, what }, (at / SLICE) as u64);
         if slice <= self.sorted {
             self.near.push(entry);
         } else {
--- a/crates/scale-test/src/simulated/backend.rs
+++ b/crates/scale-test/src/simulated/backend.rs
@@ -15,7 +15,7 @@
     pub silent: bool,
     pub draining: bool,
     /// When its process started; 0 is long ago.
-    pub started_at: f64,
+    pub started_at_ms: f64,
     pub busy: usize,
     pub queue: VecDeque<(RequestId, usize)>,
     /// All attempts that are there.
@@ -42,7 +42,7 @@
             down: false,
             silent: false,
             draining: false,
-            started_at: 0.0,
+            started_at_ms: 0.0,
             busy: 0,
             queue: VecDeque::new(),
             jobs: BTreeSet::new(),
@@ -53,10 +53,10 @@
     /// Its capacity as a share of the full one.
     pub fn warmth(&self, now: f64, figures: &scenario::Backend) -> f64 {
         let cold = figures.cold_s * 1000.0;
-        if self.started_at == 0.0 || now >= self.started_at + cold {
+        if self.started_at_ms == 0.0 || now >= self.started_at_ms + cold {
             return 1.0;
         }
-        let grown = (now - self.started_at) / cold;
+        let grown = (now - self.started_at_ms) / cold;
         figures.cold_capacity * (1.0 - grown) + grown
     }
 
--- a/crates/scale-test/src/simulated/fleet.rs
+++ b/crates/scale-test/src/simulated/fleet.rs
@@ -127,8 +127,8 @@
             checks: Checks::default(),
             give_up: scenario.of_classes("giveUp"),
             late_worth: scenario.of_classes("lateWorth"),
-            classes: facts.settings.classes,
-            grace: facts.site.drain_grace,
+            classes: facts.balancer.classes,
+            grace: facts.site.drain_deadline_ms,
             plan,
         };
         fleet.place_proxies();
@@ -160,7 +160,7 @@
     pub fn start_proxy(&mut self, proxy: usize) -> Result<(), Invalid> {
         let p = &mut self.proxies[proxy];
         let facts = self.scenario.facts(p.number, p.copies, p.tier, p.zone)?;
-        let balancer = Balancer::new(facts.settings, self.rng.random()).map_err(Invalid::of)?;
+        let balancer = Balancer::new(facts.balancer, self.rng.random()).map_err(Invalid::of)?;
         p.copy = self.copies.len();
         p.on = true;
         self.copies.push(Copy {
@@ -198,7 +198,7 @@
                 let c = &self.copies[copy];
                 if c.alive && !(c.replaced && c.open == 0) {
                     self.tally.part().module.wakes += 1;
-                    self.tell(copy, Event::Wake { token });
+                    self.tell(copy, Event::TimerFired { token });
                 }
             }
             Happening::Arrive { request, attempt } => self.arrive(request, attempt),
@@ -232,7 +232,7 @@
             left < 0.0
         });
         let class = class.unwrap_or(0);
-        self.tally.asked(self.now, self.classes[class].points);
+        self.tally.asked(self.now, self.classes[class].priority_weight);
         self.call_in(class, 0, self.now);
     }
 
@@ -268,8 +268,15 @@
         self.requests.push_back(Some(request));
         self.agenda.at(deadline, Happening::Expire { request: id });
         self.tally.part().module.requests += 1;
-        let arrival = Arrival { request: id, key: 0, class, tenant: 0, deadline, arriving: false };
-        self.tell(copy, Event::Request(arrival));
+        let arrival = RequestArrival {
+            request: id,
+            key: 0,
+            class,
+            tenant: 0,
+            deadline_ms: deadline,
+            is_body_streamed: false,
+        };
+        self.tell(copy, Event::RequestArrived(arrival));
         id
     }
 
@@ -290,21 +297,25 @@
         for action in actions.drain(..) {
             self.tally.decided(copy, self.now, &action);
             match action {
-                Action::Send { request, backend, not_past } => self.send(copy, request, backend, not_past),
-                Action::Refuse { request, retry_after } => self.end(request, End::Refused { retry_after }),
+                Action::Send { request, backend, expires_at_ms } => {
+                    self.send(copy, request, backend, expires_at_ms)
+                }
+                Action::Reject { request, retry_after_ms: retry_after } => {
+                    self.end(request, End::Refused { retry_after })
+                }
                 Action::Fail { request } => self.end(request, End::Failed),
                 Action::Cancel { request, attempt } => {
                     let (attempt, outcome) = (usize::from(attempt), Outcome::Cancelled);
                     self.agenda.at(self.now, Happening::Reply { request, attempt, outcome });
                 }
-                Action::WakeMe { delay, token } => {
+                Action::SetTimer { delay_ms: delay, token } => {
                     self.agenda.at(self.now + delay, Happening::Wake { copy, token });
                 }
-                Action::Close { backend } => {
+                Action::CloseIdleConnections { backend } => {
                     self.copies[copy].links.remove(&place(backend));
                 }
                 // Lists are pushed, and no operator says anything.
-                Action::Watch { .. } | Action::Suspend { .. } | Action::Drain { .. } => {}
+                Action::PollEndpoints | Action::SetSuspended { .. } | Action::SetDraining { .. } => {}
             }
         }
         self.actions = actions;
@@ -321,10 +332,10 @@
         }
     }
 
-    fn send(&mut self, copy: usize, id: RequestId, backend: BackendId, not_past: f64) {
+    fn send(&mut self, copy: usize, id: RequestId, backend: BackendId, expires_at_ms: f64) {
         let (to, now) = (place(backend), self.now);
         let held = self.copies[copy].held.get(&backend).copied();
-        let told = held.is_some_and(|h| h.started_at == self.backends[to].started_at);
+        let told = held.is_some_and(|h| h.started_at_ms == self.backends[to].started_at_ms);
         match held {
             None => self.checks.sent_unlisted += 1,
             Some(h) if h.phase != Phase::Ready => {
@@ -349,7 +360,7 @@
             None if linked => {}
             None => {
                 let patience = self.scenario.backend.connect_timeout_ms;
-                self.agenda.at((now + patience).min(not_past), failed);
+                self.agenda.at((now + patience).min(expires_at_ms), failed);
             }
             Some(way) if down => self.agenda.at(now + 2.0 * way, failed),
             Some(way) => {
@@ -387,16 +398,16 @@
         }
         let closed = self.request(id).is_none_or(|r| r.ended);
         self.tally.part().module.resolved += 1;
-        let resolved = Resolved {
+        let resolved = AttemptResult {
             request: id,
-            attempt: attempt as AttemptNo,
+            attempt: attempt as AttemptNumber,
             backend: to as BackendId + 1,
             outcome,
-            wait: now - sent,
-            closed,
-            spent: false,
+            latency_ms: now - sent,
+            is_request_closed: closed,
+            is_body_consumed: false,
         };
-        self.tell(copy, Event::Resolved(resolved));
+        self.tell(copy, Event::AttemptFinished(resolved));
         self.clear(id);
     }
 
@@ -429,8 +440,11 @@
 
     fn client_answered(&mut self, class: usize, tries: u32, born: f64, deadline: f64, how: End) {
         let (now, calls) = (self.now, &self.scenario.calls);
-        let (points, aim, late) =
-            (self.classes[class].points, self.classes[class].aim, self.late_worth[class]);
+        let (points, aim, late) = (
+            self.classes[class].priority_weight,
+            self.classes[class].latency_objective_ms,
+            self.late_worth[class],
+        );
         if let End::Refused { retry_after } = how
             && tries < calls.client_retries
         {
@@ -603,7 +617,7 @@
         let copy = r.copy;
         self.copies[copy].open -= 1;
         if self.copies[copy].alive {
-            self.tell(copy, Event::Hangup { request: id });
+            self.tell(copy, Event::ClientDisconnected { request: id });
         }
         self.clear(id);
     }
@@ -644,7 +658,7 @@
     /// It is back, cold.
     pub fn start(&mut self, at: usize) {
         let b = &mut self.backends[at];
-        (b.down, b.silent, b.started_at, b.draining) = (false, false, self.now, false);
+        (b.down, b.silent, b.started_at_ms, b.draining) = (false, false, self.now, false);
         b.came.clear();
         self.checks.cold_starts += 1;
         // Connections of the old process are reset at the first use; that costs a connection.
--- a/crates/scale-test/src/simulated/registry.rs
+++ b/crates/scale-test/src/simulated/registry.rs
@@ -4,7 +4,7 @@
 use super::fleet::Fleet;
 use super::plan::Plan;
 use crate::scenario::Invalid;
-use foldhitch_balancer::api::{BackendId, Entry, Event, ListKind, Phase};
+use foldhitch_balancer::api::{BackendId, EndpointInfo, EndpointListKind, Event, Phase};
 use rand::Rng;
 
 /// What a proxy holds of a backend.
@@ -12,14 +12,14 @@
 pub struct Held {
     pub phase: Phase,
     pub weight: f64,
-    pub started_at: f64,
+    pub started_at_ms: f64,
     /// Since when.
     pub since: f64,
 }
 
 /// A change that discovery has published.
 pub struct Change {
-    pub entry: Entry,
+    pub entry: EndpointInfo,
     /// When it happened.
     pub since: f64,
     /// Proxies to which it has still to come.
@@ -31,17 +31,17 @@
 /// What discovery knows.
 pub struct Changes {
     /// By backend.
-    pub published: Vec<Entry>,
+    pub published: Vec<EndpointInfo>,
     pub log: Vec<Change>,
 }
 
 impl Changes {
     pub fn new(plan: &Plan) -> Self {
-        let entry = |(i, p): (usize, &super::plan::Place)| Entry {
+        let entry = |(i, p): (usize, &super::plan::Place)| EndpointInfo {
             backend: i as BackendId + 1,
             zone: p.zone,
             weight: 1.0,
-            ..Entry::default()
+            ..EndpointInfo::default()
         };
         Changes { published: plan.backends.iter().enumerate().map(entry).collect(), log: Vec::new() }
     }
@@ -62,7 +62,7 @@
             _ => Phase::Ready,
         };
         let old = &self.changes.published[backend];
-        let entry = Entry { phase, weight: b.weight, started_at: b.started_at, ..old.clone() };
+        let entry = EndpointInfo { phase, weight: b.weight, started_at_ms: b.started_at_ms, ..old.clone() };
         if entry == *old {
             return;
         }
@@ -111,7 +111,7 @@
         }
         let entry = self.changes.log[change].entry.clone();
         self.hold(copy, &entry);
-        self.list(copy, ListKind::Delta, vec![entry]);
+        self.list(copy, EndpointListKind::Delta, vec![entry]);
     }
 
     /// The whole list comes to a proxy.
@@ -124,10 +124,11 @@
         for change in missed {
             self.in_force(copy, change);
         }
-        let of = |(b, e): (&super::backend::Backend, &Entry)| {
+        let of = |(b, e): (&super::backend::Backend, &EndpointInfo)| {
             (b.service == service && e.phase != Phase::Gone).then(|| e.clone())
         };
-        let entries: Vec<Entry> = self.backends.iter().zip(&self.changes.published).filter_map(of).collect();
+        let entries: Vec<EndpointInfo> =
+            self.backends.iter().zip(&self.changes.published).filter_map(of).collect();
         let now = self.now;
         for (id, held) in &mut self.copies[copy].held {
             if held.phase != Phase::Gone && entries.iter().all(|e| e.backend != *id) {
@@ -136,22 +137,22 @@
         }
         entries.iter().for_each(|e| self.hold(copy, e));
         self.tally.part().control.whole += 1;
-        self.list(copy, ListKind::Full, entries);
+        self.list(copy, EndpointListKind::Full, entries);
     }
 
-    fn list(&mut self, copy: usize, kind: ListKind, entries: Vec<Entry>) {
+    fn list(&mut self, copy: usize, kind: EndpointListKind, entries: Vec<EndpointInfo>) {
         let part = self.tally.part();
         part.control.messages += 1;
         part.control.entries += entries.len() as u64;
         part.module.lists += 1;
-        self.tell(copy, Event::List { kind, entries });
+        self.tell(copy, Event::EndpointList { kind, endpoints: entries });
     }
 
-    fn hold(&mut self, copy: usize, e: &Entry) {
+    fn hold(&mut self, copy: usize, e: &EndpointInfo) {
         let held = &mut self.copies[copy].held;
         let since = held.get(&e.backend).filter(|h| h.phase == e.phase).map_or(self.now, |h| h.since);
-        let (phase, weight, started_at) = (e.phase, e.weight, e.started_at);
-        held.insert(e.backend, Held { phase, weight, started_at, since });
+        let (phase, weight, started_at_ms) = (e.phase, e.weight, e.started_at_ms);
+        held.insert(e.backend, Held { phase, weight, started_at_ms, since });
     }
 
     /// A change is in force at a proxy, or its process runs no more; whether the former.
@@ -298,7 +299,9 @@
                     b.service == c.service
                         && match c.held.get(&e.backend) {
                             Some(h) if h.phase == Phase::Gone => e.phase != Phase::Gone,
-                            Some(h) => (h.phase, h.weight, h.started_at) != (e.phase, e.weight, e.started_at),
+                            Some(h) => {
+                                (h.phase, h.weight, h.started_at_ms) != (e.phase, e.weight, e.started_at_ms)
+                            }
                             None => e.phase != Phase::Gone,
                         }
                 })
--- a/crates/scale-test/src/simulated/tally.rs
+++ b/crates/scale-test/src/simulated/tally.rs
@@ -86,15 +86,17 @@
     /// Takes a decision into the hash (FNV-1a, by words).
     pub fn decided(&mut self, copy: usize, now: f64, action: &Action) {
         let words: [u64; 4] = match *action {
-            Action::Send { request, backend, not_past } => [1, request, backend.into(), not_past.to_bits()],
-            Action::Refuse { request, retry_after } => [2, request, 0, retry_after.to_bits()],
+            Action::Send { request, backend, expires_at_ms } => {
+                [1, request, backend.into(), expires_at_ms.to_bits()]
+            }
+            Action::Reject { request, retry_after_ms: retry_after } => [2, request, 0, retry_after.to_bits()],
             Action::Fail { request } => [3, request, 0, 0],
             Action::Cancel { request, attempt } => [4, request, attempt.into(), 0],
-            Action::WakeMe { delay, token } => [5, token, 0, delay.to_bits()],
-            Action::Close { backend } => [6, backend.into(), 0, 0],
-            Action::Watch { on } => [7, on.into(), 0, 0],
-            Action::Suspend { backend, on } => [8, backend.into(), on.into(), 0],
-            Action::Drain { on } => [9, on.into(), 0, 0],
+            Action::SetTimer { delay_ms: delay, token } => [5, token.0, 0, delay.to_bits()],
+            Action::CloseIdleConnections { backend } => [6, backend.into(), 0, 0],
+            Action::PollEndpoints => [7, 1, 0, 0],
+            Action::SetSuspended { backend, is_suspended: on } => [8, backend.into(), on.into(), 0],
+            Action::SetDraining { is_draining: on } => [9, on.into(), 0, 0],
         };
         for word in [copy as u64, now.to_bits()].into_iter().chain(words) {
             self.decisions = (self.decisions ^ word).wrapping_mul(0x0100_0000_01b3);
--- a/crates/simulator-adapter/src/main.rs
+++ b/crates/simulator-adapter/src/main.rs
@@ -36,7 +36,7 @@
                 wire::Record::Unused { instance } if instances.contains_key(&instance) => {}
                 wire::Record::Unused { instance } => return Err(format!("instance {instance} is unknown")),
                 wire::Record::Launch { instance, seed, facts } => {
-                    let settings = settings_format::parse(&facts)?.settings;
+                    let settings = settings_format::parse(&facts).map_err(|e| e.to_string())?.balancer;
                     instances.insert(instance, Balancer::new(settings, seed).map_err(|e| e.to_string())?);
                 }
                 wire::Record::Shutdown { instance } => {
--- a/crates/simulator-adapter/src/wire.rs
+++ b/crates/simulator-adapter/src/wire.rs
@@ -1,6 +1,8 @@
 //! The simulator's binary wire: frames in, replies out. Translates, never decides.
 
-use foldhitch_balancer::api::{Action, Arrival, Entry, Event, ListKind, Outcome, Phase, Resolved};
+use foldhitch_balancer::api::{
+    Action, AttemptResult, EndpointInfo, EndpointListKind, Event, Outcome, Phase, RequestArrival, TimerToken,
+};
 use std::io::{self, Read};
 
 /// One batch as it came: its clock, the number of its records and their bytes.
@@ -48,6 +50,8 @@
 const HEADER: usize = 16;
 const CLOCK: usize = 8;
 const PAGES: usize = 16;
+/// The wire can also say that the list is no longer wanted, which the balancer never does.
+const WATCH_ON: u8 = 1;
 
 /// Reads a frame; `None` at a clean end of input.
 pub fn read_frame(input: &mut impl Read) -> Result<Option<Frame>, String> {
@@ -126,22 +130,22 @@
             4 => Outcome::ConnectFailed,
             5 => Outcome::Reset,
             6 => Outcome::Cancelled,
-            7 => Outcome::Moot,
+            7 => Outcome::NotSent,
             other => return self.bad(2, "disposition", format_args!("{other} is unknown")),
         })
     }
-    fn entry(&mut self) -> Result<Entry, String> {
+    fn entry(&mut self) -> Result<EndpointInfo, String> {
         let phase = match self.u8("phase")? {
             0 => Phase::Ready,
             1 => Phase::Gone,
             2 => Phase::Draining,
             other => return self.bad(1, "phase", format_args!("{other} is unknown")),
         };
-        let entry = Entry {
+        let entry = EndpointInfo {
             phase,
             backend: self.u32("backend")?,
             zone: self.u16("hall")?,
-            started_at: self.f64("startedAt")?,
+            started_at_ms: self.f64("startedAt")?,
             weight: f64::from(self.f32("weight")?),
             cell: self.u16("cluster")?,
         };
@@ -153,7 +157,7 @@
 /// Decodes records; holds the numbered lists, which belong to the process and outlive a batch.
 #[derive(Default)]
 pub struct Decoder {
-    pages: [Option<Vec<Entry>>; PAGES],
+    pages: [Option<Vec<EndpointInfo>>; PAGES],
 }
 
 impl Decoder {
@@ -199,19 +203,19 @@
             2 => {
                 let page = r.u32("page")?;
                 let kind = match r.u8("kind")? {
-                    0 => ListKind::Full,
-                    1 => ListKind::Delta,
-                    2 => ListKind::Failed,
-                    3 => ListKind::Cached,
+                    0 => EndpointListKind::Full,
+                    1 => EndpointListKind::Delta,
+                    2 => EndpointListKind::Failed,
+                    3 => EndpointListKind::Cached,
                     other => return r.bad(1, "list kind", format_args!("{other} is unknown")),
                 };
                 let entries = match self.pages.get(page as usize) {
-                    _ if kind == ListKind::Failed => Vec::new(),
+                    _ if kind == EndpointListKind::Failed => Vec::new(),
                     Some(Some(entries)) => entries.clone(),
                     _ => return r.bad(5, "page", format_args!("{page} was never defined")),
                 };
                 r.u64("serial")?;
-                Event::List { kind, entries }
+                Event::EndpointList { kind, endpoints: entries }
             }
             3 => {
                 let request = r.u64("xid")?;
@@ -220,7 +224,14 @@
                 r.u8("stateBits")?;
                 r.f64("predicted")?;
                 let (tenant, deadline) = (r.u16("customer")?, r.f64("clientDeadline")?);
-                Event::Request(Arrival { request, key, class, tenant, deadline, arriving: false })
+                Event::RequestArrived(RequestArrival {
+                    request,
+                    key,
+                    class,
+                    tenant,
+                    deadline_ms: deadline,
+                    is_body_streamed: false,
+                })
             }
             4 => {
                 r.u64("xid")?;
@@ -237,10 +248,18 @@
                 let attempt = r.u8("hop")?;
                 let backend = r.u32("backend")?;
                 r.report()?;
-                Event::Resolved(Resolved { request, attempt, backend, outcome, wait, closed, spent: false })
+                Event::AttemptFinished(AttemptResult {
+                    request,
+                    attempt,
+                    backend,
+                    outcome,
+                    latency_ms: wait,
+                    is_request_closed: closed,
+                    is_body_consumed: false,
+                })
             }
-            6 => Event::Hangup { request: r.u64("xid")? },
-            7 => Event::Wake { token: r.u64("nonce")? },
+            6 => Event::ClientDisconnected { request: r.u64("xid")? },
+            7 => Event::TimerFired { token: TimerToken(r.u64("nonce")?) },
             8 => {
                 r.f64("waitTime")?;
                 r.u32("backend")?;
@@ -291,39 +310,39 @@
     pub fn push(&mut self, instance: u16, action: &Action) {
         let code = match action {
             Action::Send { .. } => 1,
-            Action::Refuse { .. } => 2,
+            Action::Reject { .. } => 2,
             Action::Fail { .. } => 3,
             Action::Cancel { .. } => 4,
-            Action::WakeMe { .. } => 5,
-            Action::Close { .. } => 7,
-            Action::Watch { .. } => 11,
+            Action::SetTimer { .. } => 5,
+            Action::CloseIdleConnections { .. } => 7,
+            Action::PollEndpoints => 11,
             // What answers an operator's call; none comes over this wire.
-            Action::Suspend { .. } | Action::Drain { .. } => return,
+            Action::SetSuspended { .. } | Action::SetDraining { .. } => return,
         };
         self.head(code, instance);
         let b = &mut self.bytes;
         match action {
-            Action::Send { request, backend, not_past } => {
+            Action::Send { request, backend, expires_at_ms } => {
                 b.extend(request.to_le_bytes());
                 b.extend(backend.to_le_bytes());
-                b.extend(not_past.to_le_bytes());
+                b.extend(expires_at_ms.to_le_bytes());
             }
-            Action::Refuse { request, retry_after } => {
+            Action::Reject { request, retry_after_ms } => {
                 b.extend(request.to_le_bytes());
-                b.extend(retry_after.to_le_bytes());
+                b.extend(retry_after_ms.to_le_bytes());
             }
             Action::Fail { request } => b.extend(request.to_le_bytes()),
             Action::Cancel { request, attempt } => {
                 b.extend(request.to_le_bytes());
                 b.push(*attempt);
             }
-            Action::WakeMe { delay, token } => {
-                b.extend(delay.to_le_bytes());
-                b.extend(token.to_le_bytes());
+            Action::SetTimer { delay_ms, token } => {
+                b.extend(delay_ms.to_le_bytes());
+                b.extend(token.0.to_le_bytes());
             }
-            Action::Close { backend } => b.extend(backend.to_le_bytes()),
-            Action::Watch { on } => b.push(u8::from(*on)),
-            Action::Suspend { .. } | Action::Drain { .. } => {}
+            Action::CloseIdleConnections { backend } => b.extend(backend.to_le_bytes()),
+            Action::PollEndpoints => b.push(WATCH_ON),
+            Action::SetSuspended { .. } | Action::SetDraining { .. } => {}
         }
     }
     /// The whole reply.
