--- /dev/null
+++ b/crates/discovery-client/src/endpoint_list.rs
@@ -0,0 +1,115 @@
+//! What discovery answers: the endpoint list, or changes to it.
+
+use crate::error::DiscoveryError;
+use foldhitch_balancer::api::EndpointListKind;
+use serde::Deserialize;
+use std::net::SocketAddr;
+
+/// An answer of discovery.
+#[derive(Debug, Deserialize)]
+pub struct DiscoveryResponse {
+    #[serde(rename = "seq")]
+    pub(crate) version: u64,
+    #[serde(rename = "whole")]
+    is_complete: bool,
+    hosts: Vec<serde_json::Value>,
+}
+
+/// An endpoint of the list.
+#[derive(Debug, Clone, Deserialize)]
+pub struct EndpointRecord {
+    /// The backend's name.
+    #[serde(rename = "host")]
+    pub name: String,
+    /// Its address; one that is gone needs none.
+    #[serde(rename = "dial")]
+    pub address: Option<SocketAddr>,
+    /// Its zone.
+    #[serde(rename = "site", default)]
+    pub zone: String,
+    /// Its cell.
+    #[serde(rename = "block", default)]
+    pub cell: u16,
+    /// Whether it takes new requests.
+    pub health: HealthState,
+    /// Its size beside the others'.
+    #[serde(rename = "share", default)]
+    pub weight: f64,
+    /// When its process started, Unix time in milliseconds; 0 for long ago.
+    #[serde(rename = "born_ms", default)]
+    pub started_at_ms: f64,
+}
+
+/// Whether a backend takes new requests.
+#[derive(Debug, Deserialize, Clone, Copy, PartialEq, Eq)]
+#[serde(rename_all = "UPPERCASE")]
+pub enum HealthState {
+    /// Takes requests.
+    Serving,
+    /// Finishes its requests.
+    Draining,
+    /// Gone.
+    Deleted,
+}
+
+/// The endpoints of an answer that could be read, and what is wrong with the others.
+#[derive(Debug, Default)]
+pub struct ReadEndpoints {
+    /// Those that could be read.
+    pub endpoints: Vec<EndpointRecord>,
+    /// Why others could not.
+    pub skipped: Option<DiscoveryError>,
+}
+
+impl DiscoveryResponse {
+    /// Checks that it can be the answer to a poll after version `asked`. A list that names nobody while backends
+    /// serve is discovery's fault, and so is one older than what it was asked for: then the whole list is polled,
+    /// and that one holds, for discovery may have started anew.
+    pub(crate) fn validate(self, asked: Option<u64>, has_endpoints: bool) -> Result<Self, DiscoveryError> {
+        if self.is_complete && self.hosts.is_empty() && has_endpoints {
+            return Err(DiscoveryError::EmptyList);
+        }
+        match asked {
+            Some(asked) if self.version < asked => {
+                Err(DiscoveryError::StaleVersion { got: self.version, asked })
+            }
+            _ => Ok(self),
+        }
+    }
+
+    /// Whether it tells anything.
+    pub(crate) fn has_endpoints(&self) -> bool {
+        self.is_complete || !self.hosts.is_empty()
+    }
+
+    /// How it relates to the list that is held.
+    pub(crate) fn kind(&self) -> EndpointListKind {
+        if self.is_complete { EndpointListKind::Full } else { EndpointListKind::Delta }
+    }
+
+    /// Reads its endpoints; those that can't be read are skipped.
+    pub fn endpoints(self) -> ReadEndpoints {
+        let mut read = ReadEndpoints::default();
+        let mut skipped = 0;
+        for value in self.hosts {
+            match EndpointRecord::from_json(&value) {
+                Ok(endpoint) => read.endpoints.push(endpoint),
+                Err(example) => {
+                    skipped += 1;
+                    read.skipped = Some(DiscoveryError::SkippedEndpoints { count: skipped, example });
+                }
+            }
+        }
+        read
+    }
+}
+
+impl EndpointRecord {
+    fn from_json(value: &serde_json::Value) -> Result<Self, String> {
+        let endpoint = Self::deserialize(value).map_err(|error| format!("{value}: {error}"))?;
+        if endpoint.address.is_none() && endpoint.health != HealthState::Deleted {
+            return Err(format!("{}: no address", endpoint.name));
+        }
+        Ok(endpoint)
+    }
+}
--- /dev/null
+++ b/crates/discovery-client/src/error.rs
@@ -0,0 +1,64 @@
+//! What may go wrong with a poll.
+
+use hyper::StatusCode;
+use std::io;
+use std::net::SocketAddr;
+
+/// Why a poll failed, or what is wrong with its answer.
+#[derive(Debug, thiserror::Error)]
+pub enum DiscoveryError {
+    /// Discovery could not be connected to.
+    #[error("{address}: {source}")]
+    Connect {
+        /// Where it should be.
+        address: SocketAddr,
+        /// What the system says.
+        source: io::Error,
+    },
+    /// A connection was not made in time.
+    #[error("{address}: no connection in time")]
+    ConnectTimeout {
+        /// Where discovery should be.
+        address: SocketAddr,
+    },
+    /// The connection broke, or what came over it is no HTTP.
+    #[error(transparent)]
+    Http(#[from] hyper::Error),
+    /// The poll could not be written.
+    #[error(transparent)]
+    Request(#[from] hyper::http::Error),
+    /// No answer came in time.
+    #[error("no answer in time")]
+    AnswerTimeout,
+    /// An answer began and did not end in time.
+    #[error("an answer that stops short")]
+    IncompleteAnswer,
+    /// The body of an answer could not be read, or is too long.
+    #[error("{0}")]
+    Body(#[source] Box<dyn std::error::Error + Send + Sync>),
+    /// An answer with another status than 200.
+    #[error("answered {0}")]
+    Status(StatusCode),
+    /// The answer holds no list.
+    #[error("list: {0}")]
+    List(#[source] serde_json::Error),
+    /// A list that names nobody while backends serve.
+    #[error("a list that names nobody, the last one stays in use")]
+    EmptyList,
+    /// A list older than the one that the poll named.
+    #[error("version {got} after {asked}, the last list stays in use")]
+    StaleVersion {
+        /// Its version.
+        got: u64,
+        /// The version that the poll named.
+        asked: u64,
+    },
+    /// Endpoints that can't be read; the others hold.
+    #[error("{count} entries passed over, such as {example}")]
+    SkippedEndpoints {
+        /// How many.
+        count: usize,
+        /// One of them, and why.
+        example: String,
+    },
+}
--- a/crates/discovery-client/tests/polling.rs
+++ b/crates/discovery-client/tests/polling.rs
@@ -2,7 +2,9 @@
 
 use foldhitch_balancer::Balancer;
 use foldhitch_balancer::api::*;
-use foldhitch_discovery_client::{Follower, Host, Waits, follow};
+use foldhitch_discovery_client::{
+    DiscoveryError, EndpointListUpdate, EndpointObserver, FollowOptions, WatchTimeouts, follow,
+};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -110,14 +112,16 @@
 impl Seat {
     /// Follows an agent in the background.
     fn follow(address: SocketAddr, settings: Settings, seed: u64, grace: Duration, ready: bool) -> Rc<Self> {
-        let must_ask = settings.discovery_mode == DiscoveryMode::Poll;
+        let mode = settings.discovery_mode;
         let balancer = RefCell::new(Balancer::new(settings, seed).expect("settings are sound"));
         let (watching, wanted) = watch::channel(false);
         let (start, told) = (Instant::now(), RefCell::default());
         let seat = Rc::new(Seat { balancer, watching, ready, start, told });
         seat.tell(Event::EndpointList { kind: EndpointListKind::Cached, endpoints: vec![] });
         let newest = Rc::<Cell<u64>>::default();
-        spawn_local(follow(seat.clone(), address, must_ask, Waits::new(grace), newest, wanted));
+        let timeouts = WatchTimeouts::new(grace);
+        let options = FollowOptions { address, mode, timeouts, newest_version: newest, poll_wanted: wanted };
+        spawn_local(follow(seat.clone(), options));
         seat
     }
 
@@ -153,20 +157,21 @@
     }
 }
 
-impl Follower for Seat {
-    fn ready(&self) -> bool {
+impl EndpointObserver for Seat {
+    fn has_ready_endpoint(&self) -> bool {
         self.ready
     }
-    fn list(self: &Rc<Self>, kind: EndpointListKind, hosts: Vec<Host>, _older: bool) {
-        assert!(!hosts.is_empty() || kind == EndpointListKind::Full);
-        self.told.borrow_mut().push((Instant::now(), hosts.len()));
+    fn on_endpoint_list(self: &Rc<Self>, update: EndpointListUpdate) {
+        let EndpointListUpdate { kind, endpoints, .. } = update;
+        assert!(!endpoints.is_empty() || kind == EndpointListKind::Full);
+        self.told.borrow_mut().push((Instant::now(), endpoints.len()));
         self.tell(Event::EndpointList { kind, endpoints: vec![] });
     }
-    fn list_failed(self: &Rc<Self>) {
+    fn on_poll_failed(self: &Rc<Self>) {
         self.watching.send_replace(false);
         self.tell(Event::EndpointList { kind: EndpointListKind::Failed, endpoints: vec![] });
     }
-    fn note(&self, _line: String) {}
+    fn on_warning(&self, _warning: &DiscoveryError) {}
 }
 
 fn settings(must_ask: bool, poll_within_ms: f64) -> Settings {
--- a/crates/proxy/src/admin/mod.rs
+++ b/crates/proxy/src/admin/mod.rs
@@ -1,10 +1,12 @@
-//! The operators' door: calls to leave a backend out, to send clients away and to ask whether the process is ready.
-//! It carries calls over and decides nothing.
+//! The admin API: operators suspend backends, drain the proxy, and ask for its readiness and settings. It hands calls
+//! over and decides nothing.
 
-use crate::config::reload::Record;
-use crate::dispatcher::Engine;
+mod routes;
+
+use crate::config::reload::ReloadStatus;
+use crate::dispatcher::Dispatcher;
 use crate::log::log;
-use crate::process_group::Handover;
+use crate::process_group::ProcessGroup;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -13,7 +15,7 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use percent_encoding::percent_decode_str;
+use routes::{Route, RouteError};
 use std::cell::Cell;
 use std::collections::VecDeque;
 use std::convert::Infallible;
@@ -24,168 +26,197 @@
 use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::{sleep, timeout};
 
-/// Connections at once. Whoever holds one without a whole call gives way to the next caller, the oldest first.
-pub const CALLERS: usize = 8;
-/// A call must have come whole by then.
-const ARRIVE: Duration = Duration::from_secs(5);
-/// Longest head of a call, the least that the HTTP library takes, and longest body, which says nothing.
-const MAX_HEAD: usize = 8192;
-const MAX_BODY: usize = 4096;
+/// Connections at once. Whoever holds one without a complete call gives way to the next caller, the oldest first.
+pub const MAX_CONNECTIONS: usize = 8;
+/// A call must have come completely by then.
+const CALL_TIMEOUT: Duration = Duration::from_secs(5);
+/// Longest head of a call in bytes, the least that the HTTP library takes.
+const MAX_HEAD_BYTES: usize = 8192;
+/// Longest body of a call in bytes; it says nothing.
+const MAX_BODY_BYTES: usize = 4096;
 /// Pause when nothing can be accepted.
-const STARVED: Duration = Duration::from_millis(10);
+const ACCEPT_ERROR_PAUSE: Duration = Duration::from_millis(10);
 
-type Reply = Response<Full<Bytes>>;
+type AdminResponse = Response<Full<Bytes>>;
 
-/// What calls act on.
-pub struct Door {
-    engine: Rc<Engine>,
-    handover: Handover,
-    record: Rc<Record>,
-    /// Whether the marks could not be read when last looked at.
-    blind: Cell<bool>,
+/// The admin API, and what its calls act on.
+pub struct AdminServer {
+    dispatcher: Rc<Dispatcher>,
+    process_group: ProcessGroup,
+    reload_status: Rc<ReloadStatus>,
+    /// Whether the markers could not be read when last polled.
+    are_markers_unreadable: Cell<bool>,
     /// Whether clients are served here: not yet, or not any more.
-    serving: Cell<bool>,
+    is_serving: Cell<bool>,
 }
 
-impl Door {
-    /// A door to the module. What stands marked already holds from now on.
-    pub fn new(engine: Rc<Engine>, handover: Handover, record: Rc<Record>) -> Rc<Self> {
-        let (blind, serving) = (Cell::new(false), Cell::new(false));
-        let door = Rc::new(Door { engine, handover, record, blind, serving });
-        door.look();
-        door
+impl AdminServer {
+    /// An admin API for the dispatcher. What is marked already holds from now on.
+    pub fn new(
+        dispatcher: Rc<Dispatcher>,
+        process_group: ProcessGroup,
+        reload_status: Rc<ReloadStatus>,
+    ) -> Rc<Self> {
+        let server = Rc::new(AdminServer {
+            dispatcher,
+            process_group,
+            reload_status,
+            are_markers_unreadable: Cell::new(false),
+            is_serving: Cell::new(false),
+        });
+        server.apply_markers();
+        server
     }
 
     /// From now on clients are served here, and this process counts.
-    pub fn serving(&self) {
-        self.serving.set(true);
-        if let Err(e) = self.handover.enter() {
-            log!("marks: {e}; another process will not know of this one");
+    pub fn start_serving(&self) {
+        self.is_serving.set(true);
+        if let Err(error) = self.process_group.join() {
+            log!("markers: {error}; other processes will not know of this one");
         }
     }
 
     /// From now on the process is not ready any more.
-    pub fn stopping(&self) {
-        self.serving.set(false);
+    pub fn stop_serving(&self) {
+        self.is_serving.set(false);
     }
 
-    /// Tells the module what the marks say. Marks that can't be read leave all as it was.
-    pub fn look(&self) -> bool {
-        let marks = self.handover.marks();
-        let was = self.blind.replace(marks.is_err());
-        match marks {
-            Ok(marks) => self.engine.follow_marks(&marks),
-            Err(e) if !was => log!("marks: {e}; what held goes on"),
+    /// Tells the balancer what the markers say. Markers that can't be read leave all as it was.
+    pub fn apply_markers(&self) -> bool {
+        let control = self.process_group.control_state();
+        let were_unreadable = self.are_markers_unreadable.replace(control.is_err());
+        match control {
+            Ok(control) => self.dispatcher.apply_control_state(&control),
+            Err(error) if !were_unreadable => log!("markers: {error}; what held continues"),
             Err(_) => {}
         }
-        // A version that can't be told is shown as none by the others, and told at the next look.
-        let _ = self.handover.tell(self.engine.version());
-        !self.blind.get()
+        // A version that can't be published is shown as none by the others, and published the next time.
+        let _ = self.process_group.publish_version(self.dispatcher.settings_version());
+        !self.are_markers_unreadable.get()
     }
 
     /// Takes calls for ever.
     pub async fn serve(self: Rc<Self>, listener: TcpListener) {
-        let (mut calls, mut callers) = (JoinSet::new(), VecDeque::<AbortHandle>::new());
+        let mut connections = JoinSet::new();
+        let mut by_age = VecDeque::<AbortHandle>::new();
         loop {
             tokio::select! {
-                Some(_) = calls.join_next() => callers.retain(|c| !c.is_finished()),
+                Some(_) = connections.join_next() => by_age.retain(|connection| !connection.is_finished()),
                 accepted = listener.accept() => match accepted {
                     Ok((stream, _)) => {
-                        if callers.len() >= CALLERS && let Some(oldest) = callers.pop_front() {
-                            oldest.abort();
+                        if by_age.len() >= MAX_CONNECTIONS {
+                            close_oldest(&mut by_age);
                         }
-                        callers.push_back(calls.spawn_local(self.clone().caller(stream)));
+                        by_age.push_back(connections.spawn_local(self.clone().serve_connection(stream)));
                         // It may hold its call already, and must not give way to the next before that is seen.
                         tokio::task::yield_now().await;
                     }
                     // Out of descriptors or other: callers are waiting, and what is short comes free again.
                     Err(_) => {
-                        callers.pop_front().inspect(AbortHandle::abort);
-                        sleep(STARVED).await;
+                        close_oldest(&mut by_age);
+                        sleep(ACCEPT_ERROR_PAUSE).await;
                     }
                 }
             }
         }
     }
 
-    async fn caller(self: Rc<Self>, stream: TcpStream) {
+    async fn serve_connection(self: Rc<Self>, stream: TcpStream) {
         let service = service_fn(async |request| {
-            let mut reply = self.call(request).await;
-            reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-            Ok::<_, Infallible>(reply)
+            let mut response = self.call(request).await;
+            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            Ok::<_, Infallible>(response)
         });
         let mut builder = http1::Builder::new();
-        let builder = builder.header_read_timeout(None).max_buf_size(MAX_HEAD);
-        // However it ends, the call has been answered or its caller has left.
-        let _ = timeout(ARRIVE, builder.serve_connection(TokioIo::new(stream), service)).await;
+        let builder = builder.header_read_timeout(None).max_buf_size(MAX_HEAD_BYTES);
+        // However it ends, the call has been answered or its caller has disconnected.
+        let _ = timeout(CALL_TIMEOUT, builder.serve_connection(TokioIo::new(stream), service)).await;
     }
 
-    async fn call(&self, request: Request<Incoming>) -> Reply {
+    async fn call(&self, request: Request<Incoming>) -> AdminResponse {
         let (head, body) = request.into_parts();
-        let path: Vec<&str> = head.uri.path().split('/').skip(1).collect();
-        let method = match path[..] {
-            ["v1", "readyz" | "settings"] => Method::GET,
-            ["v1", "backends", _, "suspend" | "resume"] | ["v1", "proxy", "drain" | "activate"] => {
-                Method::POST
-            }
-            _ => return say(StatusCode::NOT_FOUND, "no such call"),
+        let route = match Route::parse(&head.method, head.uri.path()) {
+            Ok(route) => route,
+            Err(error) => return route_error(&error),
         };
-        if head.method != method {
-            let mut reply = say(StatusCode::METHOD_NOT_ALLOWED, "wrong method");
-            let allow = if method == Method::GET { "GET" } else { "POST" };
-            reply.headers_mut().insert(ALLOW, HeaderValue::from_static(allow));
-            return reply;
+        if let Err(error) = Limited::new(body, MAX_BODY_BYTES).collect().await {
+            let is_too_long = error.is::<http_body_util::LengthLimitError>();
+            let status = if is_too_long { StatusCode::PAYLOAD_TOO_LARGE } else { StatusCode::BAD_REQUEST };
+            return text_response(status, "a call has no body");
         }
-        if let Err(e) = Limited::new(body, MAX_BODY).collect().await {
-            let long = e.is::<http_body_util::LengthLimitError>();
-            let status = if long { StatusCode::PAYLOAD_TOO_LARGE } else { StatusCode::BAD_REQUEST };
-            return say(status, "a call has no body");
+        match route {
+            Route::Ready => self.ready(),
+            Route::Settings => self.settings(),
+            Route::SetSuspended { backend, is_suspended } => self.set_suspended(backend, is_suspended),
+            Route::SetDraining { is_draining } => {
+                let what = if is_draining { "drain" } else { "activate" };
+                self.confirm(self.process_group.set_draining(is_draining), what, "proxy")
+            }
         }
-        match path[..] {
-            ["v1", "backends", id, what] => self.backend(id, what == "suspend"),
-            ["v1", "proxy", what] => self.mark(self.handover.drain(what == "drain"), what, "proxy"),
-            ["v1", "settings"] => self.settings(),
-            _ if self.engine.ready() && self.serving.get() => say(StatusCode::OK, "ready"),
-            _ => say(StatusCode::SERVICE_UNAVAILABLE, "not ready"),
+    }
+
+    fn ready(&self) -> AdminResponse {
+        if self.dispatcher.has_ready_endpoint() && self.is_serving.get() {
+            text_response(StatusCode::OK, "ready")
+        } else {
+            text_response(StatusCode::SERVICE_UNAVAILABLE, "not ready")
         }
     }
 
-    /// Which settings are in force here and in the other processes of this proxy, and the last that were refused.
-    fn settings(&self) -> Reply {
-        self.look();
-        let processes = self.handover.versions().unwrap_or_default();
-        let mut reply =
-            say(StatusCode::OK, &self.record.shown(self.engine.version(), &processes).to_string());
-        reply.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-        reply
+    /// Which settings are in force here and in the other processes of this proxy, and the last that were rejected.
+    fn settings(&self) -> AdminResponse {
+        self.apply_markers();
+        let processes = self.process_group.versions().unwrap_or_default();
+        let version = self.dispatcher.settings_version();
+        let Ok(status) = self.reload_status.to_json(version, &processes) else {
+            return text_response(StatusCode::INTERNAL_SERVER_ERROR, "the status can't be written");
+        };
+        let mut response = text_response(StatusCode::OK, &status);
+        response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        response
     }
 
-    fn backend(&self, id: &str, suspend: bool) -> Reply {
-        // The other process may have been told more of it.
-        self.look();
-        let name = percent_decode_str(id).decode_utf8();
-        let Some(name) = name.ok().filter(|name| self.engine.knows(name)) else {
-            return say(StatusCode::NOT_FOUND, "no such backend");
+    fn set_suspended(&self, backend: Option<String>, is_suspended: bool) -> AdminResponse {
+        // The other process may have been notified of more.
+        self.apply_markers();
+        let Some(name) = backend.filter(|name| self.dispatcher.knows_backend(name)) else {
+            return text_response(StatusCode::NOT_FOUND, "no such backend");
         };
-        let what = if suspend { "suspend" } else { "resume" };
-        self.mark(self.handover.suspend(&name, suspend), what, &name)
+        let what = if is_suspended { "suspend" } else { "resume" };
+        self.confirm(self.process_group.set_suspended(&name, is_suspended), what, &name)
     }
 
-    /// Yes once the mark stands and the module has applied it.
-    fn mark(&self, marked: io::Result<()>, what: &str, whom: &str) -> Reply {
-        if let Err(e) = &marked {
-            log!("{what} {whom}: not done, its mark failed: {e}");
+    /// A success once the marker stands and the balancer has applied it.
+    fn confirm(&self, marked: io::Result<()>, what: &str, whom: &str) -> AdminResponse {
+        if let Err(error) = &marked {
+            log!("{what} {whom}: not done, its marker failed: {error}");
         }
-        if marked.is_ok() && self.look() {
-            say(StatusCode::OK, &format!("{what} {whom}: done"))
+        if marked.is_ok() && self.apply_markers() {
+            text_response(StatusCode::OK, &format!("{what} {whom}: done"))
         } else {
-            say(StatusCode::INTERNAL_SERVER_ERROR, &format!("{what} {whom}: not done, see the log"))
+            text_response(StatusCode::INTERNAL_SERVER_ERROR, &format!("{what} {whom}: not done, see the log"))
         }
     }
 }
 
-fn say(status: StatusCode, text: &str) -> Reply {
-    let mut reply = Response::new(Full::from(format!("{text}\n")));
-    *reply.status_mut() = status;
-    reply
+fn close_oldest(by_age: &mut VecDeque<AbortHandle>) {
+    if let Some(oldest) = by_age.pop_front() {
+        oldest.abort();
+    }
+}
+
+fn route_error(error: &RouteError) -> AdminResponse {
+    let RouteError::WrongMethod { allowed } = error else {
+        return text_response(StatusCode::NOT_FOUND, "no such call");
+    };
+    let mut response = text_response(StatusCode::METHOD_NOT_ALLOWED, "wrong method");
+    let allowed = if allowed == Method::GET { "GET" } else { "POST" };
+    response.headers_mut().insert(ALLOW, HeaderValue::from_static(allowed));
+    response
+}
+
+fn text_response(status: StatusCode, text: &str) -> AdminResponse {
+    let mut response = Response::new(Full::from(format!("{text}\n")));
+    *response.status_mut() = status;
+    response
 }
--- /dev/null
+++ b/crates/proxy/src/admin/routes.rs
@@ -0,0 +1,53 @@
+//! The calls of the admin API, by method and path.
+
+use hyper::Method;
+use percent_encoding::percent_decode_str;
+
+/// A call.
+#[derive(Debug, PartialEq, Eq)]
+pub(super) enum Route {
+    /// Whether the process is ready.
+    Ready,
+    /// Which settings are in force.
+    Settings,
+    /// Suspend a backend, or resume it.
+    SetSuspended {
+        /// Its name; none if the path holds no text.
+        backend: Option<String>,
+        /// Suspend or resume.
+        is_suspended: bool,
+    },
+    /// Drain the proxy, or activate it.
+    SetDraining {
+        /// Drain or activate.
+        is_draining: bool,
+    },
+}
+
+/// Why there is no such call.
+#[derive(Debug, PartialEq, Eq)]
+pub(super) enum RouteError {
+    UnknownPath,
+    WrongMethod { allowed: Method },
+}
+
+impl Route {
+    pub(super) fn parse(method: &Method, path: &str) -> Result<Route, RouteError> {
+        let parts: Vec<&str> = path.split('/').skip(1).collect();
+        let (allowed, route) = match parts[..] {
+            ["v1", "readyz"] => (Method::GET, Route::Ready),
+            ["v1", "settings"] => (Method::GET, Route::Settings),
+            ["v1", "backends", id, "suspend"] => (Method::POST, set_suspended(id, true)),
+            ["v1", "backends", id, "resume"] => (Method::POST, set_suspended(id, false)),
+            ["v1", "proxy", "drain"] => (Method::POST, Route::SetDraining { is_draining: true }),
+            ["v1", "proxy", "activate"] => (Method::POST, Route::SetDraining { is_draining: false }),
+            _ => return Err(RouteError::UnknownPath),
+        };
+        if *method == allowed { Ok(route) } else { Err(RouteError::WrongMethod { allowed }) }
+    }
+}
+
+fn set_suspended(id: &str, is_suspended: bool) -> Route {
+    let name = percent_decode_str(id).decode_utf8().ok();
+    Route::SetSuspended { backend: name.map(|name| name.into_owned()), is_suspended }
+}
--- a/crates/proxy/src/config/mod.rs
+++ b/crates/proxy/src/config/mod.rs
@@ -1,50 +1,71 @@
 //! What the proxy is told, at its start and with SIGHUP: the environment and the configuration file, checked.
 
+mod error;
 pub mod reload;
 
-use foldhitch_balancer::settings_format::{self, ResolvedSettings};
-use foldhitch_discovery_client::Page;
+pub use error::ConfigError;
+
+use foldhitch_balancer::settings_format::{self, ResolvedSettings, SiteSettings};
+use foldhitch_discovery_client::DiscoveryResponse;
 use serde::Deserialize;
 use serde::de::{DeserializeOwned, IgnoredAny};
 use std::env;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 
-/// All that a start needs.
+/// Fewer descriptors than this leave none for work.
+const MIN_SOCKETS: usize = 64;
+/// Numbers beyond this are not the same for every reader of JSON.
+const MAX_VERSION: u64 = 1 << 53;
+/// Less memory than this holds no work.
+const MIN_MEMORY_MB: usize = 8;
+
+/// What a configuration says.
+#[derive(Clone)]
 pub struct Config {
-    /// The proxy's name, if the file tells it.
+    /// The proxy's name, if the file gives it.
     pub name: Option<String>,
-    /// Its number; 0 where the file tells none.
+    /// Its version; 0 where the file gives none.
     pub version: u64,
-    /// Where callers connect.
+    /// Where clients connect.
     pub listen: SocketAddr,
-    /// Where operators call, if anywhere.
-    pub management: Option<SocketAddr>,
+    /// Where operators call the admin API, if anywhere.
+    pub admin: Option<SocketAddr>,
     /// Where discovery, or its agent, answers.
     pub discovery: SocketAddr,
-    /// Seed of the module's random numbers.
+    /// Seed of the balancer's random numbers.
     pub seed: u64,
     /// How many descriptors the process may hold.
-    pub sockets: usize,
+    pub max_descriptors: usize,
     /// How many bytes of memory it may use.
-    pub memory: usize,
-    /// The list of backends as this proxy last had it.
-    pub known: Option<Page>,
+    pub memory_bytes: usize,
     /// The settings.
-    pub facts: ResolvedSettings,
+    pub settings: ResolvedSettings,
+}
+
+/// What only a start can change.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct FixedConfig {
+    name: Option<String>,
+    listen: SocketAddr,
+    admin: Option<SocketAddr>,
+    max_descriptors: usize,
+    memory_bytes: usize,
 }
 
 #[derive(Deserialize)]
-struct File<K> {
+struct ConfigFile<K> {
     name: Option<String>,
     #[serde(default)]
     version: u64,
     listen: Option<String>,
-    management: Option<String>,
+    #[serde(rename = "management")]
+    admin: Option<String>,
     discovery: Option<String>,
     seed: String,
     limits: Limits,
-    known: Option<K>,
+    #[serde(rename = "known")]
+    known_endpoints: Option<K>,
     settings: serde_json::Value,
 }
 
@@ -54,88 +75,120 @@
     memory_mb: usize,
 }
 
-/// Fewer descriptors than this leave no room for work.
-const MIN_SOCKETS: usize = 64;
-/// Numbers beyond this are not the same for every reader of JSON.
-const MAX_VERSION: u64 = 1 << 53;
-/// Less memory than this holds no work.
-const MIN_MEMORY_MB: usize = 8;
+/// Which of the environment and the file goes before the other.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Precedence {
+    Environment,
+    File,
+}
 
-/// Reads the environment and the file that it names.
-pub fn load() -> Result<Config, String> {
-    let (config, known) = read(|told, file| told.or(file))?;
-    Ok(Config { known, ..config })
+/// Reads the environment and the file that it names, with the endpoint list as this proxy last had it.
+pub fn load() -> Result<(Config, Option<DiscoveryResponse>), ConfigError> {
+    read(Precedence::Environment)
 }
 
-/// Reads the file again. For discovery it goes before the environment, which still names the old address. The list in
-/// it is for a start: to read it would hold up what is in work for milliseconds.
-pub fn reload() -> Result<Config, String> {
-    read::<IgnoredAny>(|told, file| file.or(told)).map(|(config, _)| config)
+/// Reads the file again. For discovery it goes before the environment, which still names the old address. The endpoint
+/// list in it is for a start: to read it would hold up requests for milliseconds.
+pub fn reload() -> Result<Config, ConfigError> {
+    let (config, _) = read::<IgnoredAny>(Precedence::File)?;
+    Ok(config)
 }
 
 impl Config {
-    /// What only a start can change, with the keys.
-    pub fn fixed(&self) -> Vec<(&'static str, String)> {
-        vec![
-            ("name", format!("{:?}", self.name)),
-            ("listen", self.listen.to_string()),
-            ("management", format!("{:?}", self.management)),
-            ("limits.sockets", self.sockets.to_string()),
-            ("limits.memory_mb", self.memory.to_string()),
-        ]
+    /// What only a start can change.
+    pub fn fixed(&self) -> FixedConfig {
+        FixedConfig {
+            name: self.name.clone(),
+            listen: self.listen,
+            admin: self.admin,
+            max_descriptors: self.max_descriptors,
+            memory_bytes: self.memory_bytes,
+        }
     }
 
-    /// Stands for what may change while the program runs: the same number is the same content.
-    pub fn content(&self) -> u64 {
+    /// A hash of what may change while the program runs: the same version is the same content.
+    pub fn content_hash(&self) -> u64 {
         let mut hasher = DefaultHasher::new();
-        (format!("{:?}", self.facts), self.discovery).hash(&mut hasher);
+        format!("{:?}", self.settings).hash(&mut hasher);
+        self.discovery.hash(&mut hasher);
         hasher.finish()
     }
 }
 
-/// The environment's addresses, where given, go before the file's; for discovery `first` says which does.
-fn read<K: DeserializeOwned>(
-    first: fn(Option<String>, Option<String>) -> Option<String>,
-) -> Result<(Config, Option<K>), String> {
-    let path = env::var("RELAY_CONFIG").map_err(|_| "RELAY_CONFIG is not set".to_string())?;
-    let text = &std::fs::read(&path).map_err(|e| format!("RELAY_CONFIG: {path}: {e}"))?;
-    let told = |name| env::var(name).ok();
-    let (listen, management) = (told("RELAY_LISTEN"), told("RELAY_MANAGEMENT"));
-    let json = &mut serde_json::Deserializer::from_slice(text);
-    let file: File<K> = serde_path_to_error::deserialize(json).map_err(|e| format!("config: {e}"))?;
-    let facts = settings_format::read(file.settings).map_err(|e| format!("config: {e}"))?;
-    let site = &facts.site;
-    let wrong = [
-        (file.version > MAX_VERSION, "version: is out of range"),
-        (file.limits.sockets < MIN_SOCKETS, "limits.sockets: too few to work with"),
-        (file.limits.memory_mb < MIN_MEMORY_MB, "limits.memory_mb: too little to work with"),
-        (site.class_names.iter().any(String::is_empty), "settings: classes: one has no name"),
-        (site.tenant_names.iter().any(String::is_empty), "settings: tenants: one has no name"),
-        (site.zone_names.is_empty(), "settings: localities: is missing or empty"),
-        (site.max_open_requests == 0, "settings: caps.openCap: is missing or 0"),
-        (site.connection_idle_ms <= 0.0, "settings: caps.connIdle: is missing or 0"),
-        (site.connect_timeout_ms <= 0.0, "settings: caps.connectTimeout: is missing or 0"),
-        (site.drain_deadline_ms <= 0.0, "settings: guarantees.stopSendingWithin: is missing or 0"),
-    ];
-    if let Some((_, what)) = wrong.iter().find(|(bad, _)| *bad) {
-        return Err(format!("config: {what}"));
+impl FixedConfig {
+    /// Checks that another configuration changes nothing that only a start can change.
+    pub fn check_unchanged(&self, other: &FixedConfig) -> Result<(), ConfigError> {
+        require_same("name", self.name == other.name)?;
+        require_same("listen", self.listen == other.listen)?;
+        require_same("management", self.admin == other.admin)?;
+        require_same("limits.sockets", self.max_descriptors == other.max_descriptors)?;
+        require_same("limits.memory_mb", self.memory_bytes == other.memory_bytes)
     }
+}
+
+fn require_same(key: &'static str, is_same: bool) -> Result<(), ConfigError> {
+    if is_same { Ok(()) } else { Err(ConfigError::NeedsRestart { key }) }
+}
+
+/// The environment's addresses, where given, go before the file's; for discovery `discovery_from` says which does.
+fn read<K: DeserializeOwned>(discovery_from: Precedence) -> Result<(Config, Option<K>), ConfigError> {
+    let path = env::var("RELAY_CONFIG").map_err(|_| ConfigError::MissingVariable)?;
+    let text = std::fs::read(&path).map_err(|source| ConfigError::Unreadable { path, source })?;
+    let mut json = serde_json::Deserializer::from_slice(&text);
+    let file: ConfigFile<K> = serde_path_to_error::deserialize(&mut json).map_err(ConfigError::InvalidKey)?;
+    let settings = settings_format::read(file.settings)?;
+    check_limits(file.version, &file.limits)?;
+    check_site(&settings.site)?;
+    let discovery = match discovery_from {
+        Precedence::Environment => variable("RELAY_DISCOVERY").or(file.discovery),
+        Precedence::File => file.discovery.or_else(|| variable("RELAY_DISCOVERY")),
+    };
+    let admin = variable("RELAY_MANAGEMENT").or(file.admin);
     let config = Config {
         name: file.name,
         version: file.version,
-        listen: address("listen", listen.or(file.listen))?,
-        management: management.or(file.management).map(|m| address("management", Some(m))).transpose()?,
-        discovery: address("discovery", first(told("RELAY_DISCOVERY"), file.discovery))?,
-        seed: u64::from_str_radix(&file.seed, 16).map_err(|e| format!("config: seed: {e}"))?,
-        sockets: file.limits.sockets,
-        memory: file.limits.memory_mb.saturating_mul(1 << 20),
-        known: None,
-        facts,
+        listen: required_address("listen", variable("RELAY_LISTEN").or(file.listen))?,
+        admin: admin.map(|text| parse_address("management", text)).transpose()?,
+        discovery: required_address("discovery", discovery)?,
+        seed: u64::from_str_radix(&file.seed, 16).map_err(ConfigError::InvalidSeed)?,
+        max_descriptors: file.limits.sockets,
+        memory_bytes: file.limits.memory_mb.saturating_mul(1 << 20),
+        settings,
     };
-    Ok((config, file.known))
+    Ok((config, file.known_endpoints))
+}
+
+fn variable(name: &str) -> Option<String> {
+    env::var(name).ok()
+}
+
+fn check_limits(version: u64, limits: &Limits) -> Result<(), ConfigError> {
+    require(version <= MAX_VERSION, "version", "is out of range")?;
+    require(limits.sockets >= MIN_SOCKETS, "limits.sockets", "too few to work with")?;
+    require(limits.memory_mb >= MIN_MEMORY_MB, "limits.memory_mb", "too little to work with")
+}
+
+/// Checks what a proxy on real sockets needs beside what the balancer does.
+fn check_site(site: &SiteSettings) -> Result<(), ConfigError> {
+    let are_named = |names: &[String]| !names.iter().any(String::is_empty);
+    let (no_name, missing) = ("one has no name", "is missing or 0");
+    require(are_named(&site.class_names), "settings: classes", no_name)?;
+    require(are_named(&site.tenant_names), "settings: tenants", no_name)?;
+    require(!site.zone_names.is_empty(), "settings: localities", "is missing or empty")?;
+    require(site.max_open_requests > 0, "settings: caps.openCap", missing)?;
+    require(site.connection_idle_ms > 0.0, "settings: caps.connIdle", missing)?;
+    require(site.connect_timeout_ms > 0.0, "settings: caps.connectTimeout", missing)?;
+    require(site.drain_deadline_ms > 0.0, "settings: guarantees.stopSendingWithin", missing)
+}
+
+fn require(is_valid: bool, key: &'static str, reason: &'static str) -> Result<(), ConfigError> {
+    if is_valid { Ok(()) } else { Err(ConfigError::InvalidValue { key, reason }) }
+}
+
+fn required_address(key: &'static str, text: Option<String>) -> Result<SocketAddr, ConfigError> {
+    parse_address(key, text.ok_or(ConfigError::MissingAddress { key })?)
 }
 
-fn address(name: &str, text: Option<String>) -> Result<SocketAddr, String> {
-    let text = text.ok_or_else(|| format!("config: {name}: is missing"))?;
-    text.parse().map_err(|e| format!("config: {name}: {text}: {e}"))
+fn parse_address(key: &'static str, text: String) -> Result<SocketAddr, ConfigError> {
+    text.parse().map_err(|source| ConfigError::InvalidAddress { key, text, source })
 }
--- a/crates/proxy/src/config/reload.rs
+++ b/crates/proxy/src/config/reload.rs
@@ -1,106 +1,137 @@
 //! SIGHUP: the configuration file is read again, and what it says is put in force in one turn, or not at all.
 
-use crate::config::{self, Config};
-use crate::dispatcher::{Engine, millis};
+use super::{Config, ConfigError, FixedConfig};
+use crate::dispatcher::{Dispatcher, duration_from_ms};
 use crate::log::log;
-use crate::upstream::Pool;
-use serde_json::{Value, json};
+use crate::upstream::ConnectionPool;
+use serde::Serialize;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{SystemTime, UNIX_EPOCH};
 
-/// What became of the configurations that were read, for the operators' eyes.
-pub struct Record {
+/// What became of the configurations that were read.
+pub struct ReloadStatus {
     /// When the one in force was put so, Unix time in milliseconds.
-    applied_ms: Cell<u64>,
-    /// When the last one that was refused came, and why it was.
-    refused: RefCell<Option<(u64, String)>>,
+    applied_at_ms: Cell<u64>,
+    last_rejection: RefCell<Option<Rejection>>,
 }
 
-impl Record {
+/// A configuration that was rejected, as the admin API answers with it.
+#[derive(Debug, Clone, Serialize)]
+struct Rejection {
+    /// When it came, Unix time in milliseconds.
+    #[serde(rename = "at_ms")]
+    rejected_at_ms: u64,
+    #[serde(rename = "why")]
+    reason: String,
+}
+
+/// The status as the admin API answers with it.
+#[derive(Debug, Serialize)]
+struct StatusAnswer {
+    #[serde(rename = "applied_ms")]
+    applied_at_ms: u64,
+    processes: Vec<ProcessAnswer>,
+    #[serde(rename = "refused")]
+    last_rejection: Option<Rejection>,
+    version: u64,
+}
+
+#[derive(Debug, Serialize)]
+struct ProcessAnswer {
+    pid: u32,
+    version: Option<u64>,
+}
+
+impl ReloadStatus {
     /// Of a start.
     pub fn new() -> Self {
-        Record { applied_ms: Cell::new(unix_ms()), refused: RefCell::default() }
+        ReloadStatus { applied_at_ms: Cell::new(unix_ms()), last_rejection: RefCell::default() }
     }
 
-    /// The record beside the version in force here and those of the processes that act as this proxy.
-    pub fn shown(&self, version: u64, processes: &BTreeMap<u32, Option<u64>>) -> Value {
-        let refused = self.refused.borrow();
-        let refused = refused.as_ref().map(|(at_ms, why)| json!({"at_ms": at_ms, "why": why}));
-        let processes: Vec<Value> =
-            processes.iter().map(|(pid, version)| json!({"pid": pid, "version": version})).collect();
-        json!({"version": version, "applied_ms": self.applied_ms.get(), "refused": refused, "processes": processes})
+    /// The status as JSON, with the version in force here and those of the processes that act as this proxy.
+    pub fn to_json(
+        &self,
+        version: u64,
+        processes: &BTreeMap<u32, Option<u64>>,
+    ) -> Result<String, serde_json::Error> {
+        let processes = processes.iter().map(|(&pid, &version)| ProcessAnswer { pid, version });
+        serde_json::to_string(&StatusAnswer {
+            applied_at_ms: self.applied_at_ms.get(),
+            processes: processes.collect(),
+            last_rejection: self.last_rejection.borrow().clone(),
+            version,
+        })
     }
 }
 
 /// Reads the configuration again.
-pub struct Reload {
-    engine: Rc<Engine>,
-    pool: Rc<Pool>,
-    record: Rc<Record>,
+pub struct Reloader {
+    dispatcher: Rc<Dispatcher>,
+    pool: Rc<ConnectionPool>,
+    status: Rc<ReloadStatus>,
     /// What only a start can change, as it was then.
-    fixed: Vec<(&'static str, String)>,
-    /// Where discovery is.
+    fixed: FixedConfig,
     discovery: Cell<SocketAddr>,
 }
 
-impl Reload {
-    /// Goes on from the configuration of a start, whose number counts from here.
+impl Reloader {
+    /// Continues from the configuration of a start, whose version counts from here.
     pub fn new(
         config: &Config,
-        engine: Rc<Engine>,
-        pool: Rc<Pool>,
-        record: Rc<Record>,
-    ) -> Result<Self, String> {
-        let first = engine.configure(config.facts.clone(), config.version, config.content());
-        first.map_err(|e| e.to_string())?;
+        dispatcher: Rc<Dispatcher>,
+        pool: Rc<ConnectionPool>,
+        status: Rc<ReloadStatus>,
+    ) -> Result<Self, ConfigError> {
+        dispatcher.configure(config.settings.clone(), config.version, config.content_hash())?;
         let (fixed, discovery) = (config.fixed(), Cell::new(config.discovery));
-        Ok(Reload { engine, pool, record, fixed, discovery })
+        Ok(Reloader { dispatcher, pool, status, fixed, discovery })
     }
 
-    /// Reads the file and puts it in force; the address of discovery, where its watch is to begin anew. Of a file
-    /// that can't be put in force nothing is, and the one before holds.
-    pub fn again(&self) -> Option<SocketAddr> {
-        match config::reload().and_then(|config| self.apply(config)) {
-            Ok(moved) => moved,
-            Err(e) => {
-                log!("configuration kept: {e}");
-                self.record.refused.replace(Some((unix_ms(), e)));
+    /// Reads the file and puts it in force; returns the address of discovery, where its watch is to begin anew. Of a
+    /// file that can't be put in force nothing is, and the one before holds.
+    pub fn reload(&self) -> Option<SocketAddr> {
+        match super::reload().and_then(|config| self.apply(config)) {
+            Ok(discovery) => discovery,
+            Err(error) => {
+                log!("configuration rejected: {error}");
+                let rejection = Rejection { rejected_at_ms: unix_ms(), reason: error.to_string() };
+                self.status.last_rejection.replace(Some(rejection));
                 None
             }
         }
     }
 
-    fn apply(&self, config: Config) -> Result<Option<SocketAddr>, String> {
-        let now = config.fixed();
-        if let Some((_, (key, _))) = self.fixed.iter().zip(&now).find(|(old, new)| old != new) {
-            return Err(format!("config: {key}: needs a restart"));
-        }
-        let (old, address, content) = (self.engine.facts(), config.discovery, config.content());
+    fn apply(&self, config: Config) -> Result<Option<SocketAddr>, ConfigError> {
+        self.fixed.check_unchanged(&config.fixed())?;
+        let old = self.dispatcher.settings();
         // Backends are known by the places of their zones.
-        if !config.facts.site.zone_names.starts_with(&old.site.zone_names) {
-            return Err("config: settings: localities: needs a restart, unless some are added".to_string());
+        if !config.settings.site.zone_names.starts_with(&old.site.zone_names) {
+            return Err(ConfigError::InvalidValue {
+                key: "settings: localities",
+                reason: "needs a restart, unless some are added",
+            });
         }
-        let before = self.engine.version();
-        let version = self.engine.configure(config.facts, config.version, content);
-        let version = version.map_err(|e| format!("config: {e}"))?;
+        let (address, content_hash) = (config.discovery, config.content_hash());
+        let old_version = self.dispatcher.settings_version();
+        let version = self.dispatcher.configure(config.settings, config.version, content_hash)?;
         // Nothing fails from here on.
-        let site = &self.engine.facts().site;
-        self.pool.keep_to(
-            millis(site.connect_timeout_ms),
-            millis(site.connection_idle_ms),
-            millis(site.drain_deadline_ms),
+        let site = &self.dispatcher.settings().site;
+        self.pool.set_timeouts(
+            duration_from_ms(site.connect_timeout_ms),
+            duration_from_ms(site.connection_idle_ms),
+            duration_from_ms(site.drain_deadline_ms),
         );
-        if version != before {
-            self.record.applied_ms.set(unix_ms());
+        if version != old_version {
+            self.status.applied_at_ms.set(unix_ms());
         }
-        log!("configuration read again, version {version}, discovery at {address}");
-        // How long its watch waits follows from the grace of a drain.
-        let moved = self.discovery.replace(address) != address
-            || site.drain_deadline_ms != old.site.drain_deadline_ms;
-        Ok(moved.then_some(address))
+        log!("configuration applied, version {version}, discovery at {address}");
+        // How long its watch waits follows from the drain deadline.
+        let has_other_timeouts = site.drain_deadline_ms != old.site.drain_deadline_ms;
+        let has_moved = self.discovery.replace(address) != address;
+        Ok((has_moved || has_other_timeouts).then_some(address))
     }
 }
 
--- /dev/null
+++ b/crates/proxy/src/dispatcher/request_table.rs
@@ -0,0 +1,213 @@
+//! The open requests: their pending answers, and their attempts.
+
+use super::clock::milliseconds;
+use super::messages::Answer;
+use crate::transport::{SendGuard, WeakSendGuard};
+use crate::upstream::UpstreamRequest;
+use foldhitch_balancer::api::{AttemptNumber, AttemptResult, BackendId, Event, Outcome, RequestId};
+use foldhitch_balancer::settings_format::ResolvedSettings;
+use std::collections::{HashMap, HashSet};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+/// The answer that a request is to get. The way to the client is used up by its one answer, and with it goes what
+/// keeps those of its attempts wanted that have not begun.
+pub(super) enum ResponseSlot {
+    /// None was given yet.
+    Pending {
+        /// Takes the answer.
+        answer: oneshot::Sender<Answer>,
+        /// Whether the client is still connected.
+        is_client_connected: SendGuard,
+    },
+    /// It was given, or nobody waits for one.
+    Completed,
+}
+
+/// An attempt that is out.
+pub(super) struct InFlightAttempt {
+    pub(super) sent_at: Instant,
+    pub(super) cancel: Option<oneshot::Sender<()>>,
+}
+
+/// What has become of an attempt.
+pub(super) enum AttemptState {
+    InFlight(InFlightAttempt),
+    Finished { outcome: Outcome, latency: Duration },
+}
+
+/// An attempt of a request.
+pub(super) struct AttemptRecord {
+    pub(super) backend: BackendId,
+    pub(super) state: AttemptState,
+}
+
+/// An open request.
+pub(super) struct RequestEntry {
+    pub(super) request: Rc<UpstreamRequest>,
+    /// The settings that it was admitted under.
+    pub(super) settings: Rc<ResolvedSettings>,
+    /// Place of its class in them.
+    pub(super) class: u16,
+    pub(super) received_at: Instant,
+    pub(super) response: ResponseSlot,
+    /// By their numbers.
+    pub(super) attempts: Vec<AttemptRecord>,
+}
+
+impl RequestEntry {
+    /// Gives the answer if one is still pending.
+    pub(super) fn answer(&mut self, answer: Answer) {
+        if let ResponseSlot::Pending { answer: client, .. } = self.complete() {
+            // A client that has just disconnected takes no answer; its disconnect is an event of its own.
+            let _ = client.send(answer);
+        }
+    }
+
+    /// From now on no answer is pending; returns what was.
+    pub(super) fn complete(&mut self) -> ResponseSlot {
+        std::mem::replace(&mut self.response, ResponseSlot::Completed)
+    }
+
+    pub(super) fn is_pending(&self) -> bool {
+        matches!(self.response, ResponseSlot::Pending { .. })
+    }
+
+    /// Whether an answer is pending that nobody is there to take.
+    pub(super) fn is_client_disconnected(&self) -> bool {
+        match &self.response {
+            ResponseSlot::Pending { is_client_connected, .. } => !is_client_connected(),
+            ResponseSlot::Completed => false,
+        }
+    }
+
+    /// What tells an attempt whether it is still wanted; none if no answer is pending.
+    pub(super) fn client(&self) -> Option<WeakSendGuard> {
+        match &self.response {
+            ResponseSlot::Pending { is_client_connected, .. } => Some(Rc::downgrade(is_client_connected)),
+            ResponseSlot::Completed => None,
+        }
+    }
+
+    /// Whether nothing more will happen to it.
+    fn is_finished(&self) -> bool {
+        let is_finished = |attempt: &AttemptRecord| matches!(attempt.state, AttemptState::Finished { .. });
+        !self.is_pending() && self.attempts.iter().all(is_finished)
+    }
+
+    /// Notes the end of an attempt; returns its backend and how long it took, none if it was not in flight.
+    pub(super) fn finish_attempt(
+        &mut self,
+        number: usize,
+        outcome: Outcome,
+    ) -> Option<(BackendId, Duration)> {
+        let attempt = self.attempts.get_mut(number)?;
+        let AttemptState::InFlight(in_flight) = &attempt.state else { return None };
+        let latency = in_flight.sent_at.elapsed();
+        attempt.state = AttemptState::Finished { outcome, latency };
+        Some((attempt.backend, latency))
+    }
+
+    /// What the balancer is told of an attempt that ended.
+    pub(super) fn attempt_event(
+        &self,
+        request: RequestId,
+        number: usize,
+        backend: BackendId,
+        outcome: Outcome,
+        latency: Duration,
+    ) -> Event {
+        let upload = self.request.upload();
+        // What its client took to write the body is none of the backend's time.
+        let completed_at = upload.and_then(|upload| upload.completed_at());
+        let latency = completed_at.map_or(latency, |completed_at| latency.min(completed_at.elapsed()));
+        Event::AttemptFinished(AttemptResult {
+            request,
+            attempt: number as AttemptNumber,
+            backend,
+            outcome,
+            latency_ms: milliseconds(latency),
+            is_request_closed: !self.is_pending(),
+            is_body_consumed: upload.is_some_and(|upload| upload.is_consumed()),
+        })
+    }
+}
+
+/// The open requests, by their ids.
+pub(super) struct RequestTable {
+    requests: HashMap<RequestId, RequestEntry>,
+    next_id: RequestId,
+}
+
+impl RequestTable {
+    pub(super) fn new() -> Self {
+        RequestTable { requests: HashMap::new(), next_id: 1 }
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.requests.len()
+    }
+
+    pub(super) fn insert(&mut self, entry: RequestEntry) -> RequestId {
+        let id = self.next_id;
+        self.next_id += 1;
+        self.requests.insert(id, entry);
+        id
+    }
+
+    pub(super) fn get(&self, id: RequestId) -> Option<&RequestEntry> {
+        self.requests.get(&id)
+    }
+
+    pub(super) fn get_mut(&mut self, id: RequestId) -> Option<&mut RequestEntry> {
+        self.requests.get_mut(&id)
+    }
+
+    pub(super) fn ids(&self) -> Vec<RequestId> {
+        self.requests.keys().copied().collect()
+    }
+
+    /// Those whose answer is pending.
+    pub(super) fn pending(&self) -> impl Iterator<Item = &RequestEntry> {
+        self.requests.values().filter(|entry| entry.is_pending())
+    }
+
+    /// The backends that open requests were sent to.
+    pub(super) fn backends(&self) -> HashSet<BackendId> {
+        let attempts = self.requests.values().flat_map(|entry| &entry.attempts);
+        attempts.map(|attempt| attempt.backend).collect()
+    }
+
+    /// Gives a request its answer if one is still pending.
+    pub(super) fn answer(&mut self, id: RequestId, answer: Answer) {
+        if let Some(entry) = self.requests.get_mut(&id) {
+            entry.answer(answer);
+        }
+        self.remove_if_finished(id);
+    }
+
+    /// Forgets a request once nothing more will happen to it.
+    pub(super) fn remove_if_finished(&mut self, id: RequestId) {
+        if self.requests.get(&id).is_some_and(RequestEntry::is_finished) {
+            self.requests.remove(&id);
+        }
+    }
+
+    /// Cancels an attempt, if it is in flight and was not cancelled.
+    pub(super) fn cancel(&mut self, id: RequestId, number: AttemptNumber) {
+        let entry = self.requests.get_mut(&id);
+        let attempt = entry.and_then(|entry| entry.attempts.get_mut(usize::from(number)));
+        let Some(AttemptRecord { state: AttemptState::InFlight(in_flight), .. }) = attempt else { return };
+        if let Some(cancel) = in_flight.cancel.take() {
+            // One that has just ended needs no cancel.
+            let _ = cancel.send(());
+        }
+    }
+
+    #[cfg(test)]
+    pub(super) fn clear(&mut self) {
+        self.requests.clear();
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/dispatcher/tests.rs
@@ -0,0 +1,125 @@
+//! Unit tests of the dispatcher.
+
+use super::*;
+use crate::transport::RequestPayload;
+use crate::upstream::{PoolLimits, UpstreamRequest};
+use foldhitch_discovery_client::HealthState;
+use tokio::task::LocalSet;
+
+fn settings() -> ResolvedSettings {
+    let text = r#"{"slotNo": 0, "peersTotal": 1, "tier": 0, "locality": 0, "localities": ["a"], "tick": 5.0,
+        "overShareWorth": 0.05, "discovery": "automatic", "tenants": [],
+        "classes": [{"name": "look", "aim": 1000.0, "points": 1.0, "semantics": "retryable", "group": "all",
+                     "window": 0.0}],
+        "caps": {"cancelling": true, "retryAfter": false, "maxRetryAfter": 0.0, "tryLimit": 3, "openCap": 10},
+        "guarantees": {"coldFrom": 0.1, "cold": 1000.0, "fallMultiple": 3.0}}"#;
+    foldhitch_balancer::settings_format::parse(text.as_bytes()).expect("good settings")
+}
+
+fn endpoint(name: &str, health: HealthState) -> EndpointRecord {
+    EndpointRecord {
+        name: name.to_string(),
+        address: Some("127.0.0.1:9".parse().expect("an address")),
+        zone: "a".to_string(),
+        cell: 0,
+        health,
+        weight: 1.0,
+        started_at_ms: 0.0,
+    }
+}
+
+fn request() -> UpstreamRequest {
+    UpstreamRequest {
+        method: hyper::Method::GET,
+        uri: hyper::Uri::from_static("/look"),
+        host: None,
+        id: hyper::header::HeaderValue::from_static("1"),
+        idempotency_key: None,
+        body: RequestPayload::Buffered(bytes::Bytes::new()),
+    }
+}
+
+fn dispatcher() -> Rc<Dispatcher> {
+    let limit = Duration::from_secs(1);
+    let limits =
+        PoolLimits { connections: 4, connect_timeout: limit, idle_timeout: limit, drain_deadline: limit };
+    let (poll_wanted, _) = watch::channel(false);
+    Dispatcher::new(settings(), 1, Rc::new(ConnectionPool::new(limits)), poll_wanted).expect("good settings")
+}
+
+fn entry(settings: Rc<ResolvedSettings>, response: ResponseSlot) -> RequestEntry {
+    let (request, received_at) = (Rc::new(request()), Instant::now());
+    RequestEntry { request, settings, class: 0, received_at, response, attempts: Vec::new() }
+}
+
+fn insert(dispatcher: &Dispatcher, entry: RequestEntry) {
+    dispatcher.state.borrow_mut().requests.insert(entry);
+}
+
+fn update(kind: EndpointListKind, endpoints: Vec<EndpointRecord>) -> EndpointListUpdate {
+    EndpointListUpdate { kind, endpoints, is_older: false }
+}
+
+/// A stop waits for as long as what was admitted may last by the settings that it was admitted under.
+#[tokio::test]
+async fn a_request_admitted_before_a_change_lasts_as_long_as_then() {
+    let (dispatcher, tasks) = (dispatcher(), LocalSet::new());
+    let objective = |dispatcher: &Dispatcher| {
+        dispatcher.longest(|site| duration_from_ms(site.longest_latency_objective_ms))
+    };
+    let (long, short) = (Duration::from_secs(1), Duration::from_millis(200));
+    let (client, _answer) = oneshot::channel();
+    let response = ResponseSlot::Pending { answer: client, is_client_connected: Rc::new(|| true) };
+    insert(&dispatcher, entry(dispatcher.settings(), response));
+
+    let mut next = settings();
+    next.balancer.classes[0].latency_objective_ms = 200.0;
+    next.site.longest_latency_objective_ms = 200.0;
+    let configured = async { dispatcher.configure(next, 3, 1) };
+    assert_eq!(tasks.run_until(configured).await, Ok(3));
+
+    assert_eq!((dispatcher.settings_version(), objective(&dispatcher)), (3, long));
+    dispatcher.state.borrow_mut().requests.clear();
+    assert_eq!(objective(&dispatcher), short);
+}
+
+#[test]
+fn a_class_continues_under_its_name_and_of_two_alike_the_first() {
+    let names = |names: &[&str]| names.iter().map(|name| name.to_string()).collect::<Vec<_>>();
+    let (old, new) = (names(&["a", "b", "b"]), names(&["b", "c", "b", "a"]));
+    assert_eq!(continued(&old, &new), [Some(1), None, None, Some(0)]);
+}
+
+#[tokio::test]
+async fn backends_that_are_gone_are_forgotten() {
+    let tasks = LocalSet::new();
+    tasks
+        .run_until(async {
+            let dispatcher = dispatcher();
+            for n in 0..100 {
+                let (old, new) = (format!("s-{n}"), format!("s-{}", n + 1));
+                let serving = endpoint(&new, HealthState::Serving);
+                if n % 2 == 0 {
+                    let endpoints = vec![endpoint(&old, HealthState::Deleted), serving];
+                    dispatcher.update_endpoints(update(EndpointListKind::Delta, endpoints));
+                } else {
+                    dispatcher.update_endpoints(update(EndpointListKind::Full, vec![serving]));
+                }
+                assert_eq!(dispatcher.state.borrow().endpoints.counts(), (1, 1), "after {n}");
+            }
+            // One that an open request was sent to stays known until the request is closed.
+            let backend = dispatcher.state.borrow().endpoints.id("s-100");
+            let mut entry = entry(dispatcher.settings(), ResponseSlot::Completed);
+            let (outcome, latency) = (Outcome::Error, Duration::from_secs(1));
+            let state = AttemptState::Finished { outcome, latency };
+            entry.attempts.push(AttemptRecord { backend, state });
+            insert(&dispatcher, entry);
+            let other = endpoint("s-101", HealthState::Serving);
+            dispatcher.update_endpoints(update(EndpointListKind::Full, vec![other]));
+            assert_eq!(dispatcher.state.borrow().endpoints.counts().1, 2);
+            dispatcher.state.borrow_mut().requests.clear();
+            dispatcher.forget_gone_endpoints();
+            assert_eq!(dispatcher.state.borrow().endpoints.counts().1, 1);
+        })
+        .await;
+}
--- /dev/null
+++ b/crates/proxy/src/downstream/connection.rs
@@ -0,0 +1,332 @@
+//! One connection of a client: its requests, one after the other, and its close.
+
+use super::connection_table::{
+    ConnectionGuard, ConnectionState, InFlightGuard, RequestIdGuard, RequestPhase, ResponseGuard,
+};
+use super::listener::{ListenerPhase, Server};
+use super::request_body::{BodyReadDeadline, BufferedBody, UploadStream, body_extension, buffer_body};
+use super::request_parsing::{
+    ParsedHead, Rejection, bad_request, check_framing, class_name, ordering_key, parse_head,
+};
+use super::response::{
+    ClientResponse, answer_response, close_after, closing_response, empty_response, rejected_response,
+};
+use crate::dispatcher::{Answer, IncomingRequest, RESPONSE_MARGIN, duration_from_ms};
+use crate::log::log;
+use crate::transport::{
+    ClientSocket, MAX_BODY_BYTES, MAX_HEAD_BYTES, MAX_HEADERS, ObservedStream, RequestPayload, SendGuard,
+    StreamedBody, StreamedUpload, UnreadProbe, prepare,
+};
+use crate::upstream::{UpstreamRequest, printable_id};
+use bytes::Bytes;
+use hyper::body::{Body, Incoming};
+use hyper::header::HOST;
+use hyper::http::request::Parts;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, StatusCode, Uri};
+use std::convert::Infallible;
+use std::future::poll_fn;
+use std::pin::pin;
+use std::rc::Rc;
+use std::task::Poll;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::task::{spawn_local, yield_now};
+use tokio::time::{Instant, sleep};
+
+/// When the proxy drains, connections still idle are closed after this: clients go on sending new requests for up to
+/// 0.3 s, and what crosses a close would have to come again.
+const DRAIN_CLOSE_DELAY: Duration = Duration::from_millis(1200);
+/// Share of the connections that clients may fill with requests who have not been served on their connection yet: a
+/// burst of worthless requests must leave some for the others.
+const MAX_UNSERVED_FRACTION: f64 = 0.75;
+/// Who is rejected for want of space is told to stay away so long, in milliseconds, where that is told.
+const RETRY_AFTER_MS: f64 = 500.0;
+
+/// A connection that was accepted.
+pub(super) struct ClientConnection {
+    server: Rc<Server>,
+    socket: ClientSocket,
+    state: Rc<ConnectionState>,
+    /// It is accepted only to be rejected.
+    is_rejected: bool,
+}
+
+/// When a request began, and when its head had come.
+#[derive(Clone, Copy)]
+struct RequestTimes {
+    begun_at: Instant,
+    received_at: Instant,
+}
+
+/// Serves a connection until it is closed.
+pub(super) async fn serve_connection(
+    server: Rc<Server>,
+    stream: TcpStream,
+    phase: watch::Receiver<ListenerPhase>,
+    is_rejected: bool,
+) {
+    let prepared = prepare(&stream);
+    let socket = ClientSocket::new(stream);
+    let stream = ObservedStream::new(socket.clone());
+    let guard = ConnectionGuard::new(&server.table, stream.progress(), socket.liveness());
+    let state = guard.state.clone();
+    state.progress.expect_head();
+    if prepared.is_err() {
+        return;
+    }
+    let connection = ClientConnection { server, socket, state: state.clone(), is_rejected };
+    let may_still_send = connection.serve(stream, phase).await;
+    if may_still_send {
+        state.phase.set(RequestPhase::Closing);
+        tokio::select! {
+            () = connection.socket.lingering_close() => {}
+            () = state.close_request.notified() => {}
+        }
+    }
+}
+
+impl ClientConnection {
+    /// Serves requests until the connection is to be closed. Tells whether something may still come on it.
+    async fn serve(
+        &self,
+        stream: ObservedStream<ClientSocket>,
+        mut phase: watch::Receiver<ListenerPhase>,
+    ) -> bool {
+        let state = &self.state;
+        let service = service_fn(async |request| Ok::<_, Infallible>(self.respond(request).await));
+        let connection = http1::Builder::new()
+            .header_read_timeout(None)
+            .max_buf_size(MAX_HEAD_BYTES)
+            .max_headers(MAX_HEADERS)
+            .serve_connection(stream, service);
+        let mut connection = pin!(connection);
+        let is_in_flight = || state.phase.get() == RequestPhase::InFlight;
+        let mut disconnected = pin!(self.socket.disconnected(is_in_flight));
+        let mut ending = pin!(async {
+            tokio::select! {
+                _ = phase.wait_for(|phase| *phase == ListenerPhase::ClosingIdle) => {}
+                () = self.drained() => {}
+            }
+        });
+        loop {
+            // What has been read is looked at first, and what the system holds is asked for last: a request may have
+            // come in the same moment as the reason to close its connection.
+            tokio::select! {
+                biased;
+                _ = connection.as_mut() => return true,
+                // Its request, if any, learns of it as it is dropped.
+                () = disconnected.as_mut() => return true,
+                () = state.close_request.notified() => {
+                    state.is_close_requested.set(false);
+                    if state.can_be_closed() && !self.socket.has_unread() {
+                        return false;
+                    }
+                }
+                () = ending.as_mut(), if !state.is_last_answer.get() => state.is_last_answer.set(true),
+                () = self.idle_at_last_answer() => {
+                    if !self.socket.has_unread() {
+                        return true;
+                    }
+                    // The reactor is about to tell of it.
+                    yield_now().await;
+                }
+            }
+        }
+    }
+
+    /// Ready, whenever it is polled, if the connection is to end and nothing of a request has come.
+    async fn idle_at_last_answer(&self) {
+        let is_over = || self.state.is_last_answer.get() && self.state.is_idle();
+        poll_fn(|_| if is_over() { Poll::Ready(()) } else { Poll::Pending }).await;
+    }
+
+    /// Comes back once the proxy has been draining for so long that idle connections are to be closed.
+    async fn drained(&self) {
+        let mut draining = self.server.dispatcher.draining();
+        // The dispatcher outlives its connections, so that no wait here fails.
+        while draining.wait_for(|is_draining| *is_draining).await.is_ok() {
+            tokio::select! {
+                () = sleep(DRAIN_CLOSE_DELAY) => return,
+                _ = draining.wait_for(|is_draining| !*is_draining) => {}
+            }
+        }
+    }
+
+    async fn respond(&self, request: Request<Incoming>) -> ClientResponse {
+        let guard = ResponseGuard(self.state.clone());
+        let mut response = self.answer(request).await;
+        response.body_mut().hold(guard);
+        response
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> ClientResponse {
+        let times = self.request_times();
+        self.state.progress.expect_message();
+        if request.uri().path() == "/health/ready" {
+            return self.health();
+        }
+        self.state.phase.set(RequestPhase::ReadingBody);
+        let mut response = match self.read_request(request, times).await {
+            Err(rejection) => *rejection,
+            Ok(_) if self.is_overloaded() => rejected_response(self.retry_after()),
+            Ok((request, _guard)) => self.dispatch(request).await,
+        };
+        if self.is_last_answer() {
+            close_after(&mut response);
+        }
+        response
+    }
+
+    /// When the present request began, and when its head had come. A request that came behind another has waited for
+    /// its turn since it was read.
+    fn request_times(&self) -> RequestTimes {
+        let progress = &self.state.progress;
+        let received_at = progress.last_byte_at().unwrap_or_else(Instant::now);
+        let is_first = !self.state.was_answered.get();
+        let begun_at = if is_first { Some(self.state.since.get()) } else { progress.first_byte_at() };
+        RequestTimes { begun_at: begun_at.unwrap_or(received_at), received_at }
+    }
+
+    fn health(&self) -> ClientResponse {
+        let dispatcher = &self.server.dispatcher;
+        let is_ready = dispatcher.has_ready_endpoint() && !*dispatcher.draining().borrow();
+        let status = if is_ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+        if self.is_last_answer() { closing_response(status) } else { empty_response(status) }
+    }
+
+    async fn dispatch(&self, request: IncomingRequest) -> ClientResponse {
+        self.state.phase.set(RequestPhase::InFlight);
+        let _in_flight = InFlightGuard::new(&self.server.table);
+        let answer = self.server.dispatcher.dispatch(request).await;
+        if matches!(answer, Answer::Served(_)) {
+            self.state.was_served.set(true);
+        }
+        answer_response(answer)
+    }
+
+    /// Whether an answer is to be the last on this connection.
+    fn is_last_answer(&self) -> bool {
+        self.is_rejected
+            || self.state.is_last_answer.get()
+            || *self.server.dispatcher.draining().borrow()
+            || self.server.is_handed_over.get()
+    }
+
+    /// Whether there is no space for one more request. Idle clients hold connections too: what is rejected is work
+    /// past what can be carried. Whoever was to give way and sent just then stays, so that there may be more clients
+    /// than connections: where all of them had work, nobody could be accepted any more to be rejected at once.
+    fn is_overloaded(&self) -> bool {
+        let in_flight = self.server.table.in_flight();
+        let limit = self.server.max_connections.get();
+        let unserved_limit = (limit as f64 * MAX_UNSERVED_FRACTION) as usize;
+        in_flight >= limit || !self.state.was_served.get() && in_flight >= unserved_limit
+    }
+
+    fn retry_after(&self) -> Option<Duration> {
+        let capabilities = &self.server.dispatcher.settings().balancer.capabilities;
+        let retry_after_ms = RETRY_AFTER_MS.min(capabilities.max_retry_after_ms);
+        if capabilities.sends_retry_after { Some(duration_from_ms(retry_after_ms)) } else { None }
+    }
+
+    /// Reads a request completely, or says what is wrong with it.
+    async fn read_request(
+        &self,
+        request: Request<Incoming>,
+        times: RequestTimes,
+    ) -> Result<(IncomingRequest, RequestIdGuard), Rejection> {
+        let (head, body) = request.into_parts();
+        check_framing(&head, &self.state.progress.take_head())?;
+        let has_body = !body.is_end_stream();
+        let settings = self.server.dispatcher.settings();
+        let mut parsed = parse_head(&settings, &head, has_body)?;
+        // Of two requests with one id only the first can be told from its repeat.
+        let guard = RequestIdGuard::new(&self.server.table, &parsed.id);
+        let mut guard = guard.ok_or_else(|| Box::new(empty_response(StatusCode::CONFLICT)))?;
+        let uri = head.uri.path_and_query().cloned().map(Uri::from).ok_or_else(bad_request)?;
+        let length = body.size_hint().exact();
+        if length.is_some_and(|length| length > MAX_BODY_BYTES) {
+            return Err(Box::new(closing_response(StatusCode::PAYLOAD_TOO_LARGE)));
+        }
+        let (payload, extension) = self.read_body(&head, &parsed, body, times, &mut guard).await?;
+        // The settings may have changed while its body came: it is taken, now, under those in force, or not at all.
+        let settings_in_force = self.server.dispatcher.settings();
+        if !Rc::ptr_eq(&settings, &settings_in_force) {
+            let current = parse_head(&settings_in_force, &head, has_body)?;
+            parsed.class = current.class;
+            parsed.tenant = current.tenant;
+        }
+        let request = UpstreamRequest {
+            host: head.headers.get(HOST).cloned(),
+            method: head.method.clone(),
+            uri,
+            id: parsed.id,
+            idempotency_key: parsed.idempotency_key,
+            body: payload,
+        };
+        // A request's time counts from its last byte.
+        let last_byte_at = self.state.progress.last_byte_at();
+        let incoming = IncomingRequest {
+            request,
+            class: parsed.class,
+            tenant: parsed.tenant,
+            ordering_key: ordering_key(&head),
+            is_client_connected: self.send_guard(),
+            received_at: last_byte_at.map_or(times.received_at, |at| at.max(times.received_at)),
+            client_timeout: parsed.client_timeout,
+            body_extension: extension,
+        };
+        Ok((incoming, guard))
+    }
+
+    fn send_guard(&self) -> SendGuard {
+        let liveness = self.state.liveness.clone();
+        Rc::new(move || liveness.is_connected())
+    }
+
+    /// Reads a body, and streams one that is too long to be buffered; returns how much longer that may take.
+    async fn read_body(
+        &self,
+        head: &Parts,
+        parsed: &ParsedHead,
+        mut body: Incoming,
+        times: RequestTimes,
+        guard: &mut RequestIdGuard,
+    ) -> Result<(RequestPayload, Duration), Rejection> {
+        let length = body.size_hint().exact();
+        let mut deadline = BodyReadDeadline::new(times.begun_at);
+        let limit = self.server.max_body_bytes.get();
+        match buffer_body(&mut body, &mut deadline, guard, limit).await {
+            Ok(BufferedBody::Complete(data)) => Ok((RequestPayload::Buffered(data), Duration::ZERO)),
+            Ok(BufferedBody::Partial(first)) => {
+                let client_timeout = parsed.client_timeout.saturating_sub(RESPONSE_MARGIN);
+                let (frames, upload) = StreamedUpload::new(length, client_timeout);
+                let upload = Rc::new(upload);
+                let connection = self.state.clone();
+                let stream = UploadStream { body, deadline, frames, upload: upload.clone(), connection };
+                spawn_local(stream.run(first));
+                Ok((RequestPayload::Streamed(upload), body_extension(length)))
+            }
+            Err(StatusCode::SERVICE_UNAVAILABLE) => {
+                self.discard_body(parsed, body, deadline);
+                Err(Box::new(rejected_response(self.retry_after())))
+            }
+            Err(status) => {
+                let (id, class) = (printable_id(&parsed.id), class_name(head));
+                log!("{id} {class} aborted by its client, {status}");
+                Err(Box::new(closing_response(status)))
+            }
+        }
+    }
+
+    /// Reads on a body that is not taken, where it is written still: the client would not get to see its answer.
+    fn discard_body(&self, parsed: &ParsedHead, body: Incoming, deadline: BodyReadDeadline) {
+        let (frames, _) = StreamedBody::new(None);
+        let (_, upload) = StreamedUpload::new(None, parsed.client_timeout);
+        let (upload, connection) = (Rc::new(upload), self.state.clone());
+        let stream = UploadStream { body, deadline, frames, upload, connection };
+        spawn_local(stream.run(Bytes::new()));
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/downstream/connection_table.rs
@@ -0,0 +1,261 @@
+//! The clients' connections, what each is doing, and which can give way to another.
+
+use crate::transport::{ClientLiveness, StreamProgress};
+use hyper::header::HeaderValue;
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashSet};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+/// A head must have come completely so long after its first byte, a connection's first head so long after the
+/// connect: clients may take [`HEAD_TIMEOUT`] for it, and who sends nothing, or sends for ever, is to get an answer or
+/// a close within 3 s.
+pub(super) const ARRIVAL_TIMEOUT: Duration = Duration::from_millis(2500);
+/// So long a client may take for its head.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(2);
+/// So many of the connections that have sent nothing came so lately that their requests may be on the way.
+const LATEST_SILENT: usize = 4;
+/// A connection may be idle so long between requests, while there is space for others.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// What has become of a connection's present request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum RequestPhase {
+    /// There is none, or its head has not come completely.
+    Idle,
+    /// Its body is being read.
+    ReadingBody,
+    /// Its answer is pending.
+    InFlight,
+    /// There will be none: the connection is closed, but for what is still read on it.
+    Closing,
+}
+
+/// A client's connection.
+pub(super) struct ConnectionState {
+    pub(super) phase: Cell<RequestPhase>,
+    /// A streamed body is still being read, be its request answered or not.
+    pub(super) is_reading_body: Cell<bool>,
+    /// When it connected, or had its last answer.
+    pub(super) since: Cell<Instant>,
+    /// It has had an answer of some kind.
+    pub(super) was_answered: Cell<bool>,
+    /// It was served with a backend's response.
+    pub(super) was_served: Cell<bool>,
+    pub(super) progress: Rc<StreamProgress>,
+    pub(super) liveness: ClientLiveness,
+    /// Its next answer is the last one.
+    pub(super) is_last_answer: Cell<bool>,
+    pub(super) is_close_requested: Cell<bool>,
+    pub(super) close_request: Notify,
+}
+
+impl ConnectionState {
+    /// Whether closing the connection takes away nothing that was accepted or answered.
+    pub(super) fn can_be_closed(&self) -> bool {
+        self.phase.get() != RequestPhase::InFlight
+            && !self.is_reading_body.get()
+            && !self.progress.has_unsent()
+            && !self.is_close_requested.get()
+    }
+
+    /// Whether nothing of a request has come.
+    pub(super) fn is_idle(&self) -> bool {
+        self.phase.get() == RequestPhase::Idle && !self.is_sending() && self.can_be_closed()
+    }
+
+    /// Whether something of its next request has come.
+    fn is_sending(&self) -> bool {
+        self.progress.first_byte_at().is_some()
+    }
+
+    /// Whether it has had the time that it may take.
+    fn is_overdue(&self) -> bool {
+        // Requests whose head has come have limits of their own.
+        if self.phase.get() != RequestPhase::Idle {
+            return false;
+        }
+        match (self.was_answered.get(), self.progress.first_byte_at()) {
+            (false, _) => self.since.get().elapsed() > ARRIVAL_TIMEOUT,
+            (true, Some(first_byte_at)) => first_byte_at.elapsed() > ARRIVAL_TIMEOUT,
+            (true, None) => self.since.get().elapsed() > IDLE_TIMEOUT,
+        }
+    }
+
+    /// Since when it has been idle; one that is sending a head has time for that first.
+    fn idle_since(&self) -> Instant {
+        let grace = if self.is_sending() { HEAD_TIMEOUT } else { Duration::ZERO };
+        self.since.get() + grace
+    }
+
+    pub(super) fn request_close(&self) {
+        self.is_close_requested.set(true);
+        self.close_request.notify_one();
+    }
+}
+
+/// The clients' connections, and what their requests hold.
+#[derive(Default)]
+pub struct ConnectionTable {
+    connections: RefCell<BTreeMap<u64, Rc<ConnectionState>>>,
+    next_number: Cell<u64>,
+    /// Ids of the requests that are open.
+    request_ids: RefCell<HashSet<HeaderValue>>,
+    /// Requests whose answer is pending.
+    in_flight: Cell<usize>,
+    /// Bytes of their bodies.
+    buffered_bytes: Cell<usize>,
+}
+
+impl ConnectionTable {
+    /// How many connections there are.
+    pub(super) fn len(&self) -> usize {
+        self.connections.borrow().len()
+    }
+
+    /// Requests whose answer is pending.
+    pub(super) fn in_flight(&self) -> usize {
+        self.in_flight.get()
+    }
+
+    /// Asks for the close of a connection that can be closed without loss: of one that is closing anyway, else of the
+    /// one that has been idle longest. One that was never served and sends nothing goes first, unless it is of the few
+    /// that came last and may be about to send.
+    pub(super) fn evict_idle_connection(&self) -> bool {
+        let connections = self.connections.borrow();
+        let candidates = || connections.values().filter(|connection| connection.can_be_closed());
+        if let Some(closing) = candidates().find(|connection| connection.phase.get() == RequestPhase::Closing)
+        {
+            closing.request_close();
+            return true;
+        }
+        let is_silent =
+            |connection: &&Rc<ConnectionState>| !connection.was_served.get() && !connection.is_sending();
+        let oldest_silent = candidates().filter(is_silent).min_by_key(|connection| connection.since.get());
+        let silent_count = candidates().filter(is_silent).count();
+        let others = candidates().filter(|connection| !is_silent(connection));
+        let evicted = if silent_count > LATEST_SILENT {
+            oldest_silent
+        } else {
+            others.min_by_key(|connection| connection.idle_since()).or(oldest_silent)
+        };
+        if let Some(connection) = evicted {
+            connection.request_close();
+        }
+        evicted.is_some()
+    }
+
+    /// Asks for the close of connections that have had the time that they may take.
+    pub(super) fn close_overdue(&self) {
+        for connection in self.connections.borrow().values() {
+            if connection.can_be_closed() && connection.is_overdue() {
+                connection.request_close();
+            }
+        }
+    }
+}
+
+/// A connection in the table; removed when this is dropped.
+pub(super) struct ConnectionGuard {
+    table: Rc<ConnectionTable>,
+    number: u64,
+    pub(super) state: Rc<ConnectionState>,
+}
+
+impl ConnectionGuard {
+    pub(super) fn new(
+        table: &Rc<ConnectionTable>,
+        progress: Rc<StreamProgress>,
+        liveness: ClientLiveness,
+    ) -> Self {
+        let number = table.next_number.get();
+        table.next_number.set(number + 1);
+        let state = Rc::new(ConnectionState {
+            phase: Cell::new(RequestPhase::Idle),
+            is_reading_body: Cell::new(false),
+            since: Cell::new(Instant::now()),
+            was_answered: Cell::new(false),
+            was_served: Cell::new(false),
+            progress,
+            liveness,
+            is_last_answer: Cell::new(false),
+            is_close_requested: Cell::new(false),
+            close_request: Notify::new(),
+        });
+        table.connections.borrow_mut().insert(number, state.clone());
+        ConnectionGuard { table: table.clone(), number, state }
+    }
+}
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        self.table.connections.borrow_mut().remove(&self.number);
+    }
+}
+
+/// A request has had its answer once this is dropped.
+pub(super) struct ResponseGuard(pub(super) Rc<ConnectionState>);
+
+impl Drop for ResponseGuard {
+    fn drop(&mut self) {
+        let connection = &self.0;
+        connection.phase.set(RequestPhase::Idle);
+        connection.progress.expect_message();
+        connection.progress.expect_head();
+        connection.since.set(Instant::now());
+        connection.was_answered.set(true);
+    }
+}
+
+/// An open request's id, and the bytes that its body holds; both are given back when this is dropped.
+pub(super) struct RequestIdGuard {
+    table: Rc<ConnectionTable>,
+    id: HeaderValue,
+    bytes: usize,
+}
+
+impl RequestIdGuard {
+    /// None if a request with this id is open.
+    pub(super) fn new(table: &Rc<ConnectionTable>, id: &HeaderValue) -> Option<Self> {
+        if !table.request_ids.borrow_mut().insert(id.clone()) {
+            return None;
+        }
+        Some(RequestIdGuard { table: table.clone(), id: id.clone(), bytes: 0 })
+    }
+
+    /// Reserves more bytes for the body; false if all requests would then hold more than `limit`.
+    pub(super) fn reserve(&mut self, bytes: usize, limit: usize) -> bool {
+        let total = self.table.buffered_bytes.get() + bytes;
+        if total > limit {
+            return false;
+        }
+        self.table.buffered_bytes.set(total);
+        self.bytes += bytes;
+        true
+    }
+}
+
+impl Drop for RequestIdGuard {
+    fn drop(&mut self) {
+        self.table.request_ids.borrow_mut().remove(&self.id);
+        self.table.buffered_bytes.set(self.table.buffered_bytes.get() - self.bytes);
+    }
+}
+
+/// Counts a request whose answer is pending.
+pub(super) struct InFlightGuard<'a>(&'a ConnectionTable);
+
+impl<'a> InFlightGuard<'a> {
+    pub(super) fn new(table: &'a ConnectionTable) -> Self {
+        table.in_flight.set(table.in_flight.get() + 1);
+        InFlightGuard(table)
+    }
+}
+
+impl Drop for InFlightGuard<'_> {
+    fn drop(&mut self) {
+        self.0.in_flight.set(self.0.in_flight.get() - 1);
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/downstream/request_body.rs
@@ -0,0 +1,131 @@
+//! Bodies of requests: how long they may take, buffered or streamed through.
+
+use super::connection_table::{ARRIVAL_TIMEOUT, ConnectionState, RequestIdGuard};
+use crate::transport::{FrameSender, MAX_BODY_BYTES, StreamedUpload};
+use crate::upstream::MAX_BUFFERED_BODY_BYTES;
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::StatusCode;
+use hyper::body::{Body, Incoming};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::{Instant, timeout};
+
+/// A body may be waited for as long as its head, at least for so long after it ...
+const MIN_BODY_TIME: Duration = Duration::from_millis(400);
+/// ... and so much longer as what has come of it takes at the slowest rate that clients have, less a quarter ...
+const MIN_BYTES_PER_S: f64 = 48_000.0;
+/// ... but not in a silence of this.
+const MAX_SILENCE: Duration = Duration::from_secs(2);
+
+/// How much longer than its client timeout a request may last whose body is streamed through.
+pub(super) fn body_extension(length: Option<u64>) -> Duration {
+    let bytes = length.unwrap_or(MAX_BODY_BYTES) as f64;
+    Duration::from_secs_f64(bytes / MIN_BYTES_PER_S) + ARRIVAL_TIMEOUT
+}
+
+/// How long a body may still be waited for. What is waited for on the other side, which takes it, does not count.
+pub(super) struct BodyReadDeadline {
+    remaining: Duration,
+}
+
+impl BodyReadDeadline {
+    /// For a body whose head has just come, of a request that was begun earlier.
+    pub(super) fn new(begun_at: Instant) -> Self {
+        BodyReadDeadline { remaining: ARRIVAL_TIMEOUT.saturating_sub(begun_at.elapsed()).max(MIN_BODY_TIME) }
+    }
+
+    /// The next piece of the body that holds data; nothing at its end.
+    async fn next_data(&mut self, body: &mut Incoming) -> Result<Option<Bytes>, StatusCode> {
+        loop {
+            let asked_at = Instant::now();
+            let frame = timeout(self.remaining.min(MAX_SILENCE), body.frame()).await;
+            let frame = frame.map_err(|_| StatusCode::REQUEST_TIMEOUT)?;
+            let Some(frame) = frame else { return Ok(None) };
+            // Trailers are left out.
+            let data = frame.map_err(|_| StatusCode::BAD_REQUEST)?.into_data().unwrap_or_default();
+            self.remaining = self.remaining.saturating_sub(asked_at.elapsed());
+            if !data.is_empty() {
+                self.remaining += Duration::from_secs_f64(data.len() as f64 / MIN_BYTES_PER_S);
+                return Ok(Some(data));
+            }
+        }
+    }
+}
+
+/// What was read of a body.
+pub(super) enum BufferedBody {
+    /// All of it.
+    Complete(Bytes),
+    /// The first of one that is too long to be buffered.
+    Partial(Bytes),
+}
+
+/// Reads a body as far as it is buffered. One that is streamed through takes as much of the memory for bodies.
+pub(super) async fn buffer_body(
+    body: &mut Incoming,
+    deadline: &mut BodyReadDeadline,
+    guard: &mut RequestIdGuard,
+    max_buffered_bytes: usize,
+) -> Result<BufferedBody, StatusCode> {
+    let mut data = BytesMut::new();
+    let mut is_long = body.size_hint().lower() > MAX_BUFFERED_BODY_BYTES as u64;
+    while !is_long {
+        let Some(more) = deadline.next_data(body).await? else { break };
+        if !guard.reserve(more.len(), max_buffered_bytes) {
+            return Err(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        data.extend_from_slice(&more);
+        is_long = data.len() > MAX_BUFFERED_BODY_BYTES;
+    }
+    if !is_long {
+        return Ok(BufferedBody::Complete(data.freeze()));
+    }
+    if !guard.reserve(MAX_BUFFERED_BODY_BYTES.saturating_sub(data.len()), max_buffered_bytes) {
+        return Err(StatusCode::SERVICE_UNAVAILABLE);
+    }
+    Ok(BufferedBody::Partial(data.freeze()))
+}
+
+/// A body that is streamed as it comes. When nobody wants it any more it is read to its end all the same: the client,
+/// which may be writing still, is to see its answer.
+pub(super) struct UploadStream {
+    pub(super) body: Incoming,
+    pub(super) deadline: BodyReadDeadline,
+    pub(super) frames: FrameSender,
+    pub(super) upload: Rc<StreamedUpload>,
+    pub(super) connection: Rc<ConnectionState>,
+}
+
+impl UploadStream {
+    /// Streams the body, of which `first` was read before.
+    pub(super) async fn run(mut self, first: Bytes) {
+        // Meanwhile what is read is no new head, whose time would run out.
+        self.connection.is_reading_body.set(true);
+        let result = self.stream(first).await;
+        self.upload.finish(result);
+        self.connection.progress.expect_message();
+        self.connection.is_reading_body.set(false);
+    }
+
+    async fn stream(&mut self, first: Bytes) -> Result<Instant, StatusCode> {
+        let mut data = Some(first);
+        let mut length = 0;
+        let mut is_wanted = true;
+        loop {
+            length += data.as_ref().map_or(0, Bytes::len) as u64;
+            if length > MAX_BODY_BYTES {
+                return Err(StatusCode::PAYLOAD_TOO_LARGE);
+            }
+            let is_end = data.is_none();
+            let is_empty = data.as_ref().is_some_and(Bytes::is_empty);
+            if is_wanted && !is_empty {
+                is_wanted = self.frames.send(data).await.is_ok();
+            }
+            if is_end {
+                return Ok(Instant::now());
+            }
+            data = self.deadline.next_data(&mut self.body).await?;
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/downstream/response.rs
@@ -0,0 +1,106 @@
+//! Responses to clients.
+
+use super::connection_table::ResponseGuard;
+use crate::dispatcher::Answer;
+use crate::transport::BodyContent;
+use bytes::Bytes;
+use hyper::body::{Body, Frame, SizeHint};
+use hyper::header::{ALLOW, CONNECTION, HeaderValue, RETRY_AFTER};
+use hyper::{Method, Response, StatusCode};
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+/// A response to a client.
+pub(super) type ClientResponse = Response<ResponseBody>;
+
+/// The body of a response to a client.
+pub(super) struct ResponseBody {
+    content: BodyContent,
+    /// Until a streamed body has ended, its connection is not idle.
+    guard: Option<ResponseGuard>,
+}
+
+impl ResponseBody {
+    /// Keeps the guard of a streamed body for as long as that lasts; gives that of a buffered one up.
+    pub(super) fn hold(&mut self, guard: ResponseGuard) {
+        if matches!(self.content, BodyContent::Streamed(_)) {
+            self.guard = Some(guard);
+        }
+    }
+}
+
+impl From<BodyContent> for ResponseBody {
+    fn from(content: BodyContent) -> Self {
+        ResponseBody { content, guard: None }
+    }
+}
+
+impl Body for ResponseBody {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        Pin::new(&mut self.content).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.content.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.content.size_hint()
+    }
+}
+
+/// A response without a body.
+pub(super) fn empty_response(status: StatusCode) -> ClientResponse {
+    let mut response = Response::new(BodyContent::empty().into());
+    *response.status_mut() = status;
+    response
+}
+
+/// A response to what can't be used, after which nothing more is read.
+pub(super) fn closing_response(status: StatusCode) -> ClientResponse {
+    let mut response = empty_response(status);
+    close_after(&mut response);
+    response
+}
+
+/// A response to a request with the wrong method.
+pub(super) fn wrong_method_response(allowed: &Method) -> ClientResponse {
+    let mut response = empty_response(StatusCode::METHOD_NOT_ALLOWED);
+    let allowed = HeaderValue::from_static(if allowed == Method::GET { "GET" } else { "POST" });
+    response.headers_mut().insert(ALLOW, allowed);
+    response
+}
+
+/// A response to a request that was rejected.
+pub(super) fn rejected_response(retry_after: Option<Duration>) -> ClientResponse {
+    let mut response = empty_response(StatusCode::SERVICE_UNAVAILABLE);
+    let seconds = retry_after.map(|retry_after| format!("{:.3}", retry_after.as_secs_f64()));
+    if let Some(value) = seconds.and_then(|seconds| HeaderValue::try_from(seconds).ok()) {
+        response.headers_mut().insert(RETRY_AFTER, value);
+    }
+    response
+}
+
+/// The response that gives a request's final answer.
+pub(super) fn answer_response(answer: Answer) -> ClientResponse {
+    match answer {
+        Answer::Served(content) => Response::new(content.into()),
+        Answer::InvalidRequest(status) => closing_response(status),
+        Answer::Rejected { retry_after } => rejected_response(retry_after),
+        Answer::Failed => empty_response(StatusCode::BAD_GATEWAY),
+        Answer::TimedOut => empty_response(StatusCode::GATEWAY_TIMEOUT),
+    }
+}
+
+/// Lets a response be the last one on its connection.
+pub(super) fn close_after(response: &mut ClientResponse) {
+    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+}
--- a/crates/proxy/src/log.rs
+++ b/crates/proxy/src/log.rs
@@ -8,8 +8,8 @@
 use std::io::{Write, stderr};
 use std::os::unix::fs::OpenOptionsExt;
 
-/// So much goes into a pipe in one piece or not at all.
-const MOST: usize = 4096;
+/// So many bytes go into a pipe in one piece or not at all.
+const MAX_LINE_BYTES: usize = 4096;
 
 thread_local! {
     /// Standard error opened once more, so that not to wait is this program's affair alone: whoever it has it from
@@ -29,17 +29,17 @@
 /// Writes a line in one piece, cut to what surely fits.
 pub fn write(line: Arguments<'_>) {
     let lost = LOST.get();
-    if lost > 0 && put(format!("foldhitch-proxy: {lost} lines of this log were lost")) {
+    if lost > 0 && try_write(format!("foldhitch-proxy: {lost} lines of this log were lost")) {
         LOST.set(0);
     }
-    if LOST.get() > 0 || !put(format!("foldhitch-proxy: {line}")) {
+    if LOST.get() > 0 || !try_write(format!("foldhitch-proxy: {line}")) {
         LOST.set(lost + 1);
     }
 }
 
-fn put(line: String) -> bool {
+fn try_write(line: String) -> bool {
     let mut line = line.into_bytes();
-    line.truncate(MOST - 1);
+    line.truncate(MAX_LINE_BYTES - 1);
     line.push(b'\n');
     LOG.with(|log| match log {
         Some(log) => (&*log).write(&line).is_ok_and(|written| written == line.len()),
--- /dev/null
+++ b/crates/proxy/src/process_group/tests.rs
@@ -0,0 +1,132 @@
+//! Unit tests of the shared folder.
+
+use super::names::FOLDER;
+use super::*;
+
+/// A folder of its own, removed at the end.
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new(name: &str) -> Self {
+        let path = std::env::temp_dir().join(format!("foldhitch-test-{name}-{}", std::process::id()));
+        fs::create_dir_all(&path).expect("a folder");
+        Folder(path)
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.0);
+    }
+}
+
+#[test]
+fn markers_are_made_and_removed_once_or_twice_and_every_process_sees_them() {
+    let folder = Folder::new("markers");
+    let [one, other] = [(); 2].map(|()| ProcessGroup::new(Some(folder.0.clone())));
+    assert_eq!(one.control_state().expect("readable"), ControlState::default());
+    one.set_suspended("../s-1/é", false).expect("there is none");
+    for _ in 0..2 {
+        one.set_suspended("../s-1/é", true).expect("writable");
+        one.set_draining(true).expect("writable");
+        let state = other.control_state().expect("readable");
+        assert_eq!((state.suspended, state.is_draining), (BTreeSet::from(["../s-1/é".to_string()]), true));
+    }
+    for _ in 0..2 {
+        other.set_suspended("../s-1/é", false).expect("writable");
+        other.set_draining(false).expect("writable");
+        assert_eq!(one.control_state().expect("readable"), ControlState::default());
+    }
+}
+
+#[test]
+fn processes_that_live_see_each_other_and_what_the_dead_left_is_removed() {
+    let folder = Folder::new("live");
+    let [one, other] = [(); 2].map(|()| ProcessGroup::new(Some(folder.0.clone())));
+    let others = |group: &ProcessGroup| group.control_state().expect("readable").other_processes;
+    assert_eq!((others(&one), others(&other)), (0, 0));
+    one.join().expect("writable");
+    assert_eq!((others(&one), others(&other)), (0, 1));
+    other.join().expect("writable");
+    assert_eq!((others(&one), others(&other)), (1, 1));
+    drop(one);
+    assert_eq!(others(&other), 0);
+    let left = fs::read_dir(folder.0.join(FOLDER)).expect("readable").count();
+    assert_eq!(left, 1, "its own");
+}
+
+#[test]
+fn processes_that_live_see_the_versions_that_they_published() {
+    let folder = Folder::new("versions");
+    let [one, other] = [(); 2].map(|()| ProcessGroup::new(Some(folder.0.clone())));
+    one.publish_version(7).expect("there is no file yet");
+    one.join().expect("writable");
+    fs::write(folder.0.join(FOLDER).join("process-9-9"), "00000000000000000009").expect("writable");
+    let seen = |group: &ProcessGroup| group.versions().expect("readable").into_values().collect::<Vec<_>>();
+    assert_eq!(seen(&other), [None], "not published, and the dead one does not count");
+    for version in [12, 9] {
+        one.publish_version(version).expect("writable");
+        assert_eq!((seen(&one), seen(&other)), (vec![Some(version)], vec![Some(version)]));
+    }
+    drop(one);
+    assert_eq!(seen(&other), []);
+}
+
+#[test]
+fn what_is_no_marker_is_ignored_and_what_fails_is_an_error() {
+    let folder = Folder::new("odd");
+    let group = ProcessGroup::new(Some(folder.0.clone()));
+    group.set_suspended("s-1", true).expect("writable");
+    for odd in
+        ["process-1", "suspended-zz", "suspended-+1", "suspended-7", "suspended-ff", "drained", "old.tmp"]
+    {
+        fs::write(folder.0.join(FOLDER).join(odd), "left").expect("writable");
+    }
+    let state = group.control_state().expect("readable");
+    assert_eq!((state.suspended.len(), state.is_draining, state.other_processes), (1, false, 0));
+    let blocked = ProcessGroup::new(Some(folder.0.join(FOLDER).join("old.tmp")));
+    assert!(blocked.set_suspended("s-1", true).is_err() && blocked.control_state().is_err());
+    assert!(ProcessGroup::new(None).set_draining(true).is_err(), "a marker that stands nowhere");
+}
+
+/// A folder as every version up to now has written it: other versions run beside this one.
+#[test]
+fn a_folder_written_by_another_version_is_read() {
+    let folder = Folder::new("versions-beside");
+    let shared = folder.0.join("heathroad");
+    fs::create_dir_all(&shared).expect("a folder");
+    fs::write(shared.join("drain"), "").expect("writable");
+    // "s-1" and "é", byte by byte.
+    fs::write(shared.join("suspended-732d31"), "").expect("writable");
+    fs::write(shared.join("suspended-c3a9"), "").expect("writable");
+    let process = fs::File::create(shared.join("process-4711-1764572400000000000")).expect("writable");
+    process.lock().expect("nobody else has it");
+    fs::write(shared.join("process-4711-1764572400000000000"), "00000000000000000042").expect("writable");
+
+    let group = ProcessGroup::new(Some(folder.0.clone()));
+    let state = group.control_state().expect("readable");
+    let suspended = BTreeSet::from(["s-1".to_string(), "é".to_string()]);
+    assert_eq!(state, ControlState { suspended, is_draining: true, other_processes: 1 });
+    assert_eq!(group.versions().expect("readable"), BTreeMap::from([(4711, Some(42))]));
+}
+
+/// The other way round: what this version writes has the names and contents that others read.
+#[test]
+fn a_folder_is_written_as_other_versions_read_it() {
+    let folder = Folder::new("written-for-others");
+    let group = ProcessGroup::new(Some(folder.0.clone()));
+    group.set_suspended("s-1", true).expect("writable");
+    group.set_draining(true).expect("writable");
+    group.join().expect("writable");
+    group.publish_version(42).expect("writable");
+
+    let shared = folder.0.join("heathroad");
+    assert!(shared.join("suspended-732d31").is_file() && shared.join("drain").is_file());
+    let files = fs::read_dir(&shared).expect("readable").map(|entry| entry.expect("an entry").path());
+    let own = format!("process-{}-", std::process::id());
+    let is_own =
+        |path: &PathBuf| path.file_name().is_some_and(|name| name.to_string_lossy().starts_with(&own));
+    let processes: Vec<PathBuf> = files.filter(is_own).collect();
+    assert_eq!(processes.len(), 1);
+    assert_eq!(fs::read_to_string(&processes[0]).expect("readable"), "00000000000000000042");
+}
--- /dev/null
+++ b/crates/proxy/src/shutdown.rs
@@ -0,0 +1,65 @@
+//! A planned stop, as named steps: not ready, no more connections, idle connections closed, the end.
+
+use crate::dispatcher::{Dispatcher, duration_from_ms};
+use crate::downstream::ListenerPhase;
+use crate::error::ProxyError;
+use crate::log::log;
+use crate::startup::RunningProxy;
+use foldhitch_balancer::settings_format::SiteSettings;
+use std::time::Duration;
+use tokio::time::{Instant, sleep, timeout_at};
+
+/// After SIGTERM new connections come for so long.
+const ACCEPT_DELAY: Duration = Duration::from_millis(500);
+/// A kill follows SIGTERM no sooner than the longest client timeout, of which no more than this counts ...
+const MAX_CLIENT_TIMEOUT: Duration = Duration::from_secs(3);
+/// ... and this: all that was admitted must be answered clearly earlier.
+const KILL_MARGIN: Duration = Duration::from_millis(300);
+
+/// How long a planned stop takes.
+struct StopTimes {
+    /// All must be answered by then.
+    answer_within: Duration,
+    /// Clients may go on using the connections that they have: others may be down too, so for as long as a request
+    /// still has the time in which its answer is wanted.
+    keep_connections_for: Duration,
+}
+
+impl StopTimes {
+    fn new(dispatcher: &Dispatcher) -> Self {
+        let client_timeout = |site: &SiteSettings| {
+            let timeout = duration_from_ms(site.longest_client_timeout_ms);
+            if timeout.is_zero() { MAX_CLIENT_TIMEOUT } else { timeout.min(MAX_CLIENT_TIMEOUT) }
+        };
+        let objective = |site: &SiteSettings| duration_from_ms(site.longest_latency_objective_ms);
+        let answer_within = dispatcher.longest(client_timeout) + KILL_MARGIN;
+        let keep_connections_for = answer_within.saturating_sub(dispatcher.longest(objective));
+        StopTimes { answer_within, keep_connections_for: keep_connections_for.max(ACCEPT_DELAY) }
+    }
+}
+
+/// Stops a proxy: answers what is pending, and ends when the last connection is closed.
+pub async fn stop(proxy: RunningProxy) -> Result<(), ProxyError> {
+    let RunningProxy { dispatcher, admin, phase, serving } = proxy;
+    log!("stopping, {} requests open", dispatcher.pending_requests());
+    if let Some(admin) = &admin {
+        admin.stop_serving();
+    }
+    let times = StopTimes::new(&dispatcher);
+    let stop_at = Instant::now() + times.answer_within;
+    dispatcher.stop_by(stop_at);
+    if *dispatcher.process_count().borrow() > 1 {
+        phase.send_replace(ListenerPhase::HandedOver);
+        sleep(ACCEPT_DELAY).await;
+    } else {
+        sleep(ACCEPT_DELAY).await;
+        phase.send_replace(ListenerPhase::NotAccepting);
+    }
+    sleep(times.keep_connections_for.saturating_sub(ACCEPT_DELAY)).await;
+    phase.send_replace(ListenerPhase::ClosingIdle);
+    // All is answered by then; a client that does not take its answer must not keep the program.
+    match timeout_at(stop_at + ACCEPT_DELAY, serving).await {
+        Ok(served) => Ok(served?),
+        Err(_) => Ok(()),
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/startup.rs
@@ -0,0 +1,238 @@
+//! The start, as named steps: dispatcher, admin API, discovery, listener.
+
+use crate::admin::AdminServer;
+use crate::config::Config;
+use crate::config::reload::{ReloadStatus, Reloader};
+use crate::dispatcher::{Dispatcher, duration_from_ms};
+use crate::downstream::{ConnectionTable, ListenerPhase, Server};
+use crate::error::ProxyError;
+use crate::log::log;
+use crate::process_group::{self, ProcessGroup};
+use crate::resource_limits::ResourceLimits;
+use crate::upstream::{ConnectionPool, PoolLimits};
+use foldhitch_balancer::api::EndpointListKind;
+use foldhitch_discovery_client::{
+    DiscoveryResponse, EndpointListUpdate, EndpointObserver, FollowOptions, ReadEndpoints, WatchTimeouts,
+    follow,
+};
+use std::cell::Cell;
+use std::env;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::signal::unix::Signal;
+use tokio::sync::watch;
+use tokio::task::{JoinHandle, spawn_local};
+use tokio::time::sleep;
+
+/// Clients that the system keeps waiting to be accepted.
+const LISTEN_BACKLOG: u32 = 1024;
+/// How often idle connections are looked through for old ones, and backends for those that are gone.
+const MAINTENANCE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// A proxy that has started.
+pub struct RunningProxy {
+    /// The only owner of the balancer.
+    pub dispatcher: Rc<Dispatcher>,
+    /// The admin API, where there is one.
+    pub admin: Option<Rc<AdminServer>>,
+    /// How far a planned stop has come.
+    pub phase: watch::Sender<ListenerPhase>,
+    /// Serves clients until all connections are closed.
+    pub serving: JoinHandle<()>,
+}
+
+/// Starts everything; nothing if the proxy was told to stop before it could serve.
+pub async fn start(
+    config: Config,
+    known_endpoints: Option<DiscoveryResponse>,
+    terminate: &mut Signal,
+    reload: Signal,
+) -> Result<Option<RunningProxy>, ProxyError> {
+    let limits = ResourceLimits::new(&config);
+    let pool = Rc::new(ConnectionPool::new(pool_limits(&config, limits)));
+    let (poll_wanted, poll_requests) = watch::channel(false);
+    let dispatcher = Dispatcher::new(config.settings.clone(), config.seed, pool.clone(), poll_wanted)?;
+    let reload_status = Rc::new(ReloadStatus::new());
+    let reloader = Reloader::new(&config, dispatcher.clone(), pool.clone(), reload_status.clone())?;
+    apply_known_endpoints(&dispatcher, known_endpoints);
+    let admin = match config.admin {
+        Some(address) => Some(start_admin(address, &dispatcher, reload_status).await?),
+        None => None,
+    };
+    let discovery = DiscoveryTask::start(dispatcher.clone(), config.discovery, poll_requests);
+    spawn_local(follow_reloads(reload, reloader, discovery));
+    if !wait_until_ready_beside_others(&dispatcher, terminate).await {
+        return Ok(None);
+    }
+    let listener = listen(config.listen, admin.is_some()).map_err(|source| ProxyError::Listen {
+        what: "listen",
+        address: config.listen,
+        source,
+    })?;
+    spawn_local(maintain(dispatcher.clone(), pool.clone()));
+    let (phase, phase_changes) = watch::channel(ListenerPhase::Accepting);
+    let server = Rc::new(Server {
+        dispatcher: dispatcher.clone(),
+        max_connections: Cell::new(limits.downstream_connections(1)),
+        max_body_bytes: Cell::new(limits.body_bytes(1)),
+        is_handed_over: Cell::new(false),
+        table: Rc::<ConnectionTable>::default(),
+    });
+    let serving = spawn_local(server.clone().serve(listener, phase_changes));
+    spawn_local(follow_process_count(dispatcher.process_count(), limits, server, pool));
+    if let Some(admin) = &admin {
+        admin.start_serving();
+    }
+    Ok(Some(RunningProxy { dispatcher, admin, phase, serving }))
+}
+
+fn pool_limits(config: &Config, limits: ResourceLimits) -> PoolLimits {
+    let site = &config.settings.site;
+    PoolLimits {
+        connections: limits.upstream_connections(1),
+        connect_timeout: duration_from_ms(site.connect_timeout_ms),
+        idle_timeout: duration_from_ms(site.connection_idle_ms),
+        drain_deadline: duration_from_ms(site.drain_deadline_ms),
+    }
+}
+
+/// Takes the endpoint list that the configuration brings, until discovery has answered.
+fn apply_known_endpoints(dispatcher: &Rc<Dispatcher>, known: Option<DiscoveryResponse>) {
+    let ReadEndpoints { endpoints, skipped } = known.map(DiscoveryResponse::endpoints).unwrap_or_default();
+    if let Some(skipped) = skipped {
+        dispatcher.on_warning(&skipped);
+    }
+    let kind = EndpointListKind::Cached;
+    dispatcher.update_endpoints(EndpointListUpdate { kind, endpoints, is_older: false });
+}
+
+/// Starts the admin API, and follows the markers that are made at that of another process.
+async fn start_admin(
+    address: SocketAddr,
+    dispatcher: &Rc<Dispatcher>,
+    reload_status: Rc<ReloadStatus>,
+) -> Result<Rc<AdminServer>, ProxyError> {
+    let error = |source| ProxyError::Listen { what: "management", address, source };
+    let listener = TcpListener::bind(address).await.map_err(error)?;
+    let bound = listener.local_addr().map_err(error)?;
+    log!("admin API at {bound}");
+    let process_group = ProcessGroup::new(env::var_os("TMPDIR").map(Into::into));
+    let server = AdminServer::new(dispatcher.clone(), process_group, reload_status);
+    spawn_local(server.clone().serve(listener));
+    let follower = server.clone();
+    spawn_local(async move {
+        loop {
+            sleep(process_group::POLL_INTERVAL).await;
+            follower.apply_markers();
+        }
+    });
+    Ok(server)
+}
+
+/// The task that follows discovery, which begins anew when its address changes.
+struct DiscoveryTask {
+    dispatcher: Rc<Dispatcher>,
+    newest_version: Rc<Cell<u64>>,
+    poll_requests: watch::Receiver<bool>,
+    task: JoinHandle<()>,
+}
+
+impl DiscoveryTask {
+    fn start(dispatcher: Rc<Dispatcher>, address: SocketAddr, poll_requests: watch::Receiver<bool>) -> Self {
+        let newest_version = Rc::<Cell<u64>>::default();
+        let task = spawn_follow(&dispatcher, address, &newest_version, &poll_requests);
+        DiscoveryTask { dispatcher, newest_version, poll_requests, task }
+    }
+
+    /// Follows another address. The old watch ends at once, with its connection and its version: the new address is
+    /// polled for the whole list.
+    fn restart(&mut self, address: SocketAddr) {
+        self.task.abort();
+        self.task = spawn_follow(&self.dispatcher, address, &self.newest_version, &self.poll_requests);
+    }
+}
+
+fn spawn_follow(
+    dispatcher: &Rc<Dispatcher>,
+    address: SocketAddr,
+    newest_version: &Rc<Cell<u64>>,
+    poll_requests: &watch::Receiver<bool>,
+) -> JoinHandle<()> {
+    let settings = dispatcher.settings();
+    let options = FollowOptions {
+        address,
+        mode: settings.balancer.discovery_mode,
+        timeouts: WatchTimeouts::new(duration_from_ms(settings.site.drain_deadline_ms)),
+        newest_version: newest_version.clone(),
+        poll_wanted: poll_requests.clone(),
+    };
+    spawn_local(follow(dispatcher.clone(), options))
+}
+
+/// Reads the configuration again on every SIGHUP, also while the program stops: the old address of discovery is about
+/// to fall silent.
+async fn follow_reloads(mut reload: Signal, reloader: Reloader, mut discovery: DiscoveryTask) {
+    while reload.recv().await.is_some() {
+        if let Some(address) = reloader.reload() {
+            discovery.restart(address);
+        }
+    }
+}
+
+/// Clients that another process serves are not accepted before they can be served here. False if the proxy was told to
+/// stop before.
+async fn wait_until_ready_beside_others(dispatcher: &Dispatcher, terminate: &mut Signal) -> bool {
+    let mut process_count = dispatcher.process_count();
+    while *process_count.borrow_and_update() > 1 && !dispatcher.has_ready_endpoint() {
+        tokio::select! {
+            _ = terminate.recv() => return false,
+            () = sleep(process_group::POLL_INTERVAL) => {}
+        }
+    }
+    true
+}
+
+/// Listens for clients; where another process of this proxy may do so too, beside it.
+fn listen(address: SocketAddr, is_shared: bool) -> io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    socket.set_reuseaddr(true)?;
+    if is_shared {
+        socket.set_reuseport(true)?;
+    }
+    socket.bind(address)?;
+    let listener = socket.listen(LISTEN_BACKLOG)?;
+    let bound = listener.local_addr()?;
+    log!("listening on {bound}");
+    Ok(listener)
+}
+
+/// Closes old idle connections and forgets backends that are gone, for ever.
+async fn maintain(dispatcher: Rc<Dispatcher>, pool: Rc<ConnectionPool>) {
+    loop {
+        sleep(MAINTENANCE_INTERVAL).await;
+        pool.close_old_idle();
+        dispatcher.forget_gone_endpoints();
+    }
+}
+
+/// Keeps to this process's part of what the proxy may hold, as processes come and go.
+async fn follow_process_count(
+    mut process_count: watch::Receiver<u32>,
+    limits: ResourceLimits,
+    server: Rc<Server>,
+    pool: Rc<ConnectionPool>,
+) {
+    loop {
+        let count = *process_count.borrow_and_update() as usize;
+        server.resize(limits.downstream_connections(count), limits.body_bytes(count));
+        while !pool.resize(limits.upstream_connections(count)) {
+            sleep(process_group::POLL_INTERVAL).await;
+        }
+        if process_count.changed().await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/transport/observed_stream.rs
@@ -0,0 +1,178 @@
+//! A stream that observes what is read and written: whether a request got out completely, whether the other side
+//! has stopped taking bytes, and since when it sends.
+
+use super::progress::StreamProgress;
+use super::{MAX_HEAD_BYTES, WRITE_STALL_TIMEOUT};
+use hyper::rt::{Read, ReadBuf, ReadBufCursor, Write};
+use hyper_util::rt::TokioIo;
+use socket2::SockRef;
+use std::future::Future;
+use std::io;
+use std::mem::MaybeUninit;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
+use tokio::net::TcpStream;
+use tokio::time::{Instant, Sleep, sleep};
+
+/// How much is read at once while a head is copied, in bytes.
+const HEAD_READ_BYTES: usize = 4096;
+
+/// A stream that can be asked whether something lies there to be read, or it was closed.
+pub trait UnreadProbe {
+    /// Whether it is so now, by the system's word.
+    fn has_unread(&self) -> bool;
+}
+
+impl UnreadProbe for TokioIo<TcpStream> {
+    fn has_unread(&self) -> bool {
+        // The reactor knows only what it was told when it last looked.
+        let peeked = SockRef::from(self.inner()).peek(&mut [MaybeUninit::uninit()]);
+        !matches!(peeked, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
+    }
+}
+
+/// A stream that observes what is read and written.
+pub struct ObservedStream<S> {
+    stream: S,
+    progress: Rc<StreamProgress>,
+    stall_timer: Option<Pin<Box<Sleep>>>,
+}
+
+impl<S> ObservedStream<S> {
+    /// Observes a stream.
+    pub fn new(stream: S) -> Self {
+        ObservedStream { stream, progress: Rc::default(), stall_timer: None }
+    }
+
+    /// What is observed.
+    pub fn progress(&self) -> Rc<StreamProgress> {
+        self.progress.clone()
+    }
+
+    /// Notes the result of a write, and fails one that makes no headway.
+    fn observe_write(
+        &mut self,
+        context: &mut Context<'_>,
+        result: Poll<io::Result<usize>>,
+    ) -> Poll<io::Result<usize>> {
+        let write = &self.progress.write;
+        write.has_unsent.set(true);
+        if result.is_pending() {
+            let timer = self.stall_timer.get_or_insert_with(|| Box::pin(sleep(WRITE_STALL_TIMEOUT)));
+            return timer.as_mut().poll(context).map(|()| Err(io::ErrorKind::TimedOut.into()));
+        }
+        self.stall_timer = None;
+        if matches!(result, Poll::Ready(Ok(1..))) {
+            write.has_begun.set(true);
+            if let Some(waiter) = write.first_byte_waiter.take() {
+                waiter.wake();
+            }
+        }
+        result
+    }
+
+    fn observe_read(&self) {
+        let read = &self.progress.read;
+        let now = Instant::now();
+        read.last_byte_at.set(Some(now));
+        if read.first_byte_at.get().is_none() {
+            read.first_byte_at.set(Some(now));
+        }
+    }
+}
+
+impl<S: UnreadProbe> ObservedStream<S> {
+    /// Before the first byte of a request nothing may lie on its connection: a late second copy of the response
+    /// before would be taken for the response to this one. Nor may it have become unwanted.
+    fn check_before_request(&self) -> io::Result<()> {
+        let write = &self.progress.write;
+        if !write.is_request_due.replace(false) {
+            return Ok(());
+        }
+        let is_allowed = write.guard.take().is_none_or(|guard| guard());
+        if !is_allowed || self.stream.has_unread() {
+            return Err(io::ErrorKind::InvalidData.into());
+        }
+        Ok(())
+    }
+}
+
+impl<S: Read + Unpin> ObservedStream<S> {
+    /// Reads, and keeps a copy of what belongs to a head.
+    fn read_head(
+        &mut self,
+        context: &mut Context<'_>,
+        mut buffer: ReadBufCursor<'_>,
+        head: &mut Vec<u8>,
+    ) -> Poll<io::Result<()>> {
+        let mut space = [0; HEAD_READ_BYTES];
+        let length = buffer.remaining().min(HEAD_READ_BYTES);
+        let mut read = ReadBuf::new(&mut space[..length]);
+        ready!(Pin::new(&mut self.stream).poll_read(context, read.unfilled()))?;
+        head.extend_from_slice(read.filled());
+        buffer.put_slice(read.filled());
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl<S: Read + Unpin> Read for ObservedStream<S> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        let head = self.progress.read.head.take();
+        let read = match head.filter(|head| head.len() < MAX_HEAD_BYTES) {
+            Some(mut head) => {
+                let read = self.read_head(context, buffer, &mut head);
+                self.progress.read.head.replace(Some(head));
+                read
+            }
+            None => Pin::new(&mut self.stream).poll_read(context, buffer),
+        };
+        if read.is_ready() {
+            self.observe_read();
+        }
+        read
+    }
+}
+
+impl<S: Write + UnreadProbe + Unpin> Write for ObservedStream<S> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.check_before_request()?;
+        let result = Pin::new(&mut self.stream).poll_write(context, buffer);
+        self.observe_write(context, result)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffers: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.check_before_request()?;
+        let result = Pin::new(&mut self.stream).poll_write_vectored(context, buffers);
+        self.observe_write(context, result)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let write = &self.progress.write;
+        if write.has_begun.get() && write.is_body_taken.get() {
+            write.is_flushed.set(true);
+        }
+        write.has_unsent.set(false);
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/transport/tests.rs
@@ -0,0 +1,133 @@
+//! Unit tests of the transport.
+
+use super::observed_stream::UnreadProbe;
+use super::*;
+use hyper::Request;
+use hyper::client::conn::http1::handshake;
+use hyper::rt::Write;
+use hyper_util::rt::TokioIo;
+use std::pin::Pin;
+use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream, duplex};
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::sleep;
+
+impl UnreadProbe for TokioIo<DuplexStream> {
+    fn has_unread(&self) -> bool {
+        false
+    }
+}
+
+/// Sends a request with a body over a pipe, lets `other` do what it wants with the far end, and tells
+/// whether the request got out whole before the connection broke.
+async fn broken_after(body: usize, other: impl AsyncFnOnce(&mut DuplexStream)) -> bool {
+    let (near, mut far) = duplex(1024);
+    LocalSet::new()
+        .run_until(async {
+            let stream = ObservedStream::new(TokioIo::new(near));
+            let progress = stream.progress();
+            let (mut sender, connection) = handshake(stream).await.expect("nothing is sent yet");
+            spawn_local(async move {
+                let _ = connection.await;
+            });
+            let payload = RequestPayload::Buffered(vec![b'x'; body].into());
+            let body = RequestBody::new(&payload, progress.clone()).expect("whole");
+            let request = Request::post("/").header("host", "b").body(body).expect("well formed");
+            let answer = spawn_local(async move { sender.send_request(request).await.is_ok() });
+            other(&mut far).await;
+            drop(far);
+            assert!(!answer.await.expect("no panic"), "nobody answers");
+            progress.is_request_complete()
+        })
+        .await
+}
+
+async fn read_request(far: &mut DuplexStream, body: usize) {
+    let mut seen = Vec::new();
+    while !seen.windows(4).any(|w| w == b"\r\n\r\n") || !seen.ends_with(&vec![b'x'; body]) {
+        assert_ne!(far.read_buf(&mut seen).await.expect("open"), 0, "the request breaks off");
+    }
+}
+
+#[tokio::test]
+async fn a_request_cut_short_never_ran() {
+    // The far end takes a part of the body; the rest is still with the HTTP library.
+    assert!(!broken_after(60_000, async |far| drop(far.read(&mut [0; 512]).await)).await);
+    assert!(!broken_after(60_000, async |_| {}).await);
+}
+
+#[tokio::test]
+async fn a_request_written_whole_may_have_run() {
+    assert!(broken_after(60_000, async |far| read_request(far, 60_000).await).await);
+    assert!(broken_after(0, async |far| read_request(far, 0).await).await);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_write_that_makes_no_headway_fails() {
+    // The far end stays open and takes nothing: only the time limit ends this.
+    assert!(!broken_after(60_000, async |_| sleep(WRITE_STALL_TIMEOUT * 2).await).await);
+    let (near, _far) = duplex(8);
+    let mut stream = ObservedStream::new(TokioIo::new(near));
+    let write = std::future::poll_fn(|cx| Pin::new(&mut stream).poll_write(cx, &[0; 8]));
+    assert_eq!(write.await.expect("there is room"), 8);
+    let write = std::future::poll_fn(|cx| Pin::new(&mut stream).poll_write(cx, &[0; 8]));
+    assert_eq!(write.await.expect_err("nobody reads").kind(), io::ErrorKind::TimedOut);
+}
+
+#[tokio::test]
+async fn whether_a_caller_is_there_is_known_at_once() {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let addr = listener.local_addr().expect("bound");
+    let pair = async || {
+        let far = TcpStream::connect(addr).await.expect("it listens");
+        let (near, _) = listener.accept().await.expect("it came");
+        let near = ClientSocket::new(near);
+        (near.liveness(), near, far)
+    };
+    let end = |far: &TcpStream| SockRef::from(far).shutdown(std::net::Shutdown::Write).expect("open");
+
+    let (liveness, _near, far) = pair().await;
+    assert!(liveness.is_connected());
+    assert_eq!(far.try_write(b"more").expect("there is room"), 4);
+    assert!(liveness.is_connected(), "bytes are no end");
+    // No wait lies between: neither the reactor nor any task has heard of it.
+    let (liveness, _near, far) = pair().await;
+    end(&far);
+    assert!(!liveness.is_connected());
+    let (liveness, _near, far) = pair().await;
+    SockRef::from(&far).set_linger(Some(Duration::ZERO)).expect("open");
+    drop(far);
+    assert!(!liveness.is_connected(), "reset");
+    // Of an end behind bytes that lie unread the reactor has to tell first.
+    let (liveness, _near, far) = pair().await;
+    assert_eq!(far.try_write(b"more").expect("there is room"), 4);
+    end(&far);
+    sleep(Duration::ZERO).await;
+    while liveness.is_connected() {
+        tokio::task::yield_now().await;
+    }
+    let (liveness, near, _far) = pair().await;
+    drop(near);
+    assert!(!liveness.is_connected(), "this side has let go");
+}
+
+#[tokio::test]
+async fn nothing_is_written_where_something_lies_unread() {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let addr = listener.local_addr().expect("bound");
+    let near = TcpStream::connect(addr).await.expect("it listens");
+    let (mut far, _) = listener.accept().await.expect("it came");
+    let mut stream = ObservedStream::new(TokioIo::new(near));
+    let progress = stream.progress();
+    let mut write = async |fresh: bool| {
+        if fresh {
+            progress.begin_request();
+        }
+        std::future::poll_fn(|cx| Pin::new(&mut stream).poll_write(cx, b"request")).await
+    };
+    assert_eq!(write(true).await.expect("clean"), 7);
+    // A late answer, of which nobody here has been told. In the middle of a request it is no reason to stop.
+    far.write_all(b"late").await.expect("open");
+    assert_eq!(write(false).await.expect("it goes on"), 7);
+    assert_eq!(write(true).await.expect_err("unclean").kind(), io::ErrorKind::InvalidData);
+    assert!(!progress.has_begun());
+}
--- /dev/null
+++ b/crates/proxy/src/upstream/attempt.rs
@@ -0,0 +1,180 @@
+//! One attempt of a request: when it must end, who may cancel it, and how it ended.
+
+use super::connection::{Connection, IdleCheck};
+use super::connection_pool::{ConnectionPool, Endpoint};
+use super::request::UpstreamRequest;
+use super::response::{PartialResponse, ResponseRead, ResponseStream, read_response};
+use crate::transport::{BodyContent, RequestPayload, SendGuard, StreamedBody, WeakSendGuard};
+use foldhitch_balancer::api::Outcome;
+use hyper::body::Incoming;
+use hyper::{Response, StatusCode};
+use std::rc::Rc;
+use tokio::sync::oneshot;
+use tokio::time::{Instant, sleep_until};
+
+/// How an attempt ended.
+pub enum AttemptOutcome {
+    /// With a response to forward.
+    Served(BodyContent),
+    /// Its client did not send a complete request.
+    InvalidRequest(StatusCode),
+    /// Rejected as a request that no backend can use.
+    Rejected,
+    /// Otherwise.
+    Unserved(Outcome),
+}
+
+impl AttemptOutcome {
+    /// What the balancer is told of it.
+    pub fn outcome(&self) -> Outcome {
+        match self {
+            AttemptOutcome::Served(_) => Outcome::Ok,
+            // The request's fault: it says nothing of the backend, and another would say the same.
+            AttemptOutcome::Rejected | AttemptOutcome::InvalidRequest(_) => Outcome::Cancelled,
+            AttemptOutcome::Unserved(outcome) => *outcome,
+        }
+    }
+}
+
+/// One attempt.
+pub struct Attempt {
+    /// The request.
+    pub request: Rc<UpstreamRequest>,
+    /// Where it is sent.
+    pub endpoint: Rc<Endpoint>,
+    /// When it is abandoned.
+    pub expires_at: Instant,
+    /// Whether anybody still waits for it.
+    pub client: WeakSendGuard,
+    /// Cancels it.
+    pub cancelled: oneshot::Receiver<()>,
+}
+
+impl Attempt {
+    /// Carries the attempt out and tells how it ended. The connection of one that is abandoned is closed: that is
+    /// how a backend learns that nobody waits, so that it stops the work and frees the slot.
+    pub async fn run(self, pool: Rc<ConnectionPool>) -> AttemptOutcome {
+        let Attempt { request, endpoint, expires_at, client, cancelled } = self;
+        let guard = send_guard(&pool, &endpoint, client);
+        let exchange = Exchange { pool, request: request.clone(), endpoint, expires_at, guard };
+        tokio::select! {
+            biased;
+            outcome = exchange.run() => outcome,
+            () = expired(&request, expires_at) => AttemptOutcome::Unserved(Outcome::Timeout),
+            Ok(()) = cancelled => AttemptOutcome::Unserved(Outcome::Cancelled),
+        }
+    }
+}
+
+/// Whatever an attempt has to wait for, its request may be over by then, or its client gone unnoticed, and the
+/// backend may have been told to drain: half the deadline leaves time for a late loop and a slow write.
+fn send_guard(pool: &ConnectionPool, endpoint: &Rc<Endpoint>, client: WeakSendGuard) -> SendGuard {
+    let drain_deadline = pool.drain_deadline();
+    let endpoint = endpoint.clone();
+    Rc::new(move || {
+        let is_wanted = client.upgrade().is_some_and(|is_connected| is_connected());
+        let draining_since = endpoint.draining_since.get();
+        is_wanted && draining_since.is_none_or(|since| since.elapsed() <= drain_deadline / 2)
+    })
+}
+
+/// Comes back when a response is too late. The time of a body that is streamed through counts from its last byte.
+async fn expired(request: &UpstreamRequest, expires_at: Instant) {
+    let expires_after_body = async {
+        let completed_at = match &request.body {
+            RequestPayload::Buffered(_) => None,
+            RequestPayload::Streamed(upload) => {
+                upload.completed().await.map(|completed_at| completed_at + upload.client_timeout)
+            }
+        };
+        // One that breaks off is no reason to wait for less.
+        sleep_until(completed_at.unwrap_or(expires_at)).await;
+    };
+    tokio::select! {
+        () = sleep_until(expires_at) => {}
+        () = expires_after_body => {}
+    }
+}
+
+/// A request that is sent, and its response.
+struct Exchange {
+    pool: Rc<ConnectionPool>,
+    request: Rc<UpstreamRequest>,
+    endpoint: Rc<Endpoint>,
+    expires_at: Instant,
+    guard: SendGuard,
+}
+
+impl Exchange {
+    async fn run(&self) -> AttemptOutcome {
+        let outcome = match self.send().await {
+            Ok((connection, response)) => self.receive(connection, response).await,
+            Err(outcome) => AttemptOutcome::Unserved(outcome),
+        };
+        // Whatever came of it, a client that did not send a complete body is at fault.
+        match self.request.upload().and_then(|upload| upload.failure()) {
+            Some(status) if !matches!(outcome, AttemptOutcome::Served(_)) => {
+                AttemptOutcome::InvalidRequest(status)
+            }
+            _ => outcome,
+        }
+    }
+
+    /// Sends the request, over a connection that is kept or a new one.
+    async fn send(&self) -> Result<(Connection, Response<Incoming>), Outcome> {
+        loop {
+            let kept = self.pool.take_idle(&self.endpoint);
+            let is_kept = kept.is_some();
+            let mut connection = match kept {
+                Some(connection) => connection,
+                None => self.pool.connect(self.endpoint.address, &self.guard).await?,
+            };
+            connection.progress.guard_next_request(self.guard.clone());
+            let message = self.request.message(&connection.progress, self.expires_at);
+            let message = message.ok_or(Outcome::NotSent)?;
+            if let Ok(response) = connection.sender.send_request(message).await {
+                return Ok((connection, response));
+            }
+            let has_begun = connection.progress.has_begun();
+            if !has_begun && !(self.guard)() {
+                return Err(Outcome::NotSent);
+            }
+            // A kept connection that turned out to be closed, or to hold bytes that are no response to this: not a
+            // byte of the request was written, so that it is sent over another one.
+            if has_begun || !is_kept {
+                // Only the connection knows whether the backend can have the complete request.
+                let may_have_run = connection.progress.is_request_complete();
+                return Err(if may_have_run { Outcome::Reset } else { Outcome::ConnectFailed });
+            }
+        }
+    }
+
+    /// Reads the response as far as it is buffered, and streams the rest of a long one.
+    async fn receive(&self, mut connection: Connection, response: Response<Incoming>) -> AttemptOutcome {
+        // The request may have run, and what is on this connection is of no use.
+        let corrupt = AttemptOutcome::Unserved(Outcome::Reset);
+        let outcome = match read_response(response).await {
+            None => return corrupt,
+            Some(ResponseRead::Complete(outcome)) => outcome,
+            Some(ResponseRead::Partial(begun, body)) => return self.stream(connection, begun, body),
+        };
+        match connection.check_idle().await {
+            IdleCheck::ResponseCorrupt => return corrupt,
+            IdleCheck::Reusable => self.pool.keep_idle(&self.endpoint, connection),
+            IdleCheck::Finished => {}
+        }
+        outcome
+    }
+
+    fn stream(&self, connection: Connection, begun: PartialResponse, body: Incoming) -> AttemptOutcome {
+        if !matches!(begun.outcome, AttemptOutcome::Served(_)) {
+            // Nobody wants the rest of it.
+            return begun.outcome;
+        }
+        let (frames, streamed) = StreamedBody::new(begun.length);
+        let (pool, endpoint) = (self.pool.clone(), self.endpoint.clone());
+        let stream = ResponseStream { body, frames, pool, endpoint, connection };
+        tokio::task::spawn_local(stream.run(begun));
+        AttemptOutcome::Served(BodyContent::Streamed(streamed))
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/upstream/request.rs
@@ -0,0 +1,71 @@
+//! A request as it is sent to backends.
+
+use crate::transport::{RequestBody, RequestPayload, StreamProgress, StreamedUpload};
+use hyper::header::{CONTENT_LENGTH, HOST, HeaderValue};
+use hyper::{Method, Request, Uri};
+use std::rc::Rc;
+use tokio::time::Instant;
+
+/// The `Host` of a request that came without one. Backends have seen this name from the first version on.
+const DEFAULT_HOST: HeaderValue = HeaderValue::from_static("heathroad");
+
+/// A request as every attempt of it is sent.
+pub struct UpstreamRequest {
+    /// Its method.
+    pub method: Method,
+    /// Path and query.
+    pub uri: Uri,
+    /// `Host`, as the client gave it.
+    pub host: Option<HeaderValue>,
+    /// `Req-Id`.
+    pub id: HeaderValue,
+    /// `Idempotency-Key`.
+    pub idempotency_key: Option<HeaderValue>,
+    /// Its body.
+    pub body: RequestPayload,
+}
+
+impl UpstreamRequest {
+    /// Its body, if that is streamed through.
+    pub fn upload(&self) -> Option<&Rc<StreamedUpload>> {
+        match &self.body {
+            RequestPayload::Buffered(_) => None,
+            RequestPayload::Streamed(upload) => Some(upload),
+        }
+    }
+
+    /// The message of an attempt that is abandoned at a time; none if an attempt before this one has had the body.
+    pub(super) fn message(
+        &self,
+        progress: &Rc<StreamProgress>,
+        expires_at: Instant,
+    ) -> Option<Request<RequestBody>> {
+        let mut request = Request::builder().method(self.method.clone()).uri(self.uri.clone());
+        let headers = request.headers_mut()?;
+        headers.insert(HOST, self.host.clone().unwrap_or(DEFAULT_HOST));
+        headers.insert("req-id", self.id.clone());
+        headers.insert("req-deadline-ms", HeaderValue::from(self.remaining_ms(expires_at)));
+        if let Some(key) = &self.idempotency_key {
+            headers.insert("idempotency-key", key.clone());
+        }
+        let is_empty = matches!(&self.body, RequestPayload::Buffered(data) if data.is_empty());
+        if is_empty && self.method != Method::GET {
+            headers.insert(CONTENT_LENGTH, HeaderValue::from_static("0"));
+        }
+        request.body(RequestBody::new(&self.body, progress.clone())?).ok()
+    }
+
+    /// What is left to the client. The time of a body that is streamed through begins with its last byte.
+    fn remaining_ms(&self, expires_at: Instant) -> u64 {
+        let remaining = match &self.body {
+            RequestPayload::Buffered(_) => expires_at.saturating_duration_since(Instant::now()),
+            RequestPayload::Streamed(upload) => upload.client_timeout,
+        };
+        remaining.as_millis() as u64
+    }
+}
+
+/// An id as it is logged.
+pub fn printable_id(id: &HeaderValue) -> &str {
+    id.to_str().unwrap_or("?")
+}
--- a/crates/proxy/tests/connection_close.rs
+++ b/crates/proxy/tests/connection_close.rs
@@ -255,7 +255,7 @@
     discovery.tell(both("SERVING")).await;
     discovery.tell(both("DRAINING")).await;
     let older = Discovery::start(both("SERVING")).await;
-    proxy.reload(&older.config(settings()).to_string(), "read again").await;
+    proxy.reload(&older.config(settings()).to_string(), "configuration applied").await;
     older.settled().await;
     for _ in 0..20 {
         assert_eq!(proxy.call("look").await, (200, "b".into()));
@@ -315,7 +315,7 @@
     assert_eq!(caller.call("look").await, (200, "a".into()));
     let other = Discovery::start(vec![a.line("DRAINING"), b.line("SERVING")]).await;
     proxy.terminate().await;
-    proxy.reload(&other.config(brisk).to_string(), "read again").await;
+    proxy.reload(&other.config(brisk).to_string(), "configuration applied").await;
     other.settled().await;
     assert_eq!(caller.call("look").await, (200, "b".into()));
     drop(caller);
--- a/crates/proxy/tests/discovery_notification.rs
+++ b/crates/proxy/tests/discovery_notification.rs
@@ -121,7 +121,7 @@
     let (socket, address) = refusing();
     let mut config = discovery.config(rarely());
     config["discovery"] = address.to_string().into();
-    proxy.reload(&config.to_string(), "read again").await;
+    proxy.reload(&config.to_string(), "configuration applied").await;
     in_term(logged(&mut proxy, "refused")).await;
     let listener = socket.listen(16).expect("it listens");
     let mut calls = agent(listener, 0, vec![a.line("DRAINING"), b.line("SERVING")]);
--- a/crates/proxy/tests/proxy.rs
+++ b/crates/proxy/tests/proxy.rs
@@ -397,9 +397,9 @@
     // The other discovery's version is lower than the one held: carried across, it would wait for ever.
     s.discovery.tell(vec![s.a.line("SERVING")]).await;
     let other = Discovery::start(vec![s.b.line("SERVING")]).await;
-    s.proxy.reload("{", "configuration kept").await;
+    s.proxy.reload("{", "configuration rejected").await;
     assert_eq!(s.proxy.call("look").await, (200, "a".into()));
-    s.proxy.reload(&other.config(settings()).to_string(), "read again").await;
+    s.proxy.reload(&other.config(settings()).to_string(), "configuration applied").await;
     other.settled().await;
     soon(s.discovery.open.subscribe().wait_for(|n| *n == 0)).await.expect("open");
     for _ in 0..20 {
--- a/crates/proxy/tests/reload.rs
+++ b/crates/proxy/tests/reload.rs
@@ -64,7 +64,7 @@
     let mut s = scene().await;
     assert_eq!(of_tenant(&s.proxy, "zenith").await, 400);
     let said = s.change(|c| tenants(c).insert(0, json!({"name": "zenith", "quotaPerS": 5.0}))).await;
-    assert!(said.contains("read again, version 2"), "{said}");
+    assert!(said.contains("configuration applied, version 2"), "{said}");
     assert_eq!((of_tenant(&s.proxy, "zenith").await, of_tenant(&s.proxy, "acme").await), (200, 200));
     s.change(|c| drop(tenants(c).remove(0))).await;
     assert_eq!((of_tenant(&s.proxy, "zenith").await, of_tenant(&s.proxy, "acme").await), (400, 200));
@@ -125,7 +125,7 @@
         assert_eq!(config["settings"]["classes"][place]["semantics"], before);
         config["settings"]["classes"][place]["semantics"] = after.into();
         config["listen"] = "127.0.0.1:0".into();
-        proxy.reload(&config.to_string(), "read again").await;
+        proxy.reload(&config.to_string(), "configuration applied").await;
         go.send_replace(true);
         assert_eq!(held.await.expect("no panic").0, status, "taken as {before}");
         assert_eq!(1 + orders.by("b"), runs, "taken as {before}");
@@ -154,7 +154,7 @@
         ("tier", |c| c["settings"]["tier"] = 1.into()),
         ("tick", |c| c["settings"]["tick"] = 6.0.into()),
         ("localities", |c| c["settings"]["localities"] = json!(["b", "a"])),
-        ("must_ask", |c| c["settings"]["discovery"] = "subscribe".into()),
+        ("discovery", |c| c["settings"]["discovery"] = "subscribe".into()),
         ("version", |c| c["version"] = 4.into()),
         ("version", |c| c["settings"]["classes"][0]["points"] = 2.0.into()),
     ];
@@ -168,7 +168,7 @@
         }
         change(&mut config);
         let said = s.proxy.reload_line(&config.to_string()).await;
-        assert!(said.contains("configuration kept: ") && said.contains(key), "{key}: {said}");
+        assert!(said.contains("configuration rejected: ") && said.contains(key), "{key}: {said}");
         let shown = s.proxy.shown("/v1/settings").await;
         let why = shown["refused"]["why"].as_str().expect("a reason");
         assert!(said.ends_with(why) && shown["version"] == 5, "{said}: {shown}");
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -449,7 +449,7 @@
         let mut door = None;
         let addr = loop {
             let line = soon(log.next_line()).await.expect("readable").expect("it goes on");
-            if let Some((_, addr)) = line.split_once("operators at ") {
+            if let Some((_, addr)) = line.split_once("admin API at ") {
                 door = Some(addr.parse().expect("an address"));
             }
             if let Some((_, addr)) = line.split_once("listening on ") {
--- a/crates/scale-test/src/real/copies.rs
+++ b/crates/scale-test/src/real/copies.rs
@@ -2,11 +2,12 @@
 //! a proxy has them, and no connections of callers or to backends.
 
 use foldhitch_balancer::Balancer;
-use foldhitch_balancer::api::{
-    Action, BackendId, DiscoveryMode, EndpointInfo, EndpointListKind, Event, Phase,
-};
+use foldhitch_balancer::api::{Action, BackendId, EndpointInfo, EndpointListKind, Event, Phase};
 use foldhitch_balancer::settings_format::{self, ResolvedSettings};
-use foldhitch_discovery_client::{Follower, Health, Host, Waits, follow};
+use foldhitch_discovery_client::{
+    DiscoveryError, EndpointListUpdate, EndpointObserver, EndpointRecord, FollowOptions, HealthState,
+    WatchTimeouts, follow,
+};
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -132,14 +133,14 @@
     }
 
     /// The module's entry for a line of the list; the same rules as at the real proxy.
-    fn entry(&self, s: &mut State, host: Host, older: bool) -> Option<EndpointInfo> {
-        let zone = self.facts.site.zone_names.iter().position(|zone| *zone == host.site);
-        if zone.is_none() && host.health != Health::Deleted {
+    fn entry(&self, s: &mut State, host: EndpointRecord, older: bool) -> Option<EndpointInfo> {
+        let zone = self.facts.site.zone_names.iter().position(|zone| *zone == host.zone);
+        if zone.is_none() && host.health != HealthState::Deleted {
             return None;
         }
-        let (backend, draining) = s.listed.get(&host.host).copied().unwrap_or_else(|| {
+        let (backend, draining) = s.listed.get(&host.name).copied().unwrap_or_else(|| {
             let mut hasher = DefaultHasher::new();
-            host.host.hash(&mut hasher);
+            host.name.hash(&mut hasher);
             let mut id = hasher.finish() as BackendId;
             while s.names.contains_key(&id) {
                 id = id.wrapping_add(1);
@@ -147,36 +148,37 @@
             (id, None)
         });
         let phase = match host.health {
-            Health::Serving if older && draining == Some(host.born_ms) => Phase::Draining,
-            Health::Serving => Phase::Ready,
-            Health::Draining => Phase::Draining,
-            Health::Deleted => Phase::Gone,
+            HealthState::Serving if older && draining == Some(host.started_at_ms) => Phase::Draining,
+            HealthState::Serving => Phase::Ready,
+            HealthState::Draining => Phase::Draining,
+            HealthState::Deleted => Phase::Gone,
         };
         if phase == Phase::Gone {
-            s.listed.remove(&host.host);
+            s.listed.remove(&host.name);
             s.names.remove(&backend);
         } else {
-            s.names.insert(backend, host.host.clone());
-            let draining = (phase == Phase::Draining).then_some(host.born_ms);
-            s.listed.insert(host.host, (backend, draining));
+            s.names.insert(backend, host.name.clone());
+            let draining = (phase == Phase::Draining).then_some(host.started_at_ms);
+            s.listed.insert(host.name, (backend, draining));
         }
         Some(EndpointInfo {
             backend,
             phase,
             zone: zone.unwrap_or(0) as u16,
-            started_at_ms: host.born_ms.max(0.0),
-            weight: host.share.max(0.0),
-            cell: host.block,
+            started_at_ms: host.started_at_ms.max(0.0),
+            weight: host.weight.max(0.0),
+            cell: host.cell,
         })
     }
 }
 
-impl Follower for Copy {
-    fn ready(&self) -> bool {
+impl EndpointObserver for Copy {
+    fn has_ready_endpoint(&self) -> bool {
         self.state.borrow().ready > 0
     }
 
-    fn list(self: &Rc<Self>, kind: EndpointListKind, hosts: Vec<Host>, older: bool) {
+    fn on_endpoint_list(self: &Rc<Self>, update: EndpointListUpdate) {
+        let EndpointListUpdate { kind, endpoints: hosts, is_older: older } = update;
         let entries = {
             let s = &mut *self.state.borrow_mut();
             let before = match kind {
@@ -189,7 +191,7 @@
             let mut entries = Vec::with_capacity(hosts.len());
             for host in hosts {
                 // A backend keeps its number from list to list.
-                if let Some((name, known)) = before.as_ref().and_then(|b| b.get_key_value(&host.host)) {
+                if let Some((name, known)) = before.as_ref().and_then(|b| b.get_key_value(&host.name)) {
                     s.listed.insert(name.clone(), *known);
                 }
                 entries.extend(self.entry(s, host, older));
@@ -201,14 +203,14 @@
         self.tell(Event::EndpointList { kind, endpoints: entries });
     }
 
-    fn list_failed(self: &Rc<Self>) {
+    fn on_poll_failed(self: &Rc<Self>) {
         self.watching.send_replace(false);
         self.tell(Event::EndpointList { kind: EndpointListKind::Failed, endpoints: Vec::new() });
     }
 
-    fn note(&self, line: String) {
+    fn on_warning(&self, warning: &DiscoveryError) {
         self.count(|a| a.notes += 1);
-        tracing::debug!("{line}");
+        tracing::debug!("discovery: {warning}");
     }
 }
 
@@ -236,13 +238,18 @@
         let activity = Rc::new(Cell::new(Activity::default()));
         for orders in &orders.copies {
             let copy = Copy::new(orders, activity.clone()).map_err(anyhow::Error::msg)?;
-            let must_ask = copy.facts.balancer.discovery_mode == DiscoveryMode::Poll;
+            let mode = copy.facts.balancer.discovery_mode;
             let grace =
                 Duration::from_secs_f64((copy.facts.site.drain_deadline_ms / 1000.0).clamp(0.0, 86_400.0));
-            let (waits, newest) = (Waits::new(grace), Rc::default());
-            let wanted = copy.watching.subscribe();
+            let options = FollowOptions {
+                address: orders.discovery,
+                mode,
+                timeouts: WatchTimeouts::new(grace),
+                newest_version: Rc::default(),
+                poll_wanted: copy.watching.subscribe(),
+            };
             copy.tell(Event::EndpointList { kind: EndpointListKind::Cached, endpoints: Vec::new() });
-            spawn_local(follow(copy, orders.discovery, must_ask, waits, newest, wanted));
+            spawn_local(follow(copy, options));
         }
         drop(orders);
         while asks.recv().await.is_some() {
--- a/crates/simulator-adapter/tests/wire.rs
+++ b/crates/simulator-adapter/tests/wire.rs
@@ -156,7 +156,7 @@
         (with_facts(&|f| drop(f.as_object_mut().unwrap().remove("tick"))), &["settings", "tick"]),
         (with_facts(&|f| f["classes"][0]["aim"] = (-4.0).into()), &["classes[0].aim", "negative"]),
         (with_facts(&|f| f["guarantees"]["cold"] = "x".into()), &["guarantees.cold"]),
-        (with_facts(&|f| f["slotNo"] = 5.into()), &["copy"]),
+        (with_facts(&|f| f["slotNo"] = 5.into()), &["slotNo"]),
         (frame(&[launch(&facts().to_string().replace("500.0", "1e999"))]), &["settings"]),
     ];
     for (input, words) in cases {
