Simulator adapter in modules with typed errors; the dispatcher split by what passes through it

The wire is frame, reader, decoder and reply, with named codes and errors that keep the place; what the wire says is as before, the five tests of the wire pass.

--- /dev/null
+++ b/crates/proxy/src/dispatcher/actions.rs
@@ -0,0 +1,181 @@
+//! Tells the balancer of events, and carries out its actions.
+
+use super::clock::duration_from_ms;
+use super::messages::Answer;
+use super::request_table::{AttemptRecord, AttemptState, InFlightAttempt, RequestEntry};
+use super::{Dispatcher, State};
+use crate::log::log;
+use crate::upstream::{Attempt, AttemptOutcome, printable_id};
+use foldhitch_balancer::api::{Action, BackendId, Event, Outcome, RequestId, TimerToken};
+use std::fmt::Write;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::oneshot;
+use tokio::time::{Instant, sleep};
+
+impl Dispatcher {
+    /// Tells the balancer of an event and carries out what it decides, and so on until all is quiet.
+    pub(super) fn handle(self: &Rc<Self>, event: Event) {
+        let state = &mut *self.state.borrow_mut();
+        state.events.push_back(event);
+        self.process_events(state);
+    }
+
+    pub(super) fn process_events(self: &Rc<Self>, state: &mut State) {
+        while let Some(event) = state.events.pop_front() {
+            let mut actions = std::mem::take(&mut state.actions);
+            state.balancer.handle(self.clock.now_ms(), event, &mut actions);
+            self.carry_out(state, actions);
+        }
+    }
+
+    pub(super) fn carry_out(self: &Rc<Self>, state: &mut State, mut actions: Vec<Action>) {
+        for action in actions.drain(..) {
+            self.act(state, action);
+        }
+        state.actions = actions;
+    }
+
+    fn act(self: &Rc<Self>, state: &mut State, action: Action) {
+        match action {
+            Action::Send { request, backend, expires_at_ms } => {
+                self.send(state, request, backend, expires_at_ms);
+            }
+            Action::Reject { request, retry_after_ms } => {
+                let retry_after = Some(duration_from_ms(retry_after_ms)).filter(|delay| !delay.is_zero());
+                state.log_request(request, "rejected");
+                state.requests.answer(request, Answer::Rejected { retry_after });
+            }
+            Action::Fail { request } => {
+                state.log_request(request, "failed");
+                state.requests.answer(request, Answer::Failed);
+            }
+            Action::Cancel { request, attempt } => state.requests.cancel(request, attempt),
+            Action::SetTimer { delay_ms, token } => self.set_timer(duration_from_ms(delay_ms), token),
+            Action::CloseIdleConnections { backend } => {
+                if let Some(endpoint) = state.endpoints.endpoint(backend) {
+                    self.pool.close_idle(endpoint);
+                }
+            }
+            Action::PollEndpoints => {
+                self.poll_wanted.send_replace(true);
+            }
+            Action::SetSuspended { backend, is_suspended } => {
+                if let Some(name) = state.endpoints.set_suspended(backend, is_suspended) {
+                    log!("backend {name} {}", if is_suspended { "suspended" } else { "resumed" });
+                }
+            }
+            Action::SetDraining { is_draining } => {
+                self.draining.send_replace(is_draining);
+                log!("{}", if is_draining { "draining" } else { "active again" });
+            }
+        }
+    }
+
+    fn set_timer(self: &Rc<Self>, delay: Duration, token: TimerToken) {
+        let dispatcher = self.clone();
+        tokio::task::spawn_local(async move {
+            sleep(delay).await;
+            dispatcher.handle(Event::TimerFired { token });
+        });
+    }
+
+    fn send(self: &Rc<Self>, state: &mut State, request: RequestId, backend: BackendId, expires_at_ms: f64) {
+        let Some(entry) = state.requests.get_mut(request) else { return };
+        let number = entry.attempts.len();
+        let max_attempts = self.settings().balancer.capabilities.max_attempts as usize;
+        let client = entry.client().filter(|_| number < max_attempts);
+        let Some((endpoint, client)) = state.endpoints.endpoint(backend).zip(client) else {
+            let (outcome, latency) = (Outcome::NotSent, Duration::ZERO);
+            let attempt_state = AttemptState::Finished { outcome, latency };
+            entry.attempts.push(AttemptRecord { backend, state: attempt_state });
+            state.events.push_back(entry.attempt_event(request, number, backend, outcome, latency));
+            return;
+        };
+        let (cancel, cancelled) = oneshot::channel();
+        let in_flight = InFlightAttempt { sent_at: Instant::now(), cancel: Some(cancel) };
+        entry.attempts.push(AttemptRecord { backend, state: AttemptState::InFlight(in_flight) });
+        let attempt = Attempt {
+            request: entry.request.clone(),
+            endpoint: endpoint.clone(),
+            expires_at: self.clock.instant_at(expires_at_ms),
+            client,
+            cancelled,
+        };
+        let dispatcher = self.clone();
+        tokio::task::spawn_local(async move {
+            let outcome = attempt.run(dispatcher.pool.clone()).await;
+            dispatcher.finish_attempt(request, number, outcome);
+        });
+    }
+
+    /// An attempt ended. The first served response goes to the client by itself.
+    fn finish_attempt(self: &Rc<Self>, request: RequestId, number: usize, outcome: AttemptOutcome) {
+        let events = self.state.borrow_mut().finish_attempt(request, number, outcome);
+        for event in events {
+            self.handle(event);
+        }
+    }
+}
+
+impl State {
+    /// Notes the end of an attempt and answers the client, if that is due; returns what the balancer is to be told.
+    fn finish_attempt(&mut self, request: RequestId, number: usize, outcome: AttemptOutcome) -> Vec<Event> {
+        let Some(entry) = self.requests.get_mut(request) else { return Vec::new() };
+        let finished = entry.finish_attempt(number, outcome.outcome());
+        let Some((backend, latency)) = finished else { return Vec::new() };
+        let mut events = Vec::new();
+        match &outcome {
+            AttemptOutcome::Rejected => self.log_request(request, "rejected by a backend"),
+            AttemptOutcome::InvalidRequest(status) => {
+                self.log_request(request, &format!("aborted by its client, {status}"));
+            }
+            // What comes next is decided with this outcome, and perhaps at once: a further attempt.
+            AttemptOutcome::Unserved(_) if self.complete_if_disconnected(request) => {
+                events.push(Event::ClientDisconnected { request });
+            }
+            AttemptOutcome::Served(_) | AttemptOutcome::Unserved(_) => {}
+        }
+        let Some(entry) = self.requests.get_mut(request) else { return events };
+        let balancer_outcome = outcome.outcome();
+        match outcome {
+            AttemptOutcome::Served(body) => entry.answer(Answer::Served(body)),
+            AttemptOutcome::InvalidRequest(status) => entry.answer(Answer::InvalidRequest(status)),
+            AttemptOutcome::Rejected => entry.answer(Answer::Failed),
+            AttemptOutcome::Unserved(_) => {}
+        }
+        events.push(entry.attempt_event(request, number, backend, balancer_outcome, latency));
+        self.requests.remove_if_finished(request);
+        events
+    }
+
+    /// Whether a request's client has disconnected, which then waits for no answer any more.
+    fn complete_if_disconnected(&mut self, request: RequestId) -> bool {
+        if !self.requests.get(request).is_some_and(RequestEntry::is_client_disconnected) {
+            return false;
+        }
+        self.log_request(request, "client disconnected");
+        if let Some(entry) = self.requests.get_mut(request) {
+            entry.complete();
+        }
+        true
+    }
+
+    /// A line for a request that is about to end unserved, so that it can be followed by its id.
+    pub(super) fn log_request(&self, request: RequestId, what: &str) {
+        let Some(entry) = self.requests.get(request).filter(|entry| entry.is_pending()) else { return };
+        let class = &entry.settings.site.class_names[usize::from(entry.class)];
+        let id = printable_id(&entry.request.id);
+        let age = entry.received_at.elapsed().as_millis();
+        let mut line = format!("{id} {class} {what} after {age} ms");
+        for attempt in &entry.attempts {
+            let name = self.endpoints.name(attempt.backend).unwrap_or("?");
+            let (state, latency) = match &attempt.state {
+                AttemptState::InFlight(in_flight) => ("in flight".to_string(), in_flight.sent_at.elapsed()),
+                AttemptState::Finished { outcome, latency } => (format!("{outcome:?}"), *latency),
+            };
+            let _ = write!(line, ", {name} {state} {} ms", latency.as_millis());
+        }
+        log!("{line}");
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/dispatcher/requests.rs
@@ -0,0 +1,130 @@
+//! The way of a request through the dispatcher, from its arrival to its one answer.
+
+use super::endpoint_table::hash;
+use super::messages::{Answer, IncomingRequest};
+use super::request_table::{RequestEntry, ResponseSlot};
+use super::{Dispatcher, RESPONSE_MARGIN, TIMEOUT_MARGIN};
+use foldhitch_balancer::api::{Event, RequestArrival, RequestId};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::oneshot;
+use tokio::time::{Instant, sleep_until};
+
+impl Dispatcher {
+    /// Takes a request and waits for its one answer. Dropped before that, the client has disconnected.
+    pub async fn dispatch(self: &Rc<Self>, incoming: IncomingRequest) -> Answer {
+        let timeout = self.timeout(&incoming);
+        let answer_by = incoming.received_at + timeout;
+        let upload = incoming.request.upload().cloned();
+        let mut arrival = RequestArrival {
+            request: 0,
+            key: incoming.ordering_key.as_deref().map_or(0, |key| hash(key).max(1)),
+            class: incoming.class,
+            tenant: incoming.tenant,
+            deadline_ms: self.clock.ms_at(incoming.received_at + timeout.saturating_sub(RESPONSE_MARGIN)),
+            is_body_streamed: upload.is_some(),
+        };
+        let Some((request, answer)) = self.admit(incoming) else {
+            return Answer::Rejected { retry_after: None };
+        };
+        let _client = ClientGuard { dispatcher: self.clone(), request };
+        arrival.request = request;
+        self.handle(Event::RequestArrived(arrival));
+        if let Some(upload) = upload {
+            let dispatcher = self.clone();
+            tokio::task::spawn_local(async move {
+                if let Some(completed_at) = upload.completed().await {
+                    let deadline_ms = dispatcher.clock.ms_at(completed_at + upload.client_timeout);
+                    dispatcher.handle(Event::BodyReceived { request, deadline_ms });
+                }
+            });
+        }
+        tokio::select! {
+            biased;
+            // None comes to a client that has disconnected; its connection, which is about to notice, ends this.
+            Ok(answer) = answer => answer,
+            // The balancer answers in time; this guards against a late loop and against its silence.
+            () = sleep_until(answer_by - TIMEOUT_MARGIN.min(timeout)) => Answer::TimedOut,
+        }
+    }
+
+    /// How long a request may last, from when it was received.
+    fn timeout(&self, incoming: &IncomingRequest) -> Duration {
+        let timeout = incoming.client_timeout + incoming.body_extension;
+        match self.stop_at.get() {
+            Some(stop_at) => timeout.min(stop_at.saturating_duration_since(incoming.received_at)),
+            None => timeout,
+        }
+    }
+
+    /// Opens a request; none if there are too many.
+    fn admit(&self, incoming: IncomingRequest) -> Option<(RequestId, oneshot::Receiver<Answer>)> {
+        let state = &mut *self.state.borrow_mut();
+        let settings = self.settings();
+        if state.requests.len() >= settings.site.max_open_requests {
+            return None;
+        }
+        let (client, answer) = oneshot::channel();
+        let is_client_connected = incoming.is_client_connected;
+        let request = state.requests.insert(RequestEntry {
+            request: Rc::new(incoming.request),
+            settings,
+            class: incoming.class,
+            received_at: incoming.received_at,
+            response: ResponseSlot::Pending { answer: client, is_client_connected },
+            attempts: Vec::new(),
+        });
+        Some((request, answer))
+    }
+
+    /// Answers what is still pending by then, and takes nothing that would last longer.
+    pub fn stop_by(self: &Rc<Self>, stop_at: Instant) {
+        self.stop_at.set(Some(stop_at));
+        let dispatcher = self.clone();
+        tokio::task::spawn_local(async move {
+            sleep_until(stop_at).await;
+            for request in dispatcher.time_out_all() {
+                dispatcher.handle(Event::ClientDisconnected { request });
+            }
+        });
+    }
+
+    fn time_out_all(&self) -> Vec<RequestId> {
+        let state = &mut *self.state.borrow_mut();
+        let requests = state.requests.ids();
+        for &request in &requests {
+            state.log_request(request, "out of time at a planned stop");
+            if let Some(entry) = state.requests.get_mut(request) {
+                entry.answer(Answer::TimedOut);
+            }
+        }
+        requests
+    }
+}
+
+/// A client that waits. When it is gone without an answer, the balancer is told.
+struct ClientGuard {
+    dispatcher: Rc<Dispatcher>,
+    request: RequestId,
+}
+
+impl ClientGuard {
+    /// Whether an answer was pending, which is not any more.
+    fn complete(&self) -> bool {
+        let state = &mut *self.dispatcher.state.borrow_mut();
+        state.log_request(self.request, "client disconnected");
+        let Some(entry) = state.requests.get_mut(self.request) else { return false };
+        let was_pending = entry.is_pending();
+        entry.complete();
+        state.requests.remove_if_finished(self.request);
+        was_pending
+    }
+}
+
+impl Drop for ClientGuard {
+    fn drop(&mut self) {
+        if self.complete() {
+            self.dispatcher.handle(Event::ClientDisconnected { request: self.request });
+        }
+    }
+}
--- a/crates/proxy/src/dispatcher/tests.rs
+++ b/crates/proxy/src/dispatcher/tests.rs
@@ -1,9 +1,12 @@
 //! Unit tests of the dispatcher.
 
+use super::request_table::{AttemptRecord, AttemptState, RequestEntry, ResponseSlot};
 use super::*;
 use crate::transport::RequestPayload;
 use crate::upstream::{PoolLimits, UpstreamRequest};
-use foldhitch_discovery_client::HealthState;
+use foldhitch_balancer::api::{EndpointListKind, Outcome};
+use foldhitch_discovery_client::{EndpointListUpdate, EndpointRecord, HealthState};
+use tokio::sync::oneshot;
 use tokio::task::LocalSet;
 
 fn settings() -> ResolvedSettings {
--- /dev/null
+++ b/crates/simulator-adapter/src/wire/decoder.rs
@@ -0,0 +1,206 @@
+//! Records of a frame.
+
+use super::frame::{Frame, HEADER_BYTES};
+use super::reader::Reader;
+use crate::error::{AdapterError, FieldError, RecordError};
+use foldhitch_balancer::api::{
+    AttemptResult, EndpointInfo, EndpointListKind, Event, RequestArrival, TimerToken,
+};
+
+/// How many numbered lists there may be.
+const MAX_PAGES: usize = 16;
+
+/// Codes of records.
+mod code {
+    pub(super) const LAUNCH: u16 = 1;
+    pub(super) const DISCOVERY: u16 = 2;
+    pub(super) const REQUEST: u16 = 3;
+    pub(super) const FIRST_BYTE: u16 = 4;
+    pub(super) const ATTEMPT_FINISHED: u16 = 5;
+    pub(super) const CLIENT_DISCONNECTED: u16 = 6;
+    pub(super) const TIMER: u16 = 7;
+    pub(super) const HEALTH_CHECK: u16 = 8;
+    pub(super) const GOSSIP: u16 = 9;
+    pub(super) const SHUTDOWN: u16 = 10;
+    pub(super) const PAGE: u16 = 11;
+}
+
+/// One record.
+pub enum Record {
+    /// An instance starts.
+    Launch {
+        /// The instance.
+        instance: u16,
+        /// Seed for its random numbers.
+        seed: u64,
+        /// Its settings, as JSON text.
+        settings: Vec<u8>,
+    },
+    /// An instance was killed.
+    Shutdown {
+        /// The instance.
+        instance: u16,
+    },
+    /// A numbered list, kept by the decoder.
+    Page,
+    /// Something that no decision needs; read only to check its form.
+    Unused {
+        /// The instance.
+        instance: u16,
+    },
+    /// Something for an instance.
+    Event {
+        /// The instance.
+        instance: u16,
+        /// What it is told.
+        event: Event,
+    },
+}
+
+/// Decodes records; holds the numbered lists, which belong to the process and outlive a frame.
+#[derive(Default)]
+pub struct Decoder {
+    pages: [Option<Vec<EndpointInfo>>; MAX_PAGES],
+}
+
+impl Decoder {
+    /// Decodes a frame record by record and hands each to `carry_out`, in order.
+    pub fn decode(
+        &mut self,
+        frame: &Frame,
+        mut carry_out: impl FnMut(Record) -> Result<(), RecordError>,
+    ) -> Result<(), AdapterError> {
+        let mut reader = Reader::new(&frame.body, HEADER_BYTES);
+        for record in 0..frame.records {
+            let at = reader.at();
+            let decoded = self.record(&mut reader);
+            let decoded = decoded.map_err(|source| AdapterError::Malformed { record, source })?;
+            carry_out(decoded).map_err(|source| AdapterError::Rejected { record, at, source })?;
+        }
+        match reader.left() {
+            0 => Ok(()),
+            left => Err(AdapterError::TrailingBytes { at: reader.at(), left }),
+        }
+    }
+
+    fn record(&mut self, reader: &mut Reader) -> Result<Record, FieldError> {
+        let at = reader.at();
+        let code = reader.u16("code")?;
+        if code == code::PAGE {
+            return self.page(reader);
+        }
+        if !(code::LAUNCH..=code::SHUTDOWN).contains(&code) {
+            return Err(FieldError::Unknown { at, field: "event", value: code.into() });
+        }
+        let instance = reader.u16("proxyId")?;
+        let event = match code {
+            code::LAUNCH => return launch(reader, instance),
+            code::DISCOVERY => self.endpoint_list(reader)?,
+            code::REQUEST => request(reader)?,
+            code::ATTEMPT_FINISHED => attempt_finished(reader)?,
+            code::CLIENT_DISCONNECTED => Event::ClientDisconnected { request: reader.u64("xid")? },
+            code::TIMER => Event::TimerFired { token: TimerToken(reader.u64("nonce")?) },
+            code::FIRST_BYTE => return skip_first_byte(reader, instance),
+            code::HEALTH_CHECK => return skip_health_check(reader, instance),
+            code::GOSSIP => return skip_gossip(reader, instance),
+            _ => return Ok(Record::Shutdown { instance }),
+        };
+        Ok(Record::Event { instance, event })
+    }
+
+    fn page(&mut self, reader: &mut Reader) -> Result<Record, FieldError> {
+        let at = reader.at();
+        let number = reader.u32("page")?;
+        let out_of_range = FieldError::OutOfRange { at, field: "page", value: number };
+        let page = self.pages.get_mut(number as usize).ok_or(out_of_range)?;
+        let lines = reader.u32("lines")?;
+        let endpoints: Result<_, _> = (0..lines).map(|_| reader.endpoint()).collect();
+        *page = Some(endpoints?);
+        Ok(Record::Page)
+    }
+
+    fn endpoint_list(&self, reader: &mut Reader) -> Result<Event, FieldError> {
+        let at = reader.at();
+        let page = reader.u32("page")?;
+        let kind = list_kind(reader)?;
+        let endpoints = match self.pages.get(page as usize) {
+            _ if kind == EndpointListKind::Failed => Vec::new(),
+            Some(Some(endpoints)) => endpoints.clone(),
+            _ => return Err(FieldError::UndefinedPage { at, page }),
+        };
+        reader.u64("serial")?;
+        Ok(Event::EndpointList { kind, endpoints })
+    }
+}
+
+fn list_kind(reader: &mut Reader) -> Result<EndpointListKind, FieldError> {
+    let (at, field) = (reader.at(), "list kind");
+    match reader.u8(field)? {
+        0 => Ok(EndpointListKind::Full),
+        1 => Ok(EndpointListKind::Delta),
+        2 => Ok(EndpointListKind::Failed),
+        3 => Ok(EndpointListKind::Cached),
+        other => Err(FieldError::Unknown { at, field, value: other.into() }),
+    }
+}
+
+fn launch(reader: &mut Reader, instance: u16) -> Result<Record, FieldError> {
+    let seed = reader.u64("rngSeed")?;
+    let length = reader.u32("facts")? as usize;
+    Ok(Record::Launch { instance, seed, settings: reader.take(length, "facts")?.to_vec() })
+}
+
+fn request(reader: &mut Reader) -> Result<Event, FieldError> {
+    let request = reader.u64("xid")?;
+    let key = reader.u64("nameKey")?;
+    let class = reader.u16("qos")?;
+    reader.u8("stateBits")?;
+    reader.f64("predicted")?;
+    let tenant = reader.u16("customer")?;
+    let deadline_ms = reader.f64("clientDeadline")?;
+    let is_body_streamed = false;
+    let arrival = RequestArrival { request, key, class, tenant, deadline_ms, is_body_streamed };
+    Ok(Event::RequestArrived(arrival))
+}
+
+fn attempt_finished(reader: &mut Reader) -> Result<Event, FieldError> {
+    let request = reader.u64("xid")?;
+    let latency_ms = reader.f64("waitTime")?;
+    let is_request_closed = reader.u8("final")? != 0;
+    let outcome = reader.outcome()?;
+    let attempt = reader.u8("hop")?;
+    let backend = reader.u32("backend")?;
+    reader.skip_load_report()?;
+    Ok(Event::AttemptFinished(AttemptResult {
+        request,
+        attempt,
+        backend,
+        outcome,
+        latency_ms,
+        is_request_closed,
+        is_body_consumed: false,
+    }))
+}
+
+fn skip_first_byte(reader: &mut Reader, instance: u16) -> Result<Record, FieldError> {
+    reader.u64("xid")?;
+    reader.u8("hop")?;
+    reader.u32("backend")?;
+    reader.f64("waitTime")?;
+    Ok(Record::Unused { instance })
+}
+
+fn skip_health_check(reader: &mut Reader, instance: u16) -> Result<Record, FieldError> {
+    reader.f64("waitTime")?;
+    reader.u32("backend")?;
+    reader.outcome()?;
+    reader.skip_load_report()?;
+    Ok(Record::Unused { instance })
+}
+
+fn skip_gossip(reader: &mut Reader, instance: u16) -> Result<Record, FieldError> {
+    reader.u32("originPeer")?;
+    let length = usize::from(reader.u16("bytes")?);
+    reader.take(length, "bytes")?;
+    Ok(Record::Unused { instance })
+}
