--- a/crates/balancer/src/policy/mod.rs
+++ b/crates/balancer/src/policy/mod.rs
@@ -12,6 +12,8 @@
 mod slow_start;
 mod state;
 mod subset;
+#[cfg(test)]
+mod tests;
 
 use crate::api::*;
 use crate::collections::{ByQuota, KeyedQueues, RingSubset, Slices, SlotTable, Suspensions, TenantQuotas};
--- a/crates/balancer/tests/policy_size.rs
+++ b/crates/balancer/tests/policy_size.rs
@@ -35,11 +35,13 @@
     assert!(lines <= MAX_LINES, "{lines} lines, {MAX_LINES} at most");
 }
 
+/// All but the unit tests, which are compiled for tests only.
 #[test]
 fn every_file_of_the_policy_is_counted() {
     let folder = "crates/balancer/src/policy";
     let entries = fs::read_dir(root().join(folder)).expect("the policy's folder");
     let name = |entry: fs::DirEntry| format!("{folder}/{}", entry.file_name().to_string_lossy());
-    let present: BTreeSet<String> = entries.map(|entry| name(entry.expect("an entry"))).collect();
+    let mut present: BTreeSet<String> = entries.map(|entry| name(entry.expect("an entry"))).collect();
+    present.remove(&format!("{folder}/tests.rs"));
     assert_eq!(present, policy_files().into_iter().collect());
 }
--- a/crates/balancer/tests/protocol_rules.rs
+++ b/crates/balancer/tests/protocol_rules.rs
@@ -28,7 +28,7 @@
     ]
 }
 
-/// One random life of a copy: requests of every class, every outcome, a list that changes all the time.
+/// One random life of an instance: requests of every class, every outcome, a list that changes all the time.
 fn life(seed: u64, change: impl Fn(&mut Settings)) {
     let mut rng = fastrand::Rng::with_seed(seed);
     let mut s = settings(1 + rng.u32(..4), all_effects());
@@ -42,25 +42,25 @@
     };
     let start: Vec<EndpointInfo> =
         endpoints(rng.u32(1..20)).into_iter().map(|e| place(&mut rng, e)).collect();
-    let mut p = Proxy::new(s, seed, start);
+    let mut p = ProxyHarness::new(s, seed, start);
     for _ in 0..1500 {
         match rng.u32(..100) {
             0..40 => {
                 let (class, left) = (rng.usize(..7), 1.0 + rng.f64().powi(2) * 1500.0);
-                p.ask_for(rng.u64(..12), class, rng.u16(..3), left);
+                p.send_keyed_request(rng.u64(..12), class, rng.u16(..3), left);
             }
             40..75 => {
                 let out = p.out();
                 if !out.is_empty() {
                     let (id, n, _) = out[rng.usize(..out.len())].clone();
-                    p.resolve(id, n, OUTCOMES[rng.usize(..OUTCOMES.len())]);
+                    p.finish_attempt(id, n, OUTCOMES[rng.usize(..OUTCOMES.len())]);
                 }
             }
             75..78 => {
                 let open: Vec<_> =
-                    p.asked.iter().filter(|(_, a)| a.ended.is_none()).map(|(&id, _)| id).collect();
+                    p.requests.iter().filter(|(_, a)| a.ended.is_none()).map(|(&id, _)| id).collect();
                 if !open.is_empty() {
-                    p.hang_up(open[rng.usize(..open.len())]);
+                    p.disconnect(open[rng.usize(..open.len())]);
                 }
             }
             78..84 => {
@@ -83,8 +83,8 @@
             85..86 => p.list(EndpointListKind::Failed, vec![]),
             86..88 => {
                 // Events about what was never there are passed over.
-                p.tell(Event::ClientDisconnected { request: 1 << 50 });
-                p.tell(Event::TimerFired { token: TimerToken(999) });
+                p.handle(Event::ClientDisconnected { request: 1 << 50 });
+                p.handle(Event::TimerFired { token: TimerToken(999) });
                 let (request, outcome) = (1 << 50, Outcome::Ok);
                 let stray = AttemptResult {
                     request,
@@ -95,7 +95,7 @@
                     is_request_closed: true,
                     is_body_consumed: false,
                 };
-                p.tell(Event::AttemptFinished(stray));
+                p.handle(Event::AttemptFinished(stray));
             }
             _ => {
                 let to = p.now + rng.f64() * 60.0;
@@ -104,10 +104,10 @@
         }
     }
     p.advance(p.now + 5000.0);
-    let open = p.asked.values().filter(|a| a.ended.is_none()).count();
+    let open = p.requests.values().filter(|a| a.ended.is_none()).count();
     assert_eq!(open, 0, "seed {seed}: requests without a final answer");
     assert!(
-        p.asked.values().any(|a| a.ended.is_some_and(|e| e.1 == "served")),
+        p.requests.values().any(|a| a.ended.is_some_and(|e| e.1 == "served")),
         "seed {seed}: nothing served"
     );
 }
@@ -125,21 +125,21 @@
 }
 
 #[test]
-fn rules_hold_where_the_list_must_be_asked() {
+fn rules_hold_where_the_list_is_polled() {
     (200..230).for_each(|seed| life(seed, |s| s.discovery_mode = DiscoveryMode::Poll));
 }
 
-/// Guards against a copy whose hash order or clock leaks into its decisions.
+/// Guards against an instance whose hash order or clock leaks into its decisions.
 #[test]
 fn same_events_give_same_actions() {
     let run = || {
-        let mut p = Proxy::new(settings(2, all_effects()), 7, endpoints(12));
+        let mut p = ProxyHarness::new(settings(2, all_effects()), 7, endpoints(12));
         p.serve(3000.0, 2, 0, 80.0);
         for _ in 0..200 {
-            p.ask(1, 0, 900.0);
+            p.send_request(1, 0, 900.0);
         }
         p.advance(p.now + 2000.0);
-        format!("{:?}", p.asked)
+        format!("{:?}", p.requests)
     };
     assert_eq!(run(), run());
 }
@@ -147,26 +147,26 @@
 /// A client's last try can have less time left than housekeeping takes to come round (seen on the bench as
 /// a lost request): it is answered at once.
 #[test]
-fn a_try_with_hardly_any_time_left_is_answered_in_time() {
-    let mut p = Proxy::new(settings(1, all_effects()), 1, vec![]);
+fn an_attempt_with_hardly_any_time_left_is_answered_in_time() {
+    let mut p = ProxyHarness::new(settings(1, all_effects()), 1, vec![]);
     for left in [0.5, 5.0, 30.0, 60.0, 99.0, 101.0, 150.0] {
-        p.ask(1, 0, left);
+        p.send_request(1, 0, left);
     }
     p.advance(p.now + 1000.0);
-    assert!(p.asked.values().all(|a| a.ended.is_some_and(|e| e.1 == "refused")));
+    assert!(p.requests.values().all(|a| a.ended.is_some_and(|e| e.1 == "refused")));
 }
 
-/// Every copy hears of one start at the same moment and sends all that its own budget allows: together they
-/// stay under the multiple of the capacity surely reached, whatever the number of copies.
+/// Every instance hears of one start at the same moment and sends all that its own budget allows: together they
+/// stay under the multiple of the capacity surely reached, whatever the number of instances.
 #[test]
 fn a_cold_backend_is_not_pushed_over_by_all_copies_together() {
     for instance_count in [2, 10, 40] {
         let n = 8;
-        let fleet: Vec<Proxy> = (0..instance_count)
+        let fleet: Vec<ProxyHarness> = (0..instance_count)
             .map(|instance_index| {
                 let mut s = settings(instance_count, vec![class(2000.0, 1.0, Idempotency::Idempotent)]);
                 s.instance_index = instance_index;
-                let mut p = Proxy::new(s, u64::from(instance_index), endpoints(n));
+                let mut p = ProxyHarness::new(s, u64::from(instance_index), endpoints(n));
                 p.serve(6000.0, 2, 0, 250.0);
                 p
             })
@@ -176,22 +176,22 @@
             let started_at_ms = p.now;
             p.list(EndpointListKind::Delta, vec![EndpointInfo { started_at_ms, ..endpoint(3) }]);
             for _ in 0..600 {
-                p.ask(0, 0, 1e5);
-                p.ask(0, 0, 1e5);
+                p.send_request(0, 0, 1e5);
+                p.send_request(0, 0, 1e5);
                 p.advance(p.now + 5.0);
                 for (id, attempt, s) in p.out() {
                     if s.backend == 3 && s.at >= started_at_ms {
                         sends.push(s.at - started_at_ms);
                     }
                     if p.now - s.at >= 250.0 || s.backend == 3 {
-                        p.resolve(id, attempt, Outcome::Ok);
+                        p.finish_attempt(id, attempt, Outcome::Ok);
                     }
                 }
                 p.forget();
             }
         }
         sends.sort_by(f64::total_cmp);
-        // 400 requests a second a copy over 8 backends: a warm one bears at least this many a second.
+        // 400 requests a second an instance over 8 backends: a warm one bears at least this many a second.
         let warm = 400.0 * f64::from(instance_count) / f64::from(n);
         for from in 0..2000 {
             let from = f64::from(from);
@@ -203,7 +203,7 @@
     }
 }
 
-/// A release replaces ten of sixteen backends. Each copy has few calls out, but together the copies give the new
+/// A release replaces ten of sixteen backends. Each instance has few calls out, but together the instances give the new
 /// ones about what they surely bear, and not much less: the six that are left can't bear it all.
 #[test]
 fn cold_backends_get_their_part_of_a_fleet_whose_copies_call_each_seldom() {
@@ -212,7 +212,7 @@
     for instance_index in 0..instance_count {
         let mut s = settings(instance_count, vec![class(2000.0, 1.0, Idempotency::Idempotent)]);
         s.instance_index = instance_index;
-        let mut p = Proxy::new(s, u64::from(instance_index), endpoints(n as u32));
+        let mut p = ProxyHarness::new(s, u64::from(instance_index), endpoints(n as u32));
         let mut rng = fastrand::Rng::with_seed(u64::from(instance_index));
         let mut released = f64::INFINITY;
         while p.now < released + 6000.0 {
@@ -222,9 +222,9 @@
                 let new = (17..=26).map(|b| EndpointInfo { started_at_ms: released, ..endpoint(b) });
                 p.list(EndpointListKind::Delta, old.chain(new).collect());
             }
-            // 20 requests a second a copy, so 20 a second a backend, as answers take 250 ms.
+            // 20 requests a second an instance, so 20 a second a backend, as answers take 250 ms.
             if rng.f64() < 0.1 {
-                p.ask(0, 0, 1e5);
+                p.send_request(0, 0, 1e5);
             }
             p.advance(p.now + 5.0);
             for (id, attempt, s) in p.out() {
@@ -232,7 +232,7 @@
                     sends[s.backend as usize].push(s.at - released);
                 }
                 if p.now - s.at >= 250.0 {
-                    p.resolve(id, attempt, Outcome::Ok);
+                    p.finish_attempt(id, attempt, Outcome::Ok);
                 }
             }
             p.forget();
@@ -254,7 +254,7 @@
     }
 }
 
-/// What all copies together admit at first is so many calls a backend, however many copies share it.
+/// What all instances together admit at first is so many calls a backend, however many instances share it.
 #[test]
 fn the_limits_of_many_copies_begin_no_higher_together_than_those_of_few() {
     let n = 16;
@@ -263,18 +263,18 @@
         for instance_index in 0..instance_count {
             let mut s = settings(instance_count, vec![class(1200.0, 2.0, Idempotency::Idempotent)]);
             s.instance_index = instance_index;
-            let mut p = Proxy::new(s, u64::from(instance_index), endpoints(n));
+            let mut p = ProxyHarness::new(s, u64::from(instance_index), endpoints(n));
             for _ in 0..100 {
-                p.ask(0, 0, 3000.0);
+                p.send_request(0, 0, 3000.0);
             }
             admitted += p.out().len() as u32;
         }
-        // Parts of a call are rounded down at each copy.
+        // Parts of a call are rounded down at each instance.
         assert!((6 * n..=8 * n).contains(&admitted), "{instance_count} copies admit {admitted} calls");
     }
 }
 
-/// A tier whose backends have all just started, and copies that have just started too: there is no answer to learn
+/// A tier whose backends have all just started, and instances that have just started too: there is no answer to learn
 /// from, but the settings tell what the tier bears.
 #[test]
 fn copies_without_history_use_a_tier_that_is_all_cold() {
@@ -285,16 +285,16 @@
         (s.instance_index, s.tenants) = (instance_index, vec![Tenant { quota_per_s: 160.0 }]);
         let cold =
             endpoints(n as u32).into_iter().map(|e| EndpointInfo { started_at_ms: 1000.0, ..e }).collect();
-        let mut p = Proxy::new(s, u64::from(instance_index), cold);
+        let mut p = ProxyHarness::new(s, u64::from(instance_index), cold);
         while p.now < 9000.0 {
-            p.ask(0, 0, 1000.0);
+            p.send_request(0, 0, 1000.0);
             p.advance(p.now + 25.0);
             for (id, attempt, s) in p.out() {
                 if s.at + 25.0 >= p.now {
                     sends[s.backend as usize].push(s.at - 1000.0);
                 }
                 if p.now - s.at >= 100.0 {
-                    p.resolve(id, attempt, Outcome::Ok);
+                    p.finish_attempt(id, attempt, Outcome::Ok);
                 }
             }
             p.forget();
@@ -311,15 +311,15 @@
     }
 }
 
-/// A restarted copy knows its cold backends only from a cached list and has seen no rate yet.
+/// A restarted instance knows its backends that are warming up only from a cached list and has seen no rate yet.
 #[test]
-fn a_copy_without_history_spares_cold_backends() {
+fn an_instance_without_history_spares_backends_in_slow_start() {
     let mut s = settings(10, vec![class(400.0, 1.0, Idempotency::Idempotent)]);
     s.instance_index = 4;
     let cold = endpoints(10).into_iter().map(|e| EndpointInfo { started_at_ms: 900.0, ..e }).collect();
-    let mut p = Proxy::new(s, 3, cold);
+    let mut p = ProxyHarness::new(s, 3, cold);
     for _ in 0..200 {
-        p.ask(0, 0, 1000.0);
+        p.send_request(0, 0, 1000.0);
     }
     for b in 1..=10 {
         let sends = p.out().iter().filter(|(_, _, s)| s.backend == b).count();
@@ -327,9 +327,9 @@
     }
 }
 
-fn ordered() -> Proxy {
+fn ordered() -> ProxyHarness {
     let idempotency = Idempotency::Deduplicated { scope: DeduplicationScope::Zone, window_ms: 800.0 };
-    Proxy::new(
+    ProxyHarness::new(
         settings(1, vec![Class { is_ordered_by_key: true, ..class(1000.0, 1.0, idempotency) }]),
         1,
         endpoints(6),
@@ -342,14 +342,14 @@
 fn one_key_runs_one_at_a_time_with_rest_after_doubt() {
     for (outcome, rest) in [(Outcome::Ok, 0.0), (Outcome::Reset, 300.0), (Outcome::Timeout, 300.0)] {
         let mut p = ordered();
-        let [first, next, other, free] = [7, 7, 8, 0].map(|key| p.ask_for(key, 0, 0, 3000.0));
-        let sends = |p: &Proxy, id| p.asked[&id].sends.len();
+        let [first, next, other, free] = [7, 7, 8, 0].map(|key| p.send_keyed_request(key, 0, 0, 3000.0));
+        let sends = |p: &ProxyHarness, id| p.requests[&id].sends.len();
         assert_eq!([first, next, other, free].map(|id| sends(&p, id)), [1, 0, 1, 1]);
         if rest > 0.0 {
-            p.hang_up(first);
+            p.disconnect(first);
         }
         assert_eq!(sends(&p, next), 0, "{outcome:?}: the first still has an attempt out");
-        p.resolve(first, 0, outcome);
+        p.finish_attempt(first, 0, outcome);
         assert_eq!(sends(&p, next), usize::from(rest == 0.0), "{outcome:?}");
         p.advance(p.now + rest);
         p.advance(p.now + 100.0);
@@ -361,22 +361,22 @@
 #[test]
 fn a_popular_key_keeps_nobody_out() {
     let mut p = ordered();
-    let line: Vec<_> = (0..200).map(|_| p.ask_for(7, 0, 0, 3000.0)).collect();
-    let free = p.ask_for(0, 0, 0, 3000.0);
-    assert_eq!((p.out().len(), p.asked[&free].sends.len()), (2, 1));
+    let line: Vec<_> = (0..200).map(|_| p.send_keyed_request(7, 0, 0, 3000.0)).collect();
+    let free = p.send_keyed_request(0, 0, 0, 3000.0);
+    assert_eq!((p.out().len(), p.requests[&free].sends.len()), (2, 1));
     p.advance(p.now + 2500.0);
-    assert!(line[1..].iter().all(|id| p.asked[id].ended.is_some_and(|e| e.1 == "refused")));
+    assert!(line[1..].iter().all(|id| p.requests[id].ended.is_some_and(|e| e.1 == "refused")));
 }
 
 /// Closing on drains: at the notice, and again after an outcome that comes later.
 #[test]
 fn idle_connections_to_a_draining_backend_are_closed() {
     let mut p =
-        Proxy::new(settings(1, vec![class(1000.0, 1.0, Idempotency::NonIdempotent)]), 1, endpoints(1));
-    let id = p.ask(0, 0, 3000.0);
+        ProxyHarness::new(settings(1, vec![class(1000.0, 1.0, Idempotency::NonIdempotent)]), 1, endpoints(1));
+    let id = p.send_request(0, 0, 3000.0);
     p.list(EndpointListKind::Delta, vec![EndpointInfo { phase: Phase::Draining, ..endpoint(1) }]);
     assert_eq!(p.closed.get(&1), Some(&p.now));
     p.advance(p.now + 400.0);
-    p.resolve(id, 0, Outcome::Ok);
+    p.finish_attempt(id, 0, Outcome::Ok);
     assert_eq!(p.closed.get(&1), Some(&p.now), "again after the last outcome");
 }
--- a/crates/balancer/tests/reconfigure.rs
+++ b/crates/balancer/tests/reconfigure.rs
@@ -1,4 +1,4 @@
-//! Settings put in force while the module works: what requests in work are owed, what stays learned, and what is
+//! Settings put in force while the balancer works: what requests in work are owed, what stays learned, and what is
 //! turned down.
 
 mod support;
@@ -22,44 +22,44 @@
 }
 
 /// How a request ended; nothing while it is open.
-fn end(p: &Proxy, request: RequestId) -> Option<&'static str> {
-    p.asked[&request].ended.map(|(_, how)| how)
+fn end(p: &ProxyHarness, request: RequestId) -> Option<&'static str> {
+    p.requests[&request].ended.map(|(_, how)| how)
 }
 
-fn sends(p: &Proxy, request: RequestId) -> usize {
-    p.asked[&request].sends.len()
+fn sends(p: &ProxyHarness, request: RequestId) -> usize {
+    p.requests[&request].sends.len()
 }
 
 /// Asks until one is not sent at once; how many were. While the limit is full those are within their tenant's quota.
-fn within(p: &mut Proxy, tenant: u16) -> usize {
-    let mut ask = || {
-        let id = p.ask(0, tenant, 60_000.0);
+fn within(p: &mut ProxyHarness, tenant: u16) -> usize {
+    let mut send_request = || {
+        let id = p.send_request(0, tenant, 60_000.0);
         sends(p, id) > 0
     };
-    (0..100).take_while(|_| ask()).count()
+    (0..100).take_while(|_| send_request()).count()
 }
 
 /// Nobody is out or waits, and the counts say so.
-fn assert_idle(p: &Proxy) {
+fn assert_idle(p: &ProxyHarness) {
     let g = p.balancer.gauges();
     let counts = (g.requests, g.in_flight, g.in_flight_in_slices, g.queued);
     assert_eq!(counts, (0, 0.0, 0.0, 0), "what is over still counts");
 }
 
 #[test]
-fn a_request_keeps_the_effect_that_it_was_taken_with() {
+fn a_request_keeps_the_idempotency_that_it_was_admitted_with() {
     for (before, after) in [(RETRYABLE, FRAGILE), (FRAGILE, RETRYABLE)] {
-        let mut p = Proxy::new(with(vec![class(1000.0, 1.0, before)]), 1, endpoints(4));
-        let old = p.ask(0, 0, 5000.0);
+        let mut p = ProxyHarness::new(with(vec![class(1000.0, 1.0, before)]), 1, endpoints(4));
+        let old = p.send_request(0, 0, 5000.0);
         p.configure(with(vec![class(1000.0, 1.0, after)]), ONE.into(), vec![]).expect("sound");
-        let new = p.ask(0, 0, 5000.0);
+        let new = p.send_request(0, 0, 5000.0);
         for (id, idempotency) in [(old, before), (new, after)] {
-            p.resolve(id, 0, Outcome::Reset);
+            p.finish_attempt(id, 0, Outcome::Reset);
             let again = idempotency == RETRYABLE;
             assert_eq!(sends(&p, id), if again { 2 } else { 1 }, "taken as {idempotency:?}");
             assert_eq!(end(&p, id), if again { None } else { Some("failed") }, "taken as {idempotency:?}");
         }
-        p.out().into_iter().for_each(|(id, n, _)| p.resolve(id, n, Outcome::Ok));
+        p.out().into_iter().for_each(|(id, n, _)| p.finish_attempt(id, n, Outcome::Ok));
         assert_idle(&p);
     }
 }
@@ -73,15 +73,15 @@
     short.capabilities.max_attempts = 2;
     let long = with(vec![class(1000.0, 1.0, dedup(60_000.0))]);
     for (wait, outcome, most) in [(250.0, Outcome::Reset, 1), (5.0, Outcome::Full, 2)] {
-        let mut p = Proxy::new(short.clone(), 1, endpoints(8));
-        let old = p.ask(0, 0, 5000.0);
+        let mut p = ProxyHarness::new(short.clone(), 1, endpoints(8));
+        let old = p.send_request(0, 0, 5000.0);
         p.configure(long.clone(), ONE.into(), vec![]).expect("sound");
-        let new = p.ask(0, 0, 5000.0);
+        let new = p.send_request(0, 0, 5000.0);
         p.advance(p.now + wait);
         for n in 0..2 {
             for id in [old, new] {
                 if sends(&p, id) > n {
-                    p.resolve(id, n, outcome);
+                    p.finish_attempt(id, n, outcome);
                 }
             }
         }
@@ -93,19 +93,19 @@
 #[test]
 fn a_class_that_is_gone_drains() {
     let (kept, gone) = (class(1000.0, 1.0, FRAGILE), class(400.0, 5.0, RETRYABLE));
-    let mut p = Proxy::new(with(vec![gone.clone(), kept.clone()]), 1, endpoints(4));
-    let old = p.ask(0, 0, 5000.0);
+    let mut p = ProxyHarness::new(with(vec![gone.clone(), kept.clone()]), 1, endpoints(4));
+    let old = p.send_request(0, 0, 5000.0);
     p.configure(with(vec![kept.clone()]), vec![Some(1)], vec![]).expect("sound");
     assert_eq!(end(&p, old), None);
     // Its place is another's now; the place behind that is nobody's.
-    let new = p.ask(0, 0, 5000.0);
-    let none = p.ask(1, 0, 5000.0);
+    let new = p.send_request(0, 0, 5000.0);
+    let none = p.send_request(1, 0, 5000.0);
     assert_eq!((end(&p, none), sends(&p, none)), (Some("failed"), 0));
-    p.resolve(old, 0, Outcome::Error);
+    p.finish_attempt(old, 0, Outcome::Error);
     assert_eq!(sends(&p, old), 2, "it is repeatable as it was taken");
-    p.resolve(new, 0, Outcome::Error);
+    p.finish_attempt(new, 0, Outcome::Error);
     assert_eq!((end(&p, new), sends(&p, new)), (Some("failed"), 1));
-    p.resolve(old, 1, Outcome::Ok);
+    p.finish_attempt(old, 1, Outcome::Ok);
     assert_eq!(end(&p, old), Some("served"));
     assert_idle(&p);
     p.configure(with(vec![kept, gone]), vec![Some(0), None], vec![]).expect("sound");
@@ -122,23 +122,23 @@
         ([0.0, 3.0], [Some(1), Some(0)], 1, 0, 3),
         ([3.0, 0.0], [None, Some(1)], 0, 3, 0),
     ] {
-        let mut p = Proxy::new(of(&[3.0, 0.0]), 1, endpoints(4));
-        let paid: Vec<RequestId> = (0..3).map(|_| p.ask(0, 0, 5000.0)).collect();
+        let mut p = ProxyHarness::new(of(&[3.0, 0.0]), 1, endpoints(4));
+        let paid: Vec<RequestId> = (0..3).map(|_| p.send_request(0, 0, 5000.0)).collect();
         assert!(within(&mut p, 1) > 3, "the rest of the limit");
         assert_eq!(within(&mut p, 0), 0, "all is spent");
         p.configure(of(&quotas), ONE.into(), continued.into()).expect("sound");
         assert_eq!(within(&mut p, tenant), full, "{continued:?}");
-        paid.into_iter().for_each(|id| p.hang_up(id));
+        paid.into_iter().for_each(|id| p.disconnect(id));
         assert_eq!(within(&mut p, tenant), given, "{continued:?}");
     }
 }
 
-/// The learned limit, the mean latency of a class that only changes its worth, and cold budgets hold.
+/// The learned limit, the mean latency of a class that only changes its priority weight, and slow-start budget hold.
 #[test]
 fn what_was_learned_holds() {
     let two =
         |priority_weight| with(vec![class(1000.0, priority_weight, RETRYABLE), class(500.0, 1.0, FRAGILE)]);
-    let mut p = Proxy::new(two(1.0), 1, endpoints(10));
+    let mut p = ProxyHarness::new(two(1.0), 1, endpoints(10));
     p.serve(5000.0, 4, 0, 40.0);
     let before = p.balancer.gauges();
     for priority_weight in [2.0, 3.0, 1.0] {
@@ -148,20 +148,24 @@
     }
 }
 
-/// Of two copies alike, one is told the same settings again and again between its events.
+/// Of two instances alike, one is told the same settings again and again between its events.
 #[test]
 fn the_same_settings_again_change_nothing() {
     let s = Settings { tenants: tenants(&[50.0]), ..with(vec![class(300.0, 1.0, RETRYABLE)]) };
     let run = |again: bool| {
-        let mut p = Proxy::new(s.clone(), 9, endpoints(6));
+        let mut p = ProxyHarness::new(s.clone(), 9, endpoints(6));
         let mut sent = Vec::new();
         for n in 0..2000u64 {
-            let id = p.ask(0, 0, 900.0);
-            sent.extend(p.asked[&id].sends.first().map(|s| s.backend));
+            let id = p.send_request(0, 0, 900.0);
+            sent.extend(p.requests[&id].sends.first().map(|s| s.backend));
             p.advance(p.now + 5.0);
             for (id, attempt, s) in p.out() {
                 if p.now - s.at >= 60.0 + f64::from(s.backend) * 5.0 {
-                    p.resolve(id, attempt, if (id + n) % 17 == 0 { Outcome::Full } else { Outcome::Ok });
+                    p.finish_attempt(
+                        id,
+                        attempt,
+                        if (id + n) % 17 == 0 { Outcome::Full } else { Outcome::Ok },
+                    );
                 }
             }
             p.forget();
@@ -181,20 +185,20 @@
     let two = |priority_weight| {
         with(vec![class(8000.0, priority_weight, RETRYABLE), class(8000.0, 1.0, RETRYABLE)])
     };
-    let mut p = Proxy::new(two(3.0), 1, endpoints(2));
+    let mut p = ProxyHarness::new(two(3.0), 1, endpoints(2));
     // Both slices are full, then some are held in each.
     for n in 0..2 {
         while {
-            let id = p.ask(n, 0, 60_000.0);
+            let id = p.send_request(n, 0, 60_000.0);
             sends(&p, id) > 0
         } {}
     }
     for n in 0..4 {
-        p.ask(n % 2, 0, 60_000.0);
+        p.send_request(n % 2, 0, 60_000.0);
     }
-    let queued = |p: &Proxy, class: usize| -> Vec<RequestId> {
+    let queued = |p: &ProxyHarness, class: usize| -> Vec<RequestId> {
         let waits =
-            p.asked.iter().filter(|(_, a)| a.class == class && a.sends.is_empty() && a.ended.is_none());
+            p.requests.iter().filter(|(_, a)| a.class == class && a.sends.is_empty() && a.ended.is_none());
         waits.map(|(id, _)| *id).collect()
     };
     let (first, second) = (queued(&p, 0), queued(&p, 1));
@@ -207,14 +211,14 @@
     while !(queued(&p, 0).is_empty() && queued(&p, 1).is_empty()) {
         let waits = [queued(&p, 0), queued(&p, 1)].concat();
         let (id, n, _) = p.out().remove(0);
-        p.resolve(id, n, Outcome::Ok);
+        p.finish_attempt(id, n, Outcome::Ok);
         order.extend(waits.into_iter().filter(|id| sends(&p, *id) > 0));
     }
     for of in [first, second] {
         let of_class: Vec<RequestId> = order.iter().copied().filter(|id| of.contains(id)).collect();
         assert_eq!(of_class, of, "in the order they came");
     }
-    p.out().into_iter().for_each(|(id, n, _)| p.resolve(id, n, Outcome::Ok));
+    p.out().into_iter().for_each(|(id, n, _)| p.finish_attempt(id, n, Outcome::Ok));
     assert_idle(&p);
 }
 
@@ -225,7 +229,7 @@
         Settings { tenants: tenants(&[quota, 0.0]), ..s }
     };
     for (before, after) in [(2.0, 6.0), (6.0, 3.0), (3.0, 12.0), (12.0, 12.0)] {
-        let mut p = Proxy::new(of(before), 1, endpoints(8));
+        let mut p = ProxyHarness::new(of(before), 1, endpoints(8));
         assert!(within(&mut p, 1) > 20, "the rest of the limit");
         assert_eq!(within(&mut p, 0), before as usize, "all of it");
         p.configure(of(after), ONE.into(), TWO.into()).expect("sound");
@@ -235,7 +239,7 @@
     }
 }
 
-/// What can't be put in force changes nothing at all: the copy goes on as one that was never told of it.
+/// What can't be put in force changes nothing at all: the instance goes on as one that was never told of it.
 #[test]
 fn a_bad_configuration_changes_nothing() {
     let s = Settings { tenants: tenants(&[5.0]), ..with(vec![class(3000.0, 1.0, RETRYABLE)]) };
@@ -272,27 +276,27 @@
         ("version", bad(|c| c.version = 7)),
         ("version", bad(|c| (c.version, c.settings, c.content_hash) = (7, with(vec![]), 1))),
     ];
-    let run = |tell: bool| {
-        let mut p = Proxy::new(s.clone(), 5, endpoints(3));
+    let run = |handle: bool| {
+        let mut p = ProxyHarness::new(s.clone(), 5, endpoints(3));
         let first = SettingsUpdate { version: 7, settings: s.clone(), ..good.clone() };
         assert_eq!(p.balancer.configure(p.now, first, &mut Vec::new()), Ok(7));
         for (field, next) in &wrong {
             for n in 0..30 {
-                p.ask(0, 0, 9000.0);
+                p.send_request(0, 0, 9000.0);
                 p.advance(p.now + 5.0);
                 // Too slow for all: the limit is full, and some are held.
                 if let Some((id, n, _)) = p.out().first().cloned().filter(|_| n % 3 == 0) {
-                    p.resolve(id, n, Outcome::Ok);
+                    p.finish_attempt(id, n, Outcome::Ok);
                 }
             }
-            if tell {
+            if handle {
                 let mut actions = Vec::new();
                 let said = p.balancer.configure(p.now, next.clone(), &mut actions).expect_err(field);
                 assert!(said.field == *field || next.settings.classes.is_empty(), "{said} and not {field}");
                 assert!(actions.is_empty() && p.balancer.version() == 7);
             }
         }
-        (format!("{:?}", p.asked), p.balancer.gauges())
+        (format!("{:?}", p.requests), p.balancer.gauges())
     };
     assert_eq!(run(false), run(true));
 }
@@ -301,7 +305,7 @@
 fn versions_never_go_back() {
     let s = with(vec![class(300.0, 1.0, RETRYABLE)]);
     let mut balancer = Balancer::new(s.clone(), 1).expect("sound");
-    let mut tell = |version, priority_weight, content_hash| {
+    let mut handle = |version, priority_weight, content_hash| {
         let mut settings = s.clone();
         settings.classes[0].priority_weight = priority_weight;
         let next = SettingsUpdate {
@@ -314,17 +318,17 @@
         balancer.configure(0.0, next, &mut Vec::new()).map_err(|e| e.field)
     };
     let stale = || Err("version".to_string());
-    assert_eq!(tell(0, 1.0, 0), Ok(0), "as it was");
-    assert_eq!(tell(0, 2.0, 0), Ok(1), "it counts by itself");
-    assert_eq!(tell(0, 2.0, 0), Ok(1));
-    assert_eq!(tell(0, 2.0, 1), Ok(2), "other contents that are not the module's");
-    assert_eq!(tell(9, 2.0, 1), Ok(9), "the same by another number");
-    assert_eq!(tell(9, 2.0, 1), Ok(9), "told twice");
-    assert_eq!(tell(9, 3.0, 1), stale());
-    assert_eq!(tell(9, 2.0, 0), stale());
-    assert_eq!(tell(8, 3.0, 1), stale());
-    assert_eq!(tell(8, 2.0, 1), stale(), "not even with the same contents");
-    assert_eq!(tell(0, 3.0, 1), Ok(10));
+    assert_eq!(handle(0, 1.0, 0), Ok(0), "as it was");
+    assert_eq!(handle(0, 2.0, 0), Ok(1), "it counts by itself");
+    assert_eq!(handle(0, 2.0, 0), Ok(1));
+    assert_eq!(handle(0, 2.0, 1), Ok(2), "other contents that are not the module's");
+    assert_eq!(handle(9, 2.0, 1), Ok(9), "the same by another number");
+    assert_eq!(handle(9, 2.0, 1), Ok(9), "told twice");
+    assert_eq!(handle(9, 3.0, 1), stale());
+    assert_eq!(handle(9, 2.0, 0), stale());
+    assert_eq!(handle(8, 3.0, 1), stale());
+    assert_eq!(handle(8, 2.0, 1), stale(), "not even with the same contents");
+    assert_eq!(handle(0, 3.0, 1), Ok(10));
 }
 
 /// Thousands of random changes under traffic: the checks of the rules hold for every request as it was taken, each
@@ -354,7 +358,7 @@
     let list: Vec<EndpointInfo> =
         (1..=12).map(|b| EndpointInfo { zone: b as u16 % 3, ..endpoint(b) }).collect();
     let start = Settings { tenants: tenants(&[20.0]), ..with(vec![new_class(&mut rng)]) };
-    let mut p = Proxy::new(start, seed, list.clone());
+    let mut p = ProxyHarness::new(start, seed, list.clone());
     let mut story = Vec::new();
     for _ in 0..changes {
         let mut s = p.s.clone();
@@ -408,31 +412,31 @@
             let tenant = rng.u16(..p.s.tenants.len().max(1) as u16);
             let key = rng.u64(..4);
             let id = match rng.u8(..8) {
-                0 => p.ask_arriving(class, 600.0),
-                _ => p.ask_for(key, class, tenant, f64::from(rng.u16(20..1500))),
+                0 => p.send_streamed_request(class, 600.0),
+                _ => p.send_keyed_request(key, class, tenant, f64::from(rng.u16(20..1500))),
             };
-            if rng.u8(..20) == 0 && p.asked[&id].ended.is_none() {
-                p.hang_up(id);
+            if rng.u8(..20) == 0 && p.requests[&id].ended.is_none() {
+                p.disconnect(id);
             }
         }
         p.advance(p.now + f64::from(rng.u8(1..30)));
         for (id, n, s) in p.out() {
             if p.now - s.at > 10.0 && rng.u8(..3) > 0 {
                 let outcomes = [Outcome::Ok, Outcome::Ok, Outcome::Full, Outcome::Error, Outcome::Reset];
-                p.resolve(id, n, outcomes[rng.usize(..outcomes.len())]);
+                p.finish_attempt(id, n, outcomes[rng.usize(..outcomes.len())]);
             }
         }
-        let over = p.asked.iter().filter(|(_, a)| a.ended.is_some());
+        let over = p.requests.iter().filter(|(_, a)| a.ended.is_some());
         story.extend(over.map(|(id, a)| format!("{id} {:?} {:?}", a.ended, a.sends)));
         p.forget();
-        let (g, open) = (p.balancer.gauges(), p.asked.len());
+        let (g, open) = (p.balancer.gauges(), p.requests.len());
         assert!(g.requests <= open, "{} requests of {open}", g.requests);
         assert_eq!(g.in_flight, g.in_flight_in_slices);
         assert!(g.classes <= 2 * 6 + open, "{} records of classes", g.classes);
     }
     // All that is open ends by itself.
     p.advance(p.now + 3000.0);
-    assert!(p.asked.values().all(|a| a.ended.is_some()), "without an answer");
+    assert!(p.requests.values().all(|a| a.ended.is_some()), "without an answer");
     let same = (0..p.s.classes.len() as u16).map(Some).collect();
     let places = (0..p.s.tenants.len() as u16).map(Some).collect();
     let s = Settings { over_quota_weight: p.s.over_quota_weight + 1.0, ..p.s.clone() };
--- a/crates/balancer/tests/slow_start_fleet.rs
+++ b/crates/balancer/tests/slow_start_fleet.rs
@@ -1,10 +1,10 @@
-//! What all copies together send to a cold backend stays under its budget and chance: sums over fleets of 3,
-//! 30 and 100 copies, window by window, in the troubles that bring cold backends.
+//! What all instances together send to a backend that is warming up stays under its budget and chance: sums over fleets of 3,
+//! 30 and 100 instances, window by window, in the troubles that bring backends that are warming up.
 
-mod fleet;
+mod support;
 
-use fleet::*;
 use foldhitch_balancer::api::*;
+use support::fleet::*;
 
 const COLD: f64 = 15_000.0;
 
@@ -177,7 +177,7 @@
     p
 }
 
-/// A copy's share of the budget follows from what it sees alone, so each case is played for several seeds.
+/// An instance's share of the budget follows from what it sees alone, so each case is played for several seeds.
 /// `FLEET_SEEDS=40 cargo test --test cold_fleet -- --nocapture` plays more and prints the figures.
 fn bears_the_sum(instance_count: u32, seeds: u64) {
     let seeds = std::env::var("FLEET_SEEDS").ok().and_then(|n| n.parse().ok()).unwrap_or(seeds);
@@ -224,11 +224,11 @@
     bears_the_sum(100, 3);
 }
 
-/// 720 copies over 40 backends that are replaced all day: nothing is sent to what a copy was told is leaving
-/// (checked at every send), every copy follows to the newest list, cold backends bear the sum, and records of
+/// 720 instances over 40 backends that are replaced all day: nothing is sent to what an instance was told is leaving
+/// (checked at every send), every instance follows to the newest list, backends that are warming up bear the sum, and records of
 /// backends that left don't pile up.
 #[test]
-fn copies_by_the_hundred_follow_every_list() {
+fn hundreds_of_instances_follow_every_list() {
     let (backends, churn) = (40, 160);
     let replace = |n: u32| (2000.0 + 100.0 * f64::from(n), Change::Replace(1 + n, 1 + n + backends));
     let mut p = plan(720);
--- a/crates/balancer/tests/fleet/mod.rs
+++ b/crates/balancer/tests/support/fleet.rs
@@ -1,6 +1,5 @@
-//! A fleet on virtual time: many copies of the module, the backends that they send to, one queue of events.
-//! The same plan and seed give the same run. Every send is checked against what its copy was told.
-#![allow(dead_code)]
+//! A fleet on virtual time: many instances of the balancer, the backends that they send to, one queue of events.
+//! The same plan and seed give the same run. Every send is checked against what its instance was told.
 
 use foldhitch_balancer::Balancer;
 use foldhitch_balancer::api::*;
@@ -32,13 +31,13 @@
     pub mean: f64,
     /// What is asked, as a share of what all backends serve warm.
     pub load: f64,
-    /// Traffic of a copy beside the others'; copies past the end of the list are like its last.
+    /// Traffic of an instance beside the others'; instances past the end of the list are like its last.
     pub uneven: Vec<f64>,
-    /// Lists reach each copy up to so much later.
+    /// Lists reach each instance up to so much later.
     pub notice: f64,
     /// Backends that are warm from the beginning; `load` is of these.
     pub warm: u32,
-    /// The time within which too much work makes a cold backend fall.
+    /// The time within which too much work makes a backend that is warming up fall.
     pub fall: f64,
     /// Every request is of its class's mean work; else their work is exponential.
     pub even: bool,
@@ -50,17 +49,17 @@
 pub enum Change {
     /// So many times the load, from now on.
     Load(f64),
-    /// Copies are killed and come again with nothing but the list, spread over so many ms.
+    /// Instances are killed and come again with nothing but the list, spread over so many ms.
     RestartCopies(f64),
     /// The backend's process is replaced by a cold one of the same name.
     RestartBackend(BackendId),
-    /// The first is told to drain, ends after the grace, and the second is new.
+    /// The first is notified to drain, ends after the grace, and the second is new.
     Replace(BackendId, BackendId),
     /// A new backend.
     Add(BackendId),
-    /// So many processes act as each copy (the traffic is what this one gets).
+    /// So many processes act as each instance (the traffic is what this one gets).
     Processes(u32),
-    /// Copies whose number has this remainder by 5 ask so many times as much.
+    /// Instances whose number has this remainder by 5 ask so many times as much.
     Shift(u32, f64),
 }
 
@@ -106,11 +105,11 @@
     /// When it was told that a backend takes nothing more.
     left: BTreeMap<BackendId, f64>,
     idle: HashMap<BackendId, VecDeque<f64>>,
-    open: HashMap<RequestId, Asked>,
+    open: HashMap<RequestId, RequestRecord>,
     next: RequestId,
 }
 
-struct Asked {
+struct RequestRecord {
     class: usize,
     deadline_ms: f64,
     sends: Vec<(BackendId, f64)>,
@@ -121,7 +120,7 @@
     pub at: f64,
     /// In requests of mean work.
     pub amount: f64,
-    /// Whether its copy had been told of the start.
+    /// Whether its instance had been told of the start.
     pub told: bool,
 }
 
@@ -141,7 +140,7 @@
     pub servers: BTreeMap<BackendId, Server>,
     /// Earlier processes of backends, with the time of their end.
     pub ended: Vec<(Server, f64)>,
-    /// All lists so far; copies are told the newest.
+    /// All lists so far; instances are told the newest.
     pub lists: Vec<Vec<EndpointInfo>>,
     pub answered: usize,
     pub refused: usize,
@@ -210,7 +209,7 @@
         }
     }
 
-    /// The list has changed: each copy hears of it within the notice.
+    /// The list has changed: each instance hears of it within the notice.
     fn publish(&mut self) {
         self.lists.push(self.servers.values().map(|s| s.endpoint.clone()).collect());
         let version = self.lists.len() - 1;
@@ -232,7 +231,7 @@
                 }
                 self.publish();
             }
-            Due::Start(instance_index) => self.start_copy(instance_index),
+            Due::Start(instance_index) => self.start_instance(instance_index),
             Due::Told { instance_index, life, version } => {
                 // Lists that come out of turn are not given on: what is newer has been told.
                 let c = &self.instance_count[instance_index];
@@ -242,13 +241,13 @@
             }
             Due::Wake { instance_index, life, token } => {
                 if self.instance_count[instance_index].life == life {
-                    self.tell(instance_index, Event::TimerFired { token });
+                    self.handle(instance_index, Event::TimerFired { token });
                 }
             }
             Due::Ask { instance_index, life } => {
                 if self.instance_count[instance_index].life == life {
-                    self.ask(instance_index);
-                    self.ask_later(instance_index);
+                    self.send_request(instance_index);
+                    self.schedule_request(instance_index);
                 }
             }
             Due::Answer { instance_index, life, request, attempt, outcome } => {
@@ -287,12 +286,12 @@
             }
             Change::Processes(count) => {
                 self.processes = count;
-                (0..self.instance_count.len()).for_each(|c| self.tell(c, Event::ProcessCount { count }));
+                (0..self.instance_count.len()).for_each(|c| self.handle(c, Event::ProcessCount { count }));
             }
         }
     }
 
-    fn start_copy(&mut self, instance_index: usize) {
+    fn start_instance(&mut self, instance_index: usize) {
         let s = Settings { instance_index: instance_index as u32, ..self.plan.settings.clone() };
         let seed = self.rng.u64(..);
         let c = &mut self.instance_count[instance_index];
@@ -300,12 +299,12 @@
         (c.idle, c.open, c.left) = (HashMap::new(), HashMap::new(), BTreeMap::new());
         self.list(instance_index, self.lists.len() - 1, EndpointListKind::Cached);
         if self.processes > 1 {
-            self.tell(instance_index, Event::ProcessCount { count: self.processes });
+            self.handle(instance_index, Event::ProcessCount { count: self.processes });
         }
-        self.ask_later(instance_index);
+        self.schedule_request(instance_index);
     }
 
-    /// Every other list comes as its changes to the one before, where the copy has that.
+    /// Every other list comes as its changes to the one before, where the instance has that.
     fn list(&mut self, instance_index: usize, version: usize, kind: EndpointListKind) {
         let endpoints = self.lists[version].clone();
         let delta = kind == EndpointListKind::Full
@@ -334,10 +333,10 @@
                 c.left.entry(e.backend).or_insert(self.now);
             }
         }
-        self.tell(instance_index, event);
+        self.handle(instance_index, event);
     }
 
-    /// Requests a millisecond that a copy is asked.
+    /// Requests a millisecond that an instance is asked.
     fn rate(&self, instance_index: usize) -> f64 {
         let uneven = |c: usize| *self.plan.uneven.get(c).or(self.plan.uneven.last()).unwrap_or(&1.0);
         let all: f64 = (0..self.instance_count.len()).map(uneven).sum();
@@ -345,13 +344,13 @@
         self.load * capacity * uneven(instance_index) / all * self.shift[instance_index % 5]
     }
 
-    fn ask_later(&mut self, instance_index: usize) {
+    fn schedule_request(&mut self, instance_index: usize) {
         let wait = -(1.0 - self.rng.f64()).ln() / self.rate(instance_index).max(1e-9);
         let life = self.instance_count[instance_index].life;
         self.at(self.now + wait, Due::Ask { instance_index, life });
     }
 
-    fn ask(&mut self, instance_index: usize) {
+    fn send_request(&mut self, instance_index: usize) {
         let mut draw = self.rng.f64() * self.plan.mix.iter().map(|m| m.share).sum::<f64>();
         let of = |m: &Mix| {
             draw -= m.share;
@@ -362,14 +361,14 @@
         let c = &mut self.instance_count[instance_index];
         let request = c.next;
         c.next += 1;
-        c.open.insert(request, Asked { class, deadline_ms, sends: Vec::new() });
+        c.open.insert(request, RequestRecord { class, deadline_ms, sends: Vec::new() });
         let class = class as u16;
         let arrival =
             RequestArrival { request, key: 0, class, tenant: 0, deadline_ms, is_body_streamed: false };
-        self.tell(instance_index, Event::RequestArrived(arrival));
+        self.handle(instance_index, Event::RequestArrived(arrival));
     }
 
-    fn tell(&mut self, instance_index: usize, event: Event) {
+    fn handle(&mut self, instance_index: usize, event: Event) {
         let mut actions = Vec::new();
         let c = &mut self.instance_count[instance_index];
         let (life, Some(balancer)) = (c.life, c.balancer.as_mut()) else { return };
@@ -457,7 +456,7 @@
             is_request_closed: closed,
             is_body_consumed: false,
         };
-        self.tell(instance_index, Event::AttemptFinished(resolved));
+        self.handle(instance_index, Event::AttemptFinished(resolved));
     }
 
     /// Backends that started cold, with the end of their cold time.
@@ -469,8 +468,8 @@
         of.map(move |(s, end)| (s, end.min(s.endpoint.started_at_ms + cold)))
     }
 
-    /// The worst window at a cold backend: work beyond its budget of N, over the 2 sqrt(N) + 2 that are
-    /// chance; above 1 it falls. As in the rule, windows count of which over two thirds come from copies that
+    /// The worst window at a backend that is warming up: work beyond its budget of N, over the 2 sqrt(N) + 2 that are
+    /// chance; above 1 it falls. As in the rule, windows count of which over two thirds come from instances that
     /// were told of the start.
     pub fn worst(&self) -> f64 {
         let (guarantees, window) = (&self.plan.settings.guarantees, self.plan.fall);
@@ -496,7 +495,7 @@
         worst
     }
 
-    /// Records that a copy holds of backends, beyond those of its list and of its open requests' attempts.
+    /// Records that an instance holds of backends, beyond those of its list and of its open requests' attempts.
     pub fn records_beyond_need(&self, instance_index: usize) -> usize {
         let c = &self.instance_count[instance_index];
         let attempts: usize = c.open.values().map(|a| a.sends.len()).sum();
@@ -504,7 +503,7 @@
         known.saturating_sub(self.lists[c.version].len() + attempts)
     }
 
-    /// Work that cold backends got, as a share of what they could have done: the mean, and the least at one
+    /// Work that backends that are warming up got, as a share of what they could have done: the mean, and the least at one
     /// that was there for its whole cold time.
     pub fn used(&self) -> (f64, f64) {
         let guarantees = &self.plan.settings.guarantees;
--- a/crates/discovery-client/tests/polling.rs
+++ b/crates/discovery-client/tests/polling.rs
@@ -202,7 +202,7 @@
 
 /// A list that is taken is watched from its version; after one that is not, the whole list is asked for.
 #[tokio::test(start_paused = true)]
-async fn lists_that_are_older_or_name_nobody_are_not_taken() {
+async fn lists_that_are_older_or_name_nobody_are_ignored() {
     let cases = [
         (Some(7), Do::List(8, false, 1), true, true),
         (Some(7), Do::List(7, false, 1), true, true), // the same again
@@ -243,7 +243,7 @@
 /// an answer that stopped short leave time for a second try. Where discovery as such was silent, what it has to
 /// tell at its return counts at once: then a call that is not answered and the pause fit into a drain's grace.
 #[tokio::test(start_paused = true)]
-async fn silence_and_half_an_answer_are_noticed_before_the_change_counts_as_told() {
+async fn silence_and_half_an_answer_are_noticed_before_the_change_counts_as_notified() {
     let had = Do::List(7, true, 1);
     for grace in [100, 250, 500, 2000, 10_000].map(Duration::from_millis) {
         for (script, within) in [
@@ -274,7 +274,7 @@
 
 /// The last of many calls that fail comes just before discovery is back.
 #[tokio::test(start_paused = true)]
-async fn a_change_is_told_within_the_term_after_calls_that_fail() {
+async fn a_change_is_notified_within_the_deadline_after_failed_polls() {
     let mut longest = Duration::ZERO;
     for trouble in
         [Do::Hang, Do::Half, Do::Trickle, Do::Fail, Do::Close, Do::List(9, true, 0), Do::List(6, false, 1)]
@@ -315,7 +315,7 @@
 /// The watch, or a call after others that failed, ends late and in the middle of its answer, and the next one
 /// is answered as late.
 #[tokio::test(start_paused = true)]
-async fn a_change_is_told_within_the_term_by_an_agent_that_is_late() {
+async fn a_change_is_notified_within_the_deadline_by_a_late_agent() {
     let mut longest = Duration::ZERO;
     for (grace, late) in [(500, 225), (2000, 450), (10_000, 450)] {
         for (failures, seed) in [1, 9].into_iter().flat_map(|f| (0..10).map(move |seed| (f, seed))) {
@@ -342,7 +342,7 @@
 
 /// Refused for long, at the start or later, and then reached at any moment.
 #[tokio::test(start_paused = true)]
-async fn a_change_is_told_within_the_term_after_refusals() {
+async fn a_change_is_notified_within_the_deadline_after_refused_connections() {
     let mut longest = Duration::ZERO;
     for must_ask in [false, true] {
         for (poll_within_ms, seed) in [(100.0, 1), (10_000.0, 2), (60_000.0, 3)] {
--- a/crates/proxy/src/transport/tests.rs
+++ b/crates/proxy/src/transport/tests.rs
@@ -74,7 +74,7 @@
 }
 
 #[tokio::test]
-async fn whether_a_caller_is_there_is_known_at_once() {
+async fn whether_a_client_is_connected_is_known_at_once() {
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let addr = listener.local_addr().expect("bound");
     let pair = async || {
--- a/crates/proxy/tests/admin.rs
+++ b/crates/proxy/tests/admin.rs
@@ -1,4 +1,4 @@
-//! The operators' door of the started program, and what its calls do to callers and backends.
+//! The operators' door of the started program, and what its calls do to clients and backends.
 
 mod support;
 
@@ -8,15 +8,15 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-struct Scene {
-    orders: Arc<Orders>,
+struct Fixture {
+    script: Arc<BackendScript>,
     a: Backend,
     b: Backend,
     discovery: Discovery,
     proxy: Proxy,
 }
 
-fn with_door(discovery: &Discovery) -> Value {
+fn with_admin_api(discovery: &Discovery) -> Value {
     let mut settings = settings();
     for class in settings["classes"].as_array_mut().expect("classes") {
         // What no backend can take is held for so long.
@@ -27,77 +27,77 @@
     config
 }
 
-async fn scene() -> Scene {
+async fn fixture() -> Fixture {
     scene_with(256).await
 }
 
 /// A proxy that may hold so many descriptors.
-async fn scene_with(sockets: usize) -> Scene {
-    let orders = Arc::new(Orders::default());
-    let (a, b) = (Backend::start("a", &orders).await, Backend::start("b", &orders).await);
+async fn scene_with(sockets: usize) -> Fixture {
+    let script = Arc::new(BackendScript::default());
+    let (a, b) = (Backend::start("a", &script).await, Backend::start("b", &script).await);
     let discovery = Discovery::start(vec![a.line("SERVING"), b.line("SERVING")]).await;
-    let mut config = with_door(&discovery);
+    let mut config = with_admin_api(&discovery);
     config["limits"]["sockets"] = sockets.into();
     let proxy = Proxy::start_as(&config, "exec \"$0\"").await;
-    discovery.settled().await;
-    Scene { orders, a, b, discovery, proxy }
+    discovery.wait_until_applied().await;
+    Fixture { script, a, b, discovery, proxy }
 }
 
 /// Bytes as they are; the status, or nothing if the connection ends without one.
-async fn raw(door: std::net::SocketAddr, bytes: &[u8]) -> Option<u16> {
-    let mut stream = TcpStream::connect(door).await.expect("it listens");
+async fn raw(admin: std::net::SocketAddr, bytes: &[u8]) -> Option<u16> {
+    let mut stream = TcpStream::connect(admin).await.expect("it listens");
     stream.write_all(bytes).await.expect("it is taken");
     let mut answer = Vec::new();
     // A reset behind the answer does not take it away.
-    let _ = soon(stream.read_to_end(&mut answer)).await;
+    let _ = in_time(stream.read_to_end(&mut answer)).await;
     String::from_utf8_lossy(&answer).split(' ').nth(1)?.parse().ok()
 }
 
 #[tokio::test]
 async fn a_suspended_backend_is_left_out_whatever_the_list_says() {
-    let s = scene().await;
+    let s = fixture().await;
     for _ in 0..2 {
-        assert_eq!(s.proxy.operate("POST", "/v1/backends/a/suspend").await, 200);
+        assert_eq!(s.proxy.call_admin("POST", "/v1/backends/a/suspend").await, 200);
     }
     let lists = [vec![s.b.line("SERVING")], vec![s.a.line("SERVING"), s.b.line("SERVING")]];
     for list in lists.into_iter().cycle().take(4) {
-        s.discovery.tell(list).await;
+        s.discovery.publish(list).await;
         for _ in 0..10 {
             assert_eq!(s.proxy.call("once").await, (200, "b".into()));
         }
     }
     // Where nothing else is left it is not a last resort either.
-    s.discovery.tell(vec![s.a.line("SERVING")]).await;
+    s.discovery.publish(vec![s.a.line("SERVING")]).await;
     assert_eq!(s.proxy.call("look").await.0, 503);
-    assert_eq!(s.orders.by("a"), 0);
+    assert_eq!(s.script.requests_at("a"), 0);
     // One call back undoes both, and works while the list does not name it.
-    s.discovery.tell(vec![s.b.line("SERVING")]).await;
-    assert_eq!(s.proxy.operate("POST", "/v1/backends/a/resume").await, 200);
-    s.discovery.tell(vec![s.a.line("SERVING")]).await;
+    s.discovery.publish(vec![s.b.line("SERVING")]).await;
+    assert_eq!(s.proxy.call_admin("POST", "/v1/backends/a/resume").await, 200);
+    s.discovery.publish(vec![s.a.line("SERVING")]).await;
     while s.proxy.call("look").await.0 != 200 {}
-    assert_eq!(s.orders.by("a"), 1);
+    assert_eq!(s.script.requests_at("a"), 1);
 }
 
 /// Both processes keep to what was told to either; a new one begins with it.
 #[tokio::test]
 async fn calls_at_either_of_two_processes_bind_both() {
-    let s = scene().await;
-    assert_eq!(s.proxy.operate("POST", "/v1/backends/a/suspend").await, 200);
-    assert_eq!(s.proxy.operate("POST", "/v1/proxy/drain").await, 200);
+    let s = fixture().await;
+    assert_eq!(s.proxy.call_admin("POST", "/v1/backends/a/suspend").await, 200);
+    assert_eq!(s.proxy.call_admin("POST", "/v1/proxy/drain").await, 200);
     std::fs::write(s.proxy.folder.join("heathroad/stale"), [255]).expect("writable");
-    let other = s.proxy.start_beside(&with_door(&s.discovery)).await;
-    while other.operate("GET", "/v1/readyz").await != 200 {}
+    let other = s.proxy.start_beside(&with_admin_api(&s.discovery)).await;
+    while other.call_admin("GET", "/v1/readyz").await != 200 {}
     assert_eq!(healthy(&other).await, 503);
     for _ in 0..10 {
         assert_eq!(other.call("once").await, (200, "b".into()));
     }
-    assert_eq!(other.operate("POST", "/v1/proxy/activate").await, 200);
-    assert_eq!(other.operate("POST", "/v1/backends/b/suspend").await, 200);
-    // The other looks at the marks every so often.
+    assert_eq!(other.call_admin("POST", "/v1/proxy/activate").await, 200);
+    assert_eq!(other.call_admin("POST", "/v1/backends/b/suspend").await, 200);
+    // The other looks at the markers every so often.
     while healthy(&s.proxy).await != 503 || s.proxy.call("look").await.0 != 503 {}
-    assert_eq!(s.proxy.operate("POST", "/v1/backends/b/resume").await, 200);
+    assert_eq!(s.proxy.call_admin("POST", "/v1/backends/b/resume").await, 200);
     while other.call("look").await.0 != 200 {}
-    assert_eq!(s.orders.by("a"), 0);
+    assert_eq!(s.script.requests_at("a"), 0);
 }
 
 async fn healthy(proxy: &Proxy) -> u16 {
@@ -107,35 +107,35 @@
 
 #[tokio::test]
 async fn a_drain_sends_clients_away_and_ends() {
-    let s = scene().await;
-    let (mut kept, mut idle) = (s.proxy.caller().await, s.proxy.caller().await);
+    let s = fixture().await;
+    let (mut kept, mut idle) = (s.proxy.client().await, s.proxy.client().await);
     assert_eq!((kept.call("look").await.0, idle.call("look").await.0), (200, 200));
     let mut silent = TcpStream::connect(s.proxy.addr).await.expect("it listens");
     for _ in 0..2 {
-        assert_eq!(s.proxy.operate("POST", "/v1/proxy/drain").await, 200);
+        assert_eq!(s.proxy.call_admin("POST", "/v1/proxy/drain").await, 200);
         assert_eq!(healthy(&s.proxy).await, 503);
     }
-    assert_eq!(s.proxy.operate("GET", "/v1/readyz").await, 200, "the process itself is well");
+    assert_eq!(s.proxy.call_admin("GET", "/v1/readyz").await, 200, "the process itself is well");
     // Requests on kept and new connections are served, each the last on its connection.
     assert_eq!(kept.call("look").await.0, 200);
-    soon(kept.closed()).await;
-    let mut late = s.proxy.caller().await;
+    in_time(kept.closed()).await;
+    let mut late = s.proxy.client().await;
     assert_eq!(late.call("look").await.0, 200);
-    soon(late.closed()).await;
+    in_time(late.closed()).await;
     // Those that say nothing are closed too.
-    soon(idle.closed()).await;
-    assert_eq!(soon(silent.read(&mut [0; 1])).await.expect("no reset"), 0);
+    in_time(idle.closed()).await;
+    assert_eq!(in_time(silent.read(&mut [0; 1])).await.expect("no reset"), 0);
     for _ in 0..2 {
-        assert_eq!(s.proxy.operate("POST", "/v1/proxy/activate").await, 200);
+        assert_eq!(s.proxy.call_admin("POST", "/v1/proxy/activate").await, 200);
         assert_eq!(healthy(&s.proxy).await, 200);
     }
-    let mut kept = s.proxy.caller().await;
+    let mut kept = s.proxy.client().await;
     assert_eq!((kept.call("look").await.0, kept.call("look").await.0), (200, 200));
 }
 
 #[tokio::test]
 async fn what_is_no_call_is_turned_down_and_changes_nothing() {
-    let s = scene().await;
+    let s = fixture().await;
     for (method, path, status) in [
         ("POST", "/v1/backends/c/suspend", 404),
         ("POST", "/v1/backends/c/resume", 404),
@@ -149,14 +149,14 @@
         ("POST", "/v1/backends/%61/suspend", 200),
         ("POST", "/v1/backends/a/resume", 200),
     ] {
-        assert_eq!(s.proxy.operate(method, path).await, status, "{method} {path}");
+        assert_eq!(s.proxy.call_admin(method, path).await, status, "{method} {path}");
     }
-    let door = s.proxy.door.expect("a door");
+    let admin = s.proxy.admin.expect("a door");
     let long = format!("GET /v1/readyz HTTP/1.1\r\nHost: d\r\nLong: {}\r\n\r\n", "x".repeat(9000));
     let body = "POST /v1/proxy/drain HTTP/1.1\r\nHost: d\r\nContent-Length: 5000\r\n\r\n";
     let body = format!("{body}{}", "x".repeat(5000));
     for bad in ["nonsense\r\n\r\n", &long, &body] {
-        let status = raw(door, bad.as_bytes()).await;
+        let status = raw(admin, bad.as_bytes()).await;
         assert!(status.is_none_or(|s| (400..500).contains(&s)), "{status:?} to {:.40}", bad);
     }
     assert_eq!(healthy(&s.proxy).await, 200);
@@ -164,40 +164,40 @@
 
 #[tokio::test]
 async fn half_a_call_keeps_nobody_out() {
-    let s = scene().await;
+    let s = fixture().await;
     let mut half = Vec::new();
     for _ in 0..40 {
-        let mut stream = TcpStream::connect(s.proxy.door.expect("a door")).await.expect("it listens");
+        let mut stream = TcpStream::connect(s.proxy.admin.expect("a door")).await.expect("it listens");
         stream.write_all(b"POST /v1/proxy/drain HT").await.expect("open");
         half.push(stream);
     }
-    assert_eq!(s.proxy.operate("GET", "/v1/readyz").await, 200);
-    assert_eq!(s.proxy.operate("POST", "/v1/backends/a/suspend").await, 200);
+    assert_eq!(s.proxy.call_admin("GET", "/v1/readyz").await, 200);
+    assert_eq!(s.proxy.call_admin("POST", "/v1/backends/a/suspend").await, 200);
     assert_eq!(healthy(&s.proxy).await, 200);
 }
 
 #[tokio::test]
 async fn a_mark_that_fails_is_never_a_yes() {
-    let s = scene().await;
-    // What lies where the folder of marks would be can't be written to, and stops no start either.
+    let s = fixture().await;
+    // What lies where the folder of markers would be can't be written to, and stops no start either.
     std::fs::remove_dir_all(s.proxy.folder.join("heathroad")).expect("writable");
     std::fs::write(s.proxy.folder.join("heathroad"), "a file").expect("writable");
-    assert_eq!(s.proxy.operate("POST", "/v1/backends/a/suspend").await, 500);
-    assert_eq!(s.proxy.operate("POST", "/v1/proxy/drain").await, 500);
-    let other = s.proxy.start_beside(&with_door(&s.discovery)).await;
-    while other.operate("GET", "/v1/readyz").await != 200 {}
+    assert_eq!(s.proxy.call_admin("POST", "/v1/backends/a/suspend").await, 500);
+    assert_eq!(s.proxy.call_admin("POST", "/v1/proxy/drain").await, 500);
+    let other = s.proxy.start_beside(&with_admin_api(&s.discovery)).await;
+    while other.call_admin("GET", "/v1/readyz").await != 200 {}
     assert_eq!((healthy(&s.proxy).await, healthy(&other).await), (200, 200));
-    while s.orders.by("a") == 0 {
+    while s.script.requests_at("a") == 0 {
         assert_eq!(s.proxy.call("once").await.0, 200);
     }
 }
 
 #[tokio::test]
-async fn without_an_address_there_is_no_door() {
-    let s = scene().await;
+async fn without_an_address_there_is_no_admin_api() {
+    let s = fixture().await;
     let proxy = Proxy::start(&s.discovery, settings()).await;
     while healthy(&proxy).await != 200 {}
-    assert!(proxy.door.is_none() && proxy.call("once").await.0 == 200);
+    assert!(proxy.admin.is_none() && proxy.call("once").await.0 == 200);
     assert!(!proxy.folder.join("heathroad").exists());
 }
 
@@ -208,27 +208,27 @@
     // Half of 256 descriptors would be 42 places, and the system deals out connections by chance: past them the oldest
     // at rest gives way, which is no loss of a request but is not what is looked at here.
     let mut s = scene_with(512).await;
-    let mut config = with_door(&s.discovery);
+    let mut config = with_admin_api(&s.discovery);
     config["limits"]["sockets"] = 512.into();
     config["listen"] = s.proxy.addr.to_string().into();
     let other = s.proxy.start_beside(&config).await;
-    while other.operate("GET", "/v1/readyz").await != 200 {}
-    let mut callers = Vec::new();
+    while other.call_admin("GET", "/v1/readyz").await != 200 {}
+    let mut clients = Vec::new();
     for _ in 0..40 {
-        callers.push(s.proxy.caller().await);
+        clients.push(s.proxy.client().await);
     }
-    let (hold, held) = (Arc::new(tokio::sync::Notify::new()), s.proxy.caller().await);
-    s.orders.give([Do::Hold(hold.clone())]);
+    let (hold, held) = (Arc::new(tokio::sync::Notify::new()), s.proxy.client().await);
+    s.script.give([BackendBehavior::Hold(hold.clone())]);
     let mut held = held;
     let held = tokio::spawn(async move { held.call("once").await });
-    s.orders.came(1).await;
+    s.script.wait_for_requests(1).await;
     s.proxy.terminate().await;
-    assert_eq!(s.proxy.operate("GET", "/v1/readyz").await, 503, "it is leaving");
+    assert_eq!(s.proxy.call_admin("GET", "/v1/readyz").await, 503, "it is leaving");
     for _ in 0..20 {
-        callers.push(s.proxy.caller().await);
+        clients.push(s.proxy.client().await);
     }
-    for caller in &mut callers {
-        assert_eq!(caller.call("once").await.0, 200);
+    for client in &mut clients {
+        assert_eq!(client.call("once").await.0, 200);
     }
     hold.notify_one();
     assert_eq!(held.await.expect("no panic").0, 200);
--- a/crates/proxy/tests/bodies.rs
+++ b/crates/proxy/tests/bodies.rs
@@ -18,18 +18,18 @@
     (0..length).map(|n| (n % 251) as u8).collect()
 }
 
-struct Scene {
-    orders: Arc<Orders>,
+struct Fixture {
+    script: Arc<BackendScript>,
     proxy: Proxy,
     _discovery: Discovery,
 }
 
-async fn scene() -> Scene {
-    let orders = Arc::new(Orders::default());
-    let (a, b) = (Backend::start("a", &orders).await, Backend::start("b", &orders).await);
+async fn fixture() -> Fixture {
+    let script = Arc::new(BackendScript::default());
+    let (a, b) = (Backend::start("a", &script).await, Backend::start("b", &script).await);
     let discovery = Discovery::start(vec![a.line("SERVING"), b.line("SERVING")]).await;
-    let proxy = Proxy::settled(&discovery, settings()).await;
-    Scene { orders, proxy, _discovery: discovery }
+    let proxy = Proxy::wait_until_applied(&discovery, settings()).await;
+    Fixture { script, proxy, _discovery: discovery }
 }
 
 fn head(id: &str, more: &str) -> Vec<u8> {
@@ -62,18 +62,18 @@
 async fn status(stream: &mut TcpStream) -> Option<u16> {
     let mut answer = Vec::new();
     while !answer.ends_with(b"\r\n\r\n") {
-        answer.push(soon(stream.read_u8()).await.ok()?);
+        answer.push(in_time(stream.read_u8()).await.ok()?);
     }
     let status = String::from_utf8_lossy(&answer).split(' ').nth(1)?.parse().ok()?;
     if status == 200 {
-        soon(stream.read_u8()).await.ok()?;
+        in_time(stream.read_u8()).await.ok()?;
     }
     Some(status)
 }
 
 #[tokio::test]
 async fn uploads_of_every_form_arrive_as_they_are() {
-    let s = scene().await;
+    let s = fixture().await;
     let (small, large) = (pattern(5000), pattern(LARGE));
     let length = |data: &[u8]| format!("Content-Length: {}", data.len());
     let te = "Transfer-Encoding: chunked";
@@ -91,36 +91,36 @@
         }
         stream.write_all(&bytes).await.expect("taken");
         assert_eq!(status(&mut stream).await, Some(200), "{more}");
-        s.orders.came(n + 1).await;
-        assert!(s.orders.seen.borrow()[n].2 == body, "{more}: not as it was sent");
+        s.script.wait_for_requests(n + 1).await;
+        assert!(s.script.seen.borrow()[n].2 == body, "{more}: not as it was sent");
     }
 }
 
 #[tokio::test]
 async fn an_upload_that_is_spent_is_not_sent_again() {
-    let s = scene().await;
-    s.orders.give([Do::Decline(503)]);
+    let s = fixture().await;
+    s.script.give([BackendBehavior::Decline(503)]);
     let call = request("once").body(Full::from(pattern(LARGE))).expect("well formed");
-    assert_eq!(s.proxy.caller().await.send(call).await.0, 503, "it never ran: its caller may come again");
-    assert_eq!(s.orders.seen.borrow().len(), 1);
+    assert_eq!(s.proxy.client().await.send(call).await.0, 503, "it never ran: its caller may come again");
+    assert_eq!(s.script.seen.borrow().len(), 1);
     // The same of a body that is kept goes to the other.
-    s.orders.give([Do::Decline(503)]);
+    s.script.give([BackendBehavior::Decline(503)]);
     let call = request("once").body(Full::from(pattern(64 * 1024))).expect("well formed");
-    assert_eq!(s.proxy.caller().await.send(call).await.0, 200);
-    assert_eq!(s.orders.seen.borrow().len(), 3);
+    assert_eq!(s.proxy.client().await.send(call).await.0, 200);
+    assert_eq!(s.script.seen.borrow().len(), 3);
 }
 
 #[tokio::test]
 async fn an_upload_that_nobody_has_begun_goes_to_another_backend() {
-    let orders = Arc::new(Orders::default());
-    let b = Backend::start("b", &orders).await;
+    let script = Arc::new(BackendScript::default());
+    let b = Backend::start("b", &script).await;
     let nobody = TcpListener::bind("127.0.0.1:0").await.expect("a port").local_addr().expect("bound");
     let discovery = Discovery::start(vec![line("a", nobody, "SERVING"), b.line("SERVING")]).await;
-    let proxy = Proxy::settled(&discovery, settings()).await;
+    let proxy = Proxy::wait_until_applied(&discovery, settings()).await;
     for n in 1..=8 {
         let call = request("once").body(Full::from(pattern(LARGE))).expect("well formed");
-        assert_eq!(proxy.caller().await.send(call).await, (200, "b".into()));
-        assert_eq!(orders.seen.borrow().len(), n);
+        assert_eq!(proxy.client().await.send(call).await, (200, "b".into()));
+        assert_eq!(script.seen.borrow().len(), n);
         // A kept connection that was closed meanwhile takes nothing of the next one away.
         b.close_idle().await;
     }
@@ -128,19 +128,19 @@
 
 #[tokio::test]
 async fn a_broken_upload_reaches_no_backend_whole() {
-    let s = scene().await;
+    let s = fixture().await;
     let te = "Transfer-Encoding: chunked";
     let broken = broken_chunk(&pattern(LARGE));
     let short = b"4\r\ngood\r\nzz\r\n".to_vec();
     for (n, bytes) in [broken, short].into_iter().enumerate() {
         let mut stream = TcpStream::connect(s.proxy.addr).await.expect("it listens");
         stream.write_all(&head(&n.to_string(), te)).await.expect("taken");
-        // It may be turned down before it is written.
+        // It may be rejected before it is written.
         let _ = stream.write_all(&bytes).await;
         let status = status(&mut stream).await;
         assert!(status.is_none_or(|s| s == 400), "{status:?}");
     }
-    // One that stops half-way is told so, and one whose caller leaves is forgotten.
+    // One that stops half-way is told so, and one whose client leaves is forgotten.
     let mut stops = TcpStream::connect(s.proxy.addr).await.expect("it listens");
     stops.write_all(&head("stops", "Content-Length: 1000000")).await.expect("taken");
     stops.write_all(&pattern(100_000)).await.expect("taken");
@@ -149,7 +149,7 @@
     leaves.write_all(&pattern(100_000)).await.expect("taken");
     drop(leaves);
     assert_eq!(status(&mut stops).await, Some(408));
-    assert_eq!(s.orders.seen.borrow().len(), 0);
+    assert_eq!(s.script.seen.borrow().len(), 0);
     assert_eq!(s.proxy.call("once").await.0, 200);
 }
 
@@ -189,15 +189,15 @@
 
 async fn before(addr: SocketAddr) -> (Proxy, Discovery) {
     let discovery = Discovery::start(vec![line("a", addr, "SERVING")]).await;
-    (Proxy::settled(&discovery, settings()).await, discovery)
+    (Proxy::wait_until_applied(&discovery, settings()).await, discovery)
 }
 
 async fn fetch(proxy: &Proxy) -> Result<(u16, Vec<u8>), hyper::Error> {
     let call = request("look").body(Full::default()).expect("well formed");
-    let mut caller = connect(proxy.addr).await;
-    let answer = soon(caller.send_request(call)).await?;
+    let mut client = connect(proxy.addr).await;
+    let answer = in_time(client.send_request(call)).await?;
     let status = answer.status().as_u16();
-    Ok((status, soon(answer.into_body().collect()).await?.to_bytes().to_vec()))
+    Ok((status, in_time(answer.into_body().collect()).await?.to_bytes().to_vec()))
 }
 
 #[tokio::test]
@@ -229,7 +229,7 @@
 }
 
 #[tokio::test]
-async fn a_long_answer_that_breaks_off_is_never_taken_for_whole() {
+async fn a_long_response_that_breaks_off_is_never_taken_for_complete() {
     let large = pattern(LARGE);
     let half = |headers: &str, bytes: &[u8], close| {
         ([format!("HTTP/1.1 200 OK\r\n{headers}\r\n").as_bytes(), bytes].concat(), close)
@@ -253,19 +253,22 @@
     }
 }
 
-/// Callers that read nothing stop the backend, and the proxy holds little for each.
+/// Clients that read nothing stop the backend, and the proxy holds little for each.
 #[tokio::test]
 async fn long_answers_take_little_memory() {
-    const LONG: usize = 32 << 20;
+    const LONG_BODY_BYTES: usize = 32 << 20;
     const CALLERS: usize = 20;
-    let bytes = [format!("HTTP/1.1 200 OK\r\nContent-Length: {LONG}\r\n\r\n").into_bytes(), pattern(LONG)];
+    let bytes = [
+        format!("HTTP/1.1 200 OK\r\nContent-Length: {LONG_BODY_BYTES}\r\n\r\n").into_bytes(),
+        pattern(LONG_BODY_BYTES),
+    ];
     let (addr, written) = answering(vec![(bytes.concat(), false)]).await;
     let (proxy, _discovery) = before(addr).await;
     let mut answers = Vec::new();
     for _ in 0..CALLERS {
         let call = request("look").body(Full::<bytes::Bytes>::default()).expect("well formed");
-        let mut caller = connect(proxy.addr).await;
-        answers.push((soon(caller.send_request(call)).await.expect("an answer"), caller));
+        let mut client = connect(proxy.addr).await;
+        answers.push((in_time(client.send_request(call)).await.expect("an answer"), client));
     }
     // Until nothing more is taken from the backend.
     let mut before = 0;
@@ -273,27 +276,27 @@
         before = written.load(SeqCst);
         tokio::time::sleep(std::time::Duration::from_millis(200)).await;
     }
-    assert!(before < CALLERS * LONG, "all was taken in though nobody reads");
+    assert!(before < CALLERS * LONG_BODY_BYTES, "all was taken in though nobody reads");
     assert!(proxy.resident_mb() < 24, "{} MB for {CALLERS} answers", proxy.resident_mb());
     // Whoever reads again gets all.
     let (answer, _caller) = answers.swap_remove(0);
-    assert_eq!(soon(answer.into_body().collect()).await.expect("whole").to_bytes().len(), LONG);
+    assert_eq!(in_time(answer.into_body().collect()).await.expect("whole").to_bytes().len(), LONG_BODY_BYTES);
 }
 
-/// A caller that is turned down while it writes still is read on, however long that takes, and sees its answer.
+/// A client that is rejected while it writes still is read on, however long that takes, and sees its answer.
 #[tokio::test]
 async fn an_upload_that_is_turned_down_is_read_to_its_end() {
-    let orders = Arc::new(Orders::default());
-    let a = Backend::start("a", &orders).await;
+    let script = Arc::new(BackendScript::default());
+    let a = Backend::start("a", &script).await;
     let discovery = Discovery::start(vec![a.line("SERVING")]).await;
     let mut settings = settings();
     settings["caps"]["openCap"] = 1.into();
-    let proxy = Proxy::settled(&discovery, settings).await;
+    let proxy = Proxy::wait_until_applied(&discovery, settings).await;
     let hold = Arc::new(tokio::sync::Notify::new());
-    orders.give([Do::Hold(hold.clone())]);
-    let mut caller = proxy.caller().await;
-    let held = tokio::spawn(async move { caller.call("once").await });
-    orders.came(1).await;
+    script.give([BackendBehavior::Hold(hold.clone())]);
+    let mut client = proxy.client().await;
+    let held = tokio::spawn(async move { client.call("once").await });
+    script.wait_for_requests(1).await;
     let mut stream = TcpStream::connect(proxy.addr).await.expect("it listens");
     stream.write_all(&head("slow", "Content-Length: 1000000")).await.expect("taken");
     for _ in 0..10 {
--- a/crates/proxy/tests/client_disconnect.rs
+++ b/crates/proxy/tests/client_disconnect.rs
@@ -1,5 +1,5 @@
-//! For a caller that has left nothing more is sent, wherever its request or the next attempt at it waits by then. The
-//! program is told of the end of a wait as early as of its caller's leave, or earlier.
+//! For a client that has left nothing more is sent, wherever its request or the next attempt at it waits by then. The
+//! program is told of the end of a wait as early as of its client's leave, or earlier.
 
 mod support;
 
@@ -15,23 +15,23 @@
 /// So many requests at once are surely let through by a limit that has learned nothing yet.
 const AT_ONCE: usize = 7;
 
-struct Scene {
-    orders: Arc<Orders>,
+struct Fixture {
+    script: Arc<BackendScript>,
     a: Backend,
     b: Backend,
     _discovery: Discovery,
     proxy: Proxy,
 }
 
-async fn scene() -> Scene {
-    let orders = Arc::new(Orders::default());
-    let (a, b) = (Backend::start("a", &orders).await, Backend::start("b", &orders).await);
+async fn fixture() -> Fixture {
+    let script = Arc::new(BackendScript::default());
+    let (a, b) = (Backend::start("a", &script).await, Backend::start("b", &script).await);
     let discovery = Discovery::start(vec![a.line("SERVING"), b.line("SERVING")]).await;
-    let proxy = Proxy::settled(&discovery, settings()).await;
-    Scene { orders, a, b, _discovery: discovery, proxy }
+    let proxy = Proxy::wait_until_applied(&discovery, settings()).await;
+    Fixture { script, a, b, _discovery: discovery, proxy }
 }
 
-/// How a caller leaves.
+/// How a client leaves.
 #[derive(Clone, Copy, Debug)]
 enum Leave {
     /// Ends its sending.
@@ -41,21 +41,21 @@
 }
 
 /// Leaves. What is left of the connection on this side can still be read.
-fn leave(caller: TcpStream, how: Leave) -> Option<TcpStream> {
-    let socket = SockRef::from(&caller);
+fn leave(client: TcpStream, how: Leave) -> Option<TcpStream> {
+    let socket = SockRef::from(&client);
     match how {
         Leave::End => socket.shutdown(std::net::Shutdown::Write).expect("open"),
         Leave::Reset => socket.set_linger(Some(Duration::ZERO)).expect("open"),
     }
-    matches!(how, Leave::End).then_some(caller)
+    matches!(how, Leave::End).then_some(client)
 }
 
-/// Waits until the system, on the proxy's side, knows of each caller's end.
-async fn known(proxy: &Proxy, callers: &[u16]) {
+/// Waits until the system, on the proxy's side, knows of each client's end.
+async fn known(proxy: &Proxy, clients: &[u16]) {
     let open = |row: &Row| {
-        row.local == proxy.addr.port() && callers.contains(&row.remote) && row.state == ESTABLISHED
+        row.local == proxy.addr.port() && clients.contains(&row.remote) && row.state == ESTABLISHED
     };
-    soon(async {
+    in_time(async {
         while table().iter().any(open) {
             yield_now().await;
         }
@@ -63,8 +63,8 @@
     .await;
 }
 
-fn port(caller: &TcpStream) -> u16 {
-    caller.local_addr().expect("bound").port()
+fn port(client: &TcpStream) -> u16 {
+    client.local_addr().expect("bound").port()
 }
 
 /// By the time that others have had answers, what came before them has been read.
@@ -76,70 +76,74 @@
     }
 }
 
-/// The end of what its caller sends lies behind bytes that nobody reads yet, as an attempt fails.
+/// The end of what its client sends lies behind bytes that nobody reads yet, as an attempt fails.
 #[tokio::test]
-async fn a_further_attempt_is_not_begun_for_a_caller_that_left_behind_unread_bytes() {
-    let s = scene().await;
+async fn a_retry_is_not_begun_for_a_client_that_disconnected_behind_unread_bytes() {
+    let s = fixture().await;
     for n in 0..5 {
         let release = Arc::new(Notify::new());
-        let came = s.orders.seen.borrow().len();
-        s.orders.give([Do::DeclineLater(release.clone())]);
-        let mut caller = connected(s.proxy.addr).await;
-        caller.write_all(call("GET /look", &format!("gone-{n}")).as_bytes()).await.expect("open");
-        s.orders.came(came + 1).await;
-        caller.write_all("x".repeat(60_000).as_bytes()).await.expect("open");
+        let wait_for_requests = s.script.seen.borrow().len();
+        s.script.give([BackendBehavior::DeclineLater(release.clone())]);
+        let mut client = connected(s.proxy.addr).await;
+        client.write_all(call("GET /look", &format!("gone-{n}")).as_bytes()).await.expect("open");
+        s.script.wait_for_requests(wait_for_requests + 1).await;
+        client.write_all("x".repeat(60_000).as_bytes()).await.expect("open");
         others_are_answered(&s.proxy, 10).await;
-        let mut caller = leave(caller, Leave::End).expect("open");
+        let mut client = leave(client, Leave::End).expect("open");
         // By then the end has come too, behind the bytes.
         others_are_answered(&s.proxy, 1).await;
         release.notify_one();
-        assert_eq!(status(&mut caller).await, None, "{n}: the proxy knows that it left");
+        assert_eq!(status(&mut client).await, None, "{n}: the proxy knows that it left");
         assert_eq!(s.proxy.call("look").await.0, 200);
-        assert_eq!(s.orders.seen.borrow().len(), came + 2, "{n}: its one attempt, and the other's");
+        assert_eq!(
+            s.script.seen.borrow().len(),
+            wait_for_requests + 2,
+            "{n}: its one attempt, and the other's"
+        );
     }
 }
 
-/// Many attempts fail and their callers leave in what is one turn to the program. It hears of the failures first.
+/// Many attempts fail and their clients leave in what is one turn to the program. It hears of the failures first.
 #[tokio::test]
-async fn no_further_attempts_are_begun_for_callers_that_leave_in_the_turn_of_a_failure() {
+async fn no_further_attempts_are_begun_for_clients_that_leave_in_the_turn_of_a_failure() {
     for how in [Leave::End, Leave::Reset] {
-        let s = scene().await;
+        let s = fixture().await;
         let release: Vec<_> = (0..AT_ONCE).map(|_| Arc::new(Notify::new())).collect();
-        s.orders.give(release.iter().cloned().map(Do::DeclineLater));
-        let mut callers = Vec::new();
+        s.script.give(release.iter().cloned().map(BackendBehavior::DeclineLater));
+        let mut clients = Vec::new();
         for n in 0..AT_ONCE {
-            let mut caller = connected(s.proxy.addr).await;
-            caller.write_all(call("GET /look", &n.to_string()).as_bytes()).await.expect("open");
-            callers.push(caller);
+            let mut client = connected(s.proxy.addr).await;
+            client.write_all(call("GET /look", &n.to_string()).as_bytes()).await.expect("open");
+            clients.push(client);
         }
-        s.orders.came(AT_ONCE).await;
+        s.script.wait_for_requests(AT_ONCE).await;
         s.proxy.pause().await;
         release.iter().for_each(|release| release.notify_one());
         let backends = [s.a.addr.port(), s.b.addr.port()];
         let failed = || table().into_iter().filter(|r| backends.contains(&r.remote) && r.unread > 0).count();
-        soon(async {
+        in_time(async {
             while failed() < AT_ONCE {
                 yield_now().await;
             }
         })
         .await;
-        let ports: Vec<u16> = callers.iter().map(port).collect();
-        let mut left: Vec<_> = callers.into_iter().filter_map(|caller| leave(caller, how)).collect();
+        let ports: Vec<u16> = clients.iter().map(port).collect();
+        let mut left: Vec<_> = clients.into_iter().filter_map(|client| leave(client, how)).collect();
         known(&s.proxy, &ports).await;
-        s.proxy.go_on().await;
-        for caller in &mut left {
-            assert_eq!(status(caller).await, None, "{how:?}");
+        s.proxy.resume_process().await;
+        for client in &mut left {
+            assert_eq!(status(client).await, None, "{how:?}");
         }
         assert_eq!(s.proxy.call("look").await.0, 200);
-        assert_eq!(s.orders.seen.borrow().len(), AT_ONCE + 1, "{how:?}");
+        assert_eq!(s.script.seen.borrow().len(), AT_ONCE + 1, "{how:?}");
     }
 }
 
-/// A request and its caller's leave are found together: on a connection that waits at the listener, on one that is
+/// A request and its client's leave are found together: on a connection that waits at the listener, on one that is
 /// open, and with two requests in one.
 #[tokio::test]
-async fn what_its_caller_left_before_it_was_read_is_not_sent() {
-    let s = scene().await;
+async fn a_request_whose_client_disconnected_before_it_was_read_is_not_sent() {
+    let s = fixture().await;
     let mut open = connected(s.proxy.addr).await;
     open.write_all(call("GET /look", "first").as_bytes()).await.expect("open");
     assert_eq!(status(&mut open).await, Some(200));
@@ -148,19 +152,19 @@
     let two = connected(s.proxy.addr).await;
     let (mut left, mut ports) = (Vec::new(), Vec::new());
     let behind = call("POST /once", "three") + &call("POST /once", "four");
-    for (mut caller, text) in
+    for (mut client, text) in
         [(open, call("POST /once", "one")), (queued, call("POST /once", "two")), (two, behind)]
     {
-        caller.write_all(text.as_bytes()).await.expect("open");
-        ports.push(port(&caller));
-        left.extend(leave(caller, Leave::End));
+        client.write_all(text.as_bytes()).await.expect("open");
+        ports.push(port(&client));
+        left.extend(leave(client, Leave::End));
     }
     known(&s.proxy, &ports).await;
-    s.proxy.go_on().await;
-    for caller in &mut left {
+    s.proxy.resume_process().await;
+    for client in &mut left {
         // What the proxy says to one that left is of no matter, as long as it lets go of it.
-        while status(caller).await.is_some() {}
+        while status(client).await.is_some() {}
     }
     assert_eq!(s.proxy.call("look").await.0, 200);
-    assert_eq!(s.orders.seen.borrow().len(), 2, "the first, and the other's");
+    assert_eq!(s.script.seen.borrow().len(), 2, "the first, and the other's");
 }
--- a/crates/proxy/tests/descriptor_exhaustion.rs
+++ b/crates/proxy/tests/descriptor_exhaustion.rs
@@ -22,7 +22,7 @@
 /// A send that crosses the notice of a drain may still come, by the settings.
 const GRACE: Duration = Duration::from_millis(500);
 
-/// Callers without a whole request, who come again at once when they are shut out.
+/// Clients without a whole request, who come again at once when they are shut out.
 struct Crowd {
     _tasks: JoinSet<()>,
     /// How often one of them was.
@@ -52,7 +52,7 @@
     /// Waits until so many more were shut out.
     async fn again(&self, times: usize) {
         let before = *self.shut.borrow();
-        soon(self.shut.subscribe().wait_for(|n| *n >= before + times)).await.expect("open");
+        in_time(self.shut.subscribe().wait_for(|n| *n >= before + times)).await.expect("open");
     }
 }
 
@@ -71,10 +71,10 @@
 }
 
 /// Status and body of the answer to a request; nothing where the connection ends first.
-async fn attempt(caller: &mut SendRequest<Full<Bytes>>) -> Option<(u16, Bytes)> {
-    caller.ready().await.ok()?;
+async fn attempt(client: &mut SendRequest<Full<Bytes>>) -> Option<(u16, Bytes)> {
+    client.ready().await.ok()?;
     let request = request("look").body(Full::default()).expect("well formed");
-    let answer = caller.send_request(request).await.ok()?;
+    let answer = client.send_request(request).await.ok()?;
     let status = answer.status().as_u16();
     Some((status, answer.into_body().collect().await.ok()?.to_bytes()))
 }
@@ -83,10 +83,10 @@
 async fn served(addr: SocketAddr) {
     let call =
         async { while attempt(&mut connect(addr).await).await.is_none_or(|(status, _)| status != 200) {} };
-    soon(call).await;
+    in_time(call).await;
 }
 
-/// Callers who send one request after another, more than there is room for.
+/// Clients who send one request after another, more than there is room for.
 struct Work {
     tasks: JoinSet<()>,
     holds: Vec<Arc<Notify>>,
@@ -96,7 +96,7 @@
 impl Work {
     /// They have been served; from now on every request that a backend gets stays in work there. Comes back
     /// when there are as many as the proxy has room for.
-    async fn begin(proxy: &Proxy, orders: &Arc<Orders>) -> Self {
+    async fn begin(proxy: &Proxy, script: &Arc<BackendScript>) -> Self {
         let (mut tasks, over) = (JoinSet::new(), Arc::new(AtomicBool::new(false)));
         // Answers that were 200; requests that were refused, or whose connection was shut.
         let [good, turned_away] = [(); 2].map(|()| Arc::new(watch::Sender::new(0)));
@@ -105,8 +105,8 @@
             let (good, turned_away) = (good.clone(), turned_away.clone());
             tasks.spawn(async move {
                 loop {
-                    let mut caller = connect(addr).await;
-                    while let Some((status, _)) = attempt(&mut caller).await {
+                    let mut client = connect(addr).await;
+                    while let Some((status, _)) = attempt(&mut client).await {
                         match status {
                             200 => good.send_modify(|n| *n += 1),
                             503 => turned_away.send_modify(|n| *n += 1),
@@ -120,12 +120,12 @@
                 }
             });
         }
-        soon(good.subscribe().wait_for(|n| *n >= 10 * DESCRIPTORS)).await.expect("open");
+        in_time(good.subscribe().wait_for(|n| *n >= 10 * DESCRIPTORS)).await.expect("open");
         let holds: Vec<_> = (0..10 * DESCRIPTORS).map(|_| Arc::new(Notify::new())).collect();
-        orders.give(holds.iter().cloned().map(Do::Hold));
+        script.give(holds.iter().cloned().map(BackendBehavior::Hold));
         let before = *turned_away.borrow();
         let enough = before + 10 * DESCRIPTORS;
-        soon(turned_away.subscribe().wait_for(|n| *n >= enough)).await.expect("open");
+        in_time(turned_away.subscribe().wait_for(|n| *n >= enough)).await.expect("open");
         Work { tasks, holds, over }
     }
 
@@ -133,7 +133,7 @@
     async fn end(mut self) {
         self.over.store(true, SeqCst);
         self.holds.iter().for_each(|hold| hold.notify_one());
-        while let Some(done) = soon(self.tasks.join_next()).await {
+        while let Some(done) = in_time(self.tasks.join_next()).await {
             done.expect("no panic");
         }
     }
@@ -161,14 +161,14 @@
     }
 }
 
-/// Callers fill the proxy while discovery is down. At its return the watch, the backends and the operators
-/// still get their descriptors: what was told meanwhile holds, requests are served, and the door answers.
-async fn full_while_discovery_is_down(how: &str, down: Agent, says: &'static str, busy: bool) {
-    let orders = Arc::new(Orders::default());
+/// Clients fill the proxy while discovery is down. At its return the watch, the backends and the operators
+/// still get their descriptors: what was told meanwhile holds, requests are served, and the admin API answers.
+async fn full_while_discovery_is_down(how: &str, down: DiscoveryBehavior, says: &'static str, busy: bool) {
+    let script = Arc::new(BackendScript::default());
     // So many that all the work is taken at once.
     let mut backends = Vec::new();
     for name in ["a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l", "m", "n", "o", "p"] {
-        backends.push(Backend::start(name, &orders).await);
+        backends.push(Backend::start(name, &script).await);
     }
     let list = |health: &str| {
         let (a, others) = backends.split_first().expect("some");
@@ -177,28 +177,28 @@
     };
     let discovery = Discovery::start(list("SERVING")).await;
     let proxy = Proxy::start_as(&config(&discovery, how), &start()).await;
-    discovery.settled().await;
+    discovery.wait_until_applied().await;
     let watcher = Watcher::start(&[&proxy]);
     discovery.set(down).await;
-    let work = if busy { Some(Work::begin(&proxy, &orders).await) } else { None };
+    let work = if busy { Some(Work::begin(&proxy, &script).await) } else { None };
     let crowd = Crowd::start(proxy.addr, says);
     crowd.again(2 * DESCRIPTORS).await;
-    assert_eq!(proxy.operate("GET", "/v1/readyz").await, 200);
+    assert_eq!(proxy.call_admin("GET", "/v1/readyz").await, 200);
     discovery.change(list("DRAINING"));
-    discovery.set(Agent::Up).await;
-    discovery.settled().await;
+    discovery.set(DiscoveryBehavior::Up).await;
+    discovery.wait_until_applied().await;
     for what in ["suspend", "resume"] {
-        assert_eq!(proxy.operate("POST", &format!("/v1/backends/b/{what}")).await, 200);
+        assert_eq!(proxy.call_admin("POST", &format!("/v1/backends/b/{what}")).await, 200);
     }
     tokio::time::sleep(GRACE).await;
-    let before = orders.by("a");
+    let before = script.requests_at("a");
     if let Some(work) = work {
         work.end().await;
     }
     for _ in 0..10 {
         served(proxy.addr).await;
     }
-    assert_eq!(orders.by("a"), before, "nothing new goes there");
+    assert_eq!(script.requests_at("a"), before, "nothing new goes there");
     crowd.again(1).await;
     let most = watcher.most.load(SeqCst);
     assert!(most < DESCRIPTORS, "one was always free, {most} were seen");
@@ -208,29 +208,29 @@
 const HALF: &str = "GET /look HTTP/1.1\r\nHost: o\r\n";
 
 #[tokio::test]
-async fn idle_callers_fill_it_while_discovery_refuses() {
-    full_while_discovery_is_down("automatic", Agent::Refusing, IDLE, false).await;
-    full_while_discovery_is_down("subscribe", Agent::Refusing, IDLE, false).await;
+async fn idle_clients_fill_it_while_discovery_refuses() {
+    full_while_discovery_is_down("automatic", DiscoveryBehavior::Refusing, IDLE, false).await;
+    full_while_discovery_is_down("subscribe", DiscoveryBehavior::Refusing, IDLE, false).await;
 }
 
 #[tokio::test]
-async fn idle_callers_fill_it_while_discovery_is_silent() {
-    full_while_discovery_is_down("automatic", Agent::Silent, IDLE, false).await;
-    full_while_discovery_is_down("subscribe", Agent::Silent, IDLE, false).await;
+async fn idle_clients_fill_it_while_discovery_is_unresponsive() {
+    full_while_discovery_is_down("automatic", DiscoveryBehavior::Silent, IDLE, false).await;
+    full_while_discovery_is_down("subscribe", DiscoveryBehavior::Silent, IDLE, false).await;
 }
 
 #[tokio::test]
-async fn half_open_callers_fill_it_while_discovery_refuses() {
-    full_while_discovery_is_down("automatic", Agent::Refusing, HALF, false).await;
+async fn half_open_clients_fill_it_while_discovery_refuses() {
+    full_while_discovery_is_down("automatic", DiscoveryBehavior::Refusing, HALF, false).await;
 }
 
 #[tokio::test]
-async fn busy_and_idle_callers_fill_it_while_discovery_refuses() {
-    full_while_discovery_is_down("automatic", Agent::Refusing, IDLE, true).await;
-    full_while_discovery_is_down("subscribe", Agent::Refusing, IDLE, true).await;
+async fn busy_and_idle_clients_fill_it_while_discovery_refuses() {
+    full_while_discovery_is_down("automatic", DiscoveryBehavior::Refusing, IDLE, true).await;
+    full_while_discovery_is_down("subscribe", DiscoveryBehavior::Refusing, IDLE, true).await;
 }
 
 #[tokio::test]
-async fn busy_and_half_open_callers_fill_it_while_discovery_is_silent() {
-    full_while_discovery_is_down("automatic", Agent::Silent, HALF, true).await;
+async fn busy_and_half_open_clients_fill_it_while_discovery_is_unresponsive() {
+    full_while_discovery_is_down("automatic", DiscoveryBehavior::Silent, HALF, true).await;
 }
--- a/crates/proxy/tests/discovery_notification.rs
+++ b/crates/proxy/tests/discovery_notification.rs
@@ -24,11 +24,11 @@
 
 /// An agent that ends its first connections at their first call, then tells a list; the calls as they come.
 fn agent(listener: TcpListener, failing: usize, hosts: Vec<Value>) -> mpsc::UnboundedReceiver<String> {
-    let (came, calls) = mpsc::unbounded_channel();
+    let (wait_for_requests, calls) = mpsc::unbounded_channel();
     tokio::spawn(async move {
         for n in 0.. {
             let (mut stream, _) = listener.accept().await.expect("a connection");
-            let (came, hosts) = (came.clone(), hosts.clone());
+            let (wait_for_requests, hosts) = (wait_for_requests.clone(), hosts.clone());
             tokio::spawn(async move {
                 let mut seen = Vec::new();
                 while stream.read_buf(&mut seen).await.is_ok_and(|n| n > 0) {
@@ -38,7 +38,7 @@
                     let call = String::from_utf8(std::mem::take(&mut seen)).expect("text");
                     let watch = call.contains("after=9&");
                     // The test may be over.
-                    let _ = came.send(call);
+                    let _ = wait_for_requests.send(call);
                     if n < failing {
                         return;
                     }
@@ -79,14 +79,14 @@
 
 /// Waits until a call shows that the list is held.
 async fn held(calls: &mut mpsc::UnboundedReceiver<String>) {
-    while !soon(calls.recv()).await.expect("it calls").contains("after=9&") {}
+    while !in_time(calls.recv()).await.expect("it calls").contains("after=9&") {}
 }
 
 /// A start with discovery down, its return, and calls that fail still.
 #[tokio::test]
 async fn discovery_that_is_back_is_asked_within_the_term() {
-    let orders = Arc::new(Orders::default());
-    let (a, b) = (Backend::start("a", &orders).await, Backend::start("b", &orders).await);
+    let script = Arc::new(BackendScript::default());
+    let (a, b) = (Backend::start("a", &script).await, Backend::start("b", &script).await);
     let (socket, address) = refusing();
     let known = json!({"seq": 1, "whole": true, "hosts": [a.line("SERVING"), b.line("SERVING")]});
     let config = json!({"name": "n0", "listen": "127.0.0.1:0", "discovery": address.to_string(),
@@ -97,27 +97,27 @@
     for _ in 0..20 {
         assert_eq!(proxy.call("look").await.0, 200);
     }
-    assert!(orders.by("a") > 0, "what it knew is used");
+    assert!(script.requests_at("a") > 0, "what it knew is used");
     let listener = socket.listen(16).expect("it listens");
     let mut calls = agent(listener, 3, vec![a.line("DRAINING"), b.line("SERVING")]);
     for _ in 0..4 {
         in_term(calls.recv()).await.expect("it calls");
     }
     held(&mut calls).await;
-    let before = orders.by("a");
+    let before = script.requests_at("a");
     for _ in 0..20 {
         assert_eq!(proxy.call("look").await, (200, "b".into()));
     }
-    assert_eq!(orders.by("a"), before, "nothing new to the drained one");
+    assert_eq!(script.requests_at("a"), before, "nothing new to the drained one");
 }
 
 /// A new configuration names an address where nobody answers yet.
 #[tokio::test]
-async fn a_new_address_that_comes_up_late_is_asked_within_the_term() {
-    let orders = Arc::new(Orders::default());
-    let (a, b) = (Backend::start("a", &orders).await, Backend::start("b", &orders).await);
+async fn a_new_address_that_comes_up_late_is_polled_within_the_deadline() {
+    let script = Arc::new(BackendScript::default());
+    let (a, b) = (Backend::start("a", &script).await, Backend::start("b", &script).await);
     let discovery = Discovery::start(vec![a.line("SERVING"), b.line("SERVING")]).await;
-    let mut proxy = Proxy::settled(&discovery, rarely()).await;
+    let mut proxy = Proxy::wait_until_applied(&discovery, rarely()).await;
     let (socket, address) = refusing();
     let mut config = discovery.config(rarely());
     config["discovery"] = address.to_string().into();
@@ -127,18 +127,18 @@
     let mut calls = agent(listener, 0, vec![a.line("DRAINING"), b.line("SERVING")]);
     in_term(calls.recv()).await.expect("it calls");
     held(&mut calls).await;
-    let before = orders.by("a");
+    let before = script.requests_at("a");
     for _ in 0..20 {
         assert_eq!(proxy.call("look").await, (200, "b".into()));
     }
-    assert_eq!(orders.by("a"), before, "nothing new to the drained one");
+    assert_eq!(script.requests_at("a"), before, "nothing new to the drained one");
 }
 
 /// Connects to the agent neither succeed nor fail at first.
 #[tokio::test]
-async fn an_agent_that_was_silent_is_asked_within_the_term() {
-    let orders = Arc::new(Orders::default());
-    let b = Backend::start("b", &orders).await;
+async fn an_agent_that_was_unresponsive_is_polled_within_the_deadline() {
+    let script = Arc::new(BackendScript::default());
+    let b = Backend::start("b", &script).await;
     let (listener, _queue) = silent().await;
     let address = listener.local_addr().expect("bound");
     let config = json!({"name": "n0", "listen": "127.0.0.1:0", "discovery": address.to_string(),
--- a/crates/proxy/tests/reload.rs
+++ b/crates/proxy/tests/reload.rs
@@ -12,8 +12,8 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
-struct Scene {
-    orders: Arc<Orders>,
+struct Fixture {
+    script: Arc<BackendScript>,
     a: Backend,
     discovery: Discovery,
     proxy: Proxy,
@@ -21,18 +21,18 @@
     config: Value,
 }
 
-async fn scene() -> Scene {
-    let orders = Arc::new(Orders::default());
-    let a = Backend::start("a", &orders).await;
+async fn fixture() -> Fixture {
+    let script = Arc::new(BackendScript::default());
+    let a = Backend::start("a", &script).await;
     let discovery = Discovery::start(vec![a.line("SERVING")]).await;
     let mut config = discovery.config(settings());
     config["management"] = "127.0.0.1:0".into();
     let proxy = Proxy::start_as(&config, "exec \"$0\"").await;
-    discovery.settled().await;
-    Scene { orders, a, discovery, proxy, config }
+    discovery.wait_until_applied().await;
+    Fixture { script, a, discovery, proxy, config }
 }
 
-impl Scene {
+impl Fixture {
     /// Changes the file, sends SIGHUP, and gives the one line that the log has for it.
     async fn change(&mut self, change: impl FnOnce(&mut Value)) -> String {
         change(&mut self.config);
@@ -40,7 +40,7 @@
     }
 
     async fn version(&self) -> u64 {
-        self.proxy.shown("/v1/settings").await["version"].as_u64().expect("a number")
+        self.proxy.admin_json("/v1/settings").await["version"].as_u64().expect("a number")
     }
 }
 
@@ -48,7 +48,7 @@
 async fn of_tenant(proxy: &Proxy, tenant: &str) -> u16 {
     let mut call = request("look").body(Full::<Bytes>::default()).expect("well formed");
     call.headers_mut().insert("req-owner", tenant.parse().expect("a value"));
-    proxy.caller().await.send(call).await.0
+    proxy.client().await.send(call).await.0
 }
 
 fn classes(config: &mut Value) -> &mut Vec<Value> {
@@ -61,7 +61,7 @@
 
 #[tokio::test]
 async fn a_tenant_added_to_the_file_is_served() {
-    let mut s = scene().await;
+    let mut s = fixture().await;
     assert_eq!(of_tenant(&s.proxy, "zenith").await, 400);
     let said = s.change(|c| tenants(c).insert(0, json!({"name": "zenith", "quotaPerS": 5.0}))).await;
     assert!(said.contains("configuration applied, version 2"), "{said}");
@@ -72,11 +72,11 @@
 
 #[tokio::test]
 async fn a_class_that_is_gone_is_unknown_and_what_it_has_in_work_is_answered() {
-    let mut s = scene().await;
-    let (hold, mut caller) = (Arc::new(Notify::new()), s.proxy.caller().await);
-    s.orders.give([Do::Hold(hold.clone())]);
-    let held = tokio::spawn(async move { caller.call("look").await });
-    s.orders.came(1).await;
+    let mut s = fixture().await;
+    let (hold, mut client) = (Arc::new(Notify::new()), s.proxy.client().await);
+    s.script.give([BackendBehavior::Hold(hold.clone())]);
+    let held = tokio::spawn(async move { client.call("look").await });
+    s.script.wait_for_requests(1).await;
     let unknown = s.proxy.call("unheard").await;
     // The others change their places.
     s.change(|c| drop(classes(c).remove(0))).await;
@@ -93,34 +93,34 @@
 /// A request that may not run twice when it was taken is not repeated, though its class may be by now; and the other
 /// way round.
 #[tokio::test]
-async fn a_request_in_work_keeps_its_effect() {
+async fn an_open_request_keeps_its_idempotency() {
     for (before, after, class, status, runs) in
         [("fragile", "retryable", "once", 502, 1), ("retryable", "fragile", "look", 200, 2)]
     {
-        let orders = Arc::new(Orders::default());
+        let script = Arc::new(BackendScript::default());
         // The first answer is broken off once the settings have changed.
         let (go, mut gone) = tokio::sync::watch::channel(false);
         let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let addr = listener.local_addr().expect("bound");
-        let (came, mut arrived) = tokio::sync::watch::channel(0);
+        let (wait_for_requests, mut arrived) = tokio::sync::watch::channel(0);
         tokio::spawn(async move {
             loop {
                 let (mut stream, _) = listener.accept().await.expect("a connection");
                 let mut head = [0; 4096];
                 if stream.read(&mut head).await.is_ok_and(|n| n > 0) {
-                    came.send_modify(|n| *n += 1);
+                    wait_for_requests.send_modify(|n| *n += 1);
                     gone.wait_for(|gone| *gone).await.expect("open");
                 }
             }
         });
-        let b = Backend::start("b", &orders).await;
+        let b = Backend::start("b", &script).await;
         let discovery = Discovery::start(vec![line("silent", addr, "SERVING")]).await;
         let mut config = discovery.config(settings());
-        let mut proxy = Proxy::settled(&discovery, settings()).await;
-        let mut caller = proxy.caller().await;
-        let held = tokio::spawn(async move { caller.call(class).await });
-        soon(arrived.wait_for(|n| *n == 1)).await.expect("open");
-        discovery.tell(vec![line("silent", addr, "DRAINING"), b.line("SERVING")]).await;
+        let mut proxy = Proxy::wait_until_applied(&discovery, settings()).await;
+        let mut client = proxy.client().await;
+        let held = tokio::spawn(async move { client.call(class).await });
+        in_time(arrived.wait_for(|n| *n == 1)).await.expect("open");
+        discovery.publish(vec![line("silent", addr, "DRAINING"), b.line("SERVING")]).await;
         let place = if class == "look" { 0 } else { 2 };
         assert_eq!(config["settings"]["classes"][place]["semantics"], before);
         config["settings"]["classes"][place]["semantics"] = after.into();
@@ -128,14 +128,14 @@
         proxy.reload(&config.to_string(), "configuration applied").await;
         go.send_replace(true);
         assert_eq!(held.await.expect("no panic").0, status, "taken as {before}");
-        assert_eq!(1 + orders.by("b"), runs, "taken as {before}");
+        assert_eq!(1 + script.requests_at("b"), runs, "taken as {before}");
     }
 }
 
-/// What can't be put in force is refused whole, with one line, and the door says why.
+/// What can't be put in force is refused whole, with one line, and the admin API says why.
 #[tokio::test]
-async fn a_bad_file_is_refused_whole() {
-    let mut s = scene().await;
+async fn a_bad_file_is_rejected_completely() {
+    let mut s = fixture().await;
     s.change(|c| c["version"] = 5.into()).await;
     assert_eq!(s.version().await, 5);
     let good = s.config.clone();
@@ -169,9 +169,9 @@
         change(&mut config);
         let said = s.proxy.reload_line(&config.to_string()).await;
         assert!(said.contains("configuration rejected: ") && said.contains(key), "{key}: {said}");
-        let shown = s.proxy.shown("/v1/settings").await;
-        let why = shown["refused"]["why"].as_str().expect("a reason");
-        assert!(said.ends_with(why) && shown["version"] == 5, "{said}: {shown}");
+        let admin_json = s.proxy.admin_json("/v1/settings").await;
+        let why = admin_json["refused"]["why"].as_str().expect("a reason");
+        assert!(said.ends_with(why) && admin_json["version"] == 5, "{said}: {admin_json}");
         assert_eq!(
             (of_tenant(&s.proxy, "acme").await, of_tenant(&s.proxy, "zenith").await),
             (200, 400),
@@ -186,8 +186,8 @@
 
 /// With a number in the file that number counts, without one the next; the same file again is the same version.
 #[tokio::test]
-async fn the_door_shows_the_version_in_force() {
-    let mut s = scene().await;
+async fn the_admin_api_shows_the_version_in_force() {
+    let mut s = fixture().await;
     assert_eq!(s.version().await, 1);
     s.change(|_| ()).await;
     assert_eq!(s.version().await, 1);
@@ -196,9 +196,9 @@
     assert_eq!(s.version().await, 2);
     s.change(|c| c["version"] = 40.into()).await;
     s.change(|_| ()).await;
-    let shown = s.proxy.shown("/v1/settings").await;
-    assert_eq!((&shown["version"], &shown["refused"]), (&40.into(), &Value::Null));
-    assert_eq!(s.proxy.operate("POST", "/v1/settings").await, 405);
+    let admin_json = s.proxy.admin_json("/v1/settings").await;
+    assert_eq!((&admin_json["version"], &admin_json["refused"]), (&40.into(), &Value::Null));
+    assert_eq!(s.proxy.call_admin("POST", "/v1/settings").await, 405);
     // A second process of the same proxy has the same file, and later a newer one.
     let other = s.proxy.start_beside(&s.config).await;
     let processes = |one: u64, two: u64| {
@@ -207,20 +207,20 @@
         Value::from_iter(all.into_iter().map(|(pid, version)| json!({"pid": pid, "version": version})))
     };
     let both = processes(40, 40);
-    soon(async { while other.shown("/v1/settings").await["processes"] != both {} }).await;
+    in_time(async { while other.admin_json("/v1/settings").await["processes"] != both {} }).await;
     let newer = processes(41, 40);
     s.change(|c| (c["version"], c["settings"]["classes"][1]["points"]) = (41.into(), 3.0.into())).await;
-    for door in [&s.proxy, &other] {
-        soon(async { while door.shown("/v1/settings").await["processes"] != newer {} }).await;
+    for admin in [&s.proxy, &other] {
+        in_time(async { while admin.admin_json("/v1/settings").await["processes"] != newer {} }).await;
     }
 }
 
-/// A change of settings closes nothing: no caller's connection, no backend's, and not that of the watch.
+/// A change of settings closes nothing: no client's connection, no backend's, and not that of the watch.
 #[tokio::test]
 async fn connections_outlast_changes() {
-    let mut s = scene().await;
-    let mut caller = s.proxy.caller().await;
-    assert_eq!(caller.call("look").await.0, 200);
+    let mut s = fixture().await;
+    let mut client = s.proxy.client().await;
+    assert_eq!(client.call("look").await.0, 200);
     let mut backends = s.a.open.subscribe();
     backends.mark_unchanged();
     for n in 1..=20 {
@@ -231,9 +231,9 @@
             tenants(c).push(json!({"name": format!("t-{n}"), "quotaPerS": 5.0}));
         })
         .await;
-        assert_eq!(caller.call("look").await, (200, "a".into()));
+        assert_eq!(client.call("look").await, (200, "a".into()));
     }
-    s.discovery.tell(vec![s.a.line("SERVING")]).await;
+    s.discovery.publish(vec![s.a.line("SERVING")]).await;
     assert!(!backends.has_changed().expect("open"));
     assert_eq!(s.discovery.begun.load(SeqCst), 1, "the watch goes on");
     assert_eq!(s.version().await, 21);
@@ -241,9 +241,9 @@
     let other = Discovery::start(vec![s.a.line("SERVING")]).await;
     let moved = other.config(settings())["discovery"].clone();
     s.change(|c| c["discovery"] = moved).await;
-    other.settled().await;
-    soon(s.discovery.open.subscribe().wait_for(|n| *n == 0)).await.expect("open");
-    assert_eq!(caller.call("look").await, (200, "a".into()));
+    other.wait_until_applied().await;
+    in_time(s.discovery.open.subscribe().wait_for(|n| *n == 0)).await.expect("open");
+    assert_eq!(client.call("look").await, (200, "a".into()));
     assert!(!backends.has_changed().expect("open"));
 }
 
@@ -258,20 +258,20 @@
         (405, |c| c["settings"]["classes"][1]["semantics"] = "retryable".into()),
     ];
     for (status, change) in changes {
-        let mut s = scene().await;
-        let mut caller = TcpStream::connect(s.proxy.addr).await.expect("it listens");
+        let mut s = fixture().await;
+        let mut client = TcpStream::connect(s.proxy.addr).await.expect("it listens");
         let head = "POST /keep?k=1 HTTP/1.1\r\nHost: o\r\nReq-Id: 1\r\nReq-Owner: acme\r\nReq-Deadline-Ms: 60000\r\n\
                     Idempotency-Key: 1\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\n";
-        caller.write_all(head.as_bytes()).await.expect("open");
+        client.write_all(head.as_bytes()).await.expect("open");
         // That it is asked for its body shows that its head was read.
         let mut said = [0; 64];
-        let n = soon(caller.read(&mut said)).await.expect("open");
+        let n = in_time(client.read(&mut said)).await.expect("open");
         assert!(said[..n].starts_with(b"HTTP/1.1 100"), "{:?}", String::from_utf8_lossy(&said[..n]));
         s.change(change).await;
-        caller.write_all(b"body").await.expect("open");
-        let n = soon(caller.read(&mut said)).await.expect("open");
+        client.write_all(b"body").await.expect("open");
+        let n = in_time(client.read(&mut said)).await.expect("open");
         let answer = String::from_utf8_lossy(&said[..n]).into_owned();
         assert!(answer.starts_with(&format!("HTTP/1.1 {status}")), "{status}: {answer}");
-        assert_eq!(s.orders.by("a"), usize::from(status == 200));
+        assert_eq!(s.script.requests_at("a"), usize::from(status == 200));
     }
 }
--- /dev/null
+++ b/crates/proxy/tests/support/client.rs
@@ -0,0 +1,47 @@
+//! Clients over HTTP.
+
+use super::*;
+
+pub async fn connect(addr: SocketAddr) -> SendRequest<Full<Bytes>> {
+    let stream = in_time(TcpStream::connect(addr)).await.expect("it listens");
+    let (sender, connection) = handshake(TokioIo::new(stream)).await.expect("nothing is sent yet");
+    tokio::spawn(connection);
+    sender
+}
+
+/// A request as clients send them.
+pub fn request(class: &str) -> hyper::http::request::Builder {
+    static NEXT: AtomicUsize = AtomicUsize::new(1);
+    let request = Request::builder()
+        .method(if class == "look" { "GET" } else { "POST" })
+        .uri(format!("/{class}?k=7f3a"))
+        .header("host", "origin.svc")
+        .header("req-id", format!("{:016x}", NEXT.fetch_add(1, SeqCst)))
+        .header("req-owner", "acme")
+        .header("req-deadline-ms", "60000");
+    if class == "keep" { request.header("idempotency-key", "5c0f6e1a") } else { request }
+}
+
+pub struct Client(pub SendRequest<Full<Bytes>>);
+
+impl Client {
+    pub async fn send(&mut self, request: Request<Full<Bytes>>) -> (u16, String) {
+        in_time(self.0.ready()).await.expect("open");
+        let answer = in_time(self.0.send_request(request)).await.expect("an answer");
+        let status = answer.status().as_u16();
+        let body = in_time(answer.into_body().collect()).await.expect("a whole one").to_bytes();
+        (status, String::from_utf8(body.to_vec()).expect("text"))
+    }
+
+    /// Waits until the proxy has closed the connection.
+    pub async fn closed(&mut self) {
+        while !self.0.is_closed() {
+            let _ = self.0.ready().await;
+            tokio::task::yield_now().await;
+        }
+    }
+
+    pub async fn call(&mut self, class: &str) -> (u16, String) {
+        self.send(request(class).body(Full::default()).expect("well formed")).await
+    }
+}
--- /dev/null
+++ b/crates/proxy/tests/support/sockets.rs
@@ -0,0 +1,77 @@
+//! Clients and listeners byte by byte, and the table of sockets that the system keeps.
+
+use super::*;
+
+/// A listener whose queue is full: connects to it neither succeed nor fail. The streams hold the queue.
+pub async fn silent() -> (TcpListener, Vec<TcpStream>) {
+    let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
+    socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a port");
+    let listener = socket.listen(1).expect("it listens");
+    let addr = listener.local_addr().expect("bound");
+    let mut held = Vec::new();
+    while let Ok(stream) = timeout(Duration::from_millis(300), TcpStream::connect(addr)).await {
+        held.push(stream.expect("a connection"));
+        assert!(held.len() < 100, "the queue fills up");
+    }
+    (listener, held)
+}
+
+/// Waits until somebody's connect to an address is under way, by the system's table of connections.
+pub async fn connecting(addr: SocketAddr) {
+    const SYN_SENT: &str = "02";
+    let port = format!(":{:04X}", addr.port());
+    let waits = |line: &str| {
+        let fields: Vec<&str> = line.split_whitespace().collect();
+        fields.get(2).is_some_and(|remote| remote.ends_with(&port)) && fields.get(3) == Some(&SYN_SENT)
+    };
+    while !std::fs::read_to_string("/proc/net/tcp").expect("a table").lines().any(waits) {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+/// A request as bytes.
+pub fn call(line: &str, id: &str) -> String {
+    format!("{line} HTTP/1.1\r\nHost: o\r\nReq-Id: {id}\r\nReq-Owner: acme\r\nReq-Deadline-Ms: 60000\r\n\r\n")
+}
+
+pub async fn connected(addr: SocketAddr) -> TcpStream {
+    in_time(TcpStream::connect(addr)).await.expect("the system takes it")
+}
+
+/// The status of the next answer on a connection; none where it ends without.
+pub async fn status(stream: &mut TcpStream) -> Option<u16> {
+    let mut answer = Vec::new();
+    while !answer.windows(4).any(|w| w == b"\r\n\r\n") {
+        if in_time(stream.read_buf(&mut answer)).await.ok()? == 0 {
+            return None;
+        }
+    }
+    let text = String::from_utf8(answer).ok()?;
+    text.split(' ').nth(1)?.parse().ok()
+}
+
+/// What the system's table says of a connection.
+pub struct Row {
+    pub local: u16,
+    pub remote: u16,
+    pub state: u8,
+    /// Bytes that came and were not read.
+    pub unread: u32,
+}
+
+/// Neither side has ended its sending.
+pub const ESTABLISHED: u8 = 1;
+
+/// The system's table of connections.
+pub fn table() -> Vec<Row> {
+    let port = |address: &str| u16::from_str_radix(address.rsplit(':').next()?, 16).ok();
+    let row = |line: &str| {
+        let fields: Vec<&str> = line.split_whitespace().collect();
+        let [_, local, remote, state, queues, ..] = fields.as_slice() else { return None };
+        let unread = queues.split_once(':').and_then(|(_, unread)| u32::from_str_radix(unread, 16).ok())?;
+        let state = u8::from_str_radix(state, 16).ok()?;
+        Some(Row { local: port(local)?, remote: port(remote)?, state, unread })
+    };
+    let text = std::fs::read_to_string("/proc/net/tcp").expect("a table");
+    text.lines().filter_map(row).collect()
+}
