--- a/crates/balancer/tests/decisions.rs
+++ b/crates/balancer/tests/decisions.rs
@@ -173,10 +173,10 @@
         while p.now < from + 6000.0 {
             p.send_request(0, 0, 1e5);
             p.advance(p.now + 5.0);
-            let warmth = 0.12 + 0.88 * (p.now - from) / 20_000.0;
+            let warm_up_fraction = 0.12 + 0.88 * (p.now - from) / 20_000.0;
             for (id, n, s) in p.out() {
                 sends += usize::from(s.backend >= 5 && s.at + 5.0 >= p.now && s.at >= from + 3000.0);
-                if p.now - s.at >= if cold && s.backend >= 5 { 100.0 / warmth } else { 100.0 } {
+                if p.now - s.at >= if cold && s.backend >= 5 { 100.0 / warm_up_fraction } else { 100.0 } {
                     p.finish_attempt(id, n, Outcome::Ok);
                 }
             }
--- a/crates/balancer/tests/support/fleet.rs
+++ b/crates/balancer/tests/support/fleet.rs
@@ -417,7 +417,7 @@
             amount: work + handshake,
             told: listed == Some(s.endpoint.started_at_ms),
         });
-        let warm = warmth(&self.plan.settings.guarantees, &s.endpoint, self.now);
+        let warm = warm_up_fraction(&self.plan.settings.guarantees, &s.endpoint, self.now);
         let core = s.cores.iter_mut().min_by(|a, b| a.total_cmp(b)).expect("a core");
         let begin = core.max(self.now);
         let (at, outcome) = if begin - self.now > 20.0 * mean {
@@ -488,7 +488,10 @@
                     continue;
                 }
                 let since = (work.at - window).max(s.endpoint.started_at_ms);
-                let n = guarantees.overload_multiple * full * warmth(guarantees, &s.endpoint, since) * window;
+                let n = guarantees.overload_multiple
+                    * full
+                    * warm_up_fraction(guarantees, &s.endpoint, since)
+                    * window;
                 worst = worst.max((sum - n) / (2.0 * n.sqrt() + 2.0));
             }
         }
@@ -522,7 +525,7 @@
 }
 
 /// Capacity that a backend surely has, as a share of its full one.
-fn warmth(guarantees: &Guarantees, endpoint: &EndpointInfo, now: f64) -> f64 {
+fn warm_up_fraction(guarantees: &Guarantees, endpoint: &EndpointInfo, now: f64) -> f64 {
     if endpoint.started_at_ms == 0.0 {
         return 1.0;
     }
--- a/crates/discovery-client/src/endpoint_list.rs
+++ b/crates/discovery-client/src/endpoint_list.rs
@@ -1,6 +1,6 @@
 //! What discovery answers: the endpoint list, or changes to it.
 
-use crate::error::DiscoveryError;
+use crate::error::{DiscoveryError, EndpointError};
 use foldhitch_balancer::api::EndpointListKind;
 use serde::Deserialize;
 use std::net::SocketAddr;
@@ -105,10 +105,11 @@
 }
 
 impl EndpointRecord {
-    fn from_json(value: &serde_json::Value) -> Result<Self, String> {
-        let endpoint = Self::deserialize(value).map_err(|error| format!("{value}: {error}"))?;
+    fn from_json(value: &serde_json::Value) -> Result<Self, EndpointError> {
+        let endpoint = Self::deserialize(value)
+            .map_err(|source| EndpointError::Unreadable { value: value.to_string(), source })?;
         if endpoint.address.is_none() && endpoint.health != HealthState::Deleted {
-            return Err(format!("{}: no address", endpoint.name));
+            return Err(EndpointError::MissingAddress { name: endpoint.name });
         }
         Ok(endpoint)
     }
--- a/crates/discovery-client/src/error.rs
+++ b/crates/discovery-client/src/error.rs
@@ -58,7 +58,26 @@
     SkippedEndpoints {
         /// How many.
         count: usize,
-        /// One of them, and why.
-        example: String,
+        /// The last of them, and why.
+        example: EndpointError,
+    },
+}
+
+/// Why an endpoint of a list can't be read.
+#[derive(Debug, thiserror::Error)]
+pub enum EndpointError {
+    /// A key is missing or holds no such value.
+    #[error("{value}: {source}")]
+    Unreadable {
+        /// The endpoint as it came.
+        value: String,
+        /// What is wrong with it.
+        source: serde_json::Error,
+    },
+    /// It takes requests or drains, and has no address.
+    #[error("{name}: no address")]
+    MissingAddress {
+        /// Its name.
+        name: String,
     },
 }
--- a/crates/discovery-client/src/lib.rs
+++ b/crates/discovery-client/src/lib.rs
@@ -8,6 +8,6 @@
 mod timeouts;
 
 pub use endpoint_list::{DiscoveryResponse, EndpointRecord, HealthState, ReadEndpoints};
-pub use error::DiscoveryError;
+pub use error::{DiscoveryError, EndpointError};
 pub use follower::{EndpointListUpdate, EndpointObserver, FollowOptions, follow};
 pub use timeouts::WatchTimeouts;
--- a/crates/scale-test/src/real/copies.rs
+++ b/crates/scale-test/src/real/copies.rs
@@ -84,9 +84,9 @@
 }
 
 impl Copy {
-    fn new(orders: &CopyOrders, activity: Rc<Cell<Activity>>) -> Result<Rc<Self>, String> {
-        let facts = settings_format::read(&orders.settings).map_err(|e| e.to_string())?;
-        let balancer = Balancer::new(facts.balancer.clone(), orders.seed).map_err(|e| e.to_string())?;
+    fn new(orders: &CopyOrders, activity: Rc<Cell<Activity>>) -> anyhow::Result<Rc<Self>> {
+        let facts = settings_format::read(&orders.settings)?;
+        let balancer = Balancer::new(facts.balancer.clone(), orders.seed)?;
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         Ok(Rc::new(Copy {
             state: RefCell::new(State { balancer, listed: HashMap::new(), names: HashMap::new(), ready: 0 }),
@@ -237,7 +237,7 @@
     LocalSet::new().block_on(&runtime, async {
         let activity = Rc::new(Cell::new(Activity::default()));
         for orders in &orders.copies {
-            let copy = Copy::new(orders, activity.clone()).map_err(anyhow::Error::msg)?;
+            let copy = Copy::new(orders, activity.clone())?;
             let mode = copy.facts.balancer.discovery_mode;
             let grace =
                 Duration::from_secs_f64((copy.facts.site.drain_deadline_ms / 1000.0).clamp(0.0, 86_400.0));
