A long body is streamed only once its request is taken, as before the rework

Cause: the rework began to stream a long body before the settings in force were looked at again, so that the rest was read of one whose class had gone meanwhile. Change: what was read is kept as ReceivedBody; it is streamed after that check, the order of before the rework.

--- a/crates/proxy/src/downstream/connection.rs
+++ b/crates/proxy/src/downstream/connection.rs
@@ -61,6 +61,14 @@
     received_at: Instant,
 }
 
+/// What has come of a request's body once it is taken.
+enum ReceivedBody {
+    /// All of it.
+    Complete(Bytes),
+    /// The first of one that is too long to be buffered.
+    Partial { first: Bytes, rest: Incoming, deadline: BodyReadDeadline },
+}
+
 /// Serves a connection until it is closed.
 pub(super) async fn serve_connection(
     server: Rc<Server>,
@@ -250,7 +258,7 @@
         if length.is_some_and(|length| length > MAX_BODY_BYTES) {
             return Err(Box::new(closing_response(StatusCode::PAYLOAD_TOO_LARGE)));
         }
-        let (payload, extension) = self.read_body(&head, &parsed, body, times, &mut guard).await?;
+        let body = self.read_body(&head, &parsed, body, times, &mut guard).await?;
         // The settings may have changed while its body came: it is taken, now, under those in force, or not at all.
         let settings_in_force = self.server.dispatcher.settings();
         if !Rc::ptr_eq(&settings, &settings_in_force) {
@@ -258,6 +266,7 @@
             parsed.class = current.class;
             parsed.tenant = current.tenant;
         }
+        let (payload, extension) = self.payload(body, length, parsed.client_timeout);
         let request = UpstreamRequest {
             host: head.headers.get(HOST).cloned(),
             method: head.method.clone(),
@@ -286,7 +295,7 @@
         Rc::new(move || liveness.is_connected())
     }
 
-    /// Reads a body, and streams one that is too long to be buffered; returns how much longer that may take.
+    /// Reads a body as far as it is buffered.
     async fn read_body(
         &self,
         head: &Parts,
@@ -294,21 +303,12 @@
         mut body: Incoming,
         times: RequestTimes,
         guard: &mut RequestIdGuard,
-    ) -> Result<(RequestPayload, Duration), Rejection> {
-        let length = body.size_hint().exact();
+    ) -> Result<ReceivedBody, Rejection> {
         let mut deadline = BodyReadDeadline::new(times.begun_at);
         let limit = self.server.max_body_bytes.get();
         match buffer_body(&mut body, &mut deadline, guard, limit).await {
-            Ok(BufferedBody::Complete(data)) => Ok((RequestPayload::Buffered(data), Duration::ZERO)),
-            Ok(BufferedBody::Partial(first)) => {
-                let client_timeout = parsed.client_timeout.saturating_sub(RESPONSE_MARGIN);
-                let (frames, upload) = StreamedUpload::new(length, client_timeout);
-                let upload = Rc::new(upload);
-                let connection = self.state.clone();
-                let stream = UploadStream { body, deadline, frames, upload: upload.clone(), connection };
-                spawn_local(stream.run(first));
-                Ok((RequestPayload::Streamed(upload), body_extension(length)))
-            }
+            Ok(BufferedBody::Complete(data)) => Ok(ReceivedBody::Complete(data)),
+            Ok(BufferedBody::Partial(first)) => Ok(ReceivedBody::Partial { first, rest: body, deadline }),
             Err(StatusCode::SERVICE_UNAVAILABLE) => {
                 self.discard_body(parsed, body, deadline);
                 Err(Box::new(rejected_response(self.retry_after())))
@@ -321,6 +321,26 @@
         }
     }
 
+    /// What is sent as the body, which is streamed if it is too long to be buffered; and how much longer than the
+    /// client's timeout that may take.
+    fn payload(
+        &self,
+        body: ReceivedBody,
+        length: Option<u64>,
+        client_timeout: Duration,
+    ) -> (RequestPayload, Duration) {
+        let (first, rest, deadline) = match body {
+            ReceivedBody::Complete(data) => return (RequestPayload::Buffered(data), Duration::ZERO),
+            ReceivedBody::Partial { first, rest, deadline } => (first, rest, deadline),
+        };
+        let (frames, upload) = StreamedUpload::new(length, client_timeout.saturating_sub(RESPONSE_MARGIN));
+        let upload = Rc::new(upload);
+        let connection = self.state.clone();
+        let stream = UploadStream { body: rest, deadline, frames, upload: upload.clone(), connection };
+        spawn_local(stream.run(first));
+        (RequestPayload::Streamed(upload), body_extension(length))
+    }
+
     /// Reads on a body that is not taken, where it is written still: the client would not get to see its answer.
     fn discard_body(&self, parsed: &ParsedHead, body: Incoming, deadline: BodyReadDeadline) {
         let (frames, _) = StreamedBody::new(None);
--- a/crates/proxy/tests/reload.rs
+++ b/crates/proxy/tests/reload.rs
@@ -275,3 +275,31 @@
         assert_eq!(s.script.requests_at("a"), usize::from(status == 200));
     }
 }
+
+/// The part of a long body that came before a change is not streamed on where the settings in force know no such
+/// class: its connection ends with the answer, and what comes behind it is no request.
+#[tokio::test]
+async fn the_rest_of_a_long_body_is_not_read_once_its_class_is_gone() {
+    let mut s = fixture().await;
+    let mut client = TcpStream::connect(s.proxy.addr).await.expect("it listens");
+    let head = "POST /keep?k=1 HTTP/1.1\r\nHost: o\r\nReq-Id: 1\r\nReq-Owner: acme\r\nReq-Deadline-Ms: 60000\r\n\
+                Idempotency-Key: 1\r\nExpect: 100-continue\r\nTransfer-Encoding: chunked\r\n\r\n";
+    client.write_all(head.as_bytes()).await.expect("open");
+    // That it is asked for its body shows that its head was read.
+    let mut received = [0; 1024];
+    let length = in_time(client.read(&mut received)).await.expect("open");
+    assert!(received[..length].starts_with(b"HTTP/1.1 100"));
+    s.change(|config| drop(classes(config).remove(1))).await;
+    let mut chunk = b"14000\r\n".to_vec();
+    chunk.extend([b'x'; 0x14000]);
+    chunk.extend(b"\r\n");
+    client.write_all(&chunk).await.expect("open");
+    let length = in_time(client.read(&mut received)).await.expect("open");
+    assert!(received[..length].starts_with(b"HTTP/1.1 404"));
+    let next = "0\r\n\r\nGET /look HTTP/1.1\r\nHost: o\r\nReq-Id: 2\r\nReq-Owner: acme\r\nReq-Deadline-Ms: 60000\r\n\r\n";
+    // The connection may be closed already.
+    let _ = client.write_all(next.as_bytes()).await;
+    let is_closed = matches!(in_time(client.read(&mut received)).await, Ok(0) | Err(_));
+    assert!(is_closed, "what lies behind the body was answered");
+    assert_eq!(s.script.requests_at("a"), 0);
+}
