--- /dev/null
+++ b/crates/discovery-client/tests/slow_answers.rs
@@ -0,0 +1,92 @@
+//! Discovery that answers, but slowly, as one that serves a whole fleet does while many proxies start.
+//!
+//! What callers saw: where the list is polled, requests went to a backend for up to ten seconds after it had begun
+//! to drain, and were answered late or with an error.
+
+mod support;
+
+use std::time::Duration;
+use support::*;
+use tokio::task::LocalSet;
+
+/// Drain deadlines of the sites in use, and one that is longer than the term of a notification.
+const DRAIN_DEADLINES_MS: [u64; 4] = [100, 500, 2000, 10_000];
+/// The longest interval that the settings name for polls, in milliseconds.
+const POLL_WITHIN_MS: f64 = 10_000.0;
+
+/// Runs a case for pushed and polled lists, for each drain deadline and each lateness of the head or of the body.
+async fn for_each_case(delays_ms: &[u64], case: impl AsyncFn(bool, Duration, AnswerDelay)) {
+    for is_polled in [false, true] {
+        for drain_deadline in DRAIN_DEADLINES_MS.map(Duration::from_millis) {
+            for late in delays_ms.iter().copied().map(Duration::from_millis) {
+                let late_head = AnswerDelay { head: late, body: Duration::ZERO };
+                let late_body = AnswerDelay { head: Duration::ZERO, body: late };
+                for delay in [late_head, late_body] {
+                    LocalSet::new().run_until(case(is_polled, drain_deadline, delay)).await;
+                }
+            }
+        }
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_first_list_is_taken_from_discovery_that_answers_slowly() {
+    for_each_case(&[300, 600, 1000, 1700, 2500], async |is_polled, drain_deadline, delay| {
+        let (listener, address) = listening().await;
+        let calls = late_agent(listener, delay, |_| AgentBehavior::List(7, true, 2));
+        let settings = settings(is_polled, POLL_WITHIN_MS);
+        let harness = DiscoveryHarness::follow(address, settings, 1, drain_deadline, false);
+        came(&calls, 1).await;
+        let first_call = calls.borrow()[0].0;
+        let notified = tokio::time::timeout(NOTIFIED_WITHIN, harness.notified_of(2)).await;
+        let case = format!("polled {is_polled}, drain deadline {drain_deadline:?}, {delay:?}");
+        assert!(notified.is_ok(), "{case}: no list after {} calls", calls.borrow().len());
+        assert!(notified.expect("checked") - first_call <= NOTIFIED_WITHIN, "{case}");
+    })
+    .await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_change_is_notified_after_a_silent_watch_by_discovery_that_answers_slowly() {
+    for_each_case(&[300, 600, 1000, 1700], async |is_polled, drain_deadline, delay| {
+        let (listener, address) = listening().await;
+        let calls = late_agent(listener, delay, |n| match n {
+            0 => AgentBehavior::List(7, true, 1),
+            1 => AgentBehavior::Hang,
+            _ => AgentBehavior::List(8, true, 2),
+        });
+        let settings = settings(is_polled, POLL_WITHIN_MS);
+        let harness = DiscoveryHarness::follow(address, settings, 1, drain_deadline, true);
+        came(&calls, 2).await;
+        let silent_since = calls.borrow()[1].0;
+        let notified = tokio::time::timeout(NOTIFIED_WITHIN, harness.notified_of(2)).await;
+        let case = format!("polled {is_polled}, drain deadline {drain_deadline:?}, {delay:?}");
+        assert!(notified.is_ok(), "{case}: no change after {} calls", calls.borrow().len());
+        assert!(notified.expect("checked") - silent_since <= NOTIFIED_WITHIN, "{case}");
+    })
+    .await;
+}
+
+/// Calls that wait for an answer are bounded: discovery that is unresponsive must not cost a proxy its descriptors.
+#[tokio::test(start_paused = true)]
+async fn few_calls_wait_at_unresponsive_discovery() {
+    const MAX_WAITING_CALLS: usize = 5;
+    for is_polled in [false, true] {
+        for drain_deadline in DRAIN_DEADLINES_MS.map(Duration::from_millis) {
+            let work = async {
+                let (listener, address) = listening().await;
+                let open = open_connections(listener);
+                let settings = settings(is_polled, POLL_WITHIN_MS);
+                DiscoveryHarness::follow(address, settings, 1, drain_deadline, true);
+                let mut most = 0;
+                for _ in 0..2000 {
+                    tokio::time::sleep(Duration::from_millis(10)).await;
+                    most = most.max(open.get());
+                }
+                assert!(most >= 1, "nobody called");
+                assert!(most <= MAX_WAITING_CALLS, "polled {is_polled}, {drain_deadline:?}: {most}");
+            };
+            LocalSet::new().run_until(work).await;
+        }
+    }
+}
