Log what becomes of connections while there is no space for clients

Whether clients were kept out by a full table, by evictions or by failed accepts could not be told from the log. One line a second while there is no space, and one at the end: accepted, evicted by reason, kept with a request on its way, rejected, errors, the longest time without an accept.

What the connections share moves from the accept loop to server.rs, so that listener.rs and connection.rs no longer import each other. No change of behaviour.

--- /dev/null
+++ b/crates/proxy/src/downstream/accept_statistics.rs
@@ -0,0 +1,152 @@
+//! What becomes of connections while there is no space: counts for the log.
+
+use super::connection_table::EvictionReason;
+use crate::log::log;
+use std::cell::Cell;
+use std::fmt;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// While there is no space, a line is logged so often at the most.
+const LOG_INTERVAL: Duration = Duration::from_secs(1);
+
+/// What became of connections.
+#[derive(Debug, Clone, Copy, Default)]
+struct AcceptCounts {
+    accepted: u64,
+    evicted_closing: u64,
+    evicted_silent: u64,
+    evicted_rejected: u64,
+    evicted_idle: u64,
+    /// Connections that were to give way and stayed, since a request was on its way.
+    kept: u64,
+    /// Requests that were rejected for want of space.
+    rejected: u64,
+    errors: u64,
+    longest_without_accept: Duration,
+}
+
+impl AcceptCounts {
+    fn add(&mut self, other: AcceptCounts) {
+        self.accepted += other.accepted;
+        self.evicted_closing += other.evicted_closing;
+        self.evicted_silent += other.evicted_silent;
+        self.evicted_rejected += other.evicted_rejected;
+        self.evicted_idle += other.evicted_idle;
+        self.kept += other.kept;
+        self.rejected += other.rejected;
+        self.errors += other.errors;
+        self.longest_without_accept = self.longest_without_accept.max(other.longest_without_accept);
+    }
+}
+
+impl fmt::Display for AcceptCounts {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let evicted = self.evicted_closing + self.evicted_silent + self.evicted_rejected + self.evicted_idle;
+        write!(formatter, "{} accepted, {evicted} evicted", self.accepted)?;
+        write!(formatter, " ({} closing, {} silent,", self.evicted_closing, self.evicted_silent)?;
+        write!(formatter, " {} rejected before, {} idle),", self.evicted_rejected, self.evicted_idle)?;
+        write!(formatter, " {} kept with a request on its way,", self.kept)?;
+        write!(formatter, " {} requests rejected, {} errors,", self.rejected, self.errors)?;
+        write!(formatter, " longest without an accept {} ms", self.longest_without_accept.as_millis())
+    }
+}
+
+/// Counts what becomes of connections, and logs it while there is no space and at the end.
+#[derive(Default)]
+pub(super) struct AcceptStatistics {
+    /// Since the last line.
+    recent: Cell<AcceptCounts>,
+    total: Cell<AcceptCounts>,
+    /// Whether there was no space at some time since the last line.
+    was_full: Cell<bool>,
+    logged_at: Cell<Option<Instant>>,
+    /// Since when nothing is accepted for want of space.
+    blocked_since: Cell<Option<Instant>>,
+}
+
+impl AcceptStatistics {
+    pub(super) fn record_accepted(&self) {
+        self.end_block();
+        self.count(|counts| counts.accepted += 1);
+    }
+
+    /// There was no space without an eviction.
+    pub(super) fn record_evicted(&self, reason: EvictionReason) {
+        self.was_full.set(true);
+        self.count(|counts| match reason {
+            EvictionReason::Closing => counts.evicted_closing += 1,
+            EvictionReason::Silent => counts.evicted_silent += 1,
+            EvictionReason::Rejected => counts.evicted_rejected += 1,
+            EvictionReason::Idle => counts.evicted_idle += 1,
+        });
+    }
+
+    pub(super) fn record_kept(&self) {
+        self.count(|counts| counts.kept += 1);
+    }
+
+    pub(super) fn record_rejected(&self) {
+        self.was_full.set(true);
+        self.count(|counts| counts.rejected += 1);
+    }
+
+    pub(super) fn record_error(&self) {
+        self.was_full.set(true);
+        self.count(|counts| counts.errors += 1);
+    }
+
+    /// Nothing is accepted now for want of space.
+    pub(super) fn record_blocked(&self) {
+        self.was_full.set(true);
+        let since = self.blocked_since.get().unwrap_or_else(Instant::now);
+        self.blocked_since.set(Some(since));
+    }
+
+    /// Logs what was counted since the last line, if that is long enough ago and there was no space since then.
+    pub(super) fn log_if_full(&self) {
+        let is_due = self.logged_at.get().is_none_or(|at| at.elapsed() >= LOG_INTERVAL);
+        if !is_due || !self.was_full.replace(false) {
+            return;
+        }
+        self.logged_at.set(Some(Instant::now()));
+        self.note_block();
+        let recent = self.recent.take();
+        self.accumulate(recent);
+        log!("no space for clients: {recent}");
+    }
+
+    /// Logs what was counted in all, if there ever was no space.
+    pub(super) fn log_total(&self) {
+        self.end_block();
+        let was_full = self.was_full.get() || self.logged_at.get().is_some();
+        self.accumulate(self.recent.take());
+        if was_full {
+            log!("no space for clients, in all: {}", self.total.get());
+        }
+    }
+
+    fn count(&self, change: impl FnOnce(&mut AcceptCounts)) {
+        let mut recent = self.recent.get();
+        change(&mut recent);
+        self.recent.set(recent);
+    }
+
+    fn accumulate(&self, recent: AcceptCounts) {
+        let mut total = self.total.get();
+        total.add(recent);
+        self.total.set(total);
+    }
+
+    fn end_block(&self) {
+        self.note_block();
+        self.blocked_since.set(None);
+    }
+
+    fn note_block(&self) {
+        let Some(since) = self.blocked_since.get() else { return };
+        self.count(|counts| {
+            counts.longest_without_accept = counts.longest_without_accept.max(since.elapsed());
+        });
+    }
+}
--- a/crates/proxy/src/downstream/connection.rs
+++ b/crates/proxy/src/downstream/connection.rs
@@ -3,7 +3,6 @@
 use super::connection_table::{
     ConnectionGuard, ConnectionState, InFlightGuard, RequestIdGuard, RequestPhase, ResponseGuard,
 };
-use super::listener::{ListenerPhase, Server};
 use super::request_body::{BodyReadDeadline, BufferedBody, UploadStream, body_extension, buffer_body};
 use super::request_parsing::{
     ParsedHead, Rejection, bad_request, check_framing, class_name, ordering_key, parse_head,
@@ -11,6 +10,7 @@
 use super::response::{
     ClientResponse, answer_response, close_after, closing_response, empty_response, rejected_response,
 };
+use super::server::{ListenerPhase, Server};
 use crate::dispatcher::{Answer, IncomingRequest, RESPONSE_MARGIN, duration_from_ms};
 use crate::log::log;
 use crate::transport::{
@@ -129,9 +129,13 @@
                 () = disconnected.as_mut() => return true,
                 () = state.close_request.notified() => {
                     state.is_close_requested.set(false);
-                    if state.can_be_closed() && !self.socket.has_unread() {
+                    if !state.can_be_closed() {
+                        continue;
+                    }
+                    if !self.socket.has_unread() {
                         return false;
                     }
+                    self.server.statistics.record_kept();
                 }
                 () = ending.as_mut(), if !state.is_last_answer.get() => state.is_last_answer.set(true),
                 () = self.idle_at_last_answer() => {
@@ -179,7 +183,10 @@
         self.state.phase.set(RequestPhase::ReadingBody);
         let mut response = match self.read_request(request, times).await {
             Err(rejection) => *rejection,
-            Ok(_) if self.is_overloaded() => rejected_response(self.retry_after()),
+            Ok(_) if self.is_overloaded() => {
+                self.server.statistics.record_rejected();
+                rejected_response(self.retry_after())
+            }
             Ok((request, _guard)) => self.dispatch(request).await,
         };
         if self.is_last_answer() {
--- a/crates/proxy/src/downstream/connection_table.rs
+++ b/crates/proxy/src/downstream/connection_table.rs
@@ -20,6 +20,19 @@
 /// A connection may be idle so long between requests, while there is space for others.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// Why a connection is to give way to another.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum EvictionReason {
+    /// It is closing anyway.
+    Closing,
+    /// It has sent nothing.
+    Silent,
+    /// It was rejected before, and sends nothing.
+    Rejected,
+    /// It was served before, or has not sent a whole head.
+    Idle,
+}
+
 /// What has become of a connection's present request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum RequestPhase {
@@ -123,13 +136,13 @@
     /// Asks for the close of a connection that can be closed without loss: of one that is closing anyway, else of the
     /// one that has been idle longest. One that was never served and sends nothing goes first, unless it is of the few
     /// that came last and may be about to send.
-    pub(super) fn evict_idle_connection(&self) -> bool {
+    pub(super) fn evict_idle_connection(&self) -> Option<EvictionReason> {
         let connections = self.connections.borrow();
         let candidates = || connections.values().filter(|connection| connection.can_be_closed());
         if let Some(closing) = candidates().find(|connection| connection.phase.get() == RequestPhase::Closing)
         {
             closing.request_close();
-            return true;
+            return Some(EvictionReason::Closing);
         }
         let is_silent =
             |connection: &&Rc<ConnectionState>| !connection.was_served.get() && !connection.is_sending();
@@ -141,10 +154,14 @@
         } else {
             others.min_by_key(|connection| connection.idle_since()).or(oldest_silent)
         };
-        if let Some(connection) = evicted {
-            connection.request_close();
-        }
-        evicted.is_some()
+        let connection = evicted?;
+        connection.request_close();
+        let was_rejected = connection.was_answered.get();
+        Some(match is_silent(&connection) {
+            true if was_rejected => EvictionReason::Rejected,
+            true => EvictionReason::Silent,
+            false => EvictionReason::Idle,
+        })
     }
 
     /// Asks for the close of connections that have had the time that they may take.
--- a/crates/proxy/src/downstream/mod.rs
+++ b/crates/proxy/src/downstream/mod.rs
@@ -1,11 +1,13 @@
 //! The clients' side: takes requests, checks them, and writes each one's final answer.
 
+mod accept_statistics;
 mod connection;
 mod connection_table;
 mod listener;
 mod request_body;
 mod request_parsing;
 mod response;
+mod server;
 
-pub use connection_table::ConnectionTable;
-pub use listener::{ListenerPhase, MAX_REJECTING_CONNECTIONS, Server};
+pub use listener::{MAX_REJECTING_CONNECTIONS, serve};
+pub use server::{ListenerPhase, Server};
--- /dev/null
+++ b/crates/proxy/src/downstream/server.rs
@@ -0,0 +1,72 @@
+//! What all connections of clients share.
+
+use super::accept_statistics::AcceptStatistics;
+use super::connection_table::ConnectionTable;
+use crate::dispatcher::Dispatcher;
+use std::cell::Cell;
+use std::rc::Rc;
+
+/// How far a planned stop has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ListenerPhase {
+    /// There is none.
+    Accepting,
+    /// No more connections are accepted; those that are open go on.
+    NotAccepting,
+    /// Another process accepts connections; those that are open go on to their next answer.
+    HandedOver,
+    /// Connections are closed as they become idle.
+    ClosingIdle,
+}
+
+/// What is needed to serve clients.
+pub struct Server {
+    /// Gives their requests their answers.
+    pub(super) dispatcher: Rc<Dispatcher>,
+    /// Most connections at once.
+    pub(super) max_connections: Cell<usize>,
+    /// Most bytes in the bodies of open requests.
+    pub(super) max_body_bytes: Cell<usize>,
+    /// Whether each answer is to be the last on its connection.
+    pub(super) is_handed_over: Cell<bool>,
+    /// Who is connected.
+    pub(super) table: Rc<ConnectionTable>,
+    pub(super) statistics: AcceptStatistics,
+}
+
+impl Server {
+    /// A server without connections.
+    pub fn new(dispatcher: Rc<Dispatcher>, max_connections: usize, max_body_bytes: usize) -> Self {
+        Server {
+            dispatcher,
+            max_connections: Cell::new(max_connections),
+            max_body_bytes: Cell::new(max_body_bytes),
+            is_handed_over: Cell::new(false),
+            table: Rc::default(),
+            statistics: AcceptStatistics::default(),
+        }
+    }
+
+    /// Keeps to other limits from now on: idle connections above them are closed.
+    pub fn resize(&self, max_connections: usize, max_body_bytes: usize) {
+        self.max_connections.set(max_connections);
+        self.max_body_bytes.set(max_body_bytes);
+        for _ in max_connections..self.table.len() {
+            if !self.evict_idle_connection() {
+                break;
+            }
+        }
+    }
+
+    /// Whether there is space for another connection, perhaps that of an idle one.
+    pub(super) fn has_space(&self) -> bool {
+        self.table.len() < self.max_connections.get() || self.evict_idle_connection()
+    }
+
+    /// Asks for the close of a connection that can give way; false if there is none.
+    pub(super) fn evict_idle_connection(&self) -> bool {
+        let Some(reason) = self.table.evict_idle_connection() else { return false };
+        self.statistics.record_evicted(reason);
+        true
+    }
+}
--- a/crates/proxy/src/startup.rs
+++ b/crates/proxy/src/startup.rs
@@ -4,7 +4,7 @@
 use crate::config::Config;
 use crate::config::reload::{ReloadStatus, Reloader};
 use crate::dispatcher::{Dispatcher, duration_from_ms};
-use crate::downstream::{ConnectionTable, ListenerPhase, Server};
+use crate::downstream::{self, ListenerPhase, Server};
 use crate::error::ProxyError;
 use crate::log::log;
 use crate::process_group::{self, ProcessGroup};
@@ -74,14 +74,9 @@
     })?;
     spawn_local(maintain(dispatcher.clone(), pool.clone()));
     let (phase, phase_changes) = watch::channel(ListenerPhase::Accepting);
-    let server = Rc::new(Server {
-        dispatcher: dispatcher.clone(),
-        max_connections: Cell::new(limits.downstream_connections(1)),
-        max_body_bytes: Cell::new(limits.body_bytes(1)),
-        is_handed_over: Cell::new(false),
-        table: Rc::<ConnectionTable>::default(),
-    });
-    let serving = spawn_local(server.clone().serve(listener, phase_changes));
+    let (max_connections, max_body_bytes) = (limits.downstream_connections(1), limits.body_bytes(1));
+    let server = Rc::new(Server::new(dispatcher.clone(), max_connections, max_body_bytes));
+    let serving = spawn_local(downstream::serve(server.clone(), listener, phase_changes));
     spawn_local(follow_process_count(dispatcher.process_count(), limits, server, pool));
     if let Some(admin) = &admin {
         admin.start_serving();
--- a/crates/proxy/tests/support/backend.rs
+++ b/crates/proxy/tests/support/backend.rs
@@ -24,6 +24,8 @@
     pub seen: watch::Sender<Vec<(&'static str, Parts, Bytes)>>,
     /// Requests that ended before their backend answered.
     pub left: watch::Sender<usize>,
+    /// How long a backend takes for a request without an order of its own, in milliseconds.
+    pub service_time_ms: AtomicUsize,
 }
 
 impl BackendScript {
@@ -185,7 +187,12 @@
     let text = |text: &'static str| Full::new(Bytes::from(text)).map_err(|e| match e {}).boxed();
     let mut reply = Response::new(text(name));
     match order {
-        BackendBehavior::Serve => {}
+        BackendBehavior::Serve => {
+            let service_time = Duration::from_millis(script.service_time_ms.load(SeqCst) as u64);
+            if !service_time.is_zero() {
+                tokio::time::sleep(service_time).await;
+            }
+        }
         BackendBehavior::Answer(status) => {
             *reply.status_mut() = StatusCode::from_u16(status).expect("a status")
         }
