Test, failing: newcomers are evicted before their first byte in a crowd that sends again at once

Symptom: 128 descriptors, 128 clients that send again at once over kept connections, backends that take 2 s. Of 80 newcomers that send 20 or 400 ms after their connect hardly any is answered within its deadline of 1 s and 0.5 s.

Evidence: in each second 30,000 connections are accepted and as many evicted as silent, none waits to be accepted.

--- /dev/null
+++ b/crates/proxy/tests/newcomers.rs
@@ -0,0 +1,176 @@
+//! The started program full of clients that send again at once: a client that comes new gets its answer too.
+
+mod support;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering::SeqCst;
+use std::time::Duration;
+use support::*;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep, timeout};
+
+/// Descriptors of the proxy, and clients in the crowd.
+const DESCRIPTORS: usize = 128;
+/// A backend's time for a request.
+const SERVICE_TIME_MS: usize = 2000;
+/// A newcomer's deadline.
+const DEADLINE: Duration = Duration::from_secs(1);
+/// A newcomer learns its fate so long after its deadline at the latest.
+const SLACK: Duration = Duration::from_millis(500);
+/// Newcomers that are under way at once, and how many come in turn in the place of each.
+const NEWCOMERS_AT_ONCE: usize = 4;
+const NEWCOMERS_IN_TURN: usize = 20;
+
+/// Clients that keep their connections and send again at once, whatever they were answered.
+struct BusyCrowd {
+    _tasks: JoinSet<()>,
+    rejected: Arc<watch::Sender<usize>>,
+}
+
+impl BusyCrowd {
+    /// Returns once the proxy has rejected as many requests as there are clients.
+    async fn start(addr: SocketAddr) -> Self {
+        let mut tasks = JoinSet::new();
+        let rejected = Arc::new(watch::Sender::new(0));
+        for _ in 0..DESCRIPTORS {
+            let rejected = rejected.clone();
+            tasks.spawn(async move {
+                loop {
+                    send_until_closed(addr, &rejected).await;
+                }
+            });
+        }
+        let enough = 2 * DESCRIPTORS;
+        in_time(rejected.subscribe().wait_for(|count| *count >= enough)).await.expect("open");
+        BusyCrowd { _tasks: tasks, rejected }
+    }
+}
+
+async fn send_until_closed(addr: SocketAddr, rejected: &watch::Sender<usize>) {
+    let Ok(stream) = TcpStream::connect(addr).await else { return };
+    let io = hyper_util::rt::TokioIo::new(stream);
+    let Ok((mut sender, connection)) = hyper::client::conn::http1::handshake(io).await else { return };
+    let _connection = tokio::spawn(connection);
+    while sender.ready().await.is_ok() {
+        let request = request("look").body(Full::<Bytes>::default()).expect("well formed");
+        let Ok(answer) = sender.send_request(request).await else { return };
+        let is_rejected = answer.status() == 503;
+        if answer.into_body().collect().await.is_err() {
+            return;
+        }
+        if is_rejected {
+            rejected.send_modify(|count| *count += 1);
+        }
+    }
+}
+
+/// What a newcomer learnt, and how long after its connect.
+#[derive(Debug, Clone, Copy)]
+struct Fate {
+    status: Option<u16>,
+    took: Duration,
+}
+
+/// Connects, sends its request so much later, and waits for its fate: an answer, or the end of its connection, after
+/// which it comes again as long as its deadline lasts.
+async fn come_new(addr: SocketAddr, first_byte_after: Duration) -> Fate {
+    let began = Instant::now();
+    loop {
+        let status = timeout(DEADLINE + SLACK, try_once(addr, first_byte_after)).await.ok().flatten();
+        let took = began.elapsed();
+        if status.is_some() || took >= DEADLINE {
+            return Fate { status, took };
+        }
+    }
+}
+
+async fn try_once(addr: SocketAddr, first_byte_after: Duration) -> Option<u16> {
+    let mut stream = TcpStream::connect(addr).await.ok()?;
+    sleep(first_byte_after).await;
+    static NEXT_ID: std::sync::atomic::AtomicUsize = std::sync::atomic::AtomicUsize::new(1);
+    let id = format!("{:016x}", (1 << 60) + NEXT_ID.fetch_add(1, SeqCst));
+    let deadline_ms = DEADLINE.as_millis();
+    let head = format!(
+        "GET /look HTTP/1.1\r\nHost: o\r\nReq-Id: {id}\r\nReq-Owner: acme\r\nReq-Deadline-Ms: {deadline_ms}\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).await.ok()?;
+    status(&mut stream).await
+}
+
+/// The fates of newcomers that send so long after their connect.
+async fn newcomers(addr: SocketAddr, first_byte_after: Duration) -> Vec<Fate> {
+    let mut lanes = JoinSet::new();
+    for _ in 0..NEWCOMERS_AT_ONCE {
+        lanes.spawn(async move {
+            let mut fates = Vec::new();
+            for _ in 0..NEWCOMERS_IN_TURN {
+                fates.push(come_new(addr, first_byte_after).await);
+            }
+            fates
+        });
+    }
+    lanes.join_all().await.concat()
+}
+
+/// Newcomers that send at the latest 0.5 s after their connect learn their fate within their deadline and 0.5 s, nine in
+/// ten of them by an answer.
+async fn newcomers_are_answered(first_byte_after: Duration) {
+    let script = Arc::new(BackendScript::default());
+    script.service_time_ms.store(SERVICE_TIME_MS, SeqCst);
+    let backend = Backend::start("a", &script).await;
+    let discovery = Discovery::start(vec![backend.line("SERVING")]).await;
+    let mut config = discovery.config(settings());
+    config["limits"]["sockets"] = DESCRIPTORS.into();
+    let mut proxy = Proxy::start_as(&config, &format!("ulimit -n {DESCRIPTORS}; exec \"$0\"")).await;
+    let log = collect_log(&mut proxy);
+    let crowd = BusyCrowd::start(proxy.addr).await;
+    let fates = newcomers(proxy.addr, first_byte_after).await;
+    let rejected = *crowd.rejected.borrow();
+    let answered = fates.iter().filter(|fate| fate.status.is_some()).count();
+    let slowest = fates.iter().map(|fate| fate.took).max().expect("some came");
+    println!(
+        "first byte after {first_byte_after:?}: {answered} of {} answered, the slowest after {slowest:?}; {rejected} of the crowd rejected",
+        fates.len()
+    );
+    for line in log.lock().expect("no panic").iter().filter(|line| line.contains("no space")) {
+        println!("{line}");
+    }
+    assert!(slowest <= DEADLINE + SLACK, "{slowest:?}");
+    assert!(answered * 10 >= fates.len() * 9, "{answered} of {}", fates.len());
+}
+
+type LogLines = Arc<std::sync::Mutex<Vec<String>>>;
+
+/// Reads the program's log from now on.
+fn collect_log(proxy: &mut Proxy) -> LogLines {
+    let lines = LogLines::default();
+    let collected = lines.clone();
+    let mut log = proxy.log.take().expect("nobody has it");
+    tokio::spawn(async move {
+        while let Ok(Some(line)) = log.next_line().await {
+            collected.lock().expect("no panic").push(line);
+        }
+    });
+    lines
+}
+
+#[tokio::test]
+async fn newcomers_that_send_at_once_are_answered() {
+    newcomers_are_answered(Duration::ZERO).await;
+}
+
+#[tokio::test]
+async fn newcomers_that_send_20_ms_after_their_connect_are_answered() {
+    newcomers_are_answered(Duration::from_millis(20)).await;
+}
+
+#[tokio::test]
+async fn newcomers_that_send_400_ms_after_their_connect_are_answered() {
+    newcomers_are_answered(Duration::from_millis(400)).await;
+}
