Newcomers have half a second for their first byte before they give way to others

Symptom: in a crowd of clients that send again at once, a client whose first byte came 20 ms after its connect was closed with no answer, however often it came back: 4 of 80 were answered, with 400 ms 4 of 80 as well.

Cause: each connection accepted past the limit closed the one that had sent nothing for longest, at once. Busy clients that were shut come back within microseconds (30,000 accepted and as many evicted as silent in each second), so that whoever had not sent by then was closed.

Mend: connections give way in the order closing, silent for over 0.5 s, rejected before, idle; a newcomer only when no place has come free by itself for 5 ms, eight at a time, which a crowd of idle clients makes happen and busy ones don't. A client past the limit that is served keeps its connection, in the place of one of a crowd of newcomers.

--- a/crates/proxy/src/downstream/accept_statistics.rs
+++ b/crates/proxy/src/downstream/accept_statistics.rs
@@ -18,6 +18,7 @@
     evicted_silent: u64,
     evicted_rejected: u64,
     evicted_idle: u64,
+    evicted_newcomers: u64,
     /// Connections that were to give way and stayed, since a request was on its way.
     kept: u64,
     /// Requests that were rejected for want of space.
@@ -33,6 +34,7 @@
         self.evicted_silent += other.evicted_silent;
         self.evicted_rejected += other.evicted_rejected;
         self.evicted_idle += other.evicted_idle;
+        self.evicted_newcomers += other.evicted_newcomers;
         self.kept += other.kept;
         self.rejected += other.rejected;
         self.errors += other.errors;
@@ -40,12 +42,19 @@
     }
 }
 
+impl AcceptCounts {
+    fn evicted(&self) -> u64 {
+        let in_good_time = self.evicted_closing + self.evicted_silent + self.evicted_rejected;
+        in_good_time + self.evicted_idle + self.evicted_newcomers
+    }
+}
+
 impl fmt::Display for AcceptCounts {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let evicted = self.evicted_closing + self.evicted_silent + self.evicted_rejected + self.evicted_idle;
-        write!(formatter, "{} accepted, {evicted} evicted", self.accepted)?;
+        write!(formatter, "{} accepted, {} evicted", self.accepted, self.evicted())?;
         write!(formatter, " ({} closing, {} silent,", self.evicted_closing, self.evicted_silent)?;
-        write!(formatter, " {} rejected before, {} idle),", self.evicted_rejected, self.evicted_idle)?;
+        write!(formatter, " {} rejected before, {} idle,", self.evicted_rejected, self.evicted_idle)?;
+        write!(formatter, " {} newcomers),", self.evicted_newcomers)?;
         write!(formatter, " {} kept with a request on its way,", self.kept)?;
         write!(formatter, " {} requests rejected, {} errors,", self.rejected, self.errors)?;
         write!(formatter, " longest without an accept {} ms", self.longest_without_accept.as_millis())
@@ -79,6 +88,7 @@
             EvictionReason::Silent => counts.evicted_silent += 1,
             EvictionReason::Rejected => counts.evicted_rejected += 1,
             EvictionReason::Idle => counts.evicted_idle += 1,
+            EvictionReason::Newcomer => counts.evicted_newcomers += 1,
         });
     }
 
--- a/crates/proxy/src/downstream/connection.rs
+++ b/crates/proxy/src/downstream/connection.rs
@@ -25,6 +25,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, StatusCode, Uri};
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::poll_fn;
 use std::pin::pin;
@@ -50,8 +51,8 @@
     server: Rc<Server>,
     socket: ClientSocket,
     state: Rc<ConnectionState>,
-    /// It is accepted only to be rejected.
-    is_rejected: bool,
+    /// It was accepted past the limit: its next answer is its last.
+    is_past_limit: Cell<bool>,
 }
 
 /// When a request began, and when its head had come.
@@ -74,7 +75,7 @@
     server: Rc<Server>,
     stream: TcpStream,
     phase: watch::Receiver<ListenerPhase>,
-    is_rejected: bool,
+    is_past_limit: bool,
 ) {
     let prepared = prepare(&stream);
     let socket = ClientSocket::new(stream);
@@ -85,7 +86,8 @@
     if prepared.is_err() {
         return;
     }
-    let connection = ClientConnection { server, socket, state: state.clone(), is_rejected };
+    let is_past_limit = Cell::new(is_past_limit);
+    let connection = ClientConnection { server, socket, state: state.clone(), is_past_limit };
     let may_still_send = connection.serve(stream, phase).await;
     if may_still_send {
         state.phase.set(RequestPhase::Closing);
@@ -220,13 +222,16 @@
         let answer = self.server.dispatcher.dispatch(request).await;
         if matches!(answer, Answer::Served(_)) {
             self.state.was_served.set(true);
+            if self.is_past_limit.get() && self.server.can_keep_served() {
+                self.is_past_limit.set(false);
+            }
         }
         answer_response(answer)
     }
 
     /// Whether an answer is to be the last on this connection.
     fn is_last_answer(&self) -> bool {
-        self.is_rejected
+        self.is_past_limit.get()
             || self.state.is_last_answer.get()
             || *self.server.dispatcher.draining().borrow()
             || self.server.is_handed_over.get()
--- a/crates/proxy/src/downstream/connection_table.rs
+++ b/crates/proxy/src/downstream/connection_table.rs
@@ -15,7 +15,9 @@
 pub(super) const ARRIVAL_TIMEOUT: Duration = Duration::from_millis(2500);
 /// So long a client may take for its head.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(2);
-/// So many of the connections that have sent nothing came so lately that their requests may be on the way.
+/// The first request of a client may come so long after its connect.
+const NEWCOMER_GRACE: Duration = Duration::from_millis(500);
+/// So many newcomers are expected at once; more of them are a crowd.
 const LATEST_SILENT: usize = 4;
 /// A connection may be idle so long between requests, while there is space for others.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
@@ -25,12 +27,40 @@
 pub(super) enum EvictionReason {
     /// It is closing anyway.
     Closing,
-    /// It has sent nothing.
+    /// It has sent nothing for longer than newcomers may take.
     Silent,
     /// It was rejected before, and sends nothing.
     Rejected,
     /// It was served before, or has not sent a whole head.
     Idle,
+    /// It came lately and has sent nothing.
+    Newcomer,
+}
+
+/// What a place is needed for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum EvictionPurpose {
+    /// A connection that comes: only who need not stay gives way.
+    NewConnection,
+    /// A connection that was served and would have to close: a crowd of newcomers gives way, too.
+    ServedConnection,
+    /// Nothing can be accepted: whoever can be closed without loss gives way.
+    BlockedListener,
+}
+
+/// What a connection without a request has done so far.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum IdleKind {
+    /// It is closing anyway.
+    Closing,
+    /// It came lately and has sent nothing.
+    Newcomer,
+    /// It has sent nothing for longer than newcomers may take.
+    Silent,
+    /// It was rejected, and sends nothing.
+    Rejected,
+    /// It was served before, or sends a head.
+    Used,
 }
 
 /// What has become of a connection's present request.
@@ -74,6 +104,26 @@
             && !self.is_close_requested.get()
     }
 
+    /// Whether the connection may be asked to give way to another; not again if it was asked before.
+    fn can_be_evicted(&self) -> bool {
+        let is_leaving = self.is_last_answer.get() && self.phase.get() != RequestPhase::Closing;
+        self.can_be_closed() && !is_leaving
+    }
+
+    fn idle_kind(&self) -> IdleKind {
+        if self.phase.get() == RequestPhase::Closing {
+            IdleKind::Closing
+        } else if self.was_served.get() || self.is_sending() {
+            IdleKind::Used
+        } else if self.was_answered.get() {
+            IdleKind::Rejected
+        } else if self.since.get().elapsed() < NEWCOMER_GRACE {
+            IdleKind::Newcomer
+        } else {
+            IdleKind::Silent
+        }
+    }
+
     /// Whether nothing of a request has come.
     pub(super) fn is_idle(&self) -> bool {
         self.phase.get() == RequestPhase::Idle && !self.is_sending() && self.can_be_closed()
@@ -133,35 +183,14 @@
         self.in_flight.get()
     }
 
-    /// Asks for the close of a connection that can be closed without loss: of one that is closing anyway, else of the
-    /// one that has been idle longest. One that was never served and sends nothing goes first, unless it is of the few
-    /// that came last and may be about to send.
-    pub(super) fn evict_idle_connection(&self) -> Option<EvictionReason> {
+    /// Asks for the close of a connection that can be closed without loss, if there is one that may give way now.
+    pub(super) fn evict_idle_connection(&self, purpose: EvictionPurpose) -> Option<EvictionReason> {
         let connections = self.connections.borrow();
-        let candidates = || connections.values().filter(|connection| connection.can_be_closed());
-        if let Some(closing) = candidates().find(|connection| connection.phase.get() == RequestPhase::Closing)
-        {
-            closing.request_close();
-            return Some(EvictionReason::Closing);
-        }
-        let is_silent =
-            |connection: &&Rc<ConnectionState>| !connection.was_served.get() && !connection.is_sending();
-        let oldest_silent = candidates().filter(is_silent).min_by_key(|connection| connection.since.get());
-        let silent_count = candidates().filter(is_silent).count();
-        let others = candidates().filter(|connection| !is_silent(connection));
-        let evicted = if silent_count > LATEST_SILENT {
-            oldest_silent
-        } else {
-            others.min_by_key(|connection| connection.idle_since()).or(oldest_silent)
-        };
-        let connection = evicted?;
+        let candidates: Vec<_> =
+            connections.values().filter(|connection| connection.can_be_evicted()).collect();
+        let (connection, reason) = choose_eviction(&candidates, purpose)?;
         connection.request_close();
-        let was_rejected = connection.was_answered.get();
-        Some(match is_silent(&connection) {
-            true if was_rejected => EvictionReason::Rejected,
-            true => EvictionReason::Silent,
-            false => EvictionReason::Idle,
-        })
+        Some(reason)
     }
 
     /// Asks for the close of connections that have had the time that they may take.
@@ -174,6 +203,36 @@
     }
 }
 
+/// Which connection gives way: one that is closing anyway, else one that has sent nothing for longer than newcomers
+/// may take, else one that was rejected before. An idle one that was served stays where many have sent nothing. One
+/// that came lately may be about to send, and gives way only if it must.
+fn choose_eviction<'a>(
+    candidates: &[&'a Rc<ConnectionState>],
+    purpose: EvictionPurpose,
+) -> Option<(&'a Rc<ConnectionState>, EvictionReason)> {
+    let oldest = |kind: IdleKind| {
+        let of_kind = candidates.iter().filter(|connection| connection.idle_kind() == kind);
+        of_kind.copied().min_by_key(|connection| connection.idle_since())
+    };
+    let newcomers =
+        candidates.iter().filter(|connection| connection.idle_kind() == IdleKind::Newcomer).count();
+    let has_many_newcomers = newcomers > LATEST_SILENT;
+    let is_blocked = purpose == EvictionPurpose::BlockedListener;
+    let may_close_crowd = has_many_newcomers && purpose != EvictionPurpose::NewConnection;
+    let may_close_used = is_blocked || !has_many_newcomers && purpose == EvictionPurpose::NewConnection;
+    let closing = oldest(IdleKind::Closing).map(|connection| (connection, EvictionReason::Closing));
+    let silent = || oldest(IdleKind::Silent).map(|connection| (connection, EvictionReason::Silent));
+    let rejected = || oldest(IdleKind::Rejected).map(|connection| (connection, EvictionReason::Rejected));
+    let used = || oldest(IdleKind::Used).map(|connection| (connection, EvictionReason::Idle));
+    let newcomer = || oldest(IdleKind::Newcomer).map(|connection| (connection, EvictionReason::Newcomer));
+    closing
+        .or_else(silent)
+        .or_else(rejected)
+        .or_else(|| if may_close_crowd { newcomer() } else { None })
+        .or_else(|| if may_close_used { used() } else { None })
+        .or_else(|| if is_blocked { newcomer() } else { None })
+}
+
 /// A connection in the table; removed when this is dropped.
 pub(super) struct ConnectionGuard {
     table: Rc<ConnectionTable>,
--- a/crates/proxy/src/downstream/listener.rs
+++ b/crates/proxy/src/downstream/listener.rs
@@ -1,6 +1,7 @@
 //! Accepts clients' connections.
 
 use super::connection::serve_connection;
+use super::connection_table::EvictionPurpose;
 use super::server::{ListenerPhase, Server};
 use std::rc::Rc;
 use std::time::Duration;
@@ -15,6 +16,11 @@
 const ACCEPT_ERROR_PAUSE: Duration = Duration::from_millis(10);
 /// Connections past the limit, accepted only to be rejected at once.
 pub const MAX_REJECTING_CONNECTIONS: usize = 16;
+/// Places of connections that are rejected come free by themselves; only when none does for so long must others give
+/// way, who may be about to send.
+const FORCED_EVICTION_DELAY: Duration = Duration::from_millis(5);
+/// So many of them give way at once.
+const FORCED_EVICTIONS: usize = MAX_REJECTING_CONNECTIONS / 2;
 
 /// Accepts connections and, as `phase` says, closes them as they become idle; returns when the last one is closed.
 /// Nobody is kept waiting in the system's queue, where requests may lie whose answers are pending: whom there is
@@ -27,7 +33,7 @@
         let is_full = server.table.len() >= server.max_connections.get() + MAX_REJECTING_CONNECTIONS;
         if is_full {
             server.statistics.record_blocked();
-            server.evict_idle_connection();
+            server.evict(EvictionPurpose::NewConnection);
         }
         tokio::select! {
             _ = phase.changed() => break,
@@ -36,12 +42,13 @@
                 server.table.close_overdue();
                 server.statistics.log_if_full();
             }
+            () = sleep(FORCED_EVICTION_DELAY), if is_full => server.force_evictions(FORCED_EVICTIONS),
             accepted = listener.accept(), if !is_full => match accepted {
                 Ok((stream, _)) => {
                     server.statistics.record_accepted();
-                    let is_rejected = !server.has_space();
+                    let is_past_limit = !server.has_space();
                     let phase = connection_phase.clone();
-                    connections.spawn_local(serve_connection(server.clone(), stream, phase, is_rejected));
+                    connections.spawn_local(serve_connection(server.clone(), stream, phase, is_past_limit));
                     // It is in the table from now on.
                     yield_now().await;
                 }
@@ -49,7 +56,7 @@
                 // comes free again.
                 Err(_) => {
                     server.statistics.record_error();
-                    server.evict_idle_connection();
+                    server.evict(EvictionPurpose::BlockedListener);
                     sleep(ACCEPT_ERROR_PAUSE).await;
                 }
             }
--- a/crates/proxy/src/downstream/server.rs
+++ b/crates/proxy/src/downstream/server.rs
@@ -1,7 +1,7 @@
 //! What all connections of clients share.
 
 use super::accept_statistics::AcceptStatistics;
-use super::connection_table::ConnectionTable;
+use super::connection_table::{ConnectionTable, EvictionPurpose};
 use crate::dispatcher::Dispatcher;
 use std::cell::Cell;
 use std::rc::Rc;
@@ -51,21 +51,32 @@
     pub fn resize(&self, max_connections: usize, max_body_bytes: usize) {
         self.max_connections.set(max_connections);
         self.max_body_bytes.set(max_body_bytes);
-        for _ in max_connections..self.table.len() {
-            if !self.evict_idle_connection() {
-                break;
-            }
-        }
+        let excess = self.table.len().saturating_sub(max_connections);
+        self.force_evictions(excess);
     }
 
     /// Whether there is space for another connection, perhaps that of an idle one.
     pub(super) fn has_space(&self) -> bool {
-        self.table.len() < self.max_connections.get() || self.evict_idle_connection()
+        self.table.len() < self.max_connections.get() || self.evict(EvictionPurpose::NewConnection)
+    }
+
+    /// Whether a connection past the limit that was served may stay, perhaps in the place of another.
+    pub(super) fn can_keep_served(&self) -> bool {
+        self.table.len() <= self.max_connections.get() || self.evict(EvictionPurpose::ServedConnection)
+    }
+
+    /// Asks for the close of so many connections, or of all that can be closed without loss.
+    pub(super) fn force_evictions(&self, count: usize) {
+        for _ in 0..count {
+            if !self.evict(EvictionPurpose::BlockedListener) {
+                break;
+            }
+        }
     }
 
     /// Asks for the close of a connection that can give way; false if there is none.
-    pub(super) fn evict_idle_connection(&self) -> bool {
-        let Some(reason) = self.table.evict_idle_connection() else { return false };
+    pub(super) fn evict(&self, purpose: EvictionPurpose) -> bool {
+        let Some(reason) = self.table.evict_idle_connection(purpose) else { return false };
         self.statistics.record_evicted(reason);
         true
     }
--- a/crates/proxy/tests/newcomers.rs
+++ b/crates/proxy/tests/newcomers.rs
@@ -1,4 +1,9 @@
 //! The started program full of clients that send again at once: a client that comes new gets its answer too.
+//!
+//! What callers saw: a client whose first byte came 20 ms after its connect was closed with no answer, however often it
+//! came back. Each connection that was accepted past the limit closed the one that had sent nothing for longest, and
+//! busy clients come back so fast that a newcomer was that one within a tenth of a millisecond. The log showed it:
+//! `31213 accepted, 31213 evicted (0 closing, 31213 silent, ...)` in a second.
 
 mod support;
 
