--- a/crates/scale-test/src/lib.rs
+++ b/crates/scale-test/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod report;
 pub mod scenario;
 pub mod simulated;
+pub mod soak;
--- a/crates/scale-test/src/main.rs
+++ b/crates/scale-test/src/main.rs
@@ -3,9 +3,11 @@
 #![forbid(unsafe_code)]
 
 use anyhow::{Context, bail};
-use clap::{Parser, Subcommand, ValueEnum};
+use clap::{Args, Parser, Subcommand, ValueEnum};
 use foldhitch_scale_test::report::{Hollow, Machine, Real, rounded};
 use foldhitch_scale_test::scenario::Scenario;
+use foldhitch_scale_test::soak::SeedReport;
+use foldhitch_scale_test::soak::plan::SoakPlan;
 use foldhitch_scale_test::{real, simulated};
 use serde_json::{Map, to_value};
 use std::path::PathBuf;
@@ -51,11 +53,36 @@
         /// The scenario file.
         scenario: PathBuf,
     },
+    /// Plays seeds against the real program and checks what is seen by the rules. Exits with 1 where one is broken, with
+    /// 2 where a seed can't be played or the machine was too busy for a verdict.
+    Soak(SoakArguments),
     /// Hosts hollow proxies for a run.
     #[command(name = real::HOST_COMMAND, hide = true)]
     HollowProxies,
 }
 
+#[derive(Args)]
+struct SoakArguments {
+    /// The first seed.
+    #[arg(long)]
+    seed: u64,
+    /// How many seeds, one after the other.
+    #[arg(long, default_value_t = 1)]
+    count: u64,
+    /// No seed is begun after so many seconds.
+    #[arg(long)]
+    seconds: Option<u64>,
+    /// The real proxy's program.
+    #[arg(long = "proxy", default_value = "target/release/foldhitch-proxy")]
+    proxy_program: PathBuf,
+    /// Prints settings and schedule, and plays nothing.
+    #[arg(long)]
+    dry_run: bool,
+    /// A file that takes the reports as JSON.
+    #[arg(long)]
+    json: Option<PathBuf>,
+}
+
 #[derive(Clone, Copy, PartialEq, Eq, ValueEnum)]
 enum Part {
     /// The decision modules of a fleet on virtual time, the same for a seed.
@@ -68,17 +95,91 @@
 
 fn main() -> ExitCode {
     tracing_subscriber::fmt().with_max_level(LevelFilter::INFO).with_writer(std::io::stderr).init();
-    match start() {
+    let arguments = Arguments::parse();
+    let result = match &arguments.command {
+        Command::Soak(soak) => return run_soak(soak),
+        _ => start(arguments.command),
+    };
+    match result {
         Ok(()) => ExitCode::SUCCESS,
-        Err(e) => {
-            eprintln!("scale: {e:#}");
+        Err(error) => {
+            eprintln!("scale: {error:#}");
             ExitCode::FAILURE
         }
     }
 }
 
-fn start() -> anyhow::Result<()> {
-    match Arguments::parse().command {
+fn run_soak(arguments: &SoakArguments) -> ExitCode {
+    match soak(arguments) {
+        Ok(verdict) => verdict.exit_code(),
+        Err(error) => {
+            eprintln!("soak: {error:#}");
+            Verdict::Undecided.exit_code()
+        }
+    }
+}
+
+/// What comes of a soak.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Verdict {
+    /// All rules hold.
+    Kept,
+    /// It could not be played, or the machine was too busy.
+    Undecided,
+    /// A rule is broken.
+    Broken,
+}
+
+impl Verdict {
+    fn of(report: &SeedReport) -> Self {
+        if report.is_void {
+            Verdict::Undecided
+        } else if report.broken.is_empty() {
+            Verdict::Kept
+        } else {
+            Verdict::Broken
+        }
+    }
+
+    fn exit_code(self) -> ExitCode {
+        match self {
+            Verdict::Kept => ExitCode::SUCCESS,
+            Verdict::Broken => ExitCode::from(1),
+            Verdict::Undecided => ExitCode::from(2),
+        }
+    }
+}
+
+fn soak(arguments: &SoakArguments) -> anyhow::Result<Verdict> {
+    let seeds = arguments.seed..arguments.seed.saturating_add(arguments.count);
+    if arguments.dry_run {
+        seeds.for_each(|seed| println!("{}", SoakPlan::draw(seed)));
+        return Ok(Verdict::Kept);
+    }
+    if !arguments.proxy_program.is_file() {
+        bail!("--proxy: {}: no such program", arguments.proxy_program.display());
+    }
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
+    let begun = Instant::now();
+    let mut reports = Vec::new();
+    for seed in seeds {
+        if arguments.seconds.is_some_and(|seconds| begun.elapsed().as_secs() >= seconds) {
+            break;
+        }
+        let report = runtime.block_on(foldhitch_scale_test::soak::run(seed, &arguments.proxy_program))?;
+        print!("{report}");
+        reports.push(report);
+    }
+    if let Some(path) = &arguments.json {
+        std::fs::write(path, serde_json::to_vec(&reports)?)
+            .with_context(|| format!("--json: {}", path.display()))?;
+    }
+    Ok(reports.iter().map(Verdict::of).max().unwrap_or(Verdict::Undecided))
+}
+
+fn start(command: Command) -> anyhow::Result<()> {
+    match command {
+        Command::Soak(_) => unreachable!("it was run"),
         Command::HollowProxies => real::copies::serve(),
         Command::Check { scenario } => {
             let scenario = Scenario::load(&scenario)?;
--- /dev/null
+++ b/crates/scale-test/src/soak/discovery.rs
@@ -0,0 +1,187 @@
+//! Discovery's agent: a versioned endpoint list, and the faults that the schedule brings.
+
+use super::plan::DiscoveryBehavior;
+use super::record::{DiscoveryOutage, ListChange, Recorder};
+use serde_json::{Value, json};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+use tokio::time::{sleep, timeout};
+
+/// Slow discovery takes so long.
+const SLOW_ANSWER: Duration = Duration::from_millis(900);
+/// Pause between the two pieces of an answer.
+const PIECE_PAUSE: Duration = Duration::from_millis(5);
+/// Longest head of a call.
+const MAX_CALL_BYTES: usize = 1 << 14;
+
+/// The endpoint list and how it is answered.
+#[derive(Clone)]
+pub struct EndpointList {
+    version: u64,
+    hosts: Vec<Value>,
+    /// The first one, which an agent with an old list answers.
+    first_hosts: Vec<Value>,
+}
+
+/// Discovery.
+pub struct Discovery {
+    /// Where it answers.
+    pub addresses: [SocketAddr; 2],
+    list: watch::Sender<EndpointList>,
+    behavior: watch::Sender<DiscoveryBehavior>,
+    recorder: Recorder,
+}
+
+impl Discovery {
+    /// Starts with a list, at two free ports.
+    pub async fn start(
+        hosts: Vec<Value>,
+        recorder: Recorder,
+        tasks: &mut JoinSet<()>,
+    ) -> io::Result<Arc<Self>> {
+        let listeners = [TcpListener::bind("127.0.0.1:0").await?, TcpListener::bind("127.0.0.1:0").await?];
+        let [first, second] = &listeners;
+        let list = EndpointList { version: 1, first_hosts: hosts.clone(), hosts };
+        let discovery = Arc::new(Discovery {
+            addresses: [first.local_addr()?, second.local_addr()?],
+            list: watch::Sender::new(list),
+            behavior: watch::Sender::new(DiscoveryBehavior::Answer),
+            recorder,
+        });
+        for (address, listener) in discovery.addresses.into_iter().zip(listeners) {
+            tasks.spawn(accept(discovery.clone(), address, listener));
+        }
+        Ok(discovery)
+    }
+
+    /// Behaves otherwise for so long, and then answers again.
+    pub async fn fail_for(&self, behavior: DiscoveryBehavior, lasts: Duration) {
+        let from = self.recorder.now();
+        self.behavior.send_replace(behavior);
+        sleep(lasts).await;
+        self.behavior.send_replace(DiscoveryBehavior::Answer);
+        let until = self.recorder.now();
+        let mut records = self.recorder.records();
+        records.discovery_outages.push(DiscoveryOutage { from, until });
+        records.discovery_outages.sort_by_key(|outage| outage.from);
+    }
+
+    /// Puts an entry into the list, in place of that of the same name.
+    pub fn publish(&self, host: Value) {
+        let mut version = 0;
+        self.list.send_modify(|list| {
+            list.hosts.retain(|known| known["host"] != host["host"]);
+            if host["health"] != "DELETED" {
+                list.hosts.push(host);
+            }
+            list.version += 1;
+            version = list.version;
+        });
+        let at = self.recorder.now();
+        self.recorder.records().list_changes.push(ListChange { version, at });
+    }
+
+    async fn serve(&self, mut stream: TcpStream) -> io::Result<()> {
+        stream.set_nodelay(true)?;
+        loop {
+            let mut call = Vec::new();
+            while !call.ends_with(b"\r\n\r\n") {
+                if stream.read_buf(&mut call).await? == 0 || call.len() > MAX_CALL_BYTES {
+                    return Ok(());
+                }
+            }
+            let text = String::from_utf8_lossy(&call).into_owned();
+            if !self.answer(&mut stream, &text).await? {
+                return Ok(());
+            }
+        }
+    }
+
+    /// Answers a call, and tells whether the connection goes on.
+    async fn answer(&self, stream: &mut TcpStream, call: &str) -> io::Result<bool> {
+        let path = call.split(' ').nth(1).unwrap_or_default();
+        let figure = |name: &str| {
+            let (_, query) = path.split_once('?')?;
+            query.split('&').find_map(|pair| pair.strip_prefix(name)?.parse::<u64>().ok())
+        };
+        let after = figure("after=");
+        let wait = Duration::from_millis(figure("wait_ms=").unwrap_or_default());
+        if let Some(after) = after {
+            let mut list = self.list.subscribe();
+            // If nothing changes in time, the answer says so.
+            let _ = timeout(wait, list.wait_for(|list| list.version > after)).await;
+        }
+        let behavior = *self.behavior.borrow();
+        match behavior {
+            DiscoveryBehavior::Answer | DiscoveryBehavior::OldList => {}
+            DiscoveryBehavior::Slow => sleep(SLOW_ANSWER).await,
+            DiscoveryBehavior::Reset | DiscoveryBehavior::Refuse => return Ok(false),
+            DiscoveryBehavior::Hang => {
+                stream.read_u8().await.ok();
+                return Ok(false);
+            }
+        }
+        let body = self.list.borrow().body(after, behavior == DiscoveryBehavior::OldList);
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+        stream.write_all(head.as_bytes()).await?;
+        let (first, rest) = body.split_at(body.len() / 2);
+        stream.write_all(first.as_bytes()).await?;
+        sleep(PIECE_PAUSE).await;
+        stream.write_all(rest.as_bytes()).await?;
+        Ok(true)
+    }
+}
+
+impl EndpointList {
+    fn body(&self, after: Option<u64>, is_old: bool) -> String {
+        let is_changed = after.is_none_or(|after| self.version > after);
+        let body = if is_old {
+            json!({"seq": 1, "whole": true, "hosts": self.first_hosts})
+        } else if is_changed {
+            json!({"seq": self.version, "whole": true, "hosts": self.hosts})
+        } else {
+            json!({"seq": self.version, "whole": false, "hosts": []})
+        };
+        // Some agents indent what they send.
+        if self.version.is_multiple_of(2) { format!("{body:#}") } else { body.to_string() }
+    }
+}
+
+async fn accept(discovery: Arc<Discovery>, address: SocketAddr, listener: TcpListener) {
+    let mut connections = JoinSet::new();
+    let mut behavior = discovery.behavior.subscribe();
+    let mut listener = Some(listener);
+    loop {
+        let accepted = async {
+            match &listener {
+                Some(listener) => listener.accept().await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            accepted = accepted => if let Ok((stream, _)) = accepted {
+                let discovery = discovery.clone();
+                // A proxy that goes is not discovery's concern.
+                connections.spawn(async move { drop(discovery.serve(stream).await) });
+            },
+            changed = behavior.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+                let refuses = *behavior.borrow_and_update() == DiscoveryBehavior::Refuse;
+                if refuses {
+                    listener = None;
+                    connections.shutdown().await;
+                } else if listener.is_none() {
+                    listener = TcpListener::bind(address).await.ok();
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/scale-test/src/soak/mod.rs
@@ -0,0 +1,159 @@
+//! A soak of the real program by seed: settings, clients, faults and signals are drawn, and what was seen is checked by
+//! the rules.
+
+pub mod backend;
+pub mod client;
+pub mod discovery;
+pub mod plan;
+pub mod play;
+pub mod process;
+pub mod record;
+pub mod rules;
+
+use plan::SoakPlan;
+use record::{Outcome, Records, RequestId};
+use rules::{Rule, Violation};
+use serde::Serialize;
+use std::collections::BTreeMap;
+use std::fmt::{self, Write};
+use std::path::Path;
+use std::time::Duration;
+
+/// Where the test's own timers were later than this, the machine was too busy for a verdict.
+const MAX_OWN_LATENESS: Duration = Duration::from_millis(150);
+/// So many violations of a play are printed with their timelines.
+const PRINTED_VIOLATIONS: usize = 5;
+/// So many lines of the log are printed around a violation without a request.
+const PRINTED_LOG_LINES: usize = 40;
+
+/// What came of a seed.
+#[derive(Debug, Serialize)]
+pub struct SeedReport {
+    /// The seed.
+    pub seed: u64,
+    /// Requests that were sent completely.
+    pub requests: usize,
+    /// Requests that were served.
+    pub served: usize,
+    /// Requests that were rejected.
+    pub rejected: usize,
+    /// Attempts at backends.
+    pub attempts: usize,
+    /// How late the test's own timers were at the most, in milliseconds.
+    pub own_lateness_ms: u128,
+    /// Broken rules, how often.
+    pub broken: BTreeMap<Rule, usize>,
+    /// The first violations with their timelines.
+    pub details: Vec<String>,
+    /// Whether the machine was too busy for a verdict.
+    pub is_void: bool,
+}
+
+impl SeedReport {
+    fn new(plan: &SoakPlan, records: &Records) -> Self {
+        let violations = rules::check(records, &plan.settings);
+        let mut broken = BTreeMap::new();
+        for violation in &violations {
+            *broken.entry(violation.rule).or_insert(0) += 1;
+        }
+        let with_status = |wanted: fn(u16) -> bool| {
+            let outcomes = records.requests.values().filter_map(|request| request.outcome.as_ref());
+            outcomes
+                .filter(|outcome| matches!(outcome, Outcome::Answered { status, .. } if wanted(*status)))
+                .count()
+        };
+        let printed = violations.iter().take(PRINTED_VIOLATIONS);
+        SeedReport {
+            seed: plan.seed,
+            requests: records.requests.values().filter(|request| request.complete_at.is_some()).count(),
+            served: with_status(|status| status == 200),
+            rejected: with_status(|status| matches!(status, 429 | 503)),
+            attempts: records.attempts.len(),
+            own_lateness_ms: records.own_lateness.as_millis(),
+            details: printed.map(|violation| describe(violation, records)).collect(),
+            is_void: !broken.is_empty() && records.own_lateness > MAX_OWN_LATENESS,
+            broken,
+        }
+    }
+}
+
+impl fmt::Display for SeedReport {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let SeedReport { seed, requests, served, rejected, attempts, own_lateness_ms, .. } = self;
+        write!(formatter, "seed {seed}: {requests} requests, {served} served, {rejected} rejected, ")?;
+        write!(formatter, "{attempts} attempts, own timers up to {own_lateness_ms} ms late: ")?;
+        if self.broken.is_empty() {
+            return writeln!(formatter, "kept");
+        }
+        writeln!(formatter, "{}{:?}", if self.is_void { "void, " } else { "" }, self.broken)?;
+        writeln!(formatter, "  foldhitch-scale-test soak --seed {seed}")?;
+        for detail in &self.details {
+            write!(formatter, "  {detail}")?;
+        }
+        Ok(())
+    }
+}
+
+/// Plays a seed with a program.
+///
+/// # Errors
+///
+/// If it can't be played.
+pub async fn run(seed: u64, program: &Path) -> anyhow::Result<SeedReport> {
+    let plan = SoakPlan::draw(seed);
+    let records = play::play(&plan, program).await?;
+    Ok(SeedReport::new(&plan, &records))
+}
+
+/// A violation with the timeline around it.
+fn describe(violation: &Violation, records: &Records) -> String {
+    let mut text = format!("{violation}\n");
+    for line in timeline(violation.request, records) {
+        // A string takes everything.
+        let _ = writeln!(text, "    {line}");
+    }
+    text
+}
+
+fn timeline(request: Option<RequestId>, records: &Records) -> Vec<String> {
+    let mut events: Vec<(Duration, String)> = Vec::new();
+    let id = request.map(|id| format!("{id:016x}"));
+    for (number, process) in records.processes.iter().enumerate() {
+        events.push((process.started_at, format!("process {number} started")));
+        let named = [
+            ("ready", process.ready_at),
+            ("told to end", process.terminated_at),
+            ("ended", process.ended_at),
+        ];
+        for (what, at) in named {
+            events.extend(at.map(|at| (at, format!("process {number} {what}"))));
+        }
+        let is_about = |line: &str| id.as_ref().is_none_or(|id| line.contains(id.as_str()));
+        let lines = process.log.iter().filter(|(_, line)| is_about(line));
+        let lines = lines.map(|(at, line)| (*at, format!("log {number}: {line}")));
+        events.extend(lines.take(PRINTED_LOG_LINES));
+    }
+    for withdrawal in &records.withdrawals {
+        events.push((withdrawal.from, format!("{} {:?}", withdrawal.backend, withdrawal.cause)));
+    }
+    for outage in &records.discovery_outages {
+        events.push((outage.from, format!("discovery fails until {:?}", outage.until)));
+    }
+    if let Some(id) = request {
+        request_events(id, records, &mut events);
+    }
+    events.sort_by_key(|(at, _)| *at);
+    events.into_iter().map(|(at, text)| format!("{:>9.4} s  {text}", at.as_secs_f64())).collect()
+}
+
+fn request_events(id: RequestId, records: &Records, events: &mut Vec<(Duration, String)>) {
+    if let Some(request) = records.requests.get(&id) {
+        let at = request.complete_at.unwrap_or_default();
+        events.push((at, format!("client sent {request:?}")));
+    }
+    for attempt in records.attempts.iter().filter(|attempt| attempt.request == id) {
+        let told = attempt.told_deadline;
+        let text = format!("{} got it, {:?}, told {told:?}", attempt.backend, attempt.effect);
+        events.push((attempt.first_byte_at, text));
+    }
+}
--- /dev/null
+++ b/crates/scale-test/src/soak/play.rs
@@ -0,0 +1,310 @@
+//! One seed played: backends, discovery, the real program, clients, and what the schedule brings.
+
+use super::backend::Backend;
+use super::client::Clients;
+use super::discovery::Discovery;
+use super::plan::{BackendBehavior, CrowdPlan, SoakEvent, SoakPlan};
+use super::process::{ProxyInstance, ProxyProcess};
+use super::record::{Recorder, Records, Withdrawal, WithdrawalCause};
+use anyhow::Context;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use rustix::process::Pid;
+use serde_json::{Value, json};
+use std::collections::HashSet;
+use std::path::Path;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+use tokio::time::{sleep, sleep_until};
+
+/// A process is reloaded no sooner than this after its start.
+const LEAST_AGE_FOR_RELOAD: Duration = Duration::from_secs(1);
+/// So many backends at the least take requests all the time.
+const LEAST_BACKENDS: usize = 2;
+/// The list tells of a backend that is back so long after it is.
+const NOTICE_OF_RESTART: Duration = Duration::from_millis(50);
+
+/// A play that runs.
+struct Play {
+    plan: SoakPlan,
+    recorder: Recorder,
+    backends: Vec<Arc<Backend>>,
+    discovery: Arc<Discovery>,
+    instance: Arc<ProxyInstance>,
+    /// Backends that drain or crash in this play.
+    withdrawn: Mutex<HashSet<usize>>,
+    /// The processes whose descriptors and memory are counted.
+    pids: Arc<Mutex<Vec<Pid>>>,
+}
+
+/// Plays a seed with the real program.
+///
+/// # Errors
+///
+/// If the stand-ins or the program can't be started.
+pub async fn play(plan: &SoakPlan, program: &Path) -> anyhow::Result<Records> {
+    let folder = tempfile::tempdir().context("folder for temporary files")?;
+    let recorder = Recorder::start();
+    let mut tasks = JoinSet::new();
+    let mut backends = Vec::new();
+    for number in 0..plan.backends {
+        backends.push(Backend::start(number, plan, recorder.clone()).await?);
+    }
+    let zones = &plan.settings.zones;
+    let hosts: Vec<Value> = backends
+        .iter()
+        .enumerate()
+        .map(|(number, backend)| host(backend, zones[number % zones.len()], "SERVING", 0))
+        .collect();
+    let discovery = Discovery::start(hosts, recorder.clone(), &mut tasks).await?;
+    let instance = ProxyInstance::new(
+        program,
+        folder.path(),
+        plan.settings.clone(),
+        discovery.addresses,
+        recorder.clone(),
+    );
+    let instance = instance.await?;
+    let play = Arc::new(Play {
+        plan: plan.clone(),
+        recorder: recorder.clone(),
+        backends,
+        discovery,
+        instance,
+        withdrawn: Mutex::default(),
+        pids: Arc::default(),
+    });
+    play.run(&mut tasks).await?;
+    tasks.shutdown().await;
+    Ok(std::mem::take(&mut *recorder.records()))
+}
+
+fn host(backend: &Backend, zone: &str, health: &str, started_at_ms: u64) -> Value {
+    json!({"host": backend.name, "dial": backend.address.to_string(), "site": zone, "class": "m", "block": 1,
+           "health": health, "share": 1.0, "born_ms": started_at_ms})
+}
+
+fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+}
+
+impl Play {
+    async fn run(self: &Arc<Self>, tasks: &mut JoinSet<()>) -> anyhow::Result<()> {
+        let process = self.start_process().await?;
+        self.instance.wait_until_ready(&process).await;
+        tasks.spawn(self.instance.clone().watch_usage(self.pids.clone()));
+        let (over, is_over) = watch::channel(false);
+        let clients = Clients::new(
+            self.instance.address,
+            self.plan.settings.clone(),
+            self.plan.clients,
+            self.recorder.clone(),
+            is_over,
+        );
+        let mut running = JoinSet::new();
+        for number in 0..self.plan.clients.clients {
+            running.spawn(clients.clone().run(self.random(number as u64)));
+        }
+        let begun_at = self.recorder.now();
+        if let Some(crowd) = self.plan.crowd {
+            running.spawn(self.clone().run_crowd(crowd, begun_at, clients.clone()));
+        }
+        self.schedule_faults(begun_at, tasks);
+        let process = self.run_signals(begun_at, process).await?;
+        sleep_until(self.recorder.instant(begun_at + self.plan.stop_at)).await;
+        self.stop(process).await?;
+        over.send_replace(true);
+        while running.join_next().await.is_some() {}
+        Ok(())
+    }
+
+    /// Random numbers of a part of the play, apart from the others'.
+    fn random(&self, part: u64) -> StdRng {
+        StdRng::seed_from_u64(self.plan.seed.wrapping_mul(1 << 16).wrapping_add(part + 1))
+    }
+
+    async fn start_process(&self) -> anyhow::Result<ProxyProcess> {
+        let process = self.instance.start().await?;
+        if let Ok(mut pids) = self.pids.lock() {
+            pids.push(process.pid());
+        }
+        Ok(process)
+    }
+
+    async fn run_crowd(self: Arc<Self>, crowd: CrowdPlan, begun_at: Duration, clients: Arc<Clients>) {
+        sleep_until(self.recorder.instant(begun_at + crowd.from)).await;
+        self.recorder.records().crowd = Some((begun_at + crowd.from, begun_at + crowd.until));
+        let mut members = JoinSet::new();
+        for number in 0..crowd.clients {
+            // Numbers of their own, after the clients'.
+            let random = self.random((1 << 8) + number as u64);
+            members.spawn(clients.clone().crowd(crowd.kind, random));
+        }
+        let mut is_over = clients.is_over.clone();
+        tokio::select! {
+            () = sleep_until(self.recorder.instant(begun_at + crowd.until)) => members.shutdown().await,
+            _ = async { is_over.wait_for(|is_over| *is_over).await.is_ok() } => {
+                while members.join_next().await.is_some() {}
+            }
+        }
+    }
+
+    /// Faults of backends and of discovery run beside each other.
+    fn schedule_faults(self: &Arc<Self>, begun_at: Duration, tasks: &mut JoinSet<()>) {
+        for scheduled in &self.plan.events {
+            let (play, at, event) = (self.clone(), begun_at + scheduled.at, scheduled.event);
+            tasks.spawn(async move {
+                sleep_until(play.recorder.instant(at)).await;
+                play.fault(event).await;
+            });
+        }
+    }
+
+    async fn fault(&self, event: SoakEvent) {
+        match event {
+            SoakEvent::Backend { backend, behavior, lasts } => {
+                self.backends[backend].behave(behavior);
+                sleep(lasts).await;
+                self.backends[backend].behave(BackendBehavior::Serve);
+            }
+            SoakEvent::Drain { backend, gone_after } => self.drain(backend, gone_after).await,
+            SoakEvent::Crash { backend, back_after } => self.crash(backend, back_after).await,
+            SoakEvent::Discovery { behavior, lasts } => self.discovery.fail_for(behavior, lasts).await,
+            SoakEvent::Reload { .. }
+            | SoakEvent::Upgrade { .. }
+            | SoakEvent::DrainProxy { .. }
+            | SoakEvent::Suspend { .. } => {}
+        }
+    }
+
+    /// Whether a backend may be withdrawn: each once, and some stay.
+    fn withdraw(&self, backend: usize) -> bool {
+        let Ok(mut withdrawn) = self.withdrawn.lock() else { return false };
+        withdrawn.len() + LEAST_BACKENDS < self.backends.len() && withdrawn.insert(backend)
+    }
+
+    fn zone(&self, backend: usize) -> &str {
+        let zones = &self.plan.settings.zones;
+        zones[backend % zones.len()]
+    }
+
+    async fn drain(&self, number: usize, gone_after: Duration) {
+        if !self.withdraw(number) {
+            return;
+        }
+        let backend = &self.backends[number];
+        let from = self.recorder.now();
+        self.discovery.publish(host(backend, self.zone(number), "DRAINING", 0));
+        let withdrawal =
+            Withdrawal { backend: backend.name.clone(), cause: WithdrawalCause::Listed, from, until: None };
+        self.recorder.records().withdrawals.push(withdrawal);
+        sleep(gone_after).await;
+        self.discovery.publish(host(backend, self.zone(number), "DELETED", 0));
+        backend.crash().await;
+    }
+
+    async fn crash(&self, number: usize, back_after: Duration) {
+        if !self.withdraw(number) {
+            return;
+        }
+        let backend = &self.backends[number];
+        backend.crash().await;
+        sleep(back_after).await;
+        let started_at_ms = unix_ms();
+        if let Err(error) = backend.restart().await {
+            tracing::warn!("{}: does not come back: {error}", backend.name);
+            return;
+        }
+        sleep(NOTICE_OF_RESTART).await;
+        self.discovery.publish(host(backend, self.zone(number), "SERVING", started_at_ms));
+    }
+
+    /// What operators do goes one after the other; returns the process that serves at the end.
+    async fn run_signals(
+        self: &Arc<Self>,
+        begun_at: Duration,
+        mut process: ProxyProcess,
+    ) -> anyhow::Result<ProxyProcess> {
+        for scheduled in &self.plan.events {
+            sleep_until(self.recorder.instant(begun_at + scheduled.at)).await;
+            match scheduled.event {
+                SoakEvent::Reload { count, gap } => self.reload(&process, count, gap).await?,
+                SoakEvent::Upgrade { abandoned_after } => {
+                    process = self.upgrade(process, abandoned_after).await?
+                }
+                SoakEvent::DrainProxy { active_after } => {
+                    self.instance.call_admin(&process, "POST", "/v1/proxy/drain").await;
+                    sleep(active_after).await;
+                    self.instance.call_admin(&process, "POST", "/v1/proxy/activate").await;
+                }
+                SoakEvent::Suspend { backend, resumed_after } => {
+                    self.suspend(&process, backend, resumed_after).await;
+                }
+                SoakEvent::Backend { .. }
+                | SoakEvent::Drain { .. }
+                | SoakEvent::Crash { .. }
+                | SoakEvent::Discovery { .. } => {}
+            }
+        }
+        Ok(process)
+    }
+
+    async fn reload(&self, process: &ProxyProcess, count: u32, gap: Duration) -> anyhow::Result<()> {
+        sleep(LEAST_AGE_FOR_RELOAD).await;
+        for _ in 0..count {
+            self.instance.reload(process).await?;
+            sleep(gap).await;
+        }
+        Ok(())
+    }
+
+    /// Starts a process beside the old one. It takes over, or is told to end at once.
+    async fn upgrade(
+        &self,
+        mut old: ProxyProcess,
+        abandoned_after: Option<Duration>,
+    ) -> anyhow::Result<ProxyProcess> {
+        let mut new = self.start_process().await?;
+        if let Some(abandoned_after) = abandoned_after {
+            sleep(abandoned_after).await;
+            self.instance.terminate(&new);
+            self.instance.wait_for_end(&mut new).await;
+            return Ok(old);
+        }
+        self.instance.wait_until_ready(&new).await;
+        self.instance.terminate(&old);
+        self.instance.wait_for_end(&mut old).await;
+        Ok(new)
+    }
+
+    async fn suspend(&self, process: &ProxyProcess, number: usize, resumed_after: Duration) {
+        let name = &self.backends[number].name;
+        if !self.instance.call_admin(process, "POST", &format!("/v1/backends/{name}/suspend")).await {
+            return;
+        }
+        let from = self.recorder.now();
+        sleep(resumed_after).await;
+        let until = Some(self.recorder.now());
+        let cause = WithdrawalCause::Suspended;
+        let withdrawal = Withdrawal { backend: name.clone(), cause, from, until };
+        self.recorder.records().withdrawals.push(withdrawal);
+        self.instance.call_admin(process, "POST", &format!("/v1/backends/{name}/resume")).await;
+    }
+
+    /// Tells the program to end as the plan says. Clients go on until it has ended or is killed.
+    async fn stop(&self, mut process: ProxyProcess) -> anyhow::Result<()> {
+        if let Some(before) = self.plan.stop.reload_before {
+            self.instance.reload(&process).await?;
+            sleep(before).await;
+        }
+        self.instance.terminate(&process);
+        if let Some(again) = self.plan.stop.terminate_again {
+            sleep(again).await;
+            self.instance.terminate(&process);
+        }
+        self.instance.wait_for_end(&mut process).await;
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/scale-test/src/soak/process.rs
@@ -0,0 +1,272 @@
+//! Processes of the real program: start, signals, log, admin API, what they hold.
+
+use super::plan::SoakSettings;
+use super::record::{AdminCall, ProcessRecord, Recorder, UsageSample};
+use anyhow::{Context, anyhow};
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+use std::time::Duration;
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::process::{Child, ChildStderr, Command};
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout};
+
+/// Pause between two looks at what processes hold.
+const LOOK_INTERVAL: Duration = Duration::from_millis(20);
+/// An admin call that takes longer is given up.
+const ADMIN_TIMEOUT: Duration = Duration::from_secs(5);
+/// Pause between two questions whether a process is ready.
+const READY_INTERVAL: Duration = Duration::from_millis(10);
+
+/// What all processes of the proxy share.
+pub struct ProxyInstance {
+    /// The program.
+    pub program: PathBuf,
+    /// Where clients connect.
+    pub address: SocketAddr,
+    folder: PathBuf,
+    config_version: AtomicU64,
+    settings: SoakSettings,
+    discovery: [SocketAddr; 2],
+    recorder: Recorder,
+}
+
+/// A process of the proxy.
+pub struct ProxyProcess {
+    number: usize,
+    pid: Pid,
+    admin: SocketAddr,
+    config_path: PathBuf,
+    has_ended: watch::Receiver<bool>,
+    /// Asks for a kill.
+    kill: Arc<tokio::sync::Notify>,
+}
+
+impl ProxyInstance {
+    /// An instance without a process, at a port that is free.
+    pub async fn new(
+        program: &Path,
+        folder: &Path,
+        settings: SoakSettings,
+        discovery: [SocketAddr; 2],
+        recorder: Recorder,
+    ) -> anyhow::Result<Arc<Self>> {
+        let address = free_address().await?;
+        Ok(Arc::new(ProxyInstance {
+            program: program.to_path_buf(),
+            address,
+            folder: folder.to_path_buf(),
+            config_version: AtomicU64::new(0),
+            settings,
+            discovery,
+            recorder,
+        }))
+    }
+
+    /// A further configuration, which names discovery's other address.
+    fn next_config(&self, admin: SocketAddr) -> Value {
+        let version = self.config_version.fetch_add(1, Relaxed) + 1;
+        let discovery = self.discovery[version as usize % self.discovery.len()];
+        json!({"name": "n0", "listen": self.address.to_string(), "discovery": discovery.to_string(),
+               "management": admin.to_string(), "version": version, "seed": "8c1f30d27a5be964",
+               "limits": {"cores": 1.0, "memory_mb": self.settings.memory_bytes >> 20,
+                          "sockets": self.settings.max_descriptors},
+               "settings": self.settings.to_json()})
+    }
+
+    /// Starts a process. It may still have to become ready.
+    pub async fn start(self: &Arc<Self>) -> anyhow::Result<ProxyProcess> {
+        let admin = free_address().await?;
+        let number = self.recorder.records().processes.len();
+        let config_path = self.folder.join(format!("config-{number}.json"));
+        std::fs::write(&config_path, self.next_config(admin).to_string())?;
+        let limit = self.settings.max_descriptors;
+        let mut child = Command::new("/bin/sh")
+            .arg("-c")
+            .arg(format!("ulimit -n {limit}; exec \"$0\""))
+            .arg(&self.program)
+            .env_remove("RELAY_NAME")
+            .env_remove("RELAY_LISTEN")
+            .env_remove("RELAY_MANAGEMENT")
+            .env_remove("RELAY_DISCOVERY")
+            .env("RELAY_CONFIG", &config_path)
+            .env("TMPDIR", &self.folder)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(Stdio::piped())
+            .kill_on_drop(true)
+            .spawn()
+            .with_context(|| format!("{}: does not start", self.program.display()))?;
+        let record = ProcessRecord { started_at: self.recorder.now(), ..ProcessRecord::default() };
+        self.recorder.records().processes.push(record);
+        let id = child.id().ok_or_else(|| anyhow!("ended at once"))?;
+        let pid = Pid::from_raw(i32::try_from(id)?).ok_or_else(|| anyhow!("no process id"))?;
+        let log = child.stderr.take().ok_or_else(|| anyhow!("no log"))?;
+        tokio::spawn(read_log(self.recorder.clone(), number, log));
+        let (ended, has_ended) = watch::channel(false);
+        let kill = Arc::new(tokio::sync::Notify::new());
+        tokio::spawn(follow_end(self.recorder.clone(), number, child, kill.clone(), ended));
+        Ok(ProxyProcess { number, pid, admin, config_path, has_ended, kill })
+    }
+
+    /// Replaces a process's configuration and sends it SIGHUP.
+    pub async fn reload(&self, process: &ProxyProcess) -> anyhow::Result<()> {
+        let path = process.config_path.with_extension("new");
+        std::fs::write(&path, self.next_config(process.admin).to_string())?;
+        std::fs::rename(&path, &process.config_path)?;
+        process.signal(Signal::HUP);
+        Ok(())
+    }
+
+    /// Calls the admin API of a process; whether it said yes.
+    pub async fn call_admin(&self, process: &ProxyProcess, method: &str, path: &str) -> bool {
+        let at = self.recorder.now();
+        let status = timeout(ADMIN_TIMEOUT, admin_status(process.admin, method, path)).await;
+        let status = status.ok().and_then(Result::ok);
+        let took = status.map(|_| self.recorder.now() - at);
+        let call = AdminCall { path: path.to_string(), at, took };
+        if process.is_running() {
+            self.recorder.records().admin_calls.push(call);
+        }
+        status.is_some_and(|status| (200..300).contains(&status))
+    }
+
+    /// Waits until a process is ready, or has ended.
+    pub async fn wait_until_ready(&self, process: &ProxyProcess) {
+        while process.is_running() {
+            let status = admin_status(process.admin, "GET", "/v1/readyz").await;
+            if status.is_ok_and(|status| status == 200) {
+                let ready_at = self.recorder.now();
+                self.recorder.records().processes[process.number].ready_at.get_or_insert(ready_at);
+                return;
+            }
+            sleep(READY_INTERVAL).await;
+        }
+    }
+
+    /// Tells a process to end.
+    pub fn terminate(&self, process: &ProxyProcess) {
+        let at = self.recorder.now();
+        self.recorder.records().processes[process.number].terminated_at.get_or_insert(at);
+        process.signal(Signal::TERM);
+    }
+
+    /// Waits until a process that was told to end has done so; at the earliest time of a kill it is killed.
+    pub async fn wait_for_end(&self, process: &mut ProxyProcess) {
+        let terminated_at = self.recorder.records().processes[process.number].terminated_at;
+        let kill_at = terminated_at.unwrap_or_default() + self.settings.kill_after();
+        let left = kill_at.saturating_sub(self.recorder.now());
+        let ended = timeout(left, process.has_ended.wait_for(|has_ended| *has_ended)).await.is_ok();
+        if !ended {
+            self.recorder.records().processes[process.number].was_killed = true;
+            process.kill.notify_one();
+            // Killed, it ends whatever it does.
+            let _ = process.has_ended.wait_for(|has_ended| *has_ended).await;
+        }
+    }
+
+    /// Looks all the time at what the processes hold together.
+    pub async fn watch_usage(self: Arc<Self>, pids: Arc<std::sync::Mutex<Vec<Pid>>>) {
+        loop {
+            let at = self.recorder.now();
+            let pids = pids.lock().map(|pids| pids.clone()).unwrap_or_default();
+            let usages: Vec<Usage> = pids.into_iter().filter_map(Usage::of).collect();
+            let descriptors = usages.iter().map(|usage| usage.descriptors).sum();
+            let memory = usages.iter().map(|usage| usage.memory).sum();
+            self.recorder.records().usage.push(UsageSample { at, descriptors, memory });
+            sleep(LOOK_INTERVAL).await;
+            let late = self.recorder.now().saturating_sub(at + LOOK_INTERVAL);
+            let mut records = self.recorder.records();
+            records.own_lateness = records.own_lateness.max(late);
+        }
+    }
+}
+
+impl ProxyProcess {
+    /// Its process id.
+    pub fn pid(&self) -> Pid {
+        self.pid
+    }
+
+    /// Whether it has not ended.
+    pub fn is_running(&self) -> bool {
+        !*self.has_ended.borrow()
+    }
+
+    fn signal(&self, signal: Signal) {
+        if self.is_running() {
+            // One that ends just now needs no signal.
+            let _ = kill_process(self.pid, signal);
+        }
+    }
+}
+
+/// What a process holds.
+struct Usage {
+    descriptors: usize,
+    memory: u64,
+}
+
+impl Usage {
+    /// None if the process has ended, or is still the shell that starts the program.
+    fn of(pid: Pid) -> Option<Self> {
+        let process = procfs::process::Process::new(pid.as_raw_nonzero().get()).ok()?;
+        let descriptors = process.fd_count().ok()?;
+        let memory = process.stat().ok()?.rss * procfs::page_size();
+        Some(Usage { descriptors, memory })
+    }
+}
+
+async fn free_address() -> anyhow::Result<SocketAddr> {
+    Ok(TcpListener::bind("127.0.0.1:0").await?.local_addr()?)
+}
+
+async fn read_log(recorder: Recorder, number: usize, log: ChildStderr) {
+    let mut lines = BufReader::new(log).lines();
+    while let Ok(Some(line)) = lines.next_line().await {
+        let at = recorder.now();
+        recorder.records().processes[number].log.push((at, line));
+    }
+}
+
+async fn follow_end(
+    recorder: Recorder,
+    number: usize,
+    mut child: Child,
+    kill: Arc<tokio::sync::Notify>,
+    ended: watch::Sender<bool>,
+) {
+    let status = tokio::select! {
+        status = child.wait() => status,
+        () = kill.notified() => {
+            // One that has ended needs no kill.
+            let _ = child.start_kill();
+            child.wait().await
+        }
+    };
+    let at = recorder.now();
+    {
+        let mut records = recorder.records();
+        let process = &mut records.processes[number];
+        process.ended_at = Some(at);
+        process.is_success = status.is_ok_and(|status| status.success());
+    }
+    ended.send_replace(true);
+}
+
+async fn admin_status(address: SocketAddr, method: &str, path: &str) -> anyhow::Result<u16> {
+    let mut stream = TcpStream::connect(address).await?;
+    let call =
+        format!("{method} {path} HTTP/1.1\r\nHost: admin\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+    stream.write_all(call.as_bytes()).await?;
+    let mut answer = Vec::new();
+    stream.read_to_end(&mut answer).await?;
+    let text = String::from_utf8_lossy(&answer);
+    Ok(text.split(' ').nth(1).ok_or_else(|| anyhow!("no status"))?.parse()?)
+}
--- /dev/null
+++ b/crates/scale-test/src/soak/rules.rs
@@ -0,0 +1,436 @@
+//! The rules that a play is checked by: those of the protocol and of the standing test, with their own slack.
+
+use super::plan::SoakSettings;
+use super::record::*;
+use std::collections::BTreeMap;
+use std::fmt;
+use std::time::Duration;
+
+/// Every limit of the protocol is longer by this on sockets.
+const SOCKET_SLACK: Duration = Duration::from_millis(50);
+/// An answer counts so long after its time.
+const ANSWER_SLACK: Duration = Duration::from_millis(500);
+/// An attempt may begin so long after its client has left.
+const DEPARTURE_SLACK: Duration = Duration::from_millis(100);
+/// The deadline that a backend is told may be longer than what is left by this.
+const DEADLINE_SLACK: Duration = Duration::from_millis(150);
+/// A close that comes this long after a request's last byte did not cross it.
+const CROSSING_LIMIT: Duration = Duration::from_millis(100);
+/// A client that sends nothing proper gets an error or a close within this.
+const IMPROPER_LIMIT: Duration = Duration::from_secs(3);
+/// A change of the list is in force so long after discovery had it and could be reached.
+const LIST_LIMIT: Duration = Duration::from_secs(6);
+/// A process is ready within this.
+const READY_LIMIT: Duration = Duration::from_secs(10);
+/// The admin API answers within this.
+const ADMIN_LIMIT: Duration = Duration::from_secs(1);
+/// Under so many requests a cold backend has the wider allowance for chance.
+const FEW_REQUESTS: f64 = 30.0;
+/// After SIGTERM new connections are still accepted for so long.
+const ACCEPTED_AFTER_TERM: Duration = Duration::from_millis(400);
+
+/// A rule.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, serde::Serialize)]
+pub enum Rule {
+    /// A request has one whole final answer in time.
+    FinalAnswer,
+    /// A request that was read is answered.
+    ReadAndClosed,
+    /// An answer is the one of its request.
+    OwnAnswer,
+    /// No attempt begins after its client has left.
+    DepartedClient,
+    /// What must not run twice does not, and is not refused once it may have run.
+    Duplicate,
+    /// The deadline told to a backend is what is left.
+    ToldDeadline,
+    /// Nothing new goes to a backend that drains, is gone or suspended.
+    Drain,
+    /// A backend that is warming up bears what it gets.
+    SlowStart,
+    /// A change of the list is in force in time.
+    ListInForce,
+    /// A client that sends nothing proper gets an error or a close.
+    ImproperClient,
+    /// A process is ready in time.
+    Ready,
+    /// A process ends by itself, and well.
+    Ends,
+    /// Descriptors and memory are within their limits.
+    Limits,
+    /// The admin API answers in time.
+    Admin,
+    /// The log has no line that on-call staff do not know.
+    Log,
+}
+
+/// A rule that was broken.
+#[derive(Debug, Clone, PartialEq, serde::Serialize)]
+pub struct Violation {
+    /// Which.
+    pub rule: Rule,
+    /// By which request, if by one.
+    pub request: Option<RequestId>,
+    /// What was seen.
+    pub detail: String,
+}
+
+impl fmt::Display for Violation {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:?}: ", self.rule)?;
+        if let Some(request) = self.request {
+            write!(formatter, "request {request:016x}: ")?;
+        }
+        formatter.write_str(&self.detail)
+    }
+}
+
+/// Checks a play by all rules.
+pub fn check(records: &Records, settings: &SoakSettings) -> Vec<Violation> {
+    let checker = Checker::new(records, settings);
+    let mut violations = Vec::new();
+    for (&id, request) in &records.requests {
+        violations.extend(checker.final_answer(id, request));
+        violations.extend(checker.own_answer(id, request));
+        violations.extend(checker.departed_client(id, request));
+        violations.extend(checker.duplicate(id, request));
+        violations.extend(checker.told_deadline(id, request));
+    }
+    violations.extend(records.attempts.iter().filter_map(|attempt| checker.drain(attempt)));
+    violations.extend(records.cold_starts.iter().filter_map(|start| checker.slow_start(start)));
+    violations.extend(checker.list_in_force());
+    violations.extend(records.improper.iter().filter_map(improper_client));
+    violations.extend(records.processes.iter().flat_map(process));
+    violations.extend(records.usage.iter().find_map(|sample| checker.limits(sample)));
+    violations.extend(records.admin_calls.iter().filter_map(admin));
+    violations
+}
+
+fn violation(rule: Rule, request: RequestId, detail: String) -> Option<Violation> {
+    Some(Violation { rule, request: Some(request), detail })
+}
+
+struct Checker<'a> {
+    records: &'a Records,
+    settings: &'a SoakSettings,
+    attempts: BTreeMap<RequestId, Vec<&'a AttemptRecord>>,
+}
+
+impl<'a> Checker<'a> {
+    fn new(records: &'a Records, settings: &'a SoakSettings) -> Self {
+        let mut attempts: BTreeMap<RequestId, Vec<&AttemptRecord>> = BTreeMap::new();
+        for attempt in &records.attempts {
+            attempts.entry(attempt.request).or_default().push(attempt);
+        }
+        Checker { records, settings, attempts }
+    }
+
+    fn attempts(&self, id: RequestId) -> &[&'a AttemptRecord] {
+        self.attempts.get(&id).map_or(&[], Vec::as_slice)
+    }
+
+    fn final_answer(&self, id: RequestId, request: &RequestRecord) -> Option<Violation> {
+        let complete_at = request.complete_at?;
+        let latest = complete_at + request.deadline + ANSWER_SLACK + SOCKET_SLACK;
+        match &request.outcome {
+            Some(Outcome::Left { .. }) => None,
+            Some(Outcome::Answered { at, .. }) | Some(Outcome::BrokenAnswer { at }) if *at <= latest => None,
+            Some(Outcome::Answered { at, .. }) | Some(Outcome::BrokenAnswer { at }) => {
+                violation(Rule::FinalAnswer, id, format!("answered {:?} too late", *at - latest))
+            }
+            Some(Outcome::Closed { at }) => self.closed_unanswered(id, request, *at),
+            None => violation(Rule::FinalAnswer, id, "no answer and no close".to_string()),
+        }
+    }
+
+    /// A connection may be closed between requests, and the request that crosses the close is sent once more. The first
+    /// request of a connection may be shut unread by a crowd, or where the listener ends.
+    fn closed_unanswered(&self, id: RequestId, request: &RequestRecord, at: Duration) -> Option<Violation> {
+        if !self.attempts(id).is_empty() {
+            return violation(Rule::ReadAndClosed, id, "attempted, then closed unanswered".to_string());
+        }
+        // What is sent behind another request may never have been read.
+        if request.is_pipelined {
+            return None;
+        }
+        let waited = at - request.complete_at.unwrap_or(at);
+        if request.is_first_on_connection {
+            if self.is_in_crowd(at) || self.is_listener_ending(at) {
+                return None;
+            }
+            return violation(
+                Rule::ReadAndClosed,
+                id,
+                format!("closed unanswered after {waited:?}, a new connection"),
+            );
+        }
+        if waited <= CROSSING_LIMIT {
+            return None;
+        }
+        violation(Rule::ReadAndClosed, id, format!("closed unanswered after {waited:?}, a kept connection"))
+    }
+
+    fn is_in_crowd(&self, at: Duration) -> bool {
+        self.records.crowd.is_some_and(|(from, until)| (from..=until + ANSWER_SLACK).contains(&at))
+    }
+
+    fn is_listener_ending(&self, at: Duration) -> bool {
+        let processes = &self.records.processes;
+        let is_ending = |process: &ProcessRecord| {
+            process.terminated_at.is_some_and(|terminated_at| at >= terminated_at + ACCEPTED_AFTER_TERM)
+        };
+        let is_serving = |process: &ProcessRecord| {
+            process.ready_at.is_some_and(|ready_at| ready_at <= at)
+                && process.terminated_at.is_none_or(|terminated_at| at < terminated_at)
+        };
+        processes.iter().any(is_ending) && !processes.iter().any(is_serving)
+    }
+
+    fn own_answer(&self, id: RequestId, request: &RequestRecord) -> Option<Violation> {
+        match request.outcome {
+            Some(Outcome::Answered { status: 200, is_own_body: false, .. }) => {
+                violation(Rule::OwnAnswer, id, "served with another body".to_string())
+            }
+            _ => None,
+        }
+    }
+
+    fn departed_client(&self, id: RequestId, request: &RequestRecord) -> Option<Violation> {
+        let Some(Outcome::Left { at }) = request.outcome else { return None };
+        let latest = at + DEPARTURE_SLACK + SOCKET_SLACK;
+        let late = self.attempts(id).iter().find(|attempt| attempt.first_byte_at > latest)?;
+        let detail =
+            format!("attempt at {} {:?} after its client left", late.backend, late.first_byte_at - at);
+        violation(Rule::DepartedClient, id, detail)
+    }
+
+    fn duplicate(&self, id: RequestId, request: &RequestRecord) -> Option<Violation> {
+        let mut runs = self.attempts(id).iter().filter(|attempt| attempt.effect == AttemptEffect::MayHaveRun);
+        let first = runs.next()?;
+        let is_refused = matches!(request.outcome, Some(Outcome::Answered { status: 429 | 503, .. }));
+        match request.idempotency {
+            Idempotency::Idempotent => None,
+            Idempotency::Deduplicated => {
+                let window = self.settings.deduplication_window + SOCKET_SLACK;
+                let late = runs.find(|attempt| attempt.first_byte_at > first.first_byte_at + window)?;
+                let age = late.first_byte_at - first.first_byte_at;
+                violation(Rule::Duplicate, id, format!("repeated {age:?} after it may have run"))
+            }
+            Idempotency::NonIdempotent => match runs.next() {
+                Some(again) => {
+                    let detail = format!("ran at {} and at {}", first.backend, again.backend);
+                    violation(Rule::Duplicate, id, detail)
+                }
+                None if is_refused => {
+                    let detail = format!("refused, and may have run at {}", first.backend);
+                    violation(Rule::Duplicate, id, detail)
+                }
+                None => None,
+            },
+        }
+    }
+
+    fn told_deadline(&self, id: RequestId, request: &RequestRecord) -> Option<Violation> {
+        let complete_at = request.complete_at?;
+        self.attempts(id).iter().find_map(|attempt| {
+            let told = attempt.told_deadline?;
+            let left = (complete_at + request.deadline).saturating_sub(attempt.first_byte_at);
+            let most = left + DEADLINE_SLACK;
+            let detail = format!("{} was told {told:?}, {left:?} were left", attempt.backend);
+            if told > most { violation(Rule::ToldDeadline, id, detail) } else { None }
+        })
+    }
+
+    /// When discovery could be reached for long enough to tell of a change.
+    fn reachable_at(&self, changed_at: Duration) -> Duration {
+        let mut reachable_at = changed_at;
+        for outage in &self.records.discovery_outages {
+            if outage.from < reachable_at + LIST_LIMIT && outage.until > reachable_at {
+                reachable_at = outage.until;
+            }
+        }
+        reachable_at
+    }
+
+    /// When the proxy counts as notified of a change. Where lists are pushed and discovery answers, that is at once; a
+    /// watch that an outage has broken may take as long as a poll.
+    fn notified_at(&self, changed_at: Duration) -> Duration {
+        let is_near =
+            |outage: &DiscoveryOutage| outage.from <= changed_at && changed_at <= outage.until + LIST_LIMIT;
+        let had_outage = self.records.discovery_outages.iter().any(is_near);
+        if self.settings.is_polled || had_outage {
+            self.reachable_at(changed_at) + LIST_LIMIT
+        } else {
+            changed_at
+        }
+    }
+
+    fn drain(&self, attempt: &AttemptRecord) -> Option<Violation> {
+        let withdrawn = self.records.withdrawals.iter().find(|withdrawal| {
+            let deadline = match withdrawal.cause {
+                WithdrawalCause::Listed => self.settings.drain_deadline,
+                WithdrawalCause::Suspended => Duration::ZERO,
+            };
+            let notified_at = match withdrawal.cause {
+                WithdrawalCause::Listed => self.notified_at(withdrawal.from),
+                WithdrawalCause::Suspended => withdrawal.from,
+            };
+            let latest = notified_at + deadline + SOCKET_SLACK;
+            let is_over = withdrawal.until.is_some_and(|until| attempt.first_byte_at >= until);
+            withdrawal.backend == attempt.backend && attempt.first_byte_at > latest && !is_over
+        })?;
+        let age = attempt.first_byte_at - withdrawn.from;
+        let detail = format!("sent to {} {age:?} after it was {:?}", attempt.backend, withdrawn.cause);
+        violation(Rule::Drain, attempt.request, detail)
+    }
+
+    /// What a cold backend gets in any span of the settings' length stays under what the settings allow it then.
+    fn slow_start(&self, start: &ColdStart) -> Option<Violation> {
+        let end = start.at + self.settings.warm_up;
+        let notified_at = self.notified_at(start.at);
+        let arrivals: Vec<Duration> = self
+            .records
+            .attempts
+            .iter()
+            .filter(|attempt| attempt.backend == start.backend)
+            .map(|attempt| attempt.complete_at)
+            .filter(|at| (notified_at..end).contains(at))
+            .collect();
+        let span = self.settings.overload_span;
+        for (index, &from) in arrivals.iter().enumerate() {
+            let count = arrivals[index..].iter().take_while(|&&at| at < from + span).count();
+            let most = self.allowed_while_cold(start, from);
+            if count as f64 > most {
+                let age = from - start.at;
+                let detail = format!(
+                    "{} got {count} requests in {span:?}, {age:?} after its start, of {most:.0}",
+                    start.backend
+                );
+                return Some(Violation { rule: Rule::SlowStart, request: None, detail });
+            }
+        }
+        None
+    }
+
+    fn allowed_while_cold(&self, start: &ColdStart, from: Duration) -> f64 {
+        let settings = self.settings;
+        let progress = (from - start.at).as_secs_f64() / settings.warm_up.as_secs_f64();
+        let fraction = settings.initial_capacity + (1.0 - settings.initial_capacity) * progress;
+        let mean =
+            settings.overload_multiple * fraction * start.warm_rate * settings.overload_span.as_secs_f64();
+        if mean < FEW_REQUESTS { mean + 3.0 * mean.sqrt() + 3.0 } else { mean + 2.0 * mean.sqrt() + 2.0 }
+    }
+
+    /// A process holds a change, or a later one, in time, if it lives for so long.
+    fn list_in_force(&self) -> Option<Violation> {
+        for process in &self.records.processes {
+            for change in &self.records.list_changes {
+                let reachable_at = self.reachable_at(change.at);
+                let from = process.ready_at.unwrap_or(process.started_at).max(reachable_at);
+                let latest = from + LIST_LIMIT + SOCKET_SLACK;
+                let ends_at = process.terminated_at.or(process.ended_at);
+                if ends_at.is_some_and(|ends_at| ends_at < latest) {
+                    continue;
+                }
+                let held = process
+                    .log
+                    .iter()
+                    .find(|(_, line)| list_version(line).is_some_and(|version| version >= change.version));
+                if held.is_none_or(|(at, _)| *at > latest) {
+                    let detail =
+                        format!("version {} is not in force {LIST_LIMIT:?} after {from:?}", change.version);
+                    return Some(Violation { rule: Rule::ListInForce, request: None, detail });
+                }
+            }
+        }
+        None
+    }
+
+    fn limits(&self, sample: &UsageSample) -> Option<Violation> {
+        let is_within = sample.descriptors <= self.settings.max_descriptors
+            && sample.memory <= self.settings.memory_bytes;
+        let detail =
+            format!("{} descriptors, {} bytes at {:?}", sample.descriptors, sample.memory, sample.at);
+        if is_within { None } else { Some(Violation { rule: Rule::Limits, request: None, detail }) }
+    }
+}
+
+/// The version that a line of the log says is in force, if it says one.
+fn list_version(line: &str) -> Option<u64> {
+    let (_, rest) = line.split_once("endpoint list ")?;
+    let (version, _) = rest.split_once(" in force")?;
+    version.parse().ok()
+}
+
+fn improper_client(client: &ImproperRecord) -> Option<Violation> {
+    let latest = client.connected_at + IMPROPER_LIMIT + SOCKET_SLACK;
+    let detail = match client.ended_at {
+        Some(ended_at) if ended_at <= latest => return None,
+        Some(ended_at) => format!("ended after {:?}", ended_at - client.connected_at),
+        None => format!("no error and no close after {:?}", client.connected_at),
+    };
+    Some(Violation { rule: Rule::ImproperClient, request: None, detail })
+}
+
+fn process(process: &ProcessRecord) -> Vec<Violation> {
+    let mut violations = Vec::new();
+    let mut broken = |rule, detail: String| violations.push(Violation { rule, request: None, detail });
+    let is_told_before_ready = process.terminated_at.is_some() && process.ready_at.is_none();
+    let is_ready = process.ready_at.is_some_and(|at| at <= process.started_at + READY_LIMIT);
+    if !is_ready && !is_told_before_ready {
+        broken(Rule::Ready, format!("started at {:?}, ready at {:?}", process.started_at, process.ready_at));
+    }
+    if process.was_killed {
+        broken(Rule::Ends, format!("told to end at {:?}, still there at the kill", process.terminated_at));
+    } else if process.terminated_at.is_none() && process.ended_at.is_some() {
+        broken(Rule::Ends, format!("ended at {:?} without being told", process.ended_at));
+    } else if process.ended_at.is_some() && process.ready_at.is_some() && !process.is_success {
+        broken(Rule::Ends, "ended with an error".to_string());
+    }
+    if let Some((at, line)) = process.log.iter().find(|(_, line)| !is_known_line(line)) {
+        broken(Rule::Log, format!("at {at:?}: {line}"));
+    }
+    violations
+}
+
+fn admin(call: &AdminCall) -> Option<Violation> {
+    if call.took.is_some_and(|took| took <= ADMIN_LIMIT + SOCKET_SLACK) {
+        return None;
+    }
+    let detail = format!("{} at {:?} took {:?}", call.path, call.at, call.took);
+    Some(Violation { rule: Rule::Admin, request: None, detail })
+}
+
+/// Parts of the log lines that on-call staff know.
+const KNOWN_LINES: [&str; 26] = [
+    "admin API at ",
+    "listening on ",
+    "endpoint list ",
+    "discovery: ",
+    "processes of this proxy: ",
+    "configuration applied",
+    "configuration rejected: ",
+    "stopping, ",
+    "no space for clients",
+    "backend ",
+    "draining",
+    "active again",
+    "rejected after",
+    "rejected by a backend",
+    "failed after",
+    "client disconnected",
+    "aborted by its client",
+    "out of time at a planned stop",
+    "lines of this log were lost",
+    " rejected ",
+    " failed ",
+    "in flight",
+    "Timeout",
+    "Reset",
+    "Error",
+    "Cancelled",
+];
+
+fn is_known_line(line: &str) -> bool {
+    !line.contains("panicked") && KNOWN_LINES.iter().any(|known| line.contains(known))
+}
