--- a/crates/scale-test/src/soak/client.rs
+++ b/crates/scale-test/src/soak/client.rs
@@ -148,8 +148,11 @@
         let Some(mut connection) = self.connection(kept).await else { return false };
         let count = if matches!(conduct, Conduct::Pipeline) { 2 } else { 1 };
         let requests: Vec<Request> = (0..count).map(|_| self.draw_request(random)).collect();
-        for (index, request) in requests.iter().enumerate() {
-            self.record_start(request, connection.requests + index == 0, index > 0);
+        let mut behind = None;
+        for request in &requests {
+            let is_first = connection.requests == 0 && behind.is_none();
+            self.record_start(request, is_first, behind);
+            behind = Some(request.id);
         }
         connection.requests += count;
         let text: String = requests.iter().map(|request| request.text.as_str()).collect();
@@ -233,7 +236,7 @@
         Request { id, text: request_text(id, class, tenant), deadline: class.deadline }
     }
 
-    fn record_start(&self, request: &Request, is_first_on_connection: bool, is_pipelined: bool) {
+    fn record_start(&self, request: &Request, is_first_on_connection: bool, behind: Option<RequestId>) {
         let name = request.text.split(['/', '?']).nth(1).unwrap_or_default();
         let class = self.settings.classes.iter().find(|class| class.name == name);
         let record = RequestRecord {
@@ -241,7 +244,7 @@
             idempotency: class.map_or(Idempotency::NonIdempotent, |class| class.idempotency),
             deadline: request.deadline,
             is_first_on_connection,
-            is_pipelined,
+            behind,
             complete_at: None,
             outcome: None,
         };
--- a/crates/scale-test/src/soak/mod.rs
+++ b/crates/scale-test/src/soak/mod.rs
@@ -132,7 +132,10 @@
         for (what, at) in named {
             events.extend(at.map(|at| (at, format!("process {number} {what}"))));
         }
-        let is_about = |line: &str| id.as_ref().is_none_or(|id| line.contains(id.as_str()));
+        let is_about = |line: &str| match &id {
+            Some(id) => line.contains(id.as_str()),
+            None => !names_a_request(line),
+        };
         let lines = process.log.iter().filter(|(_, line)| is_about(line));
         let lines = lines.map(|(at, line)| (*at, format!("log {number}: {line}")));
         events.extend(lines.take(PRINTED_LOG_LINES));
@@ -150,6 +153,12 @@
     events.into_iter().map(|(at, text)| format!("{:>9.4} s  {text}", at.as_secs_f64())).collect()
 }
 
+/// Whether a line of the log is about one request: it begins with its id.
+fn names_a_request(line: &str) -> bool {
+    let word = line.split(' ').nth(1).unwrap_or_default();
+    word.len() == 16 && RequestId::from_str_radix(word, 16).is_ok()
+}
+
 fn request_events(id: RequestId, records: &Records, events: &mut Vec<(Duration, String)>) {
     if let Some(request) = records.requests.get(&id) {
         let at = request.complete_at.unwrap_or_default();
--- a/crates/scale-test/src/soak/record.rs
+++ b/crates/scale-test/src/soak/record.rs
@@ -60,8 +60,8 @@
     pub deadline: Duration,
     /// Whether it is the first on its connection.
     pub is_first_on_connection: bool,
-    /// Whether nothing of an earlier answer was outstanding on its connection.
-    pub is_pipelined: bool,
+    /// The request whose answer was outstanding on its connection when it was sent.
+    pub behind: Option<RequestId>,
     /// When its last byte was written; none if that did not happen.
     pub complete_at: Option<Duration>,
     /// How it ended; none as long as it has not.
--- a/crates/scale-test/src/soak/rules.rs
+++ b/crates/scale-test/src/soak/rules.rs
@@ -131,7 +131,10 @@
 
     fn final_answer(&self, id: RequestId, request: &RequestRecord) -> Option<Violation> {
         let complete_at = request.complete_at?;
-        let latest = complete_at + request.deadline + ANSWER_SLACK + SOCKET_SLACK;
+        let own_latest = complete_at + request.deadline + ANSWER_SLACK + SOCKET_SLACK;
+        // Answers on a connection come in order.
+        let in_turn = self.answered_at(request.behind).map(|at| at + SOCKET_SLACK);
+        let latest = in_turn.unwrap_or_default().max(own_latest);
         match &request.outcome {
             Some(Outcome::Left { .. }) => None,
             Some(Outcome::Answered { at, .. }) | Some(Outcome::BrokenAnswer { at }) if *at <= latest => None,
@@ -143,6 +146,13 @@
         }
     }
 
+    fn answered_at(&self, request: Option<RequestId>) -> Option<Duration> {
+        match self.records.requests.get(&request?)?.outcome {
+            Some(Outcome::Answered { at, .. }) => Some(at),
+            _ => None,
+        }
+    }
+
     /// A connection may be closed between requests, and the request that crosses the close is sent once more. The first
     /// request of a connection may be shut unread by a crowd, or where the listener ends.
     fn closed_unanswered(&self, id: RequestId, request: &RequestRecord, at: Duration) -> Option<Violation> {
@@ -150,7 +160,7 @@
             return violation(Rule::ReadAndClosed, id, "attempted, then closed unanswered".to_string());
         }
         // What is sent behind another request may never have been read.
-        if request.is_pipelined {
+        if request.behind.is_some() {
             return None;
         }
         let waited = at - request.complete_at.unwrap_or(at);
