Who sends a head gives way only if nothing can be accepted, and after all others

Cause: where all places are taken, a connection that had sent a part of its head counted like an idle one and gave way to any that came, which could have been served past the limit. Mend: such a connection gives way last, and only if nothing can be accepted; the order is one table now.

--- a/crates/proxy/src/downstream/accept_statistics.rs
+++ b/crates/proxy/src/downstream/accept_statistics.rs
@@ -1,6 +1,6 @@
 //! What becomes of connections while there is no space: counts for the log.
 
-use super::connection_table::EvictionReason;
+use super::connection_table::IdleKind;
 use crate::log::log;
 use std::cell::Cell;
 use std::fmt;
@@ -15,10 +15,10 @@
 struct AcceptCounts {
     accepted: u64,
     evicted_closing: u64,
-    evicted_silent: u64,
+    evicted_late: u64,
     evicted_rejected: u64,
-    evicted_idle: u64,
-    evicted_newcomers: u64,
+    evicted_used: u64,
+    evicted_arriving: u64,
     /// Connections that were to give way and stayed, since a request was on its way.
     kept: u64,
     /// Requests that were rejected for want of space.
@@ -31,10 +31,10 @@
     fn add(&mut self, other: AcceptCounts) {
         self.accepted += other.accepted;
         self.evicted_closing += other.evicted_closing;
-        self.evicted_silent += other.evicted_silent;
+        self.evicted_late += other.evicted_late;
         self.evicted_rejected += other.evicted_rejected;
-        self.evicted_idle += other.evicted_idle;
-        self.evicted_newcomers += other.evicted_newcomers;
+        self.evicted_used += other.evicted_used;
+        self.evicted_arriving += other.evicted_arriving;
         self.kept += other.kept;
         self.rejected += other.rejected;
         self.errors += other.errors;
@@ -44,17 +44,17 @@
 
 impl AcceptCounts {
     fn evicted(&self) -> u64 {
-        let in_good_time = self.evicted_closing + self.evicted_silent + self.evicted_rejected;
-        in_good_time + self.evicted_idle + self.evicted_newcomers
+        let in_good_time = self.evicted_closing + self.evicted_late + self.evicted_rejected;
+        in_good_time + self.evicted_used + self.evicted_arriving
     }
 }
 
 impl fmt::Display for AcceptCounts {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(formatter, "{} accepted, {} evicted", self.accepted, self.evicted())?;
-        write!(formatter, " ({} closing, {} silent,", self.evicted_closing, self.evicted_silent)?;
-        write!(formatter, " {} rejected before, {} idle,", self.evicted_rejected, self.evicted_idle)?;
-        write!(formatter, " {} newcomers),", self.evicted_newcomers)?;
+        write!(formatter, " ({} closing, {} late,", self.evicted_closing, self.evicted_late)?;
+        write!(formatter, " {} rejected before, {} idle,", self.evicted_rejected, self.evicted_used)?;
+        write!(formatter, " {} arriving),", self.evicted_arriving)?;
         write!(formatter, " {} kept with a request on its way,", self.kept)?;
         write!(formatter, " {} requests rejected, {} errors,", self.rejected, self.errors)?;
         write!(formatter, " longest without an accept {} ms", self.longest_without_accept.as_millis())
@@ -81,14 +81,14 @@
     }
 
     /// There was no space without an eviction.
-    pub(super) fn record_evicted(&self, reason: EvictionReason) {
+    pub(super) fn record_evicted(&self, kind: IdleKind) {
         self.was_full.set(true);
-        self.count(|counts| match reason {
-            EvictionReason::Closing => counts.evicted_closing += 1,
-            EvictionReason::Silent => counts.evicted_silent += 1,
-            EvictionReason::Rejected => counts.evicted_rejected += 1,
-            EvictionReason::Idle => counts.evicted_idle += 1,
-            EvictionReason::Newcomer => counts.evicted_newcomers += 1,
+        self.count(|counts| match kind {
+            IdleKind::Closing => counts.evicted_closing += 1,
+            IdleKind::Late => counts.evicted_late += 1,
+            IdleKind::Rejected => counts.evicted_rejected += 1,
+            IdleKind::Used => counts.evicted_used += 1,
+            IdleKind::Arriving | IdleKind::Sending => counts.evicted_arriving += 1,
         });
     }
 
--- a/crates/proxy/src/downstream/connection_table.rs
+++ b/crates/proxy/src/downstream/connection_table.rs
@@ -17,32 +17,17 @@
 const HEAD_TIMEOUT: Duration = Duration::from_secs(2);
 /// The first request of a client may come so long after its connect.
 const NEWCOMER_GRACE: Duration = Duration::from_millis(500);
-/// So many newcomers are expected at once; more of them are a crowd.
-const LATEST_SILENT: usize = 4;
+/// So many connections whose request is on its way are expected at once; more of them are a crowd.
+const MAX_EXPECTED_ARRIVALS: usize = 4;
 /// A connection may be idle so long between requests, while there is space for others.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 
-/// Why a connection is to give way to another.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum EvictionReason {
-    /// It is closing anyway.
-    Closing,
-    /// It has sent nothing for longer than newcomers may take.
-    Silent,
-    /// It was rejected before, and sends nothing.
-    Rejected,
-    /// It was served before, or has not sent a whole head.
-    Idle,
-    /// It came lately and has sent nothing.
-    Newcomer,
-}
-
 /// What a place is needed for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum EvictionPurpose {
     /// A connection that comes: only who need not stay gives way.
     NewConnection,
-    /// A connection that was served and would have to close: a crowd of newcomers gives way, too.
+    /// A connection that was served and would have to close: one of a crowd gives way, too.
     ServedConnection,
     /// Nothing can be accepted: whoever can be closed without loss gives way.
     BlockedListener,
@@ -50,17 +35,19 @@
 
 /// What a connection without a request has done so far.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum IdleKind {
+pub(super) enum IdleKind {
     /// It is closing anyway.
     Closing,
-    /// It came lately and has sent nothing.
-    Newcomer,
-    /// It has sent nothing for longer than newcomers may take.
-    Silent,
-    /// It was rejected, and sends nothing.
+    /// It has had the time for its first byte, or for its head.
+    Late,
+    /// It was rejected before, and sends nothing.
     Rejected,
-    /// It was served before, or sends a head.
+    /// It was served before, and sends nothing.
     Used,
+    /// It came lately and has sent nothing: its request may be on its way.
+    Arriving,
+    /// It sends a head, within the time for that.
+    Sending,
 }
 
 /// What has become of a connection's present request.
@@ -112,15 +99,20 @@
 
     fn idle_kind(&self) -> IdleKind {
         if self.phase.get() == RequestPhase::Closing {
-            IdleKind::Closing
-        } else if self.was_served.get() || self.is_sending() {
+            return IdleKind::Closing;
+        }
+        if let Some(first_byte_at) = self.progress.first_byte_at() {
+            let is_in_time = first_byte_at.elapsed() < HEAD_TIMEOUT;
+            return if is_in_time { IdleKind::Sending } else { IdleKind::Late };
+        }
+        if self.was_served.get() {
             IdleKind::Used
         } else if self.was_answered.get() {
             IdleKind::Rejected
         } else if self.since.get().elapsed() < NEWCOMER_GRACE {
-            IdleKind::Newcomer
+            IdleKind::Arriving
         } else {
-            IdleKind::Silent
+            IdleKind::Late
         }
     }
 
@@ -184,13 +176,13 @@
     }
 
     /// Asks for the close of a connection that can be closed without loss, if there is one that may give way now.
-    pub(super) fn evict_idle_connection(&self, purpose: EvictionPurpose) -> Option<EvictionReason> {
+    pub(super) fn evict_idle_connection(&self, purpose: EvictionPurpose) -> Option<IdleKind> {
         let connections = self.connections.borrow();
         let candidates: Vec<_> =
             connections.values().filter(|connection| connection.can_be_evicted()).collect();
-        let (connection, reason) = choose_eviction(&candidates, purpose)?;
+        let (connection, kind) = choose_eviction(&candidates, purpose)?;
         connection.request_close();
-        Some(reason)
+        Some(kind)
     }
 
     /// Asks for the close of connections that have had the time that they may take.
@@ -203,34 +195,32 @@
     }
 }
 
-/// Which connection gives way: one that is closing anyway, else one that has sent nothing for longer than newcomers
-/// may take, else one that was rejected before. An idle one that was served stays where many have sent nothing. One
-/// that came lately may be about to send, and gives way only if it must.
+/// Which connection gives way, and what kind it is: the oldest of the first kind that there is.
 fn choose_eviction<'a>(
     candidates: &[&'a Rc<ConnectionState>],
     purpose: EvictionPurpose,
-) -> Option<(&'a Rc<ConnectionState>, EvictionReason)> {
-    let oldest = |kind: IdleKind| {
-        let of_kind = candidates.iter().filter(|connection| connection.idle_kind() == kind);
-        of_kind.copied().min_by_key(|connection| connection.idle_since())
-    };
-    let newcomers =
-        candidates.iter().filter(|connection| connection.idle_kind() == IdleKind::Newcomer).count();
-    let has_many_newcomers = newcomers > LATEST_SILENT;
-    let is_blocked = purpose == EvictionPurpose::BlockedListener;
-    let may_close_crowd = has_many_newcomers && purpose != EvictionPurpose::NewConnection;
-    let may_close_used = is_blocked || !has_many_newcomers && purpose == EvictionPurpose::NewConnection;
-    let closing = oldest(IdleKind::Closing).map(|connection| (connection, EvictionReason::Closing));
-    let silent = || oldest(IdleKind::Silent).map(|connection| (connection, EvictionReason::Silent));
-    let rejected = || oldest(IdleKind::Rejected).map(|connection| (connection, EvictionReason::Rejected));
-    let used = || oldest(IdleKind::Used).map(|connection| (connection, EvictionReason::Idle));
-    let newcomer = || oldest(IdleKind::Newcomer).map(|connection| (connection, EvictionReason::Newcomer));
-    closing
-        .or_else(silent)
-        .or_else(rejected)
-        .or_else(|| if may_close_crowd { newcomer() } else { None })
-        .or_else(|| if may_close_used { used() } else { None })
-        .or_else(|| if is_blocked { newcomer() } else { None })
+) -> Option<(&'a Rc<ConnectionState>, IdleKind)> {
+    let of_kind = |kind| candidates.iter().copied().filter(move |connection| connection.idle_kind() == kind);
+    let coming = of_kind(IdleKind::Arriving).count() + of_kind(IdleKind::Sending).count();
+    let has_crowd = coming > MAX_EXPECTED_ARRIVALS;
+    eviction_order(purpose, has_crowd).iter().find_map(|&kind| {
+        let oldest = of_kind(kind).min_by_key(|connection| connection.idle_since())?;
+        Some((oldest, kind))
+    })
+}
+
+/// Which kinds of connections give way, the first of them first. One that was served stays where a crowd comes; who
+/// arrives or sends gives way only if somebody must.
+fn eviction_order(purpose: EvictionPurpose, has_crowd: bool) -> &'static [IdleKind] {
+    use IdleKind::{Arriving, Closing, Late, Rejected, Sending, Used};
+    match (purpose, has_crowd) {
+        (EvictionPurpose::NewConnection, false) => &[Closing, Late, Rejected, Used],
+        (EvictionPurpose::NewConnection, true) => &[Closing, Late, Rejected],
+        (EvictionPurpose::ServedConnection, false) => &[Closing, Late, Rejected],
+        (EvictionPurpose::ServedConnection, true) => &[Closing, Late, Rejected, Arriving],
+        (EvictionPurpose::BlockedListener, false) => &[Closing, Late, Rejected, Used, Arriving, Sending],
+        (EvictionPurpose::BlockedListener, true) => &[Closing, Late, Rejected, Arriving, Sending, Used],
+    }
 }
 
 /// A connection in the table; removed when this is dropped.
--- a/crates/proxy/src/downstream/server.rs
+++ b/crates/proxy/src/downstream/server.rs
@@ -76,8 +76,8 @@
 
     /// Asks for the close of a connection that can give way; false if there is none.
     pub(super) fn evict(&self, purpose: EvictionPurpose) -> bool {
-        let Some(reason) = self.table.evict_idle_connection(purpose) else { return false };
-        self.statistics.record_evicted(reason);
+        let Some(kind) = self.table.evict_idle_connection(purpose) else { return false };
+        self.statistics.record_evicted(kind);
         true
     }
 }
--- a/crates/scale-test/src/soak/client.rs
+++ b/crates/scale-test/src/soak/client.rs
@@ -337,10 +337,12 @@
 }
 
 async fn write_slowly(stream: &mut TcpStream, text: &str, random: &mut StdRng) -> io::Result<()> {
-    let piece = text.len().div_ceil(SLOW_PIECES);
-    for bytes in text.as_bytes().chunks(piece) {
-        stream.write_all(bytes).await?;
-        sleep(Duration::from_millis(random.random_range(5..60))).await;
+    let pieces = text.as_bytes().chunks(text.len().div_ceil(SLOW_PIECES));
+    for (index, piece) in pieces.enumerate() {
+        if index > 0 {
+            sleep(Duration::from_millis(random.random_range(5..60))).await;
+        }
+        stream.write_all(piece).await?;
     }
     Ok(())
 }
--- a/crates/scale-test/src/soak/mod.rs
+++ b/crates/scale-test/src/soak/mod.rs
@@ -133,8 +133,8 @@
             events.extend(at.map(|at| (at, format!("process {number} {what}"))));
         }
         let is_about = |line: &str| match &id {
-            Some(id) => line.contains(id.as_str()),
-            None => !names_a_request(line),
+            Some(id) if line.contains(id.as_str()) => true,
+            _ => !names_a_request(line),
         };
         let lines = process.log.iter().filter(|(_, line)| is_about(line));
         let lines = lines.map(|(at, line)| (*at, format!("log {number}: {line}")));
