--- a/crates/scale-test/src/soak/backend.rs
+++ b/crates/scale-test/src/soak/backend.rs
@@ -1,6 +1,6 @@
 //! Backends that do with each request what their present behavior says, byte by byte.
 
-use super::plan::{BackendBehavior, SoakPlan};
+use super::plan::{BackendBehavior, SoakPlan, play_address};
 use super::record::{AttemptEffect, AttemptRecord, ColdStart, Recorder, RequestId};
 use std::io;
 use std::net::SocketAddr;
@@ -49,7 +49,7 @@
 impl Backend {
     /// Starts a backend that is warm.
     pub async fn start(number: usize, plan: &SoakPlan, recorder: Recorder) -> io::Result<Arc<Self>> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let listener = TcpListener::bind((play_address(plan.seed), 0)).await?;
         let state =
             BackendState { behavior: BackendBehavior::Serve, started_at: None, process: JoinSet::new() };
         let backend = Arc::new(Backend {
--- a/crates/scale-test/src/soak/discovery.rs
+++ b/crates/scale-test/src/soak/discovery.rs
@@ -1,6 +1,6 @@
 //! Discovery's agent: a versioned endpoint list, and the faults that the schedule brings.
 
-use super::plan::DiscoveryBehavior;
+use super::plan::{DiscoveryBehavior, play_address};
 use super::record::{DiscoveryOutage, ListChange, Recorder};
 use serde_json::{Value, json};
 use std::io;
@@ -41,11 +41,12 @@
 impl Discovery {
     /// Starts with a list, at two free ports.
     pub async fn start(
+        seed: u64,
         hosts: Vec<Value>,
         recorder: Recorder,
         tasks: &mut JoinSet<()>,
     ) -> io::Result<Arc<Self>> {
-        let listeners = [TcpListener::bind("127.0.0.1:0").await?, TcpListener::bind("127.0.0.1:0").await?];
+        let listeners = [listen(seed).await?, listen(seed).await?];
         let [first, second] = &listeners;
         let list = EndpointList { version: 1, first_hosts: hosts.clone(), hosts };
         let discovery = Arc::new(Discovery {
@@ -153,6 +154,10 @@
     }
 }
 
+async fn listen(seed: u64) -> io::Result<TcpListener> {
+    TcpListener::bind((play_address(seed), 0)).await
+}
+
 async fn accept(discovery: Arc<Discovery>, address: SocketAddr, listener: TcpListener) {
     let mut connections = JoinSet::new();
     let mut behavior = discovery.behavior.subscribe();
--- a/crates/scale-test/src/soak/plan.rs
+++ b/crates/scale-test/src/soak/plan.rs
@@ -7,6 +7,7 @@
 use serde::Serialize;
 use serde_json::{Value, json};
 use std::fmt;
+use std::net::Ipv4Addr;
 use std::time::Duration;
 
 /// Time of the load before the first fault.
@@ -454,6 +455,13 @@
     events
 }
 
+/// The loopback address on which all of a play listen: plays beside each other must not take each other's ports.
+pub fn play_address(seed: u64) -> Ipv4Addr {
+    let [process, ..] = std::process::id().to_le_bytes();
+    let [.., high, low] = (seed % (1 << 16)).to_be_bytes();
+    Ipv4Addr::new(127, process.max(1), high, low)
+}
+
 impl fmt::Display for SoakPlan {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(formatter, "seed {}", self.seed)?;
--- a/crates/scale-test/src/soak/play.rs
+++ b/crates/scale-test/src/soak/play.rs
@@ -58,10 +58,11 @@
         .enumerate()
         .map(|(number, backend)| host(backend, zones[number % zones.len()], "SERVING", 0))
         .collect();
-    let discovery = Discovery::start(hosts, recorder.clone(), &mut tasks).await?;
+    let discovery = Discovery::start(plan.seed, hosts, recorder.clone(), &mut tasks).await?;
     let instance = ProxyInstance::new(
         program,
         folder.path(),
+        plan.seed,
         plan.settings.clone(),
         discovery.addresses,
         recorder.clone(),
--- a/crates/scale-test/src/soak/process.rs
+++ b/crates/scale-test/src/soak/process.rs
@@ -1,6 +1,6 @@
 //! Processes of the real program: start, signals, log, admin API, what they hold.
 
-use super::plan::SoakSettings;
+use super::plan::{SoakSettings, play_address};
 use super::record::{AdminCall, ProcessRecord, Recorder, UsageSample};
 use anyhow::{Context, anyhow};
 use rustix::process::{Pid, Signal, kill_process};
@@ -31,6 +31,7 @@
     /// Where clients connect.
     pub address: SocketAddr,
     folder: PathBuf,
+    seed: u64,
     config_version: AtomicU64,
     settings: SoakSettings,
     discovery: [SocketAddr; 2],
@@ -53,15 +54,17 @@
     pub async fn new(
         program: &Path,
         folder: &Path,
+        seed: u64,
         settings: SoakSettings,
         discovery: [SocketAddr; 2],
         recorder: Recorder,
     ) -> anyhow::Result<Arc<Self>> {
-        let address = free_address().await?;
+        let address = free_address(seed).await?;
         Ok(Arc::new(ProxyInstance {
             program: program.to_path_buf(),
             address,
             folder: folder.to_path_buf(),
+            seed,
             config_version: AtomicU64::new(0),
             settings,
             discovery,
@@ -82,7 +85,7 @@
 
     /// Starts a process. It may still have to become ready.
     pub async fn start(self: &Arc<Self>) -> anyhow::Result<ProxyProcess> {
-        let admin = free_address().await?;
+        let admin = free_address(self.seed).await?;
         let number = self.recorder.records().processes.len();
         let config_path = self.folder.join(format!("config-{number}.json"));
         std::fs::write(&config_path, self.next_config(admin).to_string())?;
@@ -223,8 +226,8 @@
     }
 }
 
-async fn free_address() -> anyhow::Result<SocketAddr> {
-    Ok(TcpListener::bind("127.0.0.1:0").await?.local_addr()?)
+async fn free_address(seed: u64) -> anyhow::Result<SocketAddr> {
+    Ok(TcpListener::bind((play_address(seed), 0)).await?.local_addr()?)
 }
 
 async fn read_log(recorder: Recorder, number: usize, log: ChildStderr) {
