--- a/crates/scale-test/src/soak/mod.rs
+++ b/crates/scale-test/src/soak/mod.rs
@@ -35,6 +35,8 @@
     pub requests: usize,
     /// Requests that were served.
     pub served: usize,
+    /// The same in each second of the play, by which a stall shows.
+    pub served_by_second: Vec<usize>,
     /// Requests that were rejected.
     pub rejected: usize,
     /// Attempts at backends.
@@ -71,6 +73,7 @@
             seed: plan.seed,
             requests: records.requests.values().filter(|request| request.complete_at.is_some()).count(),
             served: with_status(|status| status == 200),
+            served_by_second: served_by_second(records),
             rejected: with_status(|status| matches!(status, 429 | 503)),
             attempts: records.attempts.len(),
             own_lateness_ms: records.own_lateness.as_millis(),
@@ -81,10 +84,23 @@
     }
 }
 
+fn served_by_second(records: &Records) -> Vec<usize> {
+    let mut seconds = Vec::new();
+    for request in records.requests.values() {
+        if let Some(Outcome::Answered { status: 200, at, .. }) = request.outcome {
+            let second = at.as_secs() as usize;
+            seconds.resize(seconds.len().max(second + 1), 0);
+            seconds[second] += 1;
+        }
+    }
+    seconds
+}
+
 impl fmt::Display for SeedReport {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         let SeedReport { seed, requests, served, rejected, attempts, own_lateness_ms, .. } = self;
         write!(formatter, "seed {seed}: {requests} requests, {served} served, {rejected} rejected, ")?;
+        write!(formatter, "{:?} by second, ", self.served_by_second)?;
         write!(formatter, "{attempts} attempts, own timers up to {own_lateness_ms} ms late: ")?;
         if self.broken.is_empty() {
             return writeln!(formatter, "kept");
