--- a/crates/scale-test/src/soak/discovery.rs
+++ b/crates/scale-test/src/soak/discovery.rs
@@ -1,7 +1,7 @@
 //! Discovery's agent: a versioned endpoint list, and the faults that the schedule brings.
 
 use super::plan::{DiscoveryBehavior, play_address};
-use super::record::{DiscoveryOutage, ListChange, Recorder};
+use super::record::{DiscoveryOutage, ListAnswer, ListChange, Recorder};
 use serde_json::{Value, json};
 use std::io;
 use std::net::SocketAddr;
@@ -17,6 +17,8 @@
 const SLOW_ANSWER: Duration = Duration::from_millis(900);
 /// Pause between the two pieces of an answer.
 const PIECE_PAUSE: Duration = Duration::from_millis(5);
+/// Version of the list at the start.
+const FIRST_VERSION: u64 = 1;
 /// Longest head of a call.
 const MAX_CALL_BYTES: usize = 1 << 14;
 
@@ -48,7 +50,7 @@
     ) -> io::Result<Arc<Self>> {
         let listeners = [listen(seed).await?, listen(seed).await?];
         let [first, second] = &listeners;
-        let list = EndpointList { version: 1, first_hosts: hosts.clone(), hosts };
+        let list = EndpointList { version: FIRST_VERSION, first_hosts: hosts.clone(), hosts };
         let discovery = Arc::new(Discovery {
             addresses: [first.local_addr()?, second.local_addr()?],
             list: watch::Sender::new(list),
@@ -73,8 +75,8 @@
         records.discovery_outages.sort_by_key(|outage| outage.from);
     }
 
-    /// Puts an entry into the list, in place of that of the same name.
-    pub fn publish(&self, host: Value) {
+    /// Puts an entry into the list, in place of that of the same name; returns the version that tells it.
+    pub fn publish(&self, host: Value) -> u64 {
         let mut version = 0;
         self.list.send_modify(|list| {
             list.hosts.retain(|known| known["host"] != host["host"]);
@@ -86,6 +88,7 @@
         });
         let at = self.recorder.now();
         self.recorder.records().list_changes.push(ListChange { version, at });
+        version
     }
 
     async fn serve(&self, mut stream: TcpStream) -> io::Result<()> {
@@ -128,13 +131,19 @@
                 return Ok(false);
             }
         }
-        let body = self.list.borrow().body(after, behavior == DiscoveryBehavior::OldList);
+        let is_old = behavior == DiscoveryBehavior::OldList;
+        let (version, body) = {
+            let list = self.list.borrow();
+            (if is_old { FIRST_VERSION } else { list.version }, list.body(after, is_old))
+        };
         let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
         stream.write_all(head.as_bytes()).await?;
         let (first, rest) = body.split_at(body.len() / 2);
         stream.write_all(first.as_bytes()).await?;
         sleep(PIECE_PAUSE).await;
         stream.write_all(rest.as_bytes()).await?;
+        let at = self.recorder.now();
+        self.recorder.records().list_answers.push(ListAnswer { version, at });
         Ok(true)
     }
 }
@@ -143,7 +152,7 @@
     fn body(&self, after: Option<u64>, is_old: bool) -> String {
         let is_changed = after.is_none_or(|after| self.version > after);
         let body = if is_old {
-            json!({"seq": 1, "whole": true, "hosts": self.first_hosts})
+            json!({"seq": FIRST_VERSION, "whole": true, "hosts": self.first_hosts})
         } else if is_changed {
             json!({"seq": self.version, "whole": true, "hosts": self.hosts})
         } else {
--- a/crates/scale-test/src/soak/play.rs
+++ b/crates/scale-test/src/soak/play.rs
@@ -199,9 +199,14 @@
         }
         let backend = &self.backends[number];
         let from = self.recorder.now();
-        self.discovery.publish(host(backend, self.zone(number), "DRAINING", 0));
-        let withdrawal =
-            Withdrawal { backend: backend.name.clone(), cause: WithdrawalCause::Listed, from, until: None };
+        let version = Some(self.discovery.publish(host(backend, self.zone(number), "DRAINING", 0)));
+        let withdrawal = Withdrawal {
+            backend: backend.name.clone(),
+            cause: WithdrawalCause::Listed,
+            from,
+            version,
+            until: None,
+        };
         self.recorder.records().withdrawals.push(withdrawal);
         sleep(gone_after).await;
         self.discovery.publish(host(backend, self.zone(number), "DELETED", 0));
@@ -291,7 +296,7 @@
         sleep(resumed_after).await;
         let until = Some(self.recorder.now());
         let cause = WithdrawalCause::Suspended;
-        let withdrawal = Withdrawal { backend: name.clone(), cause, from, until };
+        let withdrawal = Withdrawal { backend: name.clone(), cause, from, version: None, until };
         self.recorder.records().withdrawals.push(withdrawal);
         self.instance.call_admin(process, "POST", &format!("/v1/backends/{name}/resume")).await;
     }
--- a/crates/scale-test/src/soak/record.rs
+++ b/crates/scale-test/src/soak/record.rs
@@ -121,6 +121,8 @@
     pub cause: WithdrawalCause,
     /// When it began: discovery had it then, or the operators had their yes.
     pub from: Duration,
+    /// The version of the list that tells it, if one does.
+    pub version: Option<u64>,
     /// When it takes requests again.
     pub until: Option<Duration>,
 }
@@ -145,6 +147,15 @@
     pub at: Duration,
 }
 
+/// An answer that discovery has written completely.
+#[derive(Debug, Clone, Copy, Serialize)]
+pub struct ListAnswer {
+    /// The version of its list.
+    pub version: u64,
+    /// When.
+    pub at: Duration,
+}
+
 /// A time in which discovery did not answer as it should.
 #[derive(Debug, Clone, Copy, Serialize)]
 pub struct DiscoveryOutage {
@@ -210,6 +221,8 @@
     pub cold_starts: Vec<ColdStart>,
     /// Versions of the endpoint list.
     pub list_changes: Vec<ListChange>,
+    /// What discovery answered, in order of time.
+    pub list_answers: Vec<ListAnswer>,
     /// When discovery did not answer as it should, in order of time.
     pub discovery_outages: Vec<DiscoveryOutage>,
     /// What the processes held.
--- a/crates/scale-test/src/soak/rules.rs
+++ b/crates/scale-test/src/soak/rules.rs
@@ -262,17 +262,30 @@
         reachable_at
     }
 
-    /// When the proxy counts as notified of a change. Where lists are pushed and discovery answers, that is at once; a
-    /// watch that an outage has broken may take as long as a poll.
-    fn notified_at(&self, changed_at: Duration) -> Duration {
+    /// When the proxy counts as notified of a change: once discovery has written it, and at the latest when its term is
+    /// over. Where lists are pushed and discovery answers, that is at once; a watch that an outage has broken may take
+    /// as long as a poll.
+    fn notified_at(&self, changed_at: Duration, version: Option<u64>) -> Duration {
         let is_near =
             |outage: &DiscoveryOutage| outage.from <= changed_at && changed_at <= outage.until + LIST_LIMIT;
         let had_outage = self.records.discovery_outages.iter().any(is_near);
-        if self.settings.is_polled || had_outage {
+        let latest = if self.settings.is_polled || had_outage {
             self.reachable_at(changed_at) + LIST_LIMIT
         } else {
             changed_at
-        }
+        };
+        self.written_at(version).map_or(latest, |written_at| written_at.min(latest))
+    }
+
+    /// When discovery had written a version to the only process; not known while there are several.
+    fn written_at(&self, version: Option<u64>) -> Option<Duration> {
+        let version = version?;
+        let answer = self.records.list_answers.iter().find(|answer| answer.version >= version)?;
+        let lives = |process: &&ProcessRecord| {
+            process.started_at <= answer.at && process.ended_at.is_none_or(|ended_at| ended_at > answer.at)
+        };
+        let processes = self.records.processes.iter().filter(lives).count();
+        if processes > 1 { None } else { Some(answer.at) }
     }
 
     fn drain(&self, attempt: &AttemptRecord) -> Option<Violation> {
@@ -282,7 +295,7 @@
                 WithdrawalCause::Suspended => Duration::ZERO,
             };
             let notified_at = match withdrawal.cause {
-                WithdrawalCause::Listed => self.notified_at(withdrawal.from),
+                WithdrawalCause::Listed => self.notified_at(withdrawal.from, withdrawal.version),
                 WithdrawalCause::Suspended => withdrawal.from,
             };
             let latest = notified_at + deadline + SOCKET_SLACK;
@@ -297,7 +310,7 @@
     /// What a cold backend gets in any span of the settings' length stays under what the settings allow it then.
     fn slow_start(&self, start: &ColdStart) -> Option<Violation> {
         let end = start.at + self.settings.warm_up;
-        let notified_at = self.notified_at(start.at);
+        let notified_at = self.notified_at(start.at, None);
         let arrivals: Vec<Duration> = self
             .records
             .attempts
--- a/crates/scale-test/tests/soak_rules.rs
+++ b/crates/scale-test/tests/soak_rules.rs
@@ -165,7 +165,8 @@
 }
 
 fn withdrawn(cause: WithdrawalCause, sent_after: Duration) -> Records {
-    let withdrawal = Withdrawal { backend: "s-1".to_string(), cause, from: ms(1000), until: None };
+    let withdrawal =
+        Withdrawal { backend: "s-1".to_string(), cause, from: ms(1000), version: Some(2), until: None };
     let attempts = vec![attempt(ms(1000) + sent_after, AttemptEffect::MayHaveRun)];
     Records {
         withdrawals: vec![withdrawal],
@@ -190,6 +191,12 @@
     };
     // 1 s to its end, 6 s, and the drain deadline.
     assert_bites(Rule::Drain, &listed(ms(7550)), &listed(ms(7551)));
+    let written = |after| {
+        let answer = ListAnswer { version: 2, at: ms(2500) };
+        Records { list_answers: vec![answer], ..listed(after) }
+    };
+    // 1.5 s until discovery has written it, and the drain deadline.
+    assert_bites(Rule::Drain, &written(ms(2050)), &written(ms(2051)));
 }
 
 #[test]
