--- a/crates/proxy/tests/descriptor_exhaustion.rs
+++ b/crates/proxy/tests/descriptor_exhaustion.rs
@@ -25,40 +25,40 @@
 
 /// Descriptors of the proxy.
 const DESCRIPTORS: usize = 128;
-/// A send that crosses the notice of a drain may still come, by the settings.
-const GRACE: Duration = Duration::from_millis(500);
+/// A request that crosses the notice of a drain may still be sent for so long, by the settings.
+const DRAIN_DEADLINE: Duration = Duration::from_millis(500);
 
 /// Clients without a whole request, who come again at once when they are shut out.
 struct Crowd {
     _tasks: JoinSet<()>,
-    /// How often one of them was.
-    shut: Arc<watch::Sender<usize>>,
+    /// How often one of them was shut out.
+    shut_out: Arc<watch::Sender<usize>>,
 }
 
 impl Crowd {
-    fn start(addr: SocketAddr, says: &'static str) -> Self {
-        let (mut tasks, shut) = (JoinSet::new(), Arc::new(watch::Sender::new(0)));
+    fn start(addr: SocketAddr, first_bytes: &'static str) -> Self {
+        let (mut tasks, shut_out) = (JoinSet::new(), Arc::new(watch::Sender::new(0)));
         for _ in 0..DESCRIPTORS {
-            let shut = shut.clone();
+            let shut_out = shut_out.clone();
             tasks.spawn(async move {
                 loop {
                     if let Ok(mut stream) = TcpStream::connect(addr).await {
-                        let _ = stream.write_all(says.as_bytes()).await;
+                        let _ = stream.write_all(first_bytes.as_bytes()).await;
                         // Shut or reset, or answered that it was too slow.
                         let _ = stream.read_to_end(&mut Vec::new()).await;
-                        shut.send_modify(|n| *n += 1);
+                        shut_out.send_modify(|count| *count += 1);
                     }
                     tokio::task::yield_now().await;
                 }
             });
         }
-        Crowd { _tasks: tasks, shut }
+        Crowd { _tasks: tasks, shut_out }
     }
 
     /// Waits until so many more were shut out.
-    async fn again(&self, times: usize) {
-        let before = *self.shut.borrow();
-        in_time(self.shut.subscribe().wait_for(|n| *n >= before + times)).await.expect("open");
+    async fn wait_until_shut_out(&self, times: usize) {
+        let before = *self.shut_out.borrow();
+        in_time(self.shut_out.subscribe().wait_for(|n| *n >= before + times)).await.expect("open");
     }
 }
 
@@ -93,52 +93,52 @@
 }
 
 /// Clients who send one request after another, more than there is room for.
-struct Work {
+struct BusyClients {
     tasks: JoinSet<()>,
-    holds: Vec<Arc<Notify>>,
-    over: Arc<AtomicBool>,
+    held_responses: Vec<Arc<Notify>>,
+    is_over: Arc<AtomicBool>,
 }
 
-impl Work {
-    /// They have been served; from now on every request that a backend gets stays in work there. Comes back
+impl BusyClients {
+    /// They have been served; from now on every request that a backend gets is held there. Comes back
     /// when there are as many as the proxy has room for.
     async fn begin(proxy: &Proxy, script: &Arc<BackendScript>) -> Self {
-        let (mut tasks, over) = (JoinSet::new(), Arc::new(AtomicBool::new(false)));
-        // Answers that were 200; requests that were refused, or whose connection was shut.
-        let [good, turned_away] = [(); 2].map(|()| Arc::new(watch::Sender::new(0)));
+        let (mut tasks, is_over) = (JoinSet::new(), Arc::new(AtomicBool::new(false)));
+        // Answers that were 200; requests that were rejected, or whose connection was shut.
+        let [served_count, rejected] = [(); 2].map(|()| Arc::new(watch::Sender::new(0)));
         for _ in 0..DESCRIPTORS / 2 {
-            let (addr, over) = (proxy.addr, over.clone());
-            let (good, turned_away) = (good.clone(), turned_away.clone());
+            let (addr, is_over) = (proxy.addr, is_over.clone());
+            let (served_count, rejected) = (served_count.clone(), rejected.clone());
             tasks.spawn(async move {
                 loop {
                     let mut client = connect(addr).await;
                     while let Some((status, _)) = attempt(&mut client).await {
                         match status {
-                            200 => good.send_modify(|n| *n += 1),
-                            503 => turned_away.send_modify(|n| *n += 1),
+                            200 => served_count.send_modify(|n| *n += 1),
+                            503 => rejected.send_modify(|n| *n += 1),
                             other => panic!("answered {other}"),
                         }
-                        if status == 200 && over.load(SeqCst) {
+                        if status == 200 && is_over.load(SeqCst) {
                             return;
                         }
                     }
-                    turned_away.send_modify(|n| *n += 1);
+                    rejected.send_modify(|n| *n += 1);
                 }
             });
         }
-        in_time(good.subscribe().wait_for(|n| *n >= 10 * DESCRIPTORS)).await.expect("open");
-        let holds: Vec<_> = (0..10 * DESCRIPTORS).map(|_| Arc::new(Notify::new())).collect();
-        script.give(holds.iter().cloned().map(BackendBehavior::Hold));
-        let before = *turned_away.borrow();
+        in_time(served_count.subscribe().wait_for(|n| *n >= 10 * DESCRIPTORS)).await.expect("open");
+        let held_responses: Vec<_> = (0..10 * DESCRIPTORS).map(|_| Arc::new(Notify::new())).collect();
+        script.give(held_responses.iter().cloned().map(BackendBehavior::Hold));
+        let before = *rejected.borrow();
         let enough = before + 10 * DESCRIPTORS;
-        in_time(turned_away.subscribe().wait_for(|n| *n >= enough)).await.expect("open");
-        Work { tasks, holds, over }
+        in_time(rejected.subscribe().wait_for(|n| *n >= enough)).await.expect("open");
+        BusyClients { tasks, held_responses, is_over }
     }
 
     /// All of them are served once more.
     async fn end(mut self) {
-        self.over.store(true, SeqCst);
-        self.holds.iter().for_each(|hold| hold.notify_one());
+        self.is_over.store(true, SeqCst);
+        self.held_responses.iter().for_each(|hold| hold.notify_one());
         while let Some(done) = in_time(self.tasks.join_next()).await {
             done.expect("no panic");
         }
@@ -146,12 +146,12 @@
 }
 
 /// Looks all the time how many descriptors processes hold together, and keeps the most that was seen.
-struct Watcher {
+struct DescriptorWatcher {
     _task: JoinSet<()>,
     most: Arc<AtomicUsize>,
 }
 
-impl Watcher {
+impl DescriptorWatcher {
     fn start(proxies: &[&Proxy]) -> Self {
         let most = Arc::<AtomicUsize>::default();
         let mut task = JoinSet::new();
@@ -163,15 +163,20 @@
                 tokio::time::sleep(Duration::from_millis(1)).await;
             }
         });
-        Watcher { _task: task, most }
+        DescriptorWatcher { _task: task, most }
     }
 }
 
 /// Clients fill the proxy while discovery is down. At its return the watch, the backends and the operators
-/// still get their descriptors: what was told meanwhile holds, requests are served, and the admin API answers.
-async fn full_while_discovery_is_down(how: &str, down: DiscoveryBehavior, says: &'static str, busy: bool) {
+/// still get their descriptors: what was notified meanwhile holds, requests are served, and the admin API answers.
+async fn full_while_discovery_is_down(
+    how: &str,
+    down: DiscoveryBehavior,
+    first_bytes: &'static str,
+    busy: bool,
+) {
     let script = Arc::new(BackendScript::default());
-    // So many that all the work is taken at once.
+    // So many that they can hold all requests at once.
     let mut backends = Vec::new();
     for name in ["a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l", "m", "n", "o", "p"] {
         backends.push(Backend::start(name, &script).await);
@@ -184,11 +189,11 @@
     let discovery = Discovery::start(list("SERVING")).await;
     let proxy = Proxy::start_as(&config(&discovery, how), &start()).await;
     discovery.wait_until_applied().await;
-    let watcher = Watcher::start(&[&proxy]);
+    let watcher = DescriptorWatcher::start(&[&proxy]);
     discovery.set(down).await;
-    let work = if busy { Some(Work::begin(&proxy, &script).await) } else { None };
-    let crowd = Crowd::start(proxy.addr, says);
-    crowd.again(2 * DESCRIPTORS).await;
+    let busy_clients = if busy { Some(BusyClients::begin(&proxy, &script).await) } else { None };
+    let crowd = Crowd::start(proxy.addr, first_bytes);
+    crowd.wait_until_shut_out(2 * DESCRIPTORS).await;
     assert_eq!(proxy.call_admin("GET", "/v1/readyz").await, 200);
     discovery.change(list("DRAINING"));
     discovery.set(DiscoveryBehavior::Up).await;
@@ -196,47 +201,47 @@
     for what in ["suspend", "resume"] {
         assert_eq!(proxy.call_admin("POST", &format!("/v1/backends/b/{what}")).await, 200);
     }
-    tokio::time::sleep(GRACE).await;
+    tokio::time::sleep(DRAIN_DEADLINE).await;
     let before = script.requests_at("a");
-    if let Some(work) = work {
-        work.end().await;
+    if let Some(busy_clients) = busy_clients {
+        busy_clients.end().await;
     }
     for _ in 0..10 {
         served(proxy.addr).await;
     }
     assert_eq!(script.requests_at("a"), before, "nothing new goes there");
-    crowd.again(1).await;
+    crowd.wait_until_shut_out(1).await;
     let most = watcher.most.load(SeqCst);
     assert!(most < DESCRIPTORS, "one was always free, {most} were seen");
 }
 
-const IDLE: &str = "";
-const HALF: &str = "GET /look HTTP/1.1\r\nHost: o\r\n";
+const NO_BYTES: &str = "";
+const HALF_HEAD: &str = "GET /look HTTP/1.1\r\nHost: o\r\n";
 
 #[tokio::test]
 async fn idle_clients_fill_it_while_discovery_refuses() {
-    full_while_discovery_is_down("automatic", DiscoveryBehavior::Refusing, IDLE, false).await;
-    full_while_discovery_is_down("subscribe", DiscoveryBehavior::Refusing, IDLE, false).await;
+    full_while_discovery_is_down("automatic", DiscoveryBehavior::Refusing, NO_BYTES, false).await;
+    full_while_discovery_is_down("subscribe", DiscoveryBehavior::Refusing, NO_BYTES, false).await;
 }
 
 #[tokio::test]
 async fn idle_clients_fill_it_while_discovery_is_unresponsive() {
-    full_while_discovery_is_down("automatic", DiscoveryBehavior::Silent, IDLE, false).await;
-    full_while_discovery_is_down("subscribe", DiscoveryBehavior::Silent, IDLE, false).await;
+    full_while_discovery_is_down("automatic", DiscoveryBehavior::Silent, NO_BYTES, false).await;
+    full_while_discovery_is_down("subscribe", DiscoveryBehavior::Silent, NO_BYTES, false).await;
 }
 
 #[tokio::test]
 async fn half_open_clients_fill_it_while_discovery_refuses() {
-    full_while_discovery_is_down("automatic", DiscoveryBehavior::Refusing, HALF, false).await;
+    full_while_discovery_is_down("automatic", DiscoveryBehavior::Refusing, HALF_HEAD, false).await;
 }
 
 #[tokio::test]
 async fn busy_and_idle_clients_fill_it_while_discovery_refuses() {
-    full_while_discovery_is_down("automatic", DiscoveryBehavior::Refusing, IDLE, true).await;
-    full_while_discovery_is_down("subscribe", DiscoveryBehavior::Refusing, IDLE, true).await;
+    full_while_discovery_is_down("automatic", DiscoveryBehavior::Refusing, NO_BYTES, true).await;
+    full_while_discovery_is_down("subscribe", DiscoveryBehavior::Refusing, NO_BYTES, true).await;
 }
 
 #[tokio::test]
 async fn busy_and_half_open_clients_fill_it_while_discovery_is_unresponsive() {
-    full_while_discovery_is_down("automatic", DiscoveryBehavior::Silent, HALF, true).await;
+    full_while_discovery_is_down("automatic", DiscoveryBehavior::Silent, HALF_HEAD, true).await;
 }
