Connections that wait when the listener closes are taken within the descriptors

Cause: all connections that waited at the listener were taken, however many. Mend: past the limit others give way first, as for any that comes, for 0.1 s at the most.

--- a/crates/proxy/src/downstream/listener.rs
+++ b/crates/proxy/src/downstream/listener.rs
@@ -2,20 +2,21 @@
 
 use super::connection::serve_connection;
 use super::connection_table::EvictionPurpose;
-use super::server::{ListenerPhase, Server};
+use super::server::{ListenerPhase, MAX_REJECTING_CONNECTIONS, Server};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::{JoinSet, yield_now};
-use tokio::time::{Interval, interval, sleep};
+use tokio::time::{Instant, Interval, interval, sleep};
 
 /// How often connections are looked through for those that are overdue.
 const OVERDUE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// When the listener is closed, connections that wait there are taken for no longer than this: in a crowd more come
+/// than can be taken.
+const QUEUE_LIMIT: Duration = Duration::from_millis(100);
 /// Pause when nothing can be accepted.
 const ACCEPT_ERROR_PAUSE: Duration = Duration::from_millis(10);
-/// Connections past the limit, accepted only to be rejected at once.
-pub const MAX_REJECTING_CONNECTIONS: usize = 16;
 /// Places of connections that are rejected come free by themselves; only when none does for so long must others give
 /// way, who may be about to send.
 const FORCED_EVICTION_DELAY: Duration = Duration::from_millis(5);
@@ -30,7 +31,7 @@
     let mut overdue_check = interval(OVERDUE_CHECK_INTERVAL);
     let connection_phase = phase.clone();
     while *phase.borrow_and_update() == ListenerPhase::Accepting {
-        let is_full = server.table.len() >= server.max_connections.get() + MAX_REJECTING_CONNECTIONS;
+        let is_full = server.is_full();
         if is_full {
             server.statistics.record_blocked();
             server.evict(EvictionPurpose::NewConnection);
@@ -68,11 +69,7 @@
     if *phase.borrow() == ListenerPhase::HandedOver {
         server.is_handed_over.set(true);
     }
-    // Clients wait there of which the program was not notified yet; closed over them it would reset them.
-    for stream in queued_connections(listener) {
-        let phase = connection_phase.clone();
-        connections.spawn_local(serve_connection(server.clone(), stream, phase, true));
-    }
+    take_queued(&server, listener, &mut connections, &connection_phase).await;
     wait_for_close(&server, connections, overdue_check).await;
 }
 
@@ -88,13 +85,32 @@
     }
 }
 
-/// The connections that wait at a listener, which is closed when there are no more.
-fn queued_connections(listener: TcpListener) -> impl Iterator<Item = TcpStream> {
+/// Takes the connections that wait at a listener, and closes it. Clients wait there of which the program was not notified
+/// yet; closed over them it would reset them. Past the descriptors others have to give way first, as for any that comes.
+async fn take_queued(
+    server: &Rc<Server>,
+    listener: TcpListener,
+    connections: &mut JoinSet<()>,
+    phase: &watch::Receiver<ListenerPhase>,
+) {
     // The reactor knows only what it was told when it last looked: the system is asked until it says no.
-    let listener = listener.into_std().ok();
-    let next = move || listener.as_ref()?.accept().ok();
-    std::iter::from_fn(next).filter_map(|(stream, _)| {
-        stream.set_nonblocking(true).ok()?;
-        TcpStream::from_std(stream).ok()
-    })
+    let Ok(listener) = listener.into_std() else { return };
+    let take_until = Instant::now() + QUEUE_LIMIT;
+    while Instant::now() < take_until {
+        while connections.try_join_next().is_some() {}
+        if server.is_full() {
+            server.force_evictions(FORCED_EVICTIONS);
+            sleep(FORCED_EVICTION_DELAY).await;
+            continue;
+        }
+        let Ok((stream, _)) = listener.accept() else { return };
+        if stream.set_nonblocking(true).is_err() {
+            continue;
+        }
+        if let Ok(stream) = TcpStream::from_std(stream) {
+            connections.spawn_local(serve_connection(server.clone(), stream, phase.clone(), true));
+            // It is in the table from now on.
+            yield_now().await;
+        }
+    }
 }
--- a/crates/proxy/src/downstream/mod.rs
+++ b/crates/proxy/src/downstream/mod.rs
@@ -9,5 +9,5 @@
 mod response;
 mod server;
 
-pub use listener::{MAX_REJECTING_CONNECTIONS, serve};
-pub use server::{ListenerPhase, Server};
+pub use listener::serve;
+pub use server::{ListenerPhase, MAX_REJECTING_CONNECTIONS, Server};
--- a/crates/proxy/src/downstream/server.rs
+++ b/crates/proxy/src/downstream/server.rs
@@ -6,6 +6,9 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
+/// Connections past the limit, accepted only to be rejected at once.
+pub const MAX_REJECTING_CONNECTIONS: usize = 16;
+
 /// How far a planned stop has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ListenerPhase {
@@ -55,6 +58,11 @@
         self.force_evictions(excess);
     }
 
+    /// Whether no connection can be accepted, not even to be rejected.
+    pub(super) fn is_full(&self) -> bool {
+        self.table.len() >= self.max_connections.get() + MAX_REJECTING_CONNECTIONS
+    }
+
     /// Whether there is space for another connection, perhaps that of an idle one.
     pub(super) fn has_space(&self) -> bool {
         self.table.len() < self.max_connections.get() || self.evict(EvictionPurpose::NewConnection)
--- a/crates/proxy/tests/descriptor_exhaustion.rs
+++ b/crates/proxy/tests/descriptor_exhaustion.rs
@@ -245,3 +245,21 @@
 async fn busy_and_half_open_clients_fill_it_while_discovery_is_unresponsive() {
     full_while_discovery_is_down("automatic", DiscoveryBehavior::Silent, HALF_HEAD, true).await;
 }
+
+/// At a stop all connections that waited to be accepted were taken, however many: the soak of seed 343 found a crowd of
+/// idle clients that took the last descriptor so, and the log said `markers: Too many open files`.
+#[tokio::test]
+async fn a_stop_amid_idle_clients_leaves_a_descriptor() {
+    let script = Arc::new(BackendScript::default());
+    let backend = Backend::start("a", &script).await;
+    let discovery = Discovery::start(vec![backend.line("SERVING")]).await;
+    let mut proxy = Proxy::start_as(&config(&discovery, "automatic"), &start()).await;
+    discovery.wait_until_applied().await;
+    let watcher = DescriptorWatcher::start(&[&proxy]);
+    let crowd = Crowd::start(proxy.addr, NO_BYTES);
+    crowd.wait_until_shut_out(2 * DESCRIPTORS).await;
+    proxy.terminate().await;
+    assert!(proxy.ended().await.success());
+    let most = watcher.most.load(SeqCst);
+    assert!(most < DESCRIPTORS, "one was always free, {most} were seen");
+}
