Copies of responses are taken out by their bytes at backends known to repeat

Callers saw: while a backend sends each response again 3 ms later, clients got the answers of other requests, and a copy of a declining 503 let a request that ran be sent again.

Cause: the copy comes when the next request is written on its connection, and nothing in HTTP/1.1 tells it from that one's response. On a busy connection all later answers are then off by one.

--- a/crates/proxy/src/upstream/attempt.rs
+++ b/crates/proxy/src/upstream/attempt.rs
@@ -127,7 +127,7 @@
             let is_kept = kept.is_some();
             let mut connection = match kept {
                 Some(connection) => connection,
-                None => self.pool.connect(self.endpoint.address, &self.guard).await?,
+                None => self.pool.connect(&self.endpoint, &self.guard).await?,
             };
             connection.progress.guard_next_request(self.guard.clone());
             let message = self.request.message(&connection.progress, self.expires_at);
@@ -160,8 +160,12 @@
         };
         match connection.check_idle().await {
             IdleCheck::ResponseCorrupt => return corrupt,
-            IdleCheck::Reusable => self.pool.keep_idle(&self.endpoint, connection),
             IdleCheck::Finished => {}
+            IdleCheck::Reusable => {
+                let is_error = !matches!(outcome, AttemptOutcome::Served(_));
+                connection.finish_response(is_error);
+                self.pool.keep_idle(&self.endpoint, connection);
+            }
         }
         outcome
     }
--- a/crates/proxy/src/upstream/connection.rs
+++ b/crates/proxy/src/upstream/connection.rs
@@ -1,10 +1,10 @@
 //! A connection to a backend.
 
+use super::repeat_filter::{FilteredStream, RESPONSE_START, RepeatFilter, RepeatHistory};
 use crate::transport::{MAX_HEAD_BYTES, MAX_HEADERS, ObservedStream, RequestBody, StreamProgress, prepare};
 use bytes::Bytes;
 use foldhitch_balancer::api::Outcome;
 use hyper::client::conn::http1::{Builder, SendRequest};
-use hyper_util::rt::TokioIo;
 use std::cell::RefCell;
 use std::future::poll_fn;
 use std::rc::Rc;
@@ -12,7 +12,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::task::AbortHandle;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
 /// Once its response is read a connection is free in no time, unless the request itself is still being written.
 const IDLE_CHECK_TIMEOUT: Duration = Duration::from_millis(50);
@@ -23,6 +23,8 @@
     pub(super) progress: Rc<StreamProgress>,
     /// What was read and belongs to no response, once the connection has ended.
     leftover: Rc<RefCell<Bytes>>,
+    filter: Rc<RefCell<RepeatFilter>>,
+    repeat_history: Rc<RepeatHistory>,
     task: AbortHandle,
 }
 
@@ -39,9 +41,15 @@
 
 impl Connection {
     /// Speaks HTTP on a stream, in a task of its own that holds `permit` as long as it runs.
-    pub(super) async fn new(stream: TcpStream, permit: OwnedSemaphorePermit) -> Result<Self, Outcome> {
+    pub(super) async fn new(
+        stream: TcpStream,
+        permit: OwnedSemaphorePermit,
+        repeat_history: Rc<RepeatHistory>,
+    ) -> Result<Self, Outcome> {
         prepare(&stream).map_err(|_| Outcome::ConnectFailed)?;
-        let stream = ObservedStream::new(TokioIo::new(stream));
+        let filter = Rc::new(RefCell::new(RepeatFilter::new()));
+        let stream = FilteredStream::new(stream, filter.clone(), repeat_history.clone());
+        let stream = ObservedStream::new(stream);
         let progress = stream.progress();
         let mut builder = Builder::new();
         builder.max_buf_size(MAX_HEAD_BYTES).max_headers(MAX_HEADERS);
@@ -55,7 +63,8 @@
             let _ = poll_fn(|context| connection.poll_without_shutdown(context)).await;
             unread.replace(connection.into_parts().read_buf);
         });
-        Ok(Connection { sender, progress, leftover, task: task.abort_handle() })
+        let task = task.abort_handle();
+        Ok(Connection { sender, progress, leftover, filter, repeat_history, task })
     }
 
     /// Sees what came behind a response before that counts. The HTTP library ends a body where its length says: if
@@ -66,12 +75,31 @@
             Ok(Ok(())) => IdleCheck::Reusable,
             Ok(Err(_)) => {
                 let rest = self.leftover.take();
-                let is_plausible = rest.is_empty() || rest.starts_with(b"HTTP/1.");
+                let is_repeat = rest.starts_with(RESPONSE_START);
+                if is_repeat {
+                    self.repeat_history.record_repeat(Instant::now());
+                }
+                let is_plausible = rest.is_empty() || is_repeat;
                 if is_plausible { IdleCheck::Finished } else { IdleCheck::ResponseCorrupt }
             }
             Err(_) => IdleCheck::Finished,
         }
     }
+
+    /// The response is read, and the connection could be used again.
+    pub(super) fn finish_response(&self, is_error: bool) {
+        self.filter.borrow_mut().finish_response(is_error, &self.repeat_history, Instant::now());
+    }
+
+    /// Whether the connection can carry another request, now or later.
+    pub(super) fn is_usable(&self, now: Instant) -> bool {
+        self.sender.is_ready() && !self.filter.borrow().is_unusable(&self.repeat_history, now)
+    }
+
+    /// Whether the connection is not to be used yet.
+    pub(super) fn is_resting(&self, now: Instant) -> bool {
+        self.filter.borrow().is_resting(now)
+    }
 }
 
 impl Drop for Connection {
--- a/crates/proxy/src/upstream/connection_pool.rs
+++ b/crates/proxy/src/upstream/connection_pool.rs
@@ -1,12 +1,14 @@
 //! The connections to all backends.
 
 use super::connection::Connection;
+use super::repeat_filter::RepeatHistory;
 use crate::transport::SendGuard;
 use foldhitch_balancer::api::Outcome;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -26,6 +28,8 @@
     pub started_at_ms: f64,
     /// When this proxy was notified that it takes nothing new.
     pub draining_since: Cell<Option<Instant>>,
+    /// Whether it sends responses twice.
+    pub(super) repeat_history: Rc<RepeatHistory>,
 }
 
 impl Endpoint {
@@ -112,7 +116,9 @@
     pub fn endpoint(&self, address: SocketAddr, started_at_ms: f64) -> Endpoint {
         let number = self.next_endpoint.get();
         self.next_endpoint.set(number + 1);
-        Endpoint { number, address, started_at_ms, draining_since: Cell::new(None) }
+        let draining_since = Cell::new(None);
+        let repeat_history = Rc::new(RepeatHistory::new(address));
+        Endpoint { number, address, started_at_ms, draining_since, repeat_history }
     }
 
     /// Closes the idle connections to a process.
@@ -139,12 +145,10 @@
         let max_idle = self.max_idle();
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&endpoint.number)?;
-        while let Some(IdleConnection { connection, since }) = connections.pop() {
-            if connection.sender.is_ready() && since.elapsed() < max_idle {
-                return Some(connection);
-            }
-        }
-        None
+        let now = Instant::now();
+        connections.retain(|idle| idle.connection.is_usable(now) && idle.since.elapsed() < max_idle);
+        let newest = connections.iter().rposition(|idle| !idle.connection.is_resting(now))?;
+        Some(connections.remove(newest).connection)
     }
 
     /// Keeps a connection for another request.
@@ -189,20 +193,20 @@
     /// Makes a connection, if the guard still allows it once there is a permit for it.
     pub(super) async fn connect(
         &self,
-        address: SocketAddr,
+        endpoint: &Endpoint,
         guard: &SendGuard,
     ) -> Result<Connection, Outcome> {
         let permit = self.acquire_permit().await?;
         if !guard() {
             return Err(Outcome::NotSent);
         }
-        let stream = timeout(self.limits.get().connect_timeout, TcpStream::connect(address)).await;
+        let stream = timeout(self.limits.get().connect_timeout, TcpStream::connect(endpoint.address)).await;
         let stream = match stream {
             Ok(Ok(stream)) => stream,
             Ok(Err(error)) if is_out_of_descriptors(&error) => return Err(Outcome::NotSent),
             Ok(Err(_)) | Err(_) => return Err(Outcome::ConnectFailed),
         };
-        Connection::new(stream, permit).await
+        Connection::new(stream, permit, endpoint.repeat_history.clone()).await
     }
 }
 
--- a/crates/proxy/src/upstream/mod.rs
+++ b/crates/proxy/src/upstream/mod.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod connection;
 mod connection_pool;
+mod repeat_filter;
 mod request;
 mod response;
 #[cfg(test)]
--- /dev/null
+++ b/crates/proxy/src/upstream/repeat_filter/filtered_stream.rs
@@ -0,0 +1,112 @@
+//! The stream of a connection to a backend, without copies of responses.
+
+use super::{RepeatFilter, RepeatHistory, Untrusted};
+use crate::transport::UnreadProbe;
+use bytes::Buf;
+use hyper::rt::{Read, ReadBuf, ReadBufCursor, Write};
+use hyper_util::rt::TokioIo;
+use std::cell::RefCell;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+/// How much is read at once, in bytes.
+const READ_BYTES: usize = 4096;
+
+/// A stream from which copies of responses are taken out.
+pub(in crate::upstream) struct FilteredStream {
+    stream: TokioIo<TcpStream>,
+    filter: Rc<RefCell<RepeatFilter>>,
+    history: Rc<RepeatHistory>,
+}
+
+impl FilteredStream {
+    /// Filters the stream of a connection to a backend with this history.
+    pub(in crate::upstream) fn new(
+        stream: TcpStream,
+        filter: Rc<RefCell<RepeatFilter>>,
+        history: Rc<RepeatHistory>,
+    ) -> Self {
+        FilteredStream { stream: TokioIo::new(stream), filter, history }
+    }
+
+    fn receive(&self, bytes: &[u8]) -> io::Result<()> {
+        let received = self.filter.borrow_mut().receive(bytes, &self.history, Instant::now());
+        received.map_err(|Untrusted| io::ErrorKind::InvalidData.into())
+    }
+
+    /// Gives what can be passed on; false if there is nothing.
+    fn give_ready(&self, buffer: &mut ReadBufCursor<'_>) -> bool {
+        let ready = &mut self.filter.borrow_mut().ready;
+        let length = ready.len().min(buffer.remaining());
+        buffer.put_slice(&ready[..length]);
+        ready.advance(length);
+        length > 0
+    }
+}
+
+impl UnreadProbe for FilteredStream {
+    fn has_unread(&self) -> bool {
+        self.stream.has_unread()
+    }
+}
+
+impl Read for FilteredStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        mut buffer: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        let is_bypassed = self.filter.borrow().is_bypassed();
+        if is_bypassed {
+            return Pin::new(&mut self.stream).poll_read(context, buffer);
+        }
+        loop {
+            if self.give_ready(&mut buffer) {
+                return Poll::Ready(Ok(()));
+            }
+            let mut space = [0; READ_BYTES];
+            let mut read = ReadBuf::new(&mut space);
+            ready!(Pin::new(&mut self.stream).poll_read(context, read.unfilled()))?;
+            if read.filled().is_empty() {
+                return Poll::Ready(Ok(()));
+            }
+            self.receive(read.filled())?;
+        }
+    }
+}
+
+impl Write for FilteredStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.filter.borrow_mut().begin_request();
+        Pin::new(&mut self.stream).poll_write(context, buffer)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffers: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.filter.borrow_mut().begin_request();
+        Pin::new(&mut self.stream).poll_write_vectored(context, buffers)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/upstream/repeat_filter/mod.rs
@@ -0,0 +1,282 @@
+//! Takes second copies of responses out of what a backend sends.
+//!
+//! Some backends send a response again, some milliseconds later. HTTP/1.1 has nothing by which such a copy could be
+//! told from the response to the next request on its connection but its bytes. Once a backend is known to repeat, what
+//! comes for a request is held as long as it equals a response remembered on its connection. All of one is a copy, and
+//! is dropped; what differs is passed on unchanged.
+
+mod filtered_stream;
+mod repeat_history;
+#[cfg(test)]
+mod tests;
+
+pub(super) use filtered_stream::FilteredStream;
+pub(super) use repeat_history::RepeatHistory;
+
+use bytes::{Buf, BytesMut};
+use std::collections::VecDeque;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Most responses of a connection that are remembered: a slow copy may come behind later responses.
+const MAX_REMEMBERED_RESPONSES: usize = 8;
+/// Most bytes of them.
+const MAX_REMEMBERED_BYTES: usize = 16 * 1024;
+/// What every response begins with.
+pub(super) const RESPONSE_START: &[u8] = b"HTTP/1.";
+/// Where the first digit of a response's status stands.
+const STATUS_OFFSET: usize = b"HTTP/1.1 ".len();
+/// A connection on which a response equalled an earlier one is not used for so long, to see whether the response
+/// proper is yet to come.
+const OBSERVATION_TIME: Duration = Duration::from_secs(1);
+const HEAD_END: &[u8] = b"\r\n\r\n";
+
+/// How far the exchange on a connection has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Phase {
+    /// No request is open: whatever comes answers none.
+    Idle,
+    /// A request is written, and nothing of its response has been passed on.
+    Awaiting,
+    /// The response is being passed on.
+    Receiving,
+}
+
+/// A response whose copy has not come.
+struct RememberedResponse {
+    bytes: Box<[u8]>,
+    received_at: Instant,
+    rests_until: Instant,
+}
+
+/// The filter of one connection.
+pub(super) struct RepeatFilter {
+    phase: Phase,
+    /// The oldest first.
+    remembered: VecDeque<RememberedResponse>,
+    /// What was passed on of the present response.
+    present: Vec<u8>,
+    /// Whether the present response is too long to be remembered.
+    is_present_too_long: bool,
+    /// What may be a copy.
+    held: BytesMut,
+    /// What can be passed on.
+    ready: BytesMut,
+    /// A copy may have been passed on before the backend was known to repeat: each response since may belong to an
+    /// earlier request.
+    may_be_out_of_step: bool,
+}
+
+/// What came can't be trusted: a copy broke off, and where the next response begins is not certain; or it may belong to
+/// an earlier request.
+#[derive(Debug)]
+pub(super) struct Untrusted;
+
+impl RepeatFilter {
+    pub(super) fn new() -> Self {
+        RepeatFilter {
+            phase: Phase::Idle,
+            remembered: VecDeque::new(),
+            present: Vec::new(),
+            is_present_too_long: false,
+            held: BytesMut::new(),
+            ready: BytesMut::new(),
+            may_be_out_of_step: false,
+        }
+    }
+
+    /// The first byte of a request is about to be written.
+    fn begin_request(&mut self) {
+        if self.phase == Phase::Idle {
+            self.phase = Phase::Awaiting;
+            self.present.clear();
+            self.is_present_too_long = false;
+        }
+    }
+
+    /// Takes what has been read.
+    fn receive(&mut self, bytes: &[u8], history: &RepeatHistory, now: Instant) -> Result<(), Untrusted> {
+        if self.phase == Phase::Idle && is_response_start(bytes) {
+            // Nobody waits for it.
+            history.record_repeat(now);
+        }
+        if self.phase != Phase::Awaiting || !history.repeats(now) {
+            self.pass(bytes);
+            self.phase = Phase::Receiving;
+            return Ok(());
+        }
+        if self.may_be_out_of_step {
+            return Err(Untrusted);
+        }
+        if self.held.is_empty() {
+            let copy_window = history.copy_window();
+            self.remembered.retain(|response| now.duration_since(response.received_at) <= copy_window);
+        }
+        self.held.extend_from_slice(bytes);
+        self.compare(history, now)
+    }
+
+    /// Drops copies from what is held, and passes on what is none.
+    fn compare(&mut self, history: &RepeatHistory, now: Instant) -> Result<(), Untrusted> {
+        while !self.held.is_empty() {
+            if let Some(index) = self.remembered.iter().position(|copy| self.held.starts_with(&copy.bytes)) {
+                self.drop_copy(index, history, now);
+                continue;
+            }
+            if self.remembered.iter().any(|copy| copy.bytes.starts_with(&self.held)) {
+                return Ok(());
+            }
+            if is_interim(&self.held) {
+                let Some(end) = head_length(&self.held) else { return Ok(()) };
+                let head = self.held.split_to(end);
+                self.ready.extend_from_slice(&head);
+                continue;
+            }
+            if self.may_be_broken_copy()? {
+                return Ok(());
+            }
+            self.pass_held();
+            self.phase = Phase::Receiving;
+        }
+        Ok(())
+    }
+
+    fn drop_copy(&mut self, index: usize, history: &RepeatHistory, now: Instant) {
+        let Some(response) = self.remembered.remove(index) else { return };
+        self.held.advance(response.bytes.len());
+        history.record_copy(now, now.duration_since(response.received_at));
+    }
+
+    /// Whether what is held begins like a response that is remembered, and more of it has to come before it is known
+    /// not to be a copy that broke off. An error if it is one.
+    fn may_be_broken_copy(&self) -> Result<bool, Untrusted> {
+        let mut needs_more = false;
+        for response in &self.remembered {
+            let common = common_prefix_length(&response.bytes, &self.held);
+            let Some(head) = head_length(&response.bytes) else { continue };
+            let has_equal_head = common >= head;
+            // With one head, and so one length, both are equally long.
+            let end = if has_equal_head { response.bytes.len() } else { head };
+            let compared = &self.held[..self.held.len().min(end + RESPONSE_START.len())];
+            if find(&compared[1..], RESPONSE_START).is_some_and(|position| position < common) {
+                return Err(Untrusted);
+            }
+            let has_length = !contains_chunked(&response.bytes[..head]);
+            needs_more |= has_equal_head && has_length && self.held.len() < end;
+        }
+        Ok(needs_more)
+    }
+
+    fn pass_held(&mut self) {
+        let held = self.held.split();
+        self.pass(&held);
+    }
+
+    fn pass(&mut self, bytes: &[u8]) {
+        self.ready.extend_from_slice(bytes);
+        self.record_passed(bytes);
+    }
+
+    /// Keeps what is passed on, as far as it is remembered.
+    fn record_passed(&mut self, bytes: &[u8]) {
+        if self.present.len() + bytes.len() > MAX_REMEMBERED_BYTES {
+            self.is_present_too_long = true;
+            self.present = Vec::new();
+        }
+        if !self.is_present_too_long {
+            self.present.extend_from_slice(bytes);
+        }
+    }
+
+    /// Whether the rest of the present response may go by the filter.
+    fn is_bypassed(&self) -> bool {
+        self.phase == Phase::Receiving && self.is_present_too_long && self.ready.is_empty()
+    }
+
+    /// The present response has been read as a whole, and its connection could be used again.
+    pub(super) fn finish_response(&mut self, is_error: bool, history: &RepeatHistory, now: Instant) {
+        self.phase = Phase::Idle;
+        if self.is_present_too_long {
+            return;
+        }
+        let response = final_response(&self.present);
+        let mut rest = Duration::ZERO;
+        if history.repeats(now) {
+            history.record_response(response);
+            if is_error || history.gives_equal_responses() {
+                // The next response may rightly equal it. A copy of it must not be taken for that.
+                rest = history.copy_window();
+            }
+        } else if self.remembered.iter().any(|earlier| *earlier.bytes == *response) {
+            self.may_be_out_of_step = true;
+            if !is_error && history.begin_observation(now) {
+                rest = OBSERVATION_TIME;
+            }
+        } else if !is_error {
+            history.record_distinct_response();
+        }
+        let (bytes, rests_until) = (response.into(), now + rest);
+        self.remember(RememberedResponse { bytes, received_at: now, rests_until });
+    }
+
+    fn remember(&mut self, response: RememberedResponse) {
+        self.remembered.push_back(response);
+        while self.remembered.len() > MAX_REMEMBERED_RESPONSES
+            || self.remembered_bytes() > MAX_REMEMBERED_BYTES
+        {
+            self.remembered.pop_front();
+        }
+    }
+
+    fn remembered_bytes(&self) -> usize {
+        self.remembered.iter().map(|response| response.bytes.len()).sum()
+    }
+
+    /// Whether the connection can carry no further request: a copy of a response that is too long to be remembered
+    /// could not be told from the next one.
+    pub(super) fn is_unusable(&self, history: &RepeatHistory, now: Instant) -> bool {
+        history.repeats(now) && (self.is_present_too_long || self.may_be_out_of_step)
+    }
+
+    /// Whether the connection is not to be used yet.
+    pub(super) fn is_resting(&self, now: Instant) -> bool {
+        self.remembered.iter().any(|response| now < response.rests_until)
+    }
+}
+
+/// Whether bytes begin like a response.
+fn is_response_start(bytes: &[u8]) -> bool {
+    let length = bytes.len().min(RESPONSE_START.len());
+    length > 0 && bytes[..length] == RESPONSE_START[..length]
+}
+
+/// Whether a response is an interim one, behind which the final one comes.
+fn is_interim(response: &[u8]) -> bool {
+    response.starts_with(RESPONSE_START) && response.get(STATUS_OFFSET) == Some(&b'1')
+}
+
+/// A response without the interim ones before it.
+fn final_response(mut response: &[u8]) -> &[u8] {
+    while is_interim(response) {
+        let Some(end) = head_length(response) else { break };
+        response = &response[end..];
+    }
+    response
+}
+
+/// How long a response's head is, with the empty line at its end.
+fn head_length(response: &[u8]) -> Option<usize> {
+    find(response, HEAD_END).map(|position| position + HEAD_END.len())
+}
+
+fn contains_chunked(head: &[u8]) -> bool {
+    find(&head.to_ascii_lowercase(), b"chunked").is_some()
+}
+
+fn find(bytes: &[u8], pattern: &[u8]) -> Option<usize> {
+    bytes.windows(pattern.len()).position(|window| window == pattern)
+}
+
+fn common_prefix_length(left: &[u8], right: &[u8]) -> usize {
+    left.iter().zip(right).take_while(|(left, right)| left == right).count()
+}
--- /dev/null
+++ b/crates/proxy/src/upstream/repeat_filter/tests.rs
@@ -0,0 +1,300 @@
+//! Unit tests of the filter of copies: single cases, and a property over arbitrary cuts and orders.
+
+use super::*;
+use std::net::Ipv4Addr;
+
+const BODY_LENGTH: usize = 16;
+
+fn response(status: u16, body: &str) -> Vec<u8> {
+    format!("HTTP/1.1 {status} X\r\nContent-Length: {}\r\n\r\n{body}", body.len()).into_bytes()
+}
+
+fn chunked_response(body: &str) -> Vec<u8> {
+    let head = "HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n";
+    format!("{head}{:x}\r\n{body}\r\n0\r\n\r\n", body.len()).into_bytes()
+}
+
+/// A filter with its backend's history, on a clock that the test moves.
+struct Fixture {
+    filter: RepeatFilter,
+    history: RepeatHistory,
+    now: Instant,
+}
+
+impl Fixture {
+    fn unknown_backend() -> Self {
+        let history = RepeatHistory::new((Ipv4Addr::LOCALHOST, 1).into());
+        Fixture { filter: RepeatFilter::new(), history, now: Instant::now() }
+    }
+
+    fn repeating_backend() -> Self {
+        let fixture = Fixture::unknown_backend();
+        fixture.history.record_repeat(fixture.now);
+        fixture
+    }
+
+    fn begin_request(&mut self) {
+        self.filter.begin_request();
+    }
+
+    /// Gives what is passed on of bytes that came.
+    fn receive(&mut self, bytes: &[u8]) -> Result<Vec<u8>, Untrusted> {
+        self.now += Duration::from_millis(1);
+        self.filter.receive(bytes, &self.history, self.now)?;
+        Ok(self.filter.ready.split().to_vec())
+    }
+
+    /// The response is read; tells whether its connection can be used again.
+    fn finish(&mut self, is_error: bool) -> bool {
+        self.filter.finish_response(is_error, &self.history, self.now);
+        !self.filter.is_unusable(&self.history, self.now)
+    }
+
+    fn is_resting(&self) -> bool {
+        self.filter.is_resting(self.now)
+    }
+
+    /// A request and its response, which is passed on as it is.
+    fn exchange(&mut self, response: &[u8], is_error: bool) -> bool {
+        self.begin_request();
+        assert_eq!(self.receive(response).expect("no copy"), response);
+        self.finish(is_error)
+    }
+}
+
+#[test]
+fn a_copy_before_the_response_proper_is_dropped() {
+    let mut fixture = Fixture::repeating_backend();
+    let (first, second) = (response(200, "first"), response(200, "other"));
+    fixture.exchange(&first, false);
+    fixture.begin_request();
+    assert_eq!(fixture.receive(&first).expect("a copy"), b"");
+    assert_eq!(fixture.receive(&second).expect("a response"), second);
+}
+
+#[test]
+fn a_copy_that_comes_while_nothing_is_open_tells_that_the_backend_repeats() {
+    let mut fixture = Fixture::unknown_backend();
+    let first = response(200, "first");
+    fixture.exchange(&first, false);
+    assert!(!fixture.history.repeats(fixture.now));
+    // It is passed on, and ends the connection.
+    assert_eq!(fixture.receive(&first).expect("a copy"), first);
+    assert!(fixture.history.repeats(fixture.now));
+}
+
+#[test]
+fn equal_responses_of_a_backend_that_does_not_repeat_are_passed_on() {
+    let mut fixture = Fixture::unknown_backend();
+    for _ in 0..10 {
+        assert!(fixture.exchange(&response(200, "equal"), false));
+        assert!(!fixture.is_resting());
+    }
+}
+
+#[test]
+fn a_connection_with_equal_responses_is_observed_for_the_response_proper() {
+    let mut fixture = Fixture::unknown_backend();
+    for number in 0..10 {
+        fixture.exchange(&response(200, &format!("{number}")), false);
+    }
+    let (first, second) = (response(200, "first"), response(200, "other"));
+    fixture.exchange(&first, false);
+    fixture.exchange(&first, false);
+    assert!(fixture.is_resting());
+    // What was passed on was a copy: the response proper comes now.
+    fixture.receive(&second).expect("it is passed on, and ends the connection");
+    assert!(fixture.history.repeats(fixture.now));
+}
+
+#[test]
+fn of_equal_responses_that_are_sent_twice_the_second_is_the_answer() {
+    let mut fixture = Fixture::repeating_backend();
+    let equal = response(200, "equal");
+    fixture.exchange(&equal, false);
+    for _ in 0..10 {
+        fixture.begin_request();
+        assert_eq!(fixture.receive(&equal).expect("taken for a copy"), b"");
+        assert_eq!(fixture.receive(&equal).expect("the answer"), equal);
+        fixture.finish(false);
+    }
+}
+
+#[test]
+fn once_a_backend_repeats_a_connection_with_equal_responses_is_not_trusted() {
+    let mut fixture = Fixture::unknown_backend();
+    let (first, second) = (response(200, "first"), response(200, "other"));
+    fixture.exchange(&first, false);
+    assert!(fixture.exchange(&second, false));
+    // This is a copy, and what comes next is the response to the request that got it.
+    assert!(fixture.exchange(&first, false));
+    fixture.begin_request();
+    fixture.history.record_repeat(fixture.now);
+    assert!(fixture.filter.is_unusable(&fixture.history, fixture.now));
+    assert!(fixture.receive(&response(200, "third")).is_err());
+}
+
+#[test]
+fn behind_an_error_the_connection_rests_until_no_copy_of_it_can_come() {
+    let mut fixture = Fixture::repeating_backend();
+    let error = response(503, "");
+    fixture.exchange(&error, true);
+    assert!(fixture.is_resting());
+    fixture.now += fixture.history.copy_window();
+    assert!(!fixture.is_resting());
+}
+
+#[test]
+fn a_backend_that_gives_equal_responses_and_repeats_some_has_its_connections_rest() {
+    let mut fixture = Fixture::repeating_backend();
+    let equal = response(200, "equal");
+    fixture.exchange(&equal, false);
+    assert!(!fixture.is_resting());
+    // Another connection to the same backend.
+    fixture.filter = RepeatFilter::new();
+    fixture.exchange(&equal, false);
+    assert!(fixture.is_resting());
+}
+
+#[test]
+fn a_copy_is_recognized_behind_an_interim_response() {
+    let mut fixture = Fixture::repeating_backend();
+    let interim = b"HTTP/1.1 100 Continue\r\n\r\n";
+    let (first, second) = (response(200, "first"), response(200, "other"));
+    fixture.exchange(&[interim.as_slice(), &first].concat(), false);
+    fixture.begin_request();
+    let received = [interim.as_slice(), &first, interim, &second].concat();
+    let passed = fixture.receive(&received).expect("a response");
+    assert_eq!(passed, [interim.as_slice(), interim, &second].concat());
+}
+
+#[test]
+fn a_copy_that_broke_off_ends_the_connection() {
+    for cut in 1..response(200, "first").len() {
+        let mut fixture = Fixture::repeating_backend();
+        let (first, second) = (response(200, "first"), response(200, "other"));
+        fixture.exchange(&first, false);
+        fixture.begin_request();
+        assert_eq!(fixture.receive(&first[..cut]).expect("held"), b"");
+        assert!(fixture.receive(&second).is_err(), "cut at {cut}");
+    }
+}
+
+#[test]
+fn a_response_that_begins_like_a_copy_is_passed_on_unchanged() {
+    for cut in 1..response(200, "first").len() {
+        let mut fixture = Fixture::repeating_backend();
+        let (first, second) = (response(200, "first"), response(200, "fired"));
+        fixture.exchange(&first, false);
+        fixture.begin_request();
+        let mut passed = fixture.receive(&second[..cut]).expect("no copy");
+        passed.extend(fixture.receive(&second[cut..]).expect("no copy"));
+        assert_eq!(passed, second, "cut at {cut}");
+    }
+}
+
+#[test]
+fn behind_a_response_too_long_to_be_remembered_a_repeaters_connection_is_not_used_again() {
+    let long = response(200, &"x".repeat(MAX_REMEMBERED_BYTES));
+    assert!(!Fixture::repeating_backend().exchange(&long, false));
+    assert!(Fixture::unknown_backend().exchange(&long, false));
+}
+
+#[test]
+fn what_is_remembered_is_bounded() {
+    let mut fixture = Fixture::repeating_backend();
+    for number in 0..100 {
+        fixture.exchange(&response(200, &format!("{number:03}{}", "x".repeat(3000))), false);
+        assert!(fixture.filter.remembered_bytes() <= MAX_REMEMBERED_BYTES);
+        assert!(fixture.filter.remembered.len() <= MAX_REMEMBERED_RESPONSES);
+    }
+}
+
+#[test]
+fn a_backend_without_a_copy_for_long_is_no_longer_filtered() {
+    let mut fixture = Fixture::repeating_backend();
+    assert!(fixture.history.repeats(fixture.now));
+    fixture.now += Duration::from_secs(61);
+    assert!(!fixture.history.repeats(fixture.now));
+}
+
+/// A connection to a backend that sends each response again now and then, at an arbitrary time.
+struct RandomBackend {
+    random: fastrand::Rng,
+    fixture: Fixture,
+    /// Copies that are still to be sent, with the number of their request.
+    copies: VecDeque<(usize, Vec<u8>)>,
+    request_count: usize,
+}
+
+impl RandomBackend {
+    fn new(seed: u64) -> Self {
+        let random = fastrand::Rng::with_seed(seed);
+        let fixture = Fixture::repeating_backend();
+        RandomBackend { random, fixture, copies: VecDeque::new(), request_count: 0 }
+    }
+
+    /// A response unlike all others.
+    fn response(&mut self) -> (Vec<u8>, bool) {
+        let body: String = std::iter::repeat_with(|| self.random.alphanumeric()).take(BODY_LENGTH).collect();
+        match self.random.u8(..4) {
+            0 => (chunked_response(&body), false),
+            1 => (response(500, &body), true),
+            _ => (response(200, &body), false),
+        }
+    }
+
+    /// Some of the copies that are to be sent.
+    fn take_copies(&mut self) -> Vec<u8> {
+        let oldest = (self.request_count + 1).saturating_sub(MAX_REMEMBERED_RESPONSES);
+        let due = self.copies.iter().take_while(|(request, _)| *request <= oldest).count();
+        let count = self.random.usize(due..=self.copies.len());
+        self.copies.drain(..count).flat_map(|(_, copy)| copy).collect()
+    }
+
+    /// Sends bytes in pieces, and gives what is passed on.
+    fn send(&mut self, mut bytes: &[u8]) -> Vec<u8> {
+        let mut passed = Vec::new();
+        while !bytes.is_empty() {
+            let (piece, rest) = bytes.split_at(self.random.usize(1..=bytes.len()));
+            passed.extend(self.fixture.receive(piece).expect("no copy breaks off"));
+            bytes = rest;
+        }
+        passed
+    }
+
+    /// Waits as the pool does before a connection that rests is used.
+    fn wait_until_rested(&mut self) {
+        if self.fixture.is_resting() {
+            self.fixture.now += self.fixture.history.copy_window();
+            self.copies.clear();
+        }
+    }
+
+    /// One request; false once the connection can't be used again.
+    fn exchange(&mut self) -> bool {
+        self.wait_until_rested();
+        self.fixture.begin_request();
+        let (response, is_error) = self.response();
+        let mut received = self.take_copies();
+        received.extend(&response);
+        assert_eq!(self.send(&received), response, "each request gets its own response");
+        if self.random.bool() {
+            self.copies.push_back((self.request_count, response));
+        }
+        self.request_count += 1;
+        self.fixture.finish(is_error)
+    }
+}
+
+#[test]
+fn whatever_the_cuts_and_the_order_each_request_gets_its_own_response() {
+    for seed in 0..2000 {
+        let mut backend = RandomBackend::new(seed);
+        for _ in 0..30 {
+            if !backend.exchange() {
+                break;
+            }
+        }
+    }
+}
--- a/crates/proxy/src/upstream/response.rs
+++ b/crates/proxy/src/upstream/response.rs
@@ -104,6 +104,7 @@
     /// Streams the response. One that is not known to have come to its proper end has broken off.
     pub(super) async fn run(mut self, begun: PartialResponse) {
         if let Ok(IdleCheck::Reusable) = self.stream(begun).await {
+            self.connection.finish_response(false);
             self.pool.keep_idle(&self.endpoint, self.connection);
         }
     }
--- a/crates/proxy/src/upstream/tests.rs
+++ b/crates/proxy/src/upstream/tests.rs
@@ -51,9 +51,9 @@
             assert_ne!(backend.read(&mut [0; 1024]).await.expect("open"), 0);
             cancel.send(()).expect("it is out");
             assert_eq!(ended.await.expect("no panic").outcome(), Outcome::Cancelled);
-            let connection = pool.connect(address, &guard).await.expect("the abandoned one is closed");
+            let connection = pool.connect(&endpoint, &guard).await.expect("the abandoned one is closed");
             pool.keep_idle(&endpoint, connection);
-            assert!(pool.connect(address, &guard).await.is_ok(), "the idle one gives way");
+            assert!(pool.connect(&endpoint, &guard).await.is_ok(), "the idle one gives way");
         })
         .await;
 }
@@ -80,7 +80,7 @@
                 let pool = Rc::new(ConnectionPool::new(limits));
                 let endpoint = Rc::new(pool.endpoint(address, 0.0));
                 let guard: SendGuard = Rc::new(|| true);
-                let connection = pool.connect(address, &guard).await.expect("it listens");
+                let connection = pool.connect(&endpoint, &guard).await.expect("it listens");
                 let (mut backend, _) = listener.accept().await.expect("it came");
                 // In use by an attempt, or idle.
                 let mut held = Some(connection);
--- a/crates/proxy/tests/stray_responses.rs
+++ b/crates/proxy/tests/stray_responses.rs
@@ -1,13 +1,11 @@
-//! A backend that sends each response again some milliseconds later.
-//!
-//! What callers see: one client gets the answer of another's request (soak seed 329). The repeat comes on a connection on
-//! which the next request is written already, and is taken for its response. This test fails as long as that is not
-//! mended: a rest of 25 ms for the connections of a backend that has sent a repeat mended it, and was taken out, since
-//! the backends' connections that had to be made anew cost more service than may be lost.
+//! Backends that send a response again some milliseconds later: no client gets the answer of another's request.
 
 mod support;
 
-use std::time::Duration;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
 use support::*;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -16,6 +14,13 @@
 /// A repeat comes so long after its response.
 const REPEAT_DELAY: Duration = Duration::from_millis(3);
 
+/// A request whose backend declined it waits no longer than this for another try, in milliseconds.
+const MAX_QUEUE_WAIT_MS: f64 = 200.0;
+/// Busy clients at once.
+const CLIENTS: usize = 5;
+/// Most answers of others that they get: one on each connection that a backend has before it is known.
+const MAX_WRONG_BEFORE_KNOWN: usize = 2 * CLIENTS;
+
 /// Answers each request with its id, twice.
 async fn repeat_responses(mut stream: TcpStream) {
     let mut seen = Vec::new();
@@ -60,3 +65,287 @@
         assert_eq!(client.send(request).await, (200, id));
     }
 }
+
+/// What a backend does for a request, step by step.
+enum Step {
+    Write(Vec<u8>),
+    Pause(Duration),
+    Close,
+}
+
+/// The steps for the n-th request on a connection, by the request's id.
+type Script = dyn Fn(usize, &str) -> Vec<Step> + Send + Sync;
+
+/// A backend that follows a script on each of its connections.
+struct ScriptedBackend {
+    addr: SocketAddr,
+    /// How often each request came.
+    received: Arc<Mutex<HashMap<String, usize>>>,
+}
+
+impl ScriptedBackend {
+    async fn start(script: impl Fn(usize, &str) -> Vec<Step> + Send + Sync + 'static) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let addr = listener.local_addr().expect("bound");
+        let received = Arc::<Mutex<HashMap<String, usize>>>::default();
+        let (script, seen): (Arc<Script>, _) = (Arc::new(script), received.clone());
+        tokio::spawn(async move {
+            loop {
+                let (stream, _) = listener.accept().await.expect("a connection");
+                stream.set_nodelay(true).expect("open");
+                tokio::spawn(follow_script(stream, script.clone(), seen.clone()));
+            }
+        });
+        ScriptedBackend { addr, received }
+    }
+}
+
+async fn follow_script(
+    mut stream: TcpStream,
+    script: Arc<Script>,
+    received: Arc<Mutex<HashMap<String, usize>>>,
+) {
+    let mut seen = Vec::new();
+    let mut count = 0;
+    while stream.read_buf(&mut seen).await.is_ok_and(|length| length > 0) {
+        if !seen.ends_with(b"\r\n\r\n") {
+            continue;
+        }
+        let text = String::from_utf8(std::mem::take(&mut seen)).expect("text").to_ascii_lowercase();
+        let (_, rest) = text.split_once("req-id: ").expect("an id");
+        let id = &rest[..16];
+        *received.lock().expect("no panic").entry(id.to_string()).or_default() += 1;
+        for step in script(count, id) {
+            match step {
+                // The proxy may close the connection in between.
+                Step::Write(bytes) => drop(stream.write_all(&bytes).await),
+                Step::Pause(pause) => sleep(pause).await,
+                Step::Close => return,
+            }
+        }
+        count += 1;
+    }
+}
+
+fn response(status: u16, headers: &str, body: &str) -> Vec<u8> {
+    format!("HTTP/1.1 {status} X\r\n{headers}Content-Length: {}\r\n\r\n{body}", body.len()).into_bytes()
+}
+
+fn own_response(id: &str) -> Vec<u8> {
+    response(200, "", id)
+}
+
+/// Something, and again after the delay of a repeat.
+fn twice(bytes: &[u8]) -> Vec<Step> {
+    vec![Step::Write(bytes.to_vec()), Step::Pause(REPEAT_DELAY), Step::Write(bytes.to_vec())]
+}
+
+/// A proxy before one backend, which repeats the response to its first request while nothing else is open.
+async fn proxy_before(backend: &ScriptedBackend) -> (Discovery, Proxy) {
+    let discovery = Discovery::start(vec![line("a", backend.addr, "SERVING")]).await;
+    let mut settings = settings();
+    for class in settings["classes"].as_array_mut().expect("a list") {
+        class["aim"] = MAX_QUEUE_WAIT_MS.into();
+    }
+    let proxy = Proxy::wait_until_applied(&discovery, settings).await;
+    assert_eq!(proxy.call("look").await.0, 200);
+    sleep(20 * REPEAT_DELAY).await;
+    (discovery, proxy)
+}
+
+/// Sends requests one after the other without a pause, and gives for each its id and its answer.
+async fn call_in_a_row(proxy: &Proxy, class: &str, count: usize) -> Vec<(String, (u16, String))> {
+    let mut client = proxy.client().await;
+    let mut answers = Vec::new();
+    for _ in 0..count {
+        let request = request(class).body(http_body_util::Full::<bytes::Bytes>::default());
+        let request = request.expect("well formed");
+        let id = request.headers()["req-id"].to_str().expect("text").to_string();
+        answers.push((id, client.send(request).await));
+    }
+    answers
+}
+
+/// Each request is served with its own answer, where the first response on a connection comes twice and the others as
+/// the script says.
+async fn each_gets_its_own(script: impl Fn(usize, &str) -> Vec<Step> + Send + Sync + 'static) {
+    let backend =
+        ScriptedBackend::start(
+            move |count, id| {
+                if count == 0 { twice(&own_response(id)) } else { script(count, id) }
+            },
+        )
+        .await;
+    let (_discovery, proxy) = proxy_before(&backend).await;
+    for (id, answer) in call_in_a_row(&proxy, "look", 50).await {
+        assert_eq!(answer, (200, id));
+    }
+}
+
+/// A copy comes in pieces, with a pause between them.
+#[tokio::test]
+async fn a_copy_in_pieces_is_no_answer() {
+    each_gets_its_own(|_, id| {
+        let own = own_response(id);
+        let (first, rest) = own.split_at(30);
+        let mut steps = vec![Step::Write(own.clone()), Step::Pause(REPEAT_DELAY)];
+        steps.extend([Step::Write(first.to_vec()), Step::Pause(REPEAT_DELAY), Step::Write(rest.to_vec())]);
+        steps
+    })
+    .await;
+}
+
+/// A copy comes in one piece with its response.
+#[tokio::test]
+async fn a_copy_merged_with_its_response_is_no_answer() {
+    each_gets_its_own(|_, id| vec![Step::Write(own_response(id).repeat(2))]).await;
+}
+
+/// As [`each_gets_its_own`], but a request may end with an error: a backend that breaks its responses off is ejected.
+async fn each_gets_its_own_or_an_error(script: impl Fn(usize, &str) -> Vec<Step> + Send + Sync + 'static) {
+    let backend =
+        ScriptedBackend::start(
+            move |count, id| {
+                if count == 0 { twice(&own_response(id)) } else { script(count, id) }
+            },
+        )
+        .await;
+    let (_discovery, proxy) = proxy_before(&backend).await;
+    let answers = call_in_a_row(&proxy, "look", 50).await;
+    assert_eq!(answers[0], (answers[0].0.clone(), (200, answers[0].0.clone())));
+    for (id, (status, body)) in answers {
+        assert!(status == 503 || (status, &body) == (200, &id), "{id} was answered {status} {body}");
+    }
+}
+
+/// A copy breaks off in its head or in its body, and what comes next stands right behind it.
+#[tokio::test]
+async fn a_copy_that_breaks_off_is_no_answer() {
+    for length in [5, 30, 45] {
+        each_gets_its_own_or_an_error(move |_, id| {
+            let own = own_response(id);
+            vec![Step::Write(own.clone()), Step::Pause(REPEAT_DELAY), Step::Write(own[..length].to_vec())]
+        })
+        .await;
+    }
+}
+
+/// A copy breaks off with its connection.
+#[tokio::test]
+async fn a_copy_that_ends_with_its_connection_is_no_answer() {
+    each_gets_its_own_or_an_error(|_, id| {
+        let own = own_response(id);
+        let cut = own[..45].to_vec();
+        vec![Step::Write(own), Step::Pause(REPEAT_DELAY), Step::Write(cut), Step::Close]
+    })
+    .await;
+}
+
+/// Copies of bodies in chunks.
+#[tokio::test]
+async fn a_copy_in_chunks_is_no_answer() {
+    each_gets_its_own(|_, id| {
+        let head = "HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n";
+        twice(format!("{head}10\r\n{id}\r\n0\r\n\r\n").as_bytes())
+    })
+    .await;
+}
+
+/// Copies of responses behind an interim one, with and without it.
+#[tokio::test]
+async fn a_copy_behind_an_interim_response_is_no_answer() {
+    let interim = b"HTTP/1.1 100 Continue\r\n\r\n";
+    each_gets_its_own(|count, id| {
+        let own = own_response(id);
+        let with_interim = [interim.as_slice(), &own].concat();
+        let copy = if count % 2 == 0 { with_interim.clone() } else { own };
+        vec![Step::Write(with_interim), Step::Pause(REPEAT_DELAY), Step::Write(copy)]
+    })
+    .await;
+}
+
+/// Copies of responses that are too long to be remembered, buffered and streamed ones.
+#[tokio::test]
+async fn a_copy_of_a_long_response_is_no_answer() {
+    for length in [20_000, 100_000] {
+        let long = move |id: &str| id.repeat(length / id.len());
+        let script = move |_, id: &str| twice(&own_response(&long(id)));
+        let backend = ScriptedBackend::start(script).await;
+        let (_discovery, proxy) = proxy_before(&backend).await;
+        for (id, (status, body)) in call_in_a_row(&proxy, "look", 30).await {
+            assert_eq!(status, 200);
+            assert!(body == long(&id), "the body of {length} bytes is that of another request");
+        }
+    }
+}
+
+/// Errors come twice as well: an error's copy is no word on the next request, which would be sent again though it runs.
+#[tokio::test]
+async fn a_copy_of_an_error_is_no_answer_to_a_request_that_must_not_run_twice() {
+    for (status, headers) in [(503, "Srv-Declined: 1\r\n"), (500, "")] {
+        let served = Arc::new(Mutex::new(HashMap::<String, usize>::new()));
+        let runs = served.clone();
+        let script = move |count: usize, id: &str| {
+            if count % 2 == 1 {
+                return twice(&response(status, headers, ""));
+            }
+            *runs.lock().expect("no panic").entry(id.to_string()).or_default() += 1;
+            twice(&own_response(id))
+        };
+        let backend = ScriptedBackend::start(script).await;
+        let (_discovery, proxy) = proxy_before(&backend).await;
+        for (id, (status, body)) in call_in_a_row(&proxy, "once", 50).await {
+            let was_served = served.lock().expect("no panic").contains_key(&id);
+            assert_eq!(status == 200, was_served, "{id} was answered {status} by a copy");
+            assert!(status != 200 || body == id, "{id} was answered with {body}");
+        }
+        assert!(served.lock().expect("no panic").values().all(|&runs| runs == 1));
+    }
+}
+
+/// All responses of a backend are equal, and rightly so.
+async fn equal_responses_are_served(is_repeated: impl Fn(usize) -> bool + Send + Sync + 'static) {
+    let backend = ScriptedBackend::start(move |count, _| {
+        let equal = response(200, "", "equal");
+        if is_repeated(count) { twice(&equal) } else { vec![Step::Write(equal)] }
+    })
+    .await;
+    let (_discovery, proxy) = proxy_before(&backend).await;
+    let begun_at = Instant::now();
+    for (id, answer) in call_in_a_row(&proxy, "once", 300).await {
+        assert_eq!(answer, (200, "equal".to_string()));
+        assert_eq!(backend.received.lock().expect("no panic")[&id], 1);
+    }
+    assert!(begun_at.elapsed() < Duration::from_secs(10), "requests were held");
+}
+
+#[tokio::test]
+async fn equal_responses_of_a_backend_that_does_not_repeat_are_served_at_once() {
+    equal_responses_are_served(|_| false).await;
+}
+
+#[tokio::test]
+async fn equal_responses_of_a_backend_that_repeats_are_served() {
+    equal_responses_are_served(|_| true).await;
+}
+
+/// A backend that repeats is known by the first connection on which it is seen, however busy its connections are.
+#[tokio::test]
+async fn busy_clients_get_few_answers_of_others_before_the_backend_is_known() {
+    let mut backends = Vec::new();
+    for _ in 0..2 {
+        backends.push(ScriptedBackend::start(|_, id| twice(&own_response(id))).await);
+    }
+    let list = ["a", "b"].iter().zip(&backends).map(|(name, backend)| line(name, backend.addr, "SERVING"));
+    let discovery = Discovery::start(list.collect()).await;
+    let proxy = Proxy::wait_until_applied(&discovery, settings()).await;
+    let mut wrong = 0;
+    let calls: [_; CLIENTS] = std::array::from_fn(|_| call_in_a_row(&proxy, "look", 300));
+    let [a, b, c, d, e] = calls;
+    let answers = tokio::join!(a, b, c, d, e);
+    for (id, (status, body)) in [answers.0, answers.1, answers.2, answers.3, answers.4].concat() {
+        assert_eq!(status, 200);
+        wrong += usize::from(body != id);
+    }
+    assert!(wrong <= MAX_WRONG_BEFORE_KNOWN, "{wrong} of 1500");
+}
