Equal errors are no equal responses: a repeater's connections rest behind errors only, and shorter

Cause, by a log of the filter's steps: the equal 503 of a full backend counted as equal responses, so that every connection to a repeater rested for 250 ms behind each response: 1,941 rests behind served responses, 196 behind errors, no copy dropped.

Mend: only served responses count. What rested is forgotten at the end of its rest, so that no real error is held. The test of the first fails without it.

--- a/crates/proxy/src/upstream/repeat_filter/mod.rs
+++ b/crates/proxy/src/upstream/repeat_filter/mod.rs
@@ -46,7 +46,18 @@
 struct RememberedResponse {
     bytes: Box<[u8]>,
     received_at: Instant,
-    rests_until: Instant,
+    /// Until when its connection is not used, if the next response may rightly equal it; it is forgotten then.
+    rests_until: Option<Instant>,
+}
+
+impl RememberedResponse {
+    /// Whether its copy may still come.
+    fn is_awaited(&self, history: &RepeatHistory, now: Instant) -> bool {
+        match self.rests_until {
+            Some(until) => now < until,
+            None => now.duration_since(self.received_at) <= history.copy_window(),
+        }
+    }
 }
 
 /// The filter of one connection.
@@ -109,8 +120,7 @@
             return Err(Untrusted);
         }
         if self.held.is_empty() {
-            let copy_window = history.copy_window();
-            self.remembered.retain(|response| now.duration_since(response.received_at) <= copy_window);
+            self.remembered.retain(|response| response.is_awaited(history, now));
         }
         self.held.extend_from_slice(bytes);
         self.compare(history, now)
@@ -200,22 +210,24 @@
             return;
         }
         let response = final_response(&self.present);
-        let mut rest = Duration::ZERO;
+        let mut rest = None;
         if history.repeats(now) {
-            history.record_response(response);
+            if !is_error {
+                history.record_response(response);
+            }
             if is_error || history.gives_equal_responses() {
                 // The next response may rightly equal it. A copy of it must not be taken for that.
-                rest = history.copy_window();
+                rest = Some(history.rest_time());
             }
         } else if self.remembered.iter().any(|earlier| *earlier.bytes == *response) {
             self.may_be_out_of_step = true;
             if !is_error && history.begin_observation(now) {
-                rest = OBSERVATION_TIME;
+                rest = Some(OBSERVATION_TIME);
             }
         } else if !is_error {
             history.record_distinct_response();
         }
-        let (bytes, rests_until) = (response.into(), now + rest);
+        let (bytes, rests_until) = (response.into(), rest.map(|rest| now + rest));
         self.remember(RememberedResponse { bytes, received_at: now, rests_until });
     }
 
@@ -240,7 +252,7 @@
 
     /// Whether the connection is not to be used yet.
     pub(super) fn is_resting(&self, now: Instant) -> bool {
-        self.remembered.iter().any(|response| now < response.rests_until)
+        self.remembered.iter().any(|response| response.rests_until.is_some_and(|until| now < until))
     }
 }
 
--- a/crates/proxy/src/upstream/repeat_filter/repeat_history.rs
+++ b/crates/proxy/src/upstream/repeat_filter/repeat_history.rs
@@ -13,6 +13,8 @@
 const COPY_DELAY_FACTOR: u32 = 8;
 /// Copies are expected for so long at the least: either side may be held up.
 const MIN_COPY_WINDOW: Duration = Duration::from_millis(250);
+/// A connection rests for so long at the least: it costs the backend work to make another in its place.
+const MIN_REST_TIME: Duration = Duration::from_millis(50);
 /// A copy that comes later than this is not told from a response.
 const MAX_COPY_WINDOW: Duration = Duration::from_secs(2);
 /// A connection is observed if so many responses in a row before differed.
@@ -71,6 +73,11 @@
         (self.longest_delay.get() * COPY_DELAY_FACTOR).clamp(MIN_COPY_WINDOW, MAX_COPY_WINDOW)
     }
 
+    /// How long a connection rests behind a response that the next may rightly equal.
+    pub(super) fn rest_time(&self) -> Duration {
+        (self.longest_delay.get() * COPY_DELAY_FACTOR).clamp(MIN_REST_TIME, MAX_COPY_WINDOW)
+    }
+
     /// A response was passed on, and was no copy.
     pub(super) fn record_response(&self, response: &[u8]) {
         let mut hasher = DefaultHasher::new();
--- a/crates/proxy/src/upstream/repeat_filter/tests.rs
+++ b/crates/proxy/src/upstream/repeat_filter/tests.rs
@@ -140,8 +140,10 @@
     let error = response(503, "");
     fixture.exchange(&error, true);
     assert!(fixture.is_resting());
-    fixture.now += fixture.history.copy_window();
+    fixture.now += fixture.history.rest_time();
     assert!(!fixture.is_resting());
+    // It is forgotten then: an equal one is a response.
+    fixture.exchange(&error, true);
 }
 
 #[test]
@@ -156,6 +158,17 @@
     assert!(fixture.is_resting());
 }
 
+#[test]
+fn equal_errors_are_no_sign_of_equal_responses() {
+    let mut fixture = Fixture::repeating_backend();
+    for _ in 0..2 {
+        fixture.exchange(&response(503, ""), true);
+        fixture.now += fixture.history.rest_time();
+    }
+    fixture.exchange(&response(200, "first"), false);
+    assert!(!fixture.is_resting());
+}
+
 #[test]
 fn a_copy_is_recognized_behind_an_interim_response() {
     let mut fixture = Fixture::repeating_backend();
@@ -266,7 +279,7 @@
     /// Waits as the pool does before a connection that rests is used.
     fn wait_until_rested(&mut self) {
         if self.fixture.is_resting() {
-            self.fixture.now += self.fixture.history.copy_window();
+            self.fixture.now += self.fixture.history.rest_time();
             self.copies.clear();
         }
     }
