A connection is out of step only while a copy of its responses may be on its way

Callers saw: nothing by itself; found by reading. A connection on which two errors of an unknown backend were equal, however long ago, was closed once the backend was known to repeat, with what was in flight on it.

Cause: the suspicion stayed for the connection's life. Where nothing comes for as long as a copy may take, it is refuted; and an equal response is suspect only while a copy of the earlier one may come. The new test fails without the change.

--- a/crates/proxy/src/upstream/repeat_filter/filtered_stream.rs
+++ b/crates/proxy/src/upstream/repeat_filter/filtered_stream.rs
@@ -33,6 +33,10 @@
         FilteredStream { stream: TokioIo::new(stream), filter, history }
     }
 
+    fn begin_request(&self) {
+        self.filter.borrow_mut().begin_request(&self.history, Instant::now());
+    }
+
     fn receive(&self, bytes: &[u8]) -> io::Result<()> {
         let received = self.filter.borrow_mut().receive(bytes, &self.history, Instant::now());
         received.map_err(|Untrusted| io::ErrorKind::InvalidData.into())
@@ -85,7 +89,7 @@
         context: &mut Context<'_>,
         buffer: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.filter.borrow_mut().begin_request();
+        self.begin_request();
         Pin::new(&mut self.stream).poll_write(context, buffer)
     }
 
@@ -94,7 +98,7 @@
         context: &mut Context<'_>,
         buffers: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.filter.borrow_mut().begin_request();
+        self.begin_request();
         Pin::new(&mut self.stream).poll_write_vectored(context, buffers)
     }
 
--- a/crates/proxy/src/upstream/repeat_filter/mod.rs
+++ b/crates/proxy/src/upstream/repeat_filter/mod.rs
@@ -97,8 +97,11 @@
     }
 
     /// The first byte of a request is about to be written.
-    fn begin_request(&mut self) {
+    fn begin_request(&mut self, history: &RepeatHistory, now: Instant) {
         if self.phase == Phase::Idle {
+            // Nothing came in all the time in which an earlier response would have come.
+            let is_copy_awaited = self.remembered.back().is_some_and(|last| last.is_awaited(history, now));
+            self.may_be_out_of_step &= is_copy_awaited;
             self.phase = Phase::Awaiting;
             self.present.clear();
             self.is_present_too_long = false;
@@ -219,7 +222,7 @@
                 // The next response may rightly equal it. A copy of it must not be taken for that.
                 rest = Some(history.rest_time());
             }
-        } else if self.remembered.iter().any(|earlier| *earlier.bytes == *response) {
+        } else if self.awaits_copy_of(response, history, now) {
             self.may_be_out_of_step = true;
             if !is_error && history.begin_observation(now) {
                 rest = Some(OBSERVATION_TIME);
@@ -231,6 +234,10 @@
         self.remember(RememberedResponse { bytes, received_at: now, rests_until });
     }
 
+    fn awaits_copy_of(&self, response: &[u8], history: &RepeatHistory, now: Instant) -> bool {
+        self.remembered.iter().any(|earlier| *earlier.bytes == *response && earlier.is_awaited(history, now))
+    }
+
     fn remember(&mut self, response: RememberedResponse) {
         self.remembered.push_back(response);
         while self.remembered.len() > MAX_REMEMBERED_RESPONSES
--- a/crates/proxy/src/upstream/repeat_filter/tests.rs
+++ b/crates/proxy/src/upstream/repeat_filter/tests.rs
@@ -34,7 +34,7 @@
     }
 
     fn begin_request(&mut self) {
-        self.filter.begin_request();
+        self.filter.begin_request(&self.history, self.now);
     }
 
     /// Gives what is passed on of bytes that came.
@@ -134,6 +134,17 @@
     assert!(fixture.receive(&response(200, "third")).is_err());
 }
 
+#[test]
+fn a_connection_on_which_nothing_came_for_long_is_trusted_again() {
+    let mut fixture = Fixture::unknown_backend();
+    fixture.exchange(&response(503, ""), true);
+    fixture.exchange(&response(503, ""), true);
+    fixture.now += 2 * fixture.history.copy_window();
+    fixture.begin_request();
+    fixture.history.record_repeat(fixture.now);
+    assert!(fixture.receive(&response(200, "first")).is_ok());
+}
+
 #[test]
 fn behind_an_error_the_connection_rests_until_no_copy_of_it_can_come() {
     let mut fixture = Fixture::repeating_backend();
