A new connection that the proxy closes ends with 503, so that a request on its way is answered

Cause: a connection that has sent nothing is closed when it gives way, is overdue, or at a stop; its request may come after any last look. What waits at the listener for more than 0.1 s when it closes was reset.

Evidence: the four tests of crossing_requests.rs let the request come after the decision, 200 times each where a crowd is needed.

--- a/crates/proxy/src/downstream/connection.rs
+++ b/crates/proxy/src/downstream/connection.rs
@@ -9,9 +9,10 @@
 };
 use super::response::{
     ClientResponse, answer_response, close_after, closing_response, empty_response, rejected_response,
+    rejected_response_bytes,
 };
 use super::server::{ListenerPhase, Server};
-use crate::dispatcher::{Answer, IncomingRequest, RESPONSE_MARGIN, duration_from_ms};
+use crate::dispatcher::{Answer, IncomingRequest, RESPONSE_MARGIN};
 use crate::log::log;
 use crate::transport::{
     ClientSocket, MAX_BODY_BYTES, MAX_HEAD_BYTES, MAX_HEADERS, ObservedStream, RequestPayload, SendGuard,
@@ -43,8 +44,6 @@
 /// Share of the connections that clients may fill with requests who have not been served on their connection yet: a
 /// burst of worthless requests must leave some for the others.
 const MAX_UNSERVED_FRACTION: f64 = 0.75;
-/// Who is rejected for want of space is told to stay away so long, in milliseconds, where that is told.
-const RETRY_AFTER_MS: f64 = 500.0;
 
 /// A connection that was accepted.
 pub(super) struct ClientConnection {
@@ -135,7 +134,8 @@
                         continue;
                     }
                     if !self.socket.has_unread() {
-                        return false;
+                        self.reject_first_request();
+                        return !state.was_answered.get() && !self.server.is_full();
                     }
                     // A client that sends again at once is never idle: were it to stay, it would hold its place for ever.
                     state.is_last_answer.set(true);
@@ -144,6 +144,7 @@
                 () = ending.as_mut(), if !state.is_last_answer.get() => state.is_last_answer.set(true),
                 () = self.idle_at_last_answer() => {
                     if !self.socket.has_unread() {
+                        self.reject_first_request();
                         return true;
                     }
                     // The reactor is about to tell of it.
@@ -153,6 +154,14 @@
         }
     }
 
+    /// On a connection that ends before its first answer: a request that is on its way has its answer already when it
+    /// comes. On one that was used a request that crosses the close may be sent again.
+    fn reject_first_request(&self) {
+        if !self.state.was_answered.get() {
+            self.socket.send_last(&rejected_response_bytes(self.server.retry_after()));
+        }
+    }
+
     /// Ready, whenever it is polled, if the connection is to end and nothing of a request has come.
     async fn idle_at_last_answer(&self) {
         let is_over = || self.state.is_last_answer.get() && self.state.is_idle();
@@ -189,7 +198,7 @@
             Err(rejection) => *rejection,
             Ok(_) if self.is_overloaded() => {
                 self.server.statistics.record_rejected();
-                rejected_response(self.retry_after())
+                rejected_response(self.server.retry_after())
             }
             Ok((request, _guard)) => self.dispatch(request).await,
         };
@@ -247,12 +256,6 @@
         in_flight >= limit || !self.state.was_served.get() && in_flight >= unserved_limit
     }
 
-    fn retry_after(&self) -> Option<Duration> {
-        let capabilities = &self.server.dispatcher.settings().balancer.capabilities;
-        let retry_after_ms = RETRY_AFTER_MS.min(capabilities.max_retry_after_ms);
-        if capabilities.sends_retry_after { Some(duration_from_ms(retry_after_ms)) } else { None }
-    }
-
     /// Reads a request completely, or says what is wrong with it.
     async fn read_request(
         &self,
@@ -325,7 +328,7 @@
             Ok(BufferedBody::Partial(first)) => Ok(ReceivedBody::Partial { first, rest: body, deadline }),
             Err(StatusCode::SERVICE_UNAVAILABLE) => {
                 self.discard_body(parsed, body, deadline);
-                Err(Box::new(rejected_response(self.retry_after())))
+                Err(Box::new(rejected_response(self.server.retry_after())))
             }
             Err(status) => {
                 let (id, class) = (printable_id(&parsed.id), class_name(head));
--- a/crates/proxy/src/downstream/listener.rs
+++ b/crates/proxy/src/downstream/listener.rs
@@ -2,7 +2,9 @@
 
 use super::connection::serve_connection;
 use super::connection_table::EvictionPurpose;
+use super::response::rejected_response_bytes;
 use super::server::{ListenerPhase, MAX_REJECTING_CONNECTIONS, Server};
+use std::io::{Read, Write};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -15,6 +17,10 @@
 /// When the listener is closed, connections that wait there are taken for no longer than this: in a crowd more come
 /// than can be taken.
 const QUEUE_LIMIT: Duration = Duration::from_millis(100);
+/// No more connections than the system's queue has places are rejected from it.
+const MAX_REJECTED_QUEUED: usize = 1024;
+/// How much is read of what a connection has sent that is rejected there, in bytes.
+const QUEUED_READ_BYTES: usize = 16 * 1024;
 /// Pause when nothing can be accepted.
 const ACCEPT_ERROR_PAUSE: Duration = Duration::from_millis(10);
 /// Places of connections that are rejected come free by themselves; only when none does for so long must others give
@@ -113,4 +119,18 @@
             yield_now().await;
         }
     }
+    reject_queued(server.retry_after(), &listener);
+}
+
+/// Answers the connections that still wait at a listener, one after the other: for all at once there is no space.
+fn reject_queued(retry_after: Option<Duration>, listener: &std::net::TcpListener) {
+    let rejection = rejected_response_bytes(retry_after);
+    for _ in 0..MAX_REJECTED_QUEUED {
+        let Ok((mut stream, _)) = listener.accept() else { return };
+        let is_ready = stream.set_nonblocking(true).is_ok();
+        // Closed over unread bytes, the connection would be reset. Who has disconnected needs no answer.
+        if is_ready && stream.write(&rejection).is_ok() {
+            let _ = stream.read(&mut [0; QUEUED_READ_BYTES]);
+        }
+    }
 }
--- a/crates/proxy/src/downstream/response.rs
+++ b/crates/proxy/src/downstream/response.rs
@@ -82,13 +82,28 @@
 /// A response to a request that was rejected.
 pub(super) fn rejected_response(retry_after: Option<Duration>) -> ClientResponse {
     let mut response = empty_response(StatusCode::SERVICE_UNAVAILABLE);
-    let seconds = retry_after.map(|retry_after| format!("{:.3}", retry_after.as_secs_f64()));
+    let seconds = retry_after.map(retry_after_seconds);
     if let Some(value) = seconds.and_then(|seconds| HeaderValue::try_from(seconds).ok()) {
         response.headers_mut().insert(RETRY_AFTER, value);
     }
     response
 }
 
+/// The same as it is written on a connection that ends with it, without the HTTP library.
+pub(super) fn rejected_response_bytes(retry_after: Option<Duration>) -> Vec<u8> {
+    let mut text =
+        "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n".to_string();
+    if let Some(retry_after) = retry_after {
+        text += &format!("Retry-After: {}\r\n", retry_after_seconds(retry_after));
+    }
+    text += "\r\n";
+    text.into_bytes()
+}
+
+fn retry_after_seconds(retry_after: Duration) -> String {
+    format!("{:.3}", retry_after.as_secs_f64())
+}
+
 /// The response that gives a request's final answer.
 pub(super) fn answer_response(answer: Answer) -> ClientResponse {
     match answer {
--- a/crates/proxy/src/downstream/server.rs
+++ b/crates/proxy/src/downstream/server.rs
@@ -2,13 +2,17 @@
 
 use super::accept_statistics::AcceptStatistics;
 use super::connection_table::{ConnectionTable, EvictionPurpose};
-use crate::dispatcher::Dispatcher;
+use crate::dispatcher::{Dispatcher, duration_from_ms};
 use std::cell::Cell;
 use std::rc::Rc;
+use std::time::Duration;
 
 /// Connections past the limit, accepted only to be rejected at once.
 pub const MAX_REJECTING_CONNECTIONS: usize = 16;
 
+/// Who is rejected for want of space is told to stay away so long, in milliseconds, where that is told.
+const RETRY_AFTER_MS: f64 = 500.0;
+
 /// How far a planned stop has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ListenerPhase {
@@ -58,6 +62,14 @@
         self.force_evictions(excess);
     }
 
+    /// How long who is rejected for want of space is told to stay away, where that is told.
+    pub(super) fn retry_after(&self) -> Option<Duration> {
+        let settings = self.dispatcher.settings();
+        let capabilities = &settings.balancer.capabilities;
+        let retry_after_ms = RETRY_AFTER_MS.min(capabilities.max_retry_after_ms);
+        if capabilities.sends_retry_after { Some(duration_from_ms(retry_after_ms)) } else { None }
+    }
+
     /// Whether no connection can be accepted, not even to be rejected.
     pub(super) fn is_full(&self) -> bool {
         self.table.len() >= self.max_connections.get() + MAX_REJECTING_CONNECTIONS
--- a/crates/proxy/src/transport/client_socket.rs
+++ b/crates/proxy/src/transport/client_socket.rs
@@ -6,7 +6,7 @@
 use socket2::SockRef;
 use std::cell::RefCell;
 use std::future::{Future, poll_fn};
-use std::io;
+use std::io::{self, Write as _};
 use std::mem::MaybeUninit;
 use std::pin::{Pin, pin};
 use std::rc::{Rc, Weak};
@@ -66,6 +66,13 @@
         }
     }
 
+    /// Writes a short last message past the HTTP library and past the reactor, as far as the system takes it at once.
+    pub fn send_last(&self, message: &[u8]) {
+        let stream = self.0.borrow();
+        // Who can't be told any more has disconnected.
+        let _ = (&*SockRef::from(stream.inner())).write(message);
+    }
+
     /// Closes the connection in good order, once the HTTP library has let go of it: what was written goes out, and
     /// what still comes is read for a moment. Closed over unread bytes, the system would throw away what the client
     /// has not taken yet.
--- /dev/null
+++ b/crates/proxy/tests/crossing_requests.rs
@@ -0,0 +1,116 @@
+//! Requests that cross the close of a new connection: whatever closes it, its first request gets an answer.
+
+mod support;
+
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use support::*;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::task::JoinSet;
+
+/// Descriptors of the proxy: there is space for 16 clients, and for 16 to be rejected.
+const DESCRIPTORS: usize = 64;
+/// Connections that cross a close.
+const CROSSINGS: usize = 200;
+
+struct Fixture {
+    _backend: Backend,
+    discovery: Discovery,
+    config: Value,
+    proxy: Proxy,
+}
+
+impl Fixture {
+    async fn new() -> Self {
+        let backend = Backend::start("a", &Arc::new(BackendScript::default())).await;
+        let discovery = Discovery::start(vec![backend.line("SERVING")]).await;
+        let mut config = discovery.config(settings());
+        config["limits"]["sockets"] = DESCRIPTORS.into();
+        config["management"] = "127.0.0.1:0".into();
+        let proxy = Proxy::start_as(&config, &format!("ulimit -n {DESCRIPTORS}; exec \"$0\"")).await;
+        discovery.wait_until_applied().await;
+        Fixture { _backend: backend, discovery, config, proxy }
+    }
+
+    fn addr(&self) -> SocketAddr {
+        self.proxy.addr
+    }
+}
+
+/// Sends a first request only once the proxy has decided on the connection's end: what it wrote, or the close, can be
+/// read.
+async fn cross_close(mut stream: TcpStream, number: usize) -> Option<u16> {
+    in_time(stream.readable()).await.expect("open");
+    // The other side may have closed its socket altogether.
+    let _ = stream.write_all(call("GET /look", &format!("{number:016x}")).as_bytes()).await;
+    status(&mut stream).await
+}
+
+async fn cross_closes(streams: Vec<TcpStream>) -> Vec<Option<u16>> {
+    let mut crossings = JoinSet::new();
+    for (number, stream) in streams.into_iter().enumerate() {
+        crossings.spawn(cross_close(stream, number));
+    }
+    crossings.join_all().await
+}
+
+async fn connect_many(addr: SocketAddr, count: usize) -> Vec<TcpStream> {
+    let mut streams = Vec::new();
+    for _ in 0..count {
+        streams.push(connected(addr).await);
+    }
+    streams
+}
+
+/// Connections that have sent nothing give way to others.
+#[tokio::test]
+async fn a_request_that_crosses_an_eviction_is_rejected() {
+    let fixture = Fixture::new().await;
+    let mut streams = connect_many(fixture.addr(), CROSSINGS + DESCRIPTORS).await;
+    // The oldest give way.
+    streams.truncate(CROSSINGS);
+    assert_eq!(cross_closes(streams).await, vec![Some(503); CROSSINGS]);
+}
+
+/// A connection that sends nothing for too long is closed.
+#[tokio::test]
+async fn a_request_that_crosses_the_close_of_an_overdue_connection_is_rejected() {
+    let fixture = Fixture::new().await;
+    let streams = connect_many(fixture.addr(), DESCRIPTORS / 4).await;
+    let count = streams.len();
+    assert_eq!(cross_closes(streams).await, vec![Some(503); count]);
+}
+
+/// At a planned stop, connections are closed that were never used.
+#[tokio::test]
+async fn a_request_that_crosses_the_close_at_a_stop_is_rejected() {
+    let mut fixture = Fixture::new().await;
+    let streams = connect_many(fixture.addr(), DESCRIPTORS / 4).await;
+    let count = streams.len();
+    fixture.proxy.terminate().await;
+    assert_eq!(cross_closes(streams).await, vec![Some(503); count]);
+}
+
+/// More connections wait at the listener than can be taken when it closes, alone or beside a process that goes on.
+#[tokio::test]
+async fn requests_on_connections_that_wait_when_the_listener_closes_are_answered() {
+    for is_upgrade in [false, true] {
+        let fixture = Fixture::new().await;
+        let next = if is_upgrade {
+            let next = fixture.proxy.start_beside(&fixture.config).await;
+            fixture.discovery.wait_until_applied().await;
+            Some(next)
+        } else {
+            None
+        };
+        fixture.proxy.pause().await;
+        let streams = connect_many(fixture.addr(), CROSSINGS).await;
+        fixture.proxy.terminate_without_log().await;
+        fixture.proxy.resume_process().await;
+        let answers = cross_closes(streams).await;
+        assert_eq!(answers, vec![Some(503); CROSSINGS], "in an upgrade: {is_upgrade}");
+        drop(next);
+    }
+}
--- a/crates/proxy/tests/support/sockets.rs
+++ b/crates/proxy/tests/support/sockets.rs
@@ -29,6 +29,10 @@
     }
 }
 
+/// What stands on a new connection that the proxy closes before its first request.
+pub const REJECTED_FIRST_REQUEST: &str = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\n\
+                                          Content-Length: 0\r\nRetry-After: 0.500\r\n\r\n";
+
 /// A request as bytes.
 pub fn call(line: &str, id: &str) -> String {
     format!("{line} HTTP/1.1\r\nHost: o\r\nReq-Id: {id}\r\nReq-Owner: acme\r\nReq-Deadline-Ms: 60000\r\n\r\n")
