A process that starts shares the proxy's limits before it serves

Cause: a process counted only once it served, so that the old one kept all places while the new one waited for its list; and with few descriptors each process kept eight connections and 16 more to reject, whatever its share was.

Mend: a starting process has a locked file of its own in the shared folder, which it renames once it serves. Limits are divided by both kinds, who serves reads as before, other versions ignore the new name. What is kept for rejecting shrinks with the share.

--- a/crates/proxy/src/admin/mod.rs
+++ b/crates/proxy/src/admin/mod.rs
@@ -64,11 +64,14 @@
             are_markers_unreadable: Cell::new(false),
             is_serving: Cell::new(false),
         });
+        if let Err(error) = server.process_group.announce_start() {
+            log!("markers: {error}; other processes will not know that this one starts");
+        }
         server.apply_markers();
         server
     }
 
-    /// From now on clients are served here, and this process counts.
+    /// From now on clients are served here, and this process counts as one that serves.
     pub fn start_serving(&self) {
         self.is_serving.set(true);
         if let Err(error) = self.process_group.join() {
--- a/crates/proxy/src/dispatcher/mod.rs
+++ b/crates/proxy/src/dispatcher/mod.rs
@@ -59,6 +59,8 @@
     draining: watch::Sender<bool>,
     /// How many processes act as this proxy; each keeps to its part of what the proxy may hold.
     process_count: watch::Sender<u32>,
+    /// Processes that share what the proxy may hold.
+    sharing_count: watch::Sender<u32>,
     /// From when on nothing is awaited any more; set by a planned stop.
     stop_at: Cell<Option<Instant>>,
 }
@@ -87,6 +89,7 @@
             poll_wanted,
             draining: watch::Sender::new(false),
             process_count: watch::Sender::new(1),
+            sharing_count: watch::Sender::new(1),
             stop_at: Cell::new(None),
         }))
     }
@@ -139,7 +142,12 @@
         self.draining.subscribe()
     }
 
-    /// How many processes act as this proxy, and changes of that.
+    /// How many processes share what this proxy may hold, with those that do not serve yet, and changes of that.
+    pub fn sharing_count(&self) -> watch::Receiver<u32> {
+        self.sharing_count.subscribe()
+    }
+
+    /// How many processes serve as this proxy, and changes of that.
     pub fn process_count(&self) -> watch::Receiver<u32> {
         self.process_count.subscribe()
     }
@@ -167,6 +175,10 @@
             events.push(Event::SetDraining { is_draining: control.is_draining });
         }
         let count = control.other_processes + 1;
+        self.sharing_count.send_if_modified(|sharing| {
+            let before = std::mem::replace(sharing, count + control.starting_processes);
+            before != *sharing
+        });
         if *self.process_count.borrow() != count {
             self.process_count.send_replace(count);
             log!("processes of this proxy: {count}");
--- a/crates/proxy/src/downstream/connection.rs
+++ b/crates/proxy/src/downstream/connection.rs
@@ -251,7 +251,7 @@
     /// than connections: where all of them had work, nobody could be accepted any more to be rejected at once.
     fn is_overloaded(&self) -> bool {
         let in_flight = self.server.table.in_flight();
-        let limit = self.server.max_connections.get();
+        let limit = self.server.limits.get().max_connections;
         let unserved_limit = (limit as f64 * MAX_UNSERVED_FRACTION) as usize;
         in_flight >= limit || !self.state.was_served.get() && in_flight >= unserved_limit
     }
@@ -322,7 +322,7 @@
         guard: &mut RequestIdGuard,
     ) -> Result<ReceivedBody, Rejection> {
         let mut deadline = BodyReadDeadline::new(times.begun_at);
-        let limit = self.server.max_body_bytes.get();
+        let limit = self.server.limits.get().max_body_bytes;
         match buffer_body(&mut body, &mut deadline, guard, limit).await {
             Ok(BufferedBody::Complete(data)) => Ok(ReceivedBody::Complete(data)),
             Ok(BufferedBody::Partial(first)) => Ok(ReceivedBody::Partial { first, rest: body, deadline }),
--- a/crates/proxy/src/downstream/mod.rs
+++ b/crates/proxy/src/downstream/mod.rs
@@ -10,4 +10,4 @@
 mod server;
 
 pub use listener::serve;
-pub use server::{ListenerPhase, MAX_REJECTING_CONNECTIONS, Server};
+pub use server::{ClientLimits, ListenerPhase, MAX_REJECTING_CONNECTIONS, Server};
--- a/crates/proxy/src/downstream/server.rs
+++ b/crates/proxy/src/downstream/server.rs
@@ -26,14 +26,23 @@
     ClosingIdle,
 }
 
+/// What all clients together may hold.
+#[derive(Debug, Clone, Copy)]
+pub struct ClientLimits {
+    /// Most connections at once.
+    pub max_connections: usize,
+    /// Connections past them, accepted only to be rejected at once.
+    pub max_rejecting_connections: usize,
+    /// Most bytes in the bodies of open requests.
+    pub max_body_bytes: usize,
+}
+
 /// What is needed to serve clients.
 pub struct Server {
     /// Gives their requests their answers.
     pub(super) dispatcher: Rc<Dispatcher>,
-    /// Most connections at once.
-    pub(super) max_connections: Cell<usize>,
-    /// Most bytes in the bodies of open requests.
-    pub(super) max_body_bytes: Cell<usize>,
+    /// What they may hold.
+    pub(super) limits: Cell<ClientLimits>,
     /// Whether each answer is to be the last on its connection.
     pub(super) is_handed_over: Cell<bool>,
     /// Who is connected.
@@ -43,11 +52,10 @@
 
 impl Server {
     /// A server without connections.
-    pub fn new(dispatcher: Rc<Dispatcher>, max_connections: usize, max_body_bytes: usize) -> Self {
+    pub fn new(dispatcher: Rc<Dispatcher>, limits: ClientLimits) -> Self {
         Server {
             dispatcher,
-            max_connections: Cell::new(max_connections),
-            max_body_bytes: Cell::new(max_body_bytes),
+            limits: Cell::new(limits),
             is_handed_over: Cell::new(false),
             table: Rc::default(),
             statistics: AcceptStatistics::default(),
@@ -55,10 +63,9 @@
     }
 
     /// Keeps to other limits from now on: idle connections above them are closed.
-    pub fn resize(&self, max_connections: usize, max_body_bytes: usize) {
-        self.max_connections.set(max_connections);
-        self.max_body_bytes.set(max_body_bytes);
-        let excess = self.table.len().saturating_sub(max_connections);
+    pub fn resize(&self, limits: ClientLimits) {
+        self.limits.set(limits);
+        let excess = self.table.len().saturating_sub(limits.max_connections);
         self.force_evictions(excess);
     }
 
@@ -72,17 +79,18 @@
 
     /// Whether no connection can be accepted, not even to be rejected.
     pub(super) fn is_full(&self) -> bool {
-        self.table.len() >= self.max_connections.get() + MAX_REJECTING_CONNECTIONS
+        let limits = self.limits.get();
+        self.table.len() >= limits.max_connections + limits.max_rejecting_connections
     }
 
     /// Whether there is space for another connection, perhaps that of an idle one.
     pub(super) fn has_space(&self) -> bool {
-        self.table.len() < self.max_connections.get() || self.evict(EvictionPurpose::NewConnection)
+        self.table.len() < self.limits.get().max_connections || self.evict(EvictionPurpose::NewConnection)
     }
 
     /// Whether a connection past the limit that was served may stay, perhaps in the place of another.
     pub(super) fn can_keep_served(&self) -> bool {
-        self.table.len() <= self.max_connections.get() || self.evict(EvictionPurpose::ServedConnection)
+        self.table.len() <= self.limits.get().max_connections || self.evict(EvictionPurpose::ServedConnection)
     }
 
     /// Asks for the close of so many connections, or of all that can be closed without loss.
--- a/crates/proxy/src/process_group/mod.rs
+++ b/crates/proxy/src/process_group/mod.rs
@@ -26,8 +26,10 @@
     pub suspended: BTreeSet<String>,
     /// Clients are to be sent elsewhere.
     pub is_draining: bool,
-    /// Other processes that live.
+    /// Other processes that live and serve.
     pub other_processes: u32,
+    /// Other processes that live and do not serve yet: they hold descriptors already.
+    pub starting_processes: u32,
 }
 
 /// The processes of one proxy, by the folder that they share.
@@ -42,8 +44,11 @@
         ProcessGroup { folder: temporary.map(|folder| folder.join(names::FOLDER)), own: OnceCell::new() }
     }
 
-    /// From now on this process counts as one that lives.
-    pub fn join(&self) -> io::Result<()> {
+    /// From now on this process counts as one that starts.
+    pub fn announce_start(&self) -> io::Result<()> {
+        if self.own.get().is_some() {
+            return Ok(());
+        }
         let folder = self.folder()?;
         fs::create_dir_all(folder)?;
         // A process joins once; a second file would count as another process.
@@ -51,6 +56,15 @@
         Ok(())
     }
 
+    /// From now on this process counts as one that serves.
+    pub fn join(&self) -> io::Result<()> {
+        self.announce_start()?;
+        match self.own.get() {
+            Some(own) => own.show_serving(self.folder()?),
+            None => Ok(()),
+        }
+    }
+
     /// Tells the other processes which version of the settings is in force in this one.
     pub fn publish_version(&self, version: u64) -> io::Result<()> {
         match self.own.get() {
@@ -99,17 +113,21 @@
                 Some(FileName::Suspended { backend }) => {
                     state.suspended.insert(backend);
                 }
-                Some(FileName::Process { .. }) if !self.is_own(&name) && is_alive(&entry.path()) => {
-                    state.other_processes += 1;
-                }
-                Some(FileName::Process { .. }) | None => {}
+                Some(FileName::Process { .. }) if self.is_other_alive(&entry) => state.other_processes += 1,
+                Some(FileName::Starting) if self.is_other_alive(&entry) => state.starting_processes += 1,
+                Some(FileName::Process { .. } | FileName::Starting) | None => {}
             }
         }
         Ok(state)
     }
 
+    /// Whether a file is that of another process, which lives.
+    fn is_other_alive(&self, entry: &fs::DirEntry) -> bool {
+        !self.is_own(&entry.file_name()) && is_alive(&entry.path())
+    }
+
     fn is_own(&self, name: &std::ffi::OsStr) -> bool {
-        self.own.get().is_some_and(|own| name == own.name())
+        self.own.get().is_some_and(|own| name == own.name().as_str())
     }
 
     fn folder(&self) -> io::Result<&Path> {
--- a/crates/proxy/src/process_group/names.rs
+++ b/crates/proxy/src/process_group/names.rs
@@ -9,6 +9,8 @@
 pub(super) const DRAIN: &str = "drain";
 const SUSPENDED_PREFIX: &str = "suspended-";
 const PROCESS_PREFIX: &str = "process-";
+/// Older versions take no notice of files with other names.
+const STARTING_PREFIX: &str = "starting-";
 /// Part of the name of a process's file until it is locked.
 const NEW_PREFIX: &str = "new-";
 
@@ -22,7 +24,9 @@
     },
     /// The proxy drains.
     Drain,
-    /// A process lives, if the file is locked.
+    /// A process lives that does not serve yet, if the file is locked.
+    Starting,
+    /// A process lives and serves, if the file is locked.
     Process {
         /// Its id, if the name tells one.
         id: Option<u32>,
@@ -36,6 +40,9 @@
         if name == DRAIN {
             return Some(FileName::Drain);
         }
+        if name.starts_with(STARTING_PREFIX) {
+            return Some(FileName::Starting);
+        }
         if let Some(process) = name.strip_prefix(PROCESS_PREFIX) {
             let id = process.split('-').next().and_then(|id| id.parse().ok());
             return Some(FileName::Process { id });
@@ -55,6 +62,11 @@
     format!("{PROCESS_PREFIX}{id}-{started_at_ns}")
 }
 
+/// The same until it serves.
+pub(super) fn starting(process: &str) -> String {
+    format!("{STARTING_PREFIX}{process}")
+}
+
 /// The same until it is locked.
 pub(super) fn unlocked(process: &str) -> String {
     format!("{NEW_PREFIX}{process}")
--- a/crates/proxy/src/process_group/process_file.rs
+++ b/crates/proxy/src/process_group/process_file.rs
@@ -11,14 +11,16 @@
 
 /// The file of this process, locked for as long as it lives.
 pub(super) struct ProcessFile {
+    /// Its name once the process serves.
     name: String,
     file: File,
+    is_serving: Cell<bool>,
     /// The version of the settings that stands in it.
     published_version: Cell<u64>,
 }
 
 impl ProcessFile {
-    /// Creates the file in the shared folder.
+    /// Creates the file in the shared folder, as that of a process that does not serve yet.
     pub(super) fn create(folder: &Path) -> io::Result<Self> {
         let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let name = names::process(std::process::id(), since.as_nanos());
@@ -26,12 +28,22 @@
         let file = File::create_new(&unlocked)?;
         file.try_lock()?;
         // Under its own name it is never seen unlocked, or the others would take it for one that has ended.
-        fs::rename(unlocked, folder.join(&name))?;
-        Ok(ProcessFile { name, file, published_version: Cell::new(0) })
+        fs::rename(unlocked, folder.join(names::starting(&name)))?;
+        Ok(ProcessFile { name, file, is_serving: Cell::new(false), published_version: Cell::new(0) })
     }
 
-    pub(super) fn name(&self) -> &str {
-        &self.name
+    /// Shows in the shared folder that the process serves from now on.
+    pub(super) fn show_serving(&self, folder: &Path) -> io::Result<()> {
+        if !self.is_serving.get() {
+            fs::rename(folder.join(names::starting(&self.name)), folder.join(&self.name))?;
+            self.is_serving.set(true);
+        }
+        Ok(())
+    }
+
+    /// Its present name.
+    pub(super) fn name(&self) -> String {
+        if self.is_serving.get() { self.name.clone() } else { names::starting(&self.name) }
     }
 
     /// Writes the version of the settings. All digits are written, so that none of an older one are left behind them.
--- a/crates/proxy/src/process_group/tests.rs
+++ b/crates/proxy/src/process_group/tests.rs
@@ -55,6 +55,28 @@
     assert_eq!(left, 1, "its own");
 }
 
+#[test]
+fn a_process_that_starts_is_seen_and_is_no_process_that_serves() {
+    let folder = Folder::new("starting");
+    let [one, other] = [(); 2].map(|()| ProcessGroup::new(Some(folder.0.clone())));
+    let others = |group: &ProcessGroup| {
+        let state = group.control_state().expect("readable");
+        (state.other_processes, state.starting_processes)
+    };
+    one.announce_start().expect("writable");
+    assert_eq!((others(&one), others(&other)), ((0, 0), (0, 1)));
+    assert_eq!(other.versions().expect("readable"), BTreeMap::new());
+    one.join().expect("writable");
+    assert_eq!((others(&one), others(&other)), ((0, 0), (1, 0)));
+    // One that ends before it serves leaves nothing.
+    other.announce_start().expect("writable");
+    assert_eq!(others(&one), (0, 1));
+    drop(other);
+    assert_eq!(others(&one), (0, 0));
+    let left = fs::read_dir(folder.0.join(FOLDER)).expect("readable").count();
+    assert_eq!(left, 1, "its own");
+}
+
 #[test]
 fn processes_that_live_see_the_versions_that_they_published() {
     let folder = Folder::new("versions");
@@ -106,7 +128,10 @@
     let group = ProcessGroup::new(Some(folder.0.clone()));
     let state = group.control_state().expect("readable");
     let suspended = BTreeSet::from(["s-1".to_string(), "é".to_string()]);
-    assert_eq!(state, ControlState { suspended, is_draining: true, other_processes: 1 });
+    assert_eq!(
+        state,
+        ControlState { suspended, is_draining: true, other_processes: 1, starting_processes: 0 }
+    );
     assert_eq!(group.versions().expect("readable"), BTreeMap::from([(4711, Some(42))]));
 }
 
--- a/crates/proxy/src/resource_limits.rs
+++ b/crates/proxy/src/resource_limits.rs
@@ -2,15 +2,17 @@
 
 use crate::admin;
 use crate::config::Config;
-use crate::downstream::MAX_REJECTING_CONNECTIONS;
+use crate::downstream::{ClientLimits, MAX_REJECTING_CONNECTIONS};
 
 /// Descriptors that are neither clients' nor backends' connections: standard streams, the listener, the reactor,
-/// signals, discovery, and connections that are accepted only to be rejected.
-const RESERVED_DESCRIPTORS: usize = 16 + MAX_REJECTING_CONNECTIONS;
+/// signals, and discovery.
+const RESERVED_DESCRIPTORS: usize = 16;
 /// With an admin API as many again: its connections, its listener, and the folder of markers.
 const ADMIN_DESCRIPTORS: usize = admin::MAX_CONNECTIONS + 4;
 /// Connections that are left to a process where descriptors are short.
-const MIN_CONNECTIONS: usize = 8;
+const MIN_CONNECTIONS: usize = 4;
+/// Connections past the limit that are accepted only to be rejected get this part of the descriptors at the most.
+const REJECTING_DIVISOR: usize = 3;
 /// The bodies of open requests may fill one such part of the memory; the rest is for buffers, responses and the program.
 const BODY_MEMORY_DIVISOR: usize = 4;
 
@@ -39,18 +41,27 @@
         self.connections(processes) / 2
     }
 
-    /// Most clients' connections of one of so many processes.
-    pub fn downstream_connections(&self, processes: usize) -> usize {
-        self.connections(processes) - self.upstream_connections(processes)
+    /// What the clients of one of so many processes may hold.
+    pub fn client_limits(&self, processes: usize) -> ClientLimits {
+        ClientLimits {
+            max_connections: self.connections(processes) - self.upstream_connections(processes),
+            max_rejecting_connections: self.rejecting_connections(processes),
+            max_body_bytes: self.memory_bytes / BODY_MEMORY_DIVISOR / processes,
+        }
+    }
+
+    /// Descriptors of one of so many processes that are for connections.
+    fn connection_descriptors(&self, processes: usize) -> usize {
+        (self.max_descriptors / processes).saturating_sub(self.reserved_descriptors)
     }
 
-    /// Most bytes in the bodies of open requests of one of so many processes.
-    pub fn body_bytes(&self, processes: usize) -> usize {
-        self.memory_bytes / BODY_MEMORY_DIVISOR / processes
+    fn rejecting_connections(&self, processes: usize) -> usize {
+        let share = self.connection_descriptors(processes) / REJECTING_DIVISOR;
+        share.clamp(1, MAX_REJECTING_CONNECTIONS)
     }
 
     fn connections(&self, processes: usize) -> usize {
-        let descriptors = self.max_descriptors / processes;
-        descriptors.saturating_sub(self.reserved_descriptors).max(MIN_CONNECTIONS)
+        let descriptors = self.connection_descriptors(processes);
+        descriptors.saturating_sub(self.rejecting_connections(processes)).max(MIN_CONNECTIONS)
     }
 }
--- a/crates/proxy/src/startup.rs
+++ b/crates/proxy/src/startup.rs
@@ -74,10 +74,9 @@
     })?;
     spawn_local(maintain(dispatcher.clone(), pool.clone()));
     let (phase, phase_changes) = watch::channel(ListenerPhase::Accepting);
-    let (max_connections, max_body_bytes) = (limits.downstream_connections(1), limits.body_bytes(1));
-    let server = Rc::new(Server::new(dispatcher.clone(), max_connections, max_body_bytes));
+    let server = Rc::new(Server::new(dispatcher.clone(), limits.client_limits(sharing_count(&dispatcher))));
     let serving = spawn_local(downstream::serve(server.clone(), listener, phase_changes));
-    spawn_local(follow_process_count(dispatcher.process_count(), limits, server, pool));
+    spawn_local(share_limits(dispatcher.sharing_count(), limits, server, pool));
     if let Some(admin) = &admin {
         admin.start_serving();
     }
@@ -215,20 +214,25 @@
     }
 }
 
+/// How many processes share what the proxy may hold.
+fn sharing_count(dispatcher: &Dispatcher) -> usize {
+    *dispatcher.sharing_count().borrow() as usize
+}
+
 /// Keeps to this process's part of what the proxy may hold, as processes come and go.
-async fn follow_process_count(
-    mut process_count: watch::Receiver<u32>,
+async fn share_limits(
+    mut sharing_count: watch::Receiver<u32>,
     limits: ResourceLimits,
     server: Rc<Server>,
     pool: Rc<ConnectionPool>,
 ) {
     loop {
-        let count = *process_count.borrow_and_update() as usize;
-        server.resize(limits.downstream_connections(count), limits.body_bytes(count));
+        let count = *sharing_count.borrow_and_update() as usize;
+        server.resize(limits.client_limits(count));
         while !pool.resize(limits.upstream_connections(count)) {
             sleep(process_group::POLL_INTERVAL).await;
         }
-        if process_count.changed().await.is_err() {
+        if sharing_count.changed().await.is_err() {
             return;
         }
     }
