AttemptOutcome in a file of its own, so that attempt and response no longer import each other

No behavior changes. The tests of stray responses share how their answers are got; every assertion as it was.

--- a/crates/proxy/src/upstream/attempt.rs
+++ b/crates/proxy/src/upstream/attempt.rs
@@ -1,41 +1,18 @@
 //! One attempt of a request: when it must end, who may cancel it, and how it ended.
 
+use super::attempt_outcome::AttemptOutcome;
 use super::connection::{Connection, IdleCheck};
 use super::connection_pool::{ConnectionPool, Endpoint};
 use super::request::UpstreamRequest;
 use super::response::{PartialResponse, ResponseRead, ResponseStream, read_response};
 use crate::transport::{BodyContent, RequestPayload, SendGuard, StreamedBody, WeakSendGuard};
 use foldhitch_balancer::api::Outcome;
+use hyper::Response;
 use hyper::body::Incoming;
-use hyper::{Response, StatusCode};
 use std::rc::Rc;
 use tokio::sync::oneshot;
 use tokio::time::{Instant, sleep_until};
 
-/// How an attempt ended.
-pub enum AttemptOutcome {
-    /// With a response to forward.
-    Served(BodyContent),
-    /// Its client did not send a complete request.
-    InvalidRequest(StatusCode),
-    /// Rejected as a request that no backend can use.
-    Rejected,
-    /// Otherwise.
-    Unserved(Outcome),
-}
-
-impl AttemptOutcome {
-    /// What the balancer is told of it.
-    pub fn outcome(&self) -> Outcome {
-        match self {
-            AttemptOutcome::Served(_) => Outcome::Ok,
-            // The request's fault: it says nothing of the backend, and another would say the same.
-            AttemptOutcome::Rejected | AttemptOutcome::InvalidRequest(_) => Outcome::Cancelled,
-            AttemptOutcome::Unserved(outcome) => *outcome,
-        }
-    }
-}
-
 /// One attempt.
 pub struct Attempt {
     /// The request.
--- a/crates/proxy/src/upstream/mod.rs
+++ b/crates/proxy/src/upstream/mod.rs
@@ -1,6 +1,7 @@
 //! The backends' side: a pool of connections, and attempts with what each ending means.
 
 mod attempt;
+mod attempt_outcome;
 mod connection;
 mod connection_pool;
 mod repeat_filter;
@@ -9,7 +10,8 @@
 #[cfg(test)]
 mod tests;
 
-pub use attempt::{Attempt, AttemptOutcome};
+pub use attempt::Attempt;
+pub use attempt_outcome::AttemptOutcome;
 pub use connection_pool::{ConnectionPool, Endpoint, PoolLimits};
 pub use request::{UpstreamRequest, printable_id};
 
--- a/crates/proxy/src/upstream/response.rs
+++ b/crates/proxy/src/upstream/response.rs
@@ -1,7 +1,7 @@
 //! Responses of backends: what they mean, and their bodies.
 
 use super::MAX_BUFFERED_BODY_BYTES;
-use super::attempt::AttemptOutcome;
+use super::attempt_outcome::AttemptOutcome;
 use super::connection::{Connection, IdleCheck};
 use super::connection_pool::{ConnectionPool, Endpoint};
 use crate::transport::{BodyContent, FrameSender, MAX_BODY_BYTES, WRITE_STALL_TIMEOUT};
--- a/crates/proxy/tests/stray_responses.rs
+++ b/crates/proxy/tests/stray_responses.rs
@@ -166,9 +166,11 @@
     answers
 }
 
-/// Each request is served with its own answer, where the first response on a connection comes twice and the others as
+/// The answers to requests in a row before a backend whose first response on a connection comes twice, and the others as
 /// the script says.
-async fn each_gets_its_own(script: impl Fn(usize, &str) -> Vec<Step> + Send + Sync + 'static) {
+async fn answers_before(
+    script: impl Fn(usize, &str) -> Vec<Step> + Send + Sync + 'static,
+) -> Vec<(String, (u16, String))> {
     let backend =
         ScriptedBackend::start(
             move |count, id| {
@@ -177,7 +179,12 @@
         )
         .await;
     let (_discovery, proxy) = proxy_before(&backend).await;
-    for (id, answer) in call_in_a_row(&proxy, "look", 50).await {
+    call_in_a_row(&proxy, "look", 50).await
+}
+
+/// Each request is served with its own answer.
+async fn each_gets_its_own(script: impl Fn(usize, &str) -> Vec<Step> + Send + Sync + 'static) {
+    for (id, answer) in answers_before(script).await {
         assert_eq!(answer, (200, id));
     }
 }
@@ -203,15 +210,7 @@
 
 /// As [`each_gets_its_own`], but a request may end with an error: a backend that breaks its responses off is ejected.
 async fn each_gets_its_own_or_an_error(script: impl Fn(usize, &str) -> Vec<Step> + Send + Sync + 'static) {
-    let backend =
-        ScriptedBackend::start(
-            move |count, id| {
-                if count == 0 { twice(&own_response(id)) } else { script(count, id) }
-            },
-        )
-        .await;
-    let (_discovery, proxy) = proxy_before(&backend).await;
-    let answers = call_in_a_row(&proxy, "look", 50).await;
+    let answers = answers_before(script).await;
     assert_eq!(answers[0], (answers[0].0.clone(), (200, answers[0].0.clone())));
     for (id, (status, body)) in answers {
         assert!(status == 503 || (status, &body) == (200, &id), "{id} was answered {status} {body}");
