A backend is suspected to repeat while the connection of its first equal response is observed

Cause: what the observation may show within a second was used only once it had shown it.

Mend: until then an equal response on another connection is held. Something behind it shows a copy, and that the backend repeats; else it is the answer when the second is over. A backend whose equal responses are nothing new is never suspected.

All tests of the proxy pass.

--- a/crates/proxy/src/upstream/repeat_filter/filtered_stream.rs
+++ b/crates/proxy/src/upstream/repeat_filter/filtered_stream.rs
@@ -6,12 +6,13 @@
 use hyper::rt::{Read, ReadBuf, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
 use std::cell::RefCell;
+use std::future::Future;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 use tokio::net::TcpStream;
-use tokio::time::Instant;
+use tokio::time::{Instant, Sleep, sleep_until};
 
 /// How much is read at once, in bytes.
 const READ_BYTES: usize = 4096;
@@ -21,6 +22,8 @@
     stream: TokioIo<TcpStream>,
     filter: Rc<RefCell<RepeatFilter>>,
     history: Rc<RepeatHistory>,
+    /// Ends the time for which bytes of a backend that is suspected are held.
+    release_timer: Option<Pin<Box<Sleep>>>,
 }
 
 impl FilteredStream {
@@ -30,7 +33,7 @@
         filter: Rc<RefCell<RepeatFilter>>,
         history: Rc<RepeatHistory>,
     ) -> Self {
-        FilteredStream { stream: TokioIo::new(stream), filter, history }
+        FilteredStream { stream: TokioIo::new(stream), filter, history, release_timer: None }
     }
 
     fn begin_request(&self) {
@@ -42,6 +45,20 @@
         received.map_err(|Untrusted| io::ErrorKind::InvalidData.into())
     }
 
+    /// Passes on what is held once its time is up; pending until then, and where no time is set.
+    fn poll_release(&mut self, context: &mut Context<'_>) -> Poll<()> {
+        let now = Instant::now();
+        let Some(held_until) = self.filter.borrow().held_until(&self.history, now) else {
+            self.release_timer = None;
+            return Poll::Pending;
+        };
+        let timer = self.release_timer.get_or_insert_with(|| Box::pin(sleep_until(held_until)));
+        ready!(timer.as_mut().poll(context));
+        self.release_timer = None;
+        self.filter.borrow_mut().release_held(&self.history, Instant::now());
+        Poll::Ready(())
+    }
+
     /// Gives what can be passed on; false if there is nothing.
     fn give_ready(&self, buffer: &mut ReadBufCursor<'_>) -> bool {
         let ready = &mut self.filter.borrow_mut().ready;
@@ -74,7 +91,10 @@
             }
             let mut space = [0; READ_BYTES];
             let mut read = ReadBuf::new(&mut space);
-            ready!(Pin::new(&mut self.stream).poll_read(context, read.unfilled()))?;
+            if Pin::new(&mut self.stream).poll_read(context, read.unfilled())?.is_pending() {
+                ready!(self.poll_release(context));
+                continue;
+            }
             if read.filled().is_empty() {
                 return Poll::Ready(Ok(()));
             }
--- a/crates/proxy/src/upstream/repeat_filter/mod.rs
+++ b/crates/proxy/src/upstream/repeat_filter/mod.rs
@@ -16,7 +16,6 @@
 use crate::transport::MAX_HEAD_BYTES;
 use bytes::{Buf, BytesMut};
 use std::collections::VecDeque;
-use std::time::Duration;
 use tokio::time::Instant;
 
 /// Most responses of a connection that are remembered: a slow copy may come behind later responses.
@@ -27,9 +26,6 @@
 pub(super) const RESPONSE_START: &[u8] = b"HTTP/1.";
 /// Where the first digit of a response's status stands.
 const STATUS_OFFSET: usize = b"HTTP/1.1 ".len();
-/// A connection on which a response equalled an earlier one is not used for so long, to see whether the response
-/// proper is yet to come.
-const OBSERVATION_TIME: Duration = Duration::from_secs(1);
 const HEAD_END: &[u8] = b"\r\n\r\n";
 
 /// How far the exchange on a connection has come.
@@ -115,13 +111,13 @@
             // Nobody waits for it.
             history.record_repeat(now);
         }
-        if self.phase != Phase::Awaiting || !history.repeats(now) {
+        if self.phase != Phase::Awaiting || !history.is_filtered(now) {
             self.pass_held();
             self.pass(bytes);
             self.phase = Phase::Receiving;
             return Ok(());
         }
-        if self.may_be_out_of_step {
+        if self.may_be_out_of_step && history.repeats(now) {
             return Err(Untrusted);
         }
         if self.held.is_empty() {
@@ -135,6 +131,11 @@
     fn compare(&mut self, history: &RepeatHistory, now: Instant) -> Result<(), Untrusted> {
         while !self.held.is_empty() {
             if let Some(index) = self.remembered.iter().position(|copy| self.held.starts_with(&copy.bytes)) {
+                let is_all = self.held.len() == self.remembered[index].bytes.len();
+                if is_all && !history.repeats(now) {
+                    // It is the answer, unless something comes behind it or the backend is known by then.
+                    return Ok(());
+                }
                 self.drop_copy(index, history, now);
                 continue;
             }
@@ -184,6 +185,19 @@
         Ok(needs_more)
     }
 
+    /// Until when bytes are held, where that ends by itself.
+    fn held_until(&self, history: &RepeatHistory, now: Instant) -> Option<Instant> {
+        if self.held.is_empty() || history.repeats(now) { None } else { history.suspected_until() }
+    }
+
+    /// Passes on what was held of a backend that has not turned out to repeat.
+    fn release_held(&mut self, history: &RepeatHistory, now: Instant) {
+        if !self.held.is_empty() && !history.is_filtered(now) {
+            self.pass_held();
+            self.phase = Phase::Receiving;
+        }
+    }
+
     fn pass_held(&mut self) {
         let held = self.held.split();
         self.pass(&held);
@@ -229,7 +243,7 @@
         } else if self.awaits_copy_of(response, history, now) {
             self.may_be_out_of_step = true;
             if !is_error && history.begin_observation(now) {
-                rest = Some(OBSERVATION_TIME);
+                rest = Some(repeat_history::OBSERVATION_TIME);
             }
         } else if !is_error {
             history.record_distinct_response();
--- a/crates/proxy/src/upstream/repeat_filter/repeat_history.rs
+++ b/crates/proxy/src/upstream/repeat_filter/repeat_history.rs
@@ -17,6 +17,9 @@
 const MIN_REST_TIME: Duration = Duration::from_millis(50);
 /// A copy that comes later than this is not told from a response.
 const MAX_COPY_WINDOW: Duration = Duration::from_secs(2);
+/// A connection on which a response equalled an earlier one is not used for so long, to see whether the response
+/// proper is yet to come. Until then its backend is suspected to repeat.
+pub(super) const OBSERVATION_TIME: Duration = Duration::from_secs(1);
 /// A connection is observed if so many responses in a row before differed.
 const MIN_DISTINCT_RESPONSES: u32 = 8;
 /// How often one connection of a backend is observed for the response behind a copy.
@@ -54,6 +57,16 @@
         self.last_repeat_at.get().is_some_and(|at| now.duration_since(at) < REPEATER_MEMORY)
     }
 
+    /// Whether what the backend sends is compared with what it sent before.
+    pub(super) fn is_filtered(&self, now: Instant) -> bool {
+        self.repeats(now) || self.suspected_until().is_some_and(|until| now < until)
+    }
+
+    /// Until when a connection is observed, or was.
+    pub(super) fn suspected_until(&self) -> Option<Instant> {
+        self.observed_at.get().map(|at| at + OBSERVATION_TIME)
+    }
+
     /// A response came that nobody waited for.
     pub(in crate::upstream) fn record_repeat(&self, now: Instant) {
         if !self.repeats(now) {
--- a/crates/proxy/src/upstream/repeat_filter/tests.rs
+++ b/crates/proxy/src/upstream/repeat_filter/tests.rs
@@ -2,6 +2,7 @@
 
 use super::*;
 use std::net::Ipv4Addr;
+use std::time::Duration;
 
 const BODY_LENGTH: usize = 16;
 
@@ -120,6 +121,40 @@
     }
 }
 
+/// Two connections to a backend whose responses all differed, until one was equal on the first of them.
+fn suspected_backend() -> (Fixture, Vec<u8>) {
+    let mut fixture = Fixture::unknown_backend();
+    for number in 0..10 {
+        fixture.exchange(&response(200, &format!("{number}")), false);
+    }
+    fixture.exchange(&response(200, "first"), false);
+    fixture.exchange(&response(200, "first"), false);
+    fixture.filter = RepeatFilter::new();
+    let second = response(200, "other");
+    fixture.exchange(&second, false);
+    fixture.begin_request();
+    assert_eq!(fixture.receive(&second).expect("held"), b"");
+    (fixture, second)
+}
+
+#[test]
+fn an_equal_response_of_a_suspected_backend_is_a_copy_if_something_comes_behind_it() {
+    let (mut fixture, _) = suspected_backend();
+    let third = response(200, "third");
+    assert_eq!(fixture.receive(&third).expect("a response"), third);
+    assert!(fixture.history.repeats(fixture.now));
+}
+
+#[test]
+fn an_equal_response_of_a_suspected_backend_is_the_answer_once_the_suspicion_is_over() {
+    let (mut fixture, second) = suspected_backend();
+    let held_until = fixture.filter.held_until(&fixture.history, fixture.now).expect("it ends");
+    assert!(held_until <= fixture.now + repeat_history::OBSERVATION_TIME);
+    fixture.filter.release_held(&fixture.history, held_until);
+    assert_eq!(fixture.filter.ready, second);
+    assert!(!fixture.history.repeats(held_until));
+}
+
 #[test]
 fn once_a_backend_repeats_a_connection_with_equal_responses_is_not_trusted() {
     let mut fixture = Fixture::unknown_backend();
--- a/crates/proxy/tests/stray_responses.rs
+++ b/crates/proxy/tests/stray_responses.rs
@@ -328,6 +328,24 @@
     equal_responses_are_served(|_| true).await;
 }
 
+/// Two responses in a row are equal now and then, and rightly so: they are held for a moment at the most.
+#[tokio::test]
+async fn rare_equal_responses_of_a_backend_that_does_not_repeat_are_served() {
+    const CALLS: usize = 200;
+    let backend = ScriptedBackend::start(|count, id| {
+        let body = if count % 12 >= 10 { "equal" } else { id };
+        vec![Step::Write(own_response(body))]
+    })
+    .await;
+    let (_discovery, proxy) = proxy_before(&backend).await;
+    let begun_at = Instant::now();
+    for (id, (status, body)) in call_in_a_row(&proxy, "once", CALLS).await {
+        assert_eq!(status, 200);
+        assert!(body == id || body == "equal");
+    }
+    assert!(begun_at.elapsed() < Duration::from_secs(10), "requests were held");
+}
+
 /// A backend that repeats is known by the first connection on which it is seen, however busy its connections are.
 #[tokio::test]
 async fn busy_clients_get_few_answers_of_others_before_the_backend_is_known() {
