--- a/crates/proxy/src/upstream/repeat_filter/repeat_history.rs
+++ b/crates/proxy/src/upstream/repeat_filter/repeat_history.rs
@@ -8,7 +8,7 @@
 use tokio::time::Instant;
 
 /// A backend is known to repeat for so long after a copy.
-const REPEATER_MEMORY: Duration = Duration::from_secs(60);
+pub(super) const REPEATER_MEMORY: Duration = Duration::from_secs(60);
 /// A copy may come this many times later than the latest one that was seen.
 const COPY_DELAY_FACTOR: u32 = 8;
 /// Copies are expected for so long at the least: either side may be held up.
--- a/crates/proxy/src/upstream/repeat_filter/tests.rs
+++ b/crates/proxy/src/upstream/repeat_filter/tests.rs
@@ -285,7 +285,7 @@
     fixture.exchange(&first, false);
     fixture.begin_request();
     assert_eq!(fixture.receive(&second[..10]).expect("held"), b"");
-    fixture.now += Duration::from_secs(61);
+    fixture.now += repeat_history::REPEATER_MEMORY;
     assert_eq!(fixture.receive(&second[10..]).expect("no copy"), second);
 }
 
@@ -293,7 +293,7 @@
 fn a_backend_without_a_copy_for_long_is_no_longer_filtered() {
     let mut fixture = Fixture::repeating_backend();
     assert!(fixture.history.repeats(fixture.now));
-    fixture.now += Duration::from_secs(61);
+    fixture.now += repeat_history::REPEATER_MEMORY;
     assert!(!fixture.history.repeats(fixture.now));
 }
 
--- a/crates/proxy/tests/admin.rs
+++ b/crates/proxy/tests/admin.rs
@@ -1,4 +1,4 @@
-//! The operators' door of the started program, and what its calls do to clients and backends.
+//! The admin API of the started program, and what its calls do to clients and backends.
 
 mod support;
 
@@ -153,7 +153,7 @@
     ] {
         assert_eq!(s.proxy.call_admin(method, path).await, status, "{method} {path}");
     }
-    let admin = s.proxy.admin.expect("a door");
+    let admin = s.proxy.admin.expect("an admin API");
     let long = format!("GET /v1/readyz HTTP/1.1\r\nHost: d\r\nLong: {}\r\n\r\n", "x".repeat(9000));
     let body = "POST /v1/proxy/drain HTTP/1.1\r\nHost: d\r\nContent-Length: 5000\r\n\r\n";
     let body = format!("{body}{}", "x".repeat(5000));
@@ -169,7 +169,7 @@
     let s = fixture().await;
     let mut half = Vec::new();
     for _ in 0..40 {
-        let mut stream = TcpStream::connect(s.proxy.admin.expect("a door")).await.expect("it listens");
+        let mut stream = TcpStream::connect(s.proxy.admin.expect("an admin API")).await.expect("it listens");
         stream.write_all(b"POST /v1/proxy/drain HT").await.expect("open");
         half.push(stream);
     }
--- a/crates/proxy/tests/stray_responses.rs
+++ b/crates/proxy/tests/stray_responses.rs
@@ -16,6 +16,8 @@
 
 /// A request whose backend declined it waits no longer than this for another try, in milliseconds.
 const MAX_QUEUE_WAIT_MS: f64 = 200.0;
+/// Hundreds of requests in a row take no longer than this where none is held until its deadline of 60 s.
+const MAX_TIME_OF_EQUAL_RESPONSES: Duration = Duration::from_secs(10);
 /// Busy clients at once.
 const CLIENTS: usize = 5;
 /// Most answers of others that they get: one on each connection that a backend has before it is known.
@@ -315,7 +317,7 @@
         assert_eq!(answer, (200, "equal".to_string()));
         assert_eq!(backend.received.lock().expect("no panic")[&id], 1);
     }
-    assert!(begun_at.elapsed() < Duration::from_secs(10), "requests were held");
+    assert!(begun_at.elapsed() < MAX_TIME_OF_EQUAL_RESPONSES, "requests were held");
 }
 
 #[tokio::test]
@@ -343,7 +345,7 @@
         assert_eq!(status, 200);
         assert!(body == id || body == "equal");
     }
-    assert!(begun_at.elapsed() < Duration::from_secs(10), "requests were held");
+    assert!(begun_at.elapsed() < MAX_TIME_OF_EQUAL_RESPONSES, "requests were held");
 }
 
 /// A backend that repeats is known by the first connection on which it is seen, however busy its connections are.
