--- a/crates/proxy/src/upstream/repeat_filter/mod.rs
+++ b/crates/proxy/src/upstream/repeat_filter/mod.rs
@@ -7,14 +7,19 @@
 
 mod filtered_stream;
 mod repeat_history;
+mod response_bytes;
 #[cfg(test)]
 mod tests;
 
 pub(super) use filtered_stream::FilteredStream;
 pub(super) use repeat_history::RepeatHistory;
+pub(super) use response_bytes::RESPONSE_START;
 
 use crate::transport::MAX_HEAD_BYTES;
 use bytes::{Buf, BytesMut};
+use response_bytes::{
+    common_prefix_length, contains_chunked, final_response, find, head_length, is_interim, is_response_start,
+};
 use std::collections::VecDeque;
 use tokio::time::Instant;
 
@@ -22,11 +27,6 @@
 const MAX_REMEMBERED_RESPONSES: usize = 8;
 /// Most bytes of them.
 const MAX_REMEMBERED_BYTES: usize = 16 * 1024;
-/// What every response begins with.
-pub(super) const RESPONSE_START: &[u8] = b"HTTP/1.";
-/// Where the first digit of a response's status stands.
-const STATUS_OFFSET: usize = b"HTTP/1.1 ".len();
-const HEAD_END: &[u8] = b"\r\n\r\n";
 
 /// How far the exchange on a connection has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -280,40 +280,3 @@
         self.remembered.iter().any(|response| response.rests_until.is_some_and(|until| now < until))
     }
 }
-
-/// Whether bytes begin like a response.
-fn is_response_start(bytes: &[u8]) -> bool {
-    let length = bytes.len().min(RESPONSE_START.len());
-    length > 0 && bytes[..length] == RESPONSE_START[..length]
-}
-
-/// Whether a response is an interim one, behind which the final one comes.
-fn is_interim(response: &[u8]) -> bool {
-    response.starts_with(RESPONSE_START) && response.get(STATUS_OFFSET) == Some(&b'1')
-}
-
-/// A response without the interim ones before it.
-fn final_response(mut response: &[u8]) -> &[u8] {
-    while is_interim(response) {
-        let Some(end) = head_length(response) else { break };
-        response = &response[end..];
-    }
-    response
-}
-
-/// How long a response's head is, with the empty line at its end.
-fn head_length(response: &[u8]) -> Option<usize> {
-    find(response, HEAD_END).map(|position| position + HEAD_END.len())
-}
-
-fn contains_chunked(head: &[u8]) -> bool {
-    find(&head.to_ascii_lowercase(), b"chunked").is_some()
-}
-
-fn find(bytes: &[u8], pattern: &[u8]) -> Option<usize> {
-    bytes.windows(pattern.len()).position(|window| window == pattern)
-}
-
-fn common_prefix_length(left: &[u8], right: &[u8]) -> usize {
-    left.iter().zip(right).take_while(|(left, right)| left == right).count()
-}
--- /dev/null
+++ b/crates/proxy/src/upstream/repeat_filter/response_bytes.rs
@@ -0,0 +1,47 @@
+//! Where responses begin and end in the bytes of a connection.
+
+/// What every response begins with.
+pub(in crate::upstream) const RESPONSE_START: &[u8] = b"HTTP/1.";
+/// Where the first digit of a response's status stands.
+const STATUS_OFFSET: usize = b"HTTP/1.1 ".len();
+const HEAD_END: &[u8] = b"\r\n\r\n";
+
+/// Whether bytes begin like a response.
+pub(super) fn is_response_start(bytes: &[u8]) -> bool {
+    let length = bytes.len().min(RESPONSE_START.len());
+    length > 0 && bytes[..length] == RESPONSE_START[..length]
+}
+
+/// Whether a response is an interim one, behind which the final one comes.
+pub(super) fn is_interim(response: &[u8]) -> bool {
+    response.starts_with(RESPONSE_START) && response.get(STATUS_OFFSET) == Some(&b'1')
+}
+
+/// A response without the interim ones before it.
+pub(super) fn final_response(mut response: &[u8]) -> &[u8] {
+    while is_interim(response) {
+        let Some(end) = head_length(response) else { break };
+        response = &response[end..];
+    }
+    response
+}
+
+/// How long a response's head is, with the empty line at its end.
+pub(super) fn head_length(response: &[u8]) -> Option<usize> {
+    find(response, HEAD_END).map(|position| position + HEAD_END.len())
+}
+
+/// Whether a head says that the body comes in chunks.
+pub(super) fn contains_chunked(head: &[u8]) -> bool {
+    find(&head.to_ascii_lowercase(), b"chunked").is_some()
+}
+
+/// Where a pattern stands for the first time.
+pub(super) fn find(bytes: &[u8], pattern: &[u8]) -> Option<usize> {
+    bytes.windows(pattern.len()).position(|window| window == pattern)
+}
+
+/// How many bytes are equal from the start.
+pub(super) fn common_prefix_length(left: &[u8], right: &[u8]) -> usize {
+    left.iter().zip(right).take_while(|(left, right)| left == right).count()
+}
