A response that equals an earlier one is held until it is known whose it is

Change: each connection is compared from its first response on. A whole response that equals one remembered, of any age, is a copy if something comes behind it; else it is held for up to half of what is left to its client (at least 8 times the slowest recent response, at most 2 s; errors 0.5 s), and its connection rests until it is known. What came on two connections, or was held in vain, is known as a content that different requests get, and is not held again. Behind an error the connection rests for a moment at every backend. The time of a held response is left out of the latency that the balancer is told. A connection that is out of step ends with the first response that differs.

--- a/crates/proxy/src/dispatcher/actions.rs
+++ b/crates/proxy/src/dispatcher/actions.rs
@@ -5,7 +5,7 @@
 use super::request_table::{AttemptRecord, AttemptState, InFlightAttempt, RequestEntry};
 use super::{Dispatcher, State};
 use crate::log::log;
-use crate::upstream::{Attempt, AttemptOutcome, printable_id};
+use crate::upstream::{Attempt, AttemptOutcome, FinishedAttempt, printable_id};
 use foldhitch_balancer::api::{Action, BackendId, Event, Outcome, RequestId, TimerToken};
 use std::fmt::Write;
 use std::rc::Rc;
@@ -104,14 +104,14 @@
         };
         let dispatcher = self.clone();
         tokio::task::spawn_local(async move {
-            let outcome = attempt.run(dispatcher.pool.clone()).await;
-            dispatcher.finish_attempt(request, number, outcome);
+            let finished = attempt.run(dispatcher.pool.clone()).await;
+            dispatcher.finish_attempt(request, number, finished);
         });
     }
 
     /// An attempt ended. The first served response goes to the client by itself.
-    fn finish_attempt(self: &Rc<Self>, request: RequestId, number: usize, outcome: AttemptOutcome) {
-        let events = self.state.borrow_mut().finish_attempt(request, number, outcome);
+    fn finish_attempt(self: &Rc<Self>, request: RequestId, number: usize, finished: FinishedAttempt) {
+        let events = self.state.borrow_mut().finish_attempt(request, number, finished);
         for event in events {
             self.handle(event);
         }
@@ -120,10 +120,11 @@
 
 impl State {
     /// Notes the end of an attempt and answers the client, if that is due; returns what the balancer is to be told.
-    fn finish_attempt(&mut self, request: RequestId, number: usize, outcome: AttemptOutcome) -> Vec<Event> {
+    fn finish_attempt(&mut self, request: RequestId, number: usize, finished: FinishedAttempt) -> Vec<Event> {
+        let FinishedAttempt { outcome, held_for } = finished;
         let Some(entry) = self.requests.get_mut(request) else { return Vec::new() };
-        let finished = entry.finish_attempt(number, outcome.outcome());
-        let Some((backend, latency)) = finished else { return Vec::new() };
+        let attempt = entry.finish_attempt(number, outcome.outcome(), held_for);
+        let Some((backend, latency)) = attempt else { return Vec::new() };
         let mut events = Vec::new();
         match &outcome {
             AttemptOutcome::Rejected => self.log_request(request, "rejected by a backend"),
--- a/crates/proxy/src/dispatcher/request_table.rs
+++ b/crates/proxy/src/dispatcher/request_table.rs
@@ -97,15 +97,17 @@
         !self.is_pending() && self.attempts.iter().all(is_finished)
     }
 
-    /// Notes the end of an attempt; returns its backend and how long it took, none if it was not in flight.
+    /// Notes the end of an attempt whose response was held here for a time; returns its backend and how long that took,
+    /// none if it was not in flight.
     pub(super) fn finish_attempt(
         &mut self,
         number: usize,
         outcome: Outcome,
+        held_for: Duration,
     ) -> Option<(BackendId, Duration)> {
         let attempt = self.attempts.get_mut(number)?;
         let AttemptState::InFlight(in_flight) = &attempt.state else { return None };
-        let latency = in_flight.sent_at.elapsed();
+        let latency = in_flight.sent_at.elapsed().saturating_sub(held_for);
         attempt.state = AttemptState::Finished { outcome, latency };
         Some((attempt.backend, latency))
     }
--- a/crates/proxy/src/upstream/attempt.rs
+++ b/crates/proxy/src/upstream/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt of a request: when it must end, who may cancel it, and how it ended.
 
-use super::attempt_outcome::AttemptOutcome;
+use super::attempt_outcome::{AttemptOutcome, FinishedAttempt};
 use super::connection::{Connection, IdleCheck};
 use super::connection_pool::{ConnectionPool, Endpoint};
 use super::request::UpstreamRequest;
@@ -9,7 +9,9 @@
 use foldhitch_balancer::api::Outcome;
 use hyper::Response;
 use hyper::body::Incoming;
+use std::cell::Cell;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::sync::oneshot;
 use tokio::time::{Instant, sleep_until};
 
@@ -30,16 +32,18 @@
 impl Attempt {
     /// Carries the attempt out and tells how it ended. The connection of one that is abandoned is closed: that is
     /// how a backend learns that nobody waits, so that it stops the work and frees the slot.
-    pub async fn run(self, pool: Rc<ConnectionPool>) -> AttemptOutcome {
+    pub async fn run(self, pool: Rc<ConnectionPool>) -> FinishedAttempt {
         let Attempt { request, endpoint, expires_at, client, cancelled } = self;
         let guard = send_guard(&pool, &endpoint, client);
-        let exchange = Exchange { pool, request: request.clone(), endpoint, expires_at, guard };
-        tokio::select! {
+        let held_for = Cell::new(Duration::ZERO);
+        let exchange = Exchange { pool, request: request.clone(), endpoint, expires_at, guard, held_for };
+        let outcome = tokio::select! {
             biased;
             outcome = exchange.run() => outcome,
             () = expired(&request, expires_at) => AttemptOutcome::Unserved(Outcome::Timeout),
             Ok(()) = cancelled => AttemptOutcome::Unserved(Outcome::Cancelled),
-        }
+        };
+        FinishedAttempt { outcome, held_for: exchange.held_for.get() }
     }
 }
 
@@ -80,6 +84,8 @@
     endpoint: Rc<Endpoint>,
     expires_at: Instant,
     guard: SendGuard,
+    /// For how long the response was held by this proxy.
+    held_for: Cell<Duration>,
 }
 
 impl Exchange {
@@ -107,9 +113,11 @@
                 None => self.pool.connect(&self.endpoint, &self.guard).await?,
             };
             connection.progress.guard_next_request(self.guard.clone());
+            connection.expect_response_until(self.expires_at);
             let message = self.request.message(&connection.progress, self.expires_at);
             let message = message.ok_or(Outcome::NotSent)?;
             if let Ok(response) = connection.sender.send_request(message).await {
+                self.held_for.set(connection.held_for());
                 return Ok((connection, response));
             }
             let has_begun = connection.progress.has_begun();
--- a/crates/proxy/src/upstream/attempt_outcome.rs
+++ b/crates/proxy/src/upstream/attempt_outcome.rs
@@ -3,6 +3,7 @@
 use crate::transport::BodyContent;
 use foldhitch_balancer::api::Outcome;
 use hyper::StatusCode;
+use std::time::Duration;
 
 /// How an attempt ended.
 pub enum AttemptOutcome {
@@ -27,3 +28,11 @@
         }
     }
 }
+
+/// An attempt that has ended.
+pub struct FinishedAttempt {
+    /// How.
+    pub outcome: AttemptOutcome,
+    /// For how long this proxy held the response: none of the backend's time.
+    pub held_for: Duration,
+}
--- a/crates/proxy/src/upstream/connection.rs
+++ b/crates/proxy/src/upstream/connection.rs
@@ -47,7 +47,7 @@
         repeat_history: Rc<RepeatHistory>,
     ) -> Result<Self, Outcome> {
         prepare(&stream).map_err(|_| Outcome::ConnectFailed)?;
-        let filter = Rc::new(RefCell::new(RepeatFilter::new()));
+        let filter = Rc::new(RefCell::new(RepeatFilter::new(&repeat_history)));
         let stream = FilteredStream::new(stream, filter.clone(), repeat_history.clone());
         let stream = ObservedStream::new(stream);
         let progress = stream.progress();
@@ -86,6 +86,16 @@
         }
     }
 
+    /// The response to the next request is waited for until then.
+    pub(super) fn expect_response_until(&self, expires_at: Instant) {
+        self.filter.borrow_mut().expect_response_until(expires_at);
+    }
+
+    /// For how long the present response was held, which is none of the backend's time.
+    pub(super) fn held_for(&self) -> Duration {
+        self.filter.borrow().held_for()
+    }
+
     /// The response is read, and the connection could be used again.
     pub(super) fn finish_response(&self, is_error: bool) {
         self.filter.borrow_mut().finish_response(is_error, &self.repeat_history, Instant::now());
--- a/crates/proxy/src/upstream/mod.rs
+++ b/crates/proxy/src/upstream/mod.rs
@@ -11,7 +11,7 @@
 mod tests;
 
 pub use attempt::Attempt;
-pub use attempt_outcome::AttemptOutcome;
+pub use attempt_outcome::{AttemptOutcome, FinishedAttempt};
 pub use connection_pool::{ConnectionPool, Endpoint, PoolLimits};
 pub use request::{UpstreamRequest, printable_id};
 
--- a/crates/proxy/src/upstream/repeat_filter/mod.rs
+++ b/crates/proxy/src/upstream/repeat_filter/mod.rs
@@ -1,11 +1,15 @@
 //! Takes second copies of responses out of what a backend sends.
 //!
 //! Some backends send a response again, some milliseconds later. HTTP/1.1 has nothing by which such a copy could be
-//! told from the response to the next request on its connection but its bytes. Once a backend is known to repeat, what
-//! comes for a request is held as long as it equals a response remembered on its connection. All of one is a copy, and
-//! is dropped; what differs is passed on unchanged.
+//! told from the response to the next request on its connection but its bytes. What comes for a request is held as long
+//! as it equals a response remembered on its connection; what differs is passed on unchanged.
+//!
+//! All of a remembered response is a copy if the backend is known to repeat, or if something comes behind it. If nothing
+//! does for as long as the backend's responses take, it is the response, and the backend is known to give equal ones.
 
+mod equal_contents;
 mod filtered_stream;
+mod hold;
 mod repeat_history;
 mod response_bytes;
 #[cfg(test)]
@@ -17,10 +21,14 @@
 
 use crate::transport::MAX_HEAD_BYTES;
 use bytes::{Buf, BytesMut};
+use equal_contents::ConnectionNumber;
+use hold::Hold;
 use response_bytes::{
     common_prefix_length, contains_chunked, final_response, find, head_length, is_interim, is_response_start,
+    is_served,
 };
 use std::collections::VecDeque;
+use std::time::Duration;
 use tokio::time::Instant;
 
 /// Most responses of a connection that are remembered: a slow copy may come behind later responses.
@@ -28,6 +36,21 @@
 /// Most bytes of them.
 const MAX_REMEMBERED_BYTES: usize = 16 * 1024;
 
+/// What a response is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum ResponseKind {
+    /// Its request was served.
+    Served,
+    /// Its request was not.
+    Error,
+}
+
+impl ResponseKind {
+    fn of(response: &[u8]) -> Self {
+        if is_served(response) { ResponseKind::Served } else { ResponseKind::Error }
+    }
+}
+
 /// How far the exchange on a connection has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Phase {
@@ -43,7 +66,8 @@
 struct RememberedResponse {
     bytes: Box<[u8]>,
     received_at: Instant,
-    /// Until when its connection is not used, if the next response may rightly equal it; it is forgotten then.
+    /// Until when its connection is not used, if the next response may rightly equal it. Where the backend is known to
+    /// repeat it is forgotten then.
     rests_until: Option<Instant>,
 }
 
@@ -51,14 +75,20 @@
     /// Whether its copy may still come.
     fn is_awaited(&self, history: &RepeatHistory, now: Instant) -> bool {
         match self.rests_until {
-            Some(until) => now < until,
-            None => now.duration_since(self.received_at) <= history.copy_window(),
+            Some(until) if history.repeats(now) => now < until,
+            _ => now.duration_since(self.received_at) <= history.copy_window(),
         }
     }
+
+    /// Whether its connection has rested so long that no copy of it can come.
+    fn is_forgotten(&self, history: &RepeatHistory, now: Instant) -> bool {
+        history.repeats(now) && self.rests_until.is_some_and(|until| until <= now)
+    }
 }
 
 /// The filter of one connection.
 pub(super) struct RepeatFilter {
+    connection: ConnectionNumber,
     phase: Phase,
     /// The oldest first.
     remembered: VecDeque<RememberedResponse>,
@@ -68,6 +98,14 @@
     is_present_too_long: bool,
     /// What may be a copy.
     held: BytesMut,
+    /// How long it is held; stays behind what was passed on before that was known to be no copy.
+    hold: Option<Hold>,
+    /// For how long the present response was held though it was no copy.
+    held_for: Duration,
+    /// When the present request was written.
+    request_began_at: Option<Instant>,
+    /// Until when its response is waited for.
+    response_expires_at: Option<Instant>,
     /// What can be passed on.
     ready: BytesMut,
     /// A copy may have been passed on before the backend was known to repeat: each response since may belong to an
@@ -81,28 +119,51 @@
 pub(super) struct Untrusted;
 
 impl RepeatFilter {
-    pub(super) fn new() -> Self {
+    /// The filter of a new connection to a backend with this history.
+    pub(super) fn new(history: &RepeatHistory) -> Self {
         RepeatFilter {
+            connection: history.connection_number(),
             phase: Phase::Idle,
             remembered: VecDeque::new(),
             present: Vec::new(),
             is_present_too_long: false,
             held: BytesMut::new(),
+            hold: None,
+            held_for: Duration::ZERO,
+            request_began_at: None,
+            response_expires_at: None,
             ready: BytesMut::new(),
             may_be_out_of_step: false,
         }
     }
 
+    /// The response to the next request is waited for until then.
+    pub(super) fn expect_response_until(&mut self, expires_at: Instant) {
+        self.response_expires_at = Some(expires_at);
+    }
+
+    /// For how long the present response was held though it was no copy.
+    pub(super) fn held_for(&self) -> Duration {
+        self.held_for
+    }
+
     /// The first byte of a request is about to be written.
     fn begin_request(&mut self, history: &RepeatHistory, now: Instant) {
-        if self.phase == Phase::Idle {
-            // Nothing came in all the time in which an earlier response would have come.
-            let is_copy_awaited = self.remembered.back().is_some_and(|last| last.is_awaited(history, now));
-            self.may_be_out_of_step &= is_copy_awaited;
-            self.phase = Phase::Awaiting;
-            self.present.clear();
-            self.is_present_too_long = false;
+        if self.phase != Phase::Idle {
+            return;
+        }
+        if self.hold.take().is_some_and(|hold| hold.is_verdict_due(now)) {
+            // Nothing came behind a response that was passed on before that was known.
+            history.record_equal(final_response(&self.present));
         }
+        // Nothing came in all the time in which an earlier response would have come.
+        let is_copy_awaited = self.remembered.back().is_some_and(|last| last.is_awaited(history, now));
+        self.may_be_out_of_step &= is_copy_awaited;
+        self.phase = Phase::Awaiting;
+        self.request_began_at = Some(now);
+        self.held_for = Duration::ZERO;
+        self.present.clear();
+        self.is_present_too_long = false;
     }
 
     /// Takes what has been read.
@@ -111,35 +172,36 @@
             // Nobody waits for it.
             history.record_repeat(now);
         }
-        if self.phase != Phase::Awaiting || !history.is_filtered(now) {
-            self.pass_held();
+        if self.phase != Phase::Awaiting {
             self.pass(bytes);
             self.phase = Phase::Receiving;
             return Ok(());
         }
-        if self.may_be_out_of_step && history.repeats(now) {
-            return Err(Untrusted);
-        }
         if self.held.is_empty() {
-            self.remembered.retain(|response| response.is_awaited(history, now));
+            self.remembered.retain(|response| !response.is_forgotten(history, now));
+            self.record_response_time(history, now);
         }
         self.held.extend_from_slice(bytes);
         self.compare(history, now)
     }
 
+    fn record_response_time(&self, history: &RepeatHistory, now: Instant) {
+        if let Some(began_at) = self.request_began_at {
+            history.record_response_time(now, now.duration_since(began_at));
+        }
+    }
+
     /// Drops copies from what is held, and passes on what is none.
     fn compare(&mut self, history: &RepeatHistory, now: Instant) -> Result<(), Untrusted> {
         while !self.held.is_empty() {
             if let Some(index) = self.remembered.iter().position(|copy| self.held.starts_with(&copy.bytes)) {
-                let is_all = self.held.len() == self.remembered[index].bytes.len();
-                if is_all && !history.repeats(now) {
-                    // It is the answer, unless something comes behind it or the backend is known by then.
-                    return Ok(());
+                if self.take_equal(index, history, now) {
+                    continue;
                 }
-                self.drop_copy(index, history, now);
-                continue;
+                return Ok(());
             }
             if self.remembered.iter().any(|copy| copy.bytes.starts_with(&self.held)) {
+                self.hold(history, now);
                 return Ok(());
             }
             if is_interim(&self.held) {
@@ -150,19 +212,48 @@
                 self.ready.extend_from_slice(&head);
                 continue;
             }
-            if self.may_be_broken_copy()? {
+            if history.repeats(now) && self.may_be_broken_copy()? {
                 return Ok(());
             }
-            self.pass_held();
-            self.phase = Phase::Receiving;
+            if history.repeats(now) && self.may_be_out_of_step {
+                return Err(Untrusted);
+            }
+            self.pass_response();
         }
         Ok(())
     }
 
+    /// Takes a response that equals one that is remembered, as a copy or as the answer; false if that is not known yet.
+    fn take_equal(&mut self, index: usize, history: &RepeatHistory, now: Instant) -> bool {
+        let remembered = &self.remembered[index];
+        let is_followed = self.held.len() > remembered.bytes.len();
+        let is_awaited = remembered.is_awaited(history, now);
+        let is_known_equal = history.is_equal_known(&remembered.bytes);
+        let is_copy = is_followed || history.repeats(now) && is_awaited && !is_known_equal;
+        let is_answer = is_known_equal && !(history.repeats(now) && is_awaited);
+        if is_copy {
+            self.drop_copy(index, history, now);
+        } else if is_answer {
+            self.pass_response();
+        } else {
+            self.hold(history, now);
+        }
+        is_copy || is_answer
+    }
+
+    /// Holds what has come until something comes behind it, and for a limited time.
+    fn hold(&mut self, history: &RepeatHistory, now: Instant) {
+        if self.hold.is_none() {
+            let times = history.hold_times(ResponseKind::of(&self.held));
+            self.hold = Some(Hold::begin(now, times, self.response_expires_at));
+        }
+    }
+
     fn drop_copy(&mut self, index: usize, history: &RepeatHistory, now: Instant) {
         let Some(response) = self.remembered.remove(index) else { return };
         self.held.advance(response.bytes.len());
-        history.record_copy(now, now.duration_since(response.received_at));
+        let came_at = self.hold.take().map_or(now, |hold| hold.began_at);
+        history.record_copy(now, came_at.duration_since(response.received_at));
     }
 
     /// Whether what is held begins like a response that is remembered, and more of it has to come before it is known
@@ -187,20 +278,40 @@
 
     /// Until when bytes are held, where that ends by itself.
     fn held_until(&self, history: &RepeatHistory, now: Instant) -> Option<Instant> {
-        if self.held.is_empty() || history.repeats(now) { None } else { history.suspected_until() }
+        let hold = self.hold.filter(|_| !self.held.is_empty())?;
+        if self.is_awaited_copy(hold, history, now) { None } else { Some(hold.release_at) }
     }
 
-    /// Passes on what was held of a backend that has not turned out to repeat.
+    /// Whether what is held is the copy, or the beginning of one, that was awaited of a backend that repeats.
+    fn is_awaited_copy(&self, hold: Hold, history: &RepeatHistory, now: Instant) -> bool {
+        let is_awaited = |copy: &RememberedResponse| {
+            copy.bytes.starts_with(&self.held)
+                && copy.is_awaited(history, hold.began_at)
+                && !history.is_equal_known(&copy.bytes)
+        };
+        history.repeats(now) && self.remembered.iter().any(is_awaited)
+    }
+
+    /// Passes on what was held for its time. Its connection stays observed until it is known to be no copy.
     fn release_held(&mut self, history: &RepeatHistory, now: Instant) {
-        if !self.held.is_empty() && !history.is_filtered(now) {
-            self.pass_held();
-            self.phase = Phase::Receiving;
+        let Some(hold) = self.hold.filter(|hold| hold.release_at <= now) else { return };
+        if self.held.is_empty() || self.is_awaited_copy(hold, history, now) {
+            return;
+        }
+        let is_whole = self.remembered.iter().any(|copy| *copy.bytes == *self.held);
+        if is_whole && hold.is_verdict_due(now) {
+            history.record_equal(&self.held);
+            self.hold = None;
         }
+        self.held_for = now.duration_since(hold.began_at);
+        self.pass_response();
     }
 
-    fn pass_held(&mut self) {
+    /// What is held is no copy, and neither is the rest of its response.
+    fn pass_response(&mut self) {
         let held = self.held.split();
         self.pass(&held);
+        self.phase = Phase::Receiving;
     }
 
     fn pass(&mut self, bytes: &[u8]) {
@@ -228,32 +339,36 @@
     pub(super) fn finish_response(&mut self, is_error: bool, history: &RepeatHistory, now: Instant) {
         self.phase = Phase::Idle;
         if self.is_present_too_long {
+            self.hold = None;
             return;
         }
         let response = final_response(&self.present);
-        let mut rest = None;
-        if history.repeats(now) {
-            if !is_error {
-                history.record_response(response);
-            }
-            if is_error || history.gives_equal_responses() {
-                // The next response may rightly equal it. A copy of it must not be taken for that.
-                rest = Some(history.rest_time());
-            }
-        } else if self.awaits_copy_of(response, history, now) {
-            self.may_be_out_of_step = true;
-            if !is_error && history.begin_observation(now) {
-                rest = Some(repeat_history::OBSERVATION_TIME);
-            }
-        } else if !is_error {
-            history.record_distinct_response();
+        let is_equal = self.remembered.iter().any(|earlier| *earlier.bytes == *response);
+        self.may_be_out_of_step |= is_equal;
+        if !is_equal {
+            history.record_distinct(response, self.connection);
+            self.hold = None;
         }
-        let (bytes, rests_until) = (response.into(), rest.map(|rest| now + rest));
-        self.remember(RememberedResponse { bytes, received_at: now, rests_until });
+        let rests_until = self.rest_behind(response, is_error, history, now);
+        self.remember(RememberedResponse { bytes: response.into(), received_at: now, rests_until });
     }
 
-    fn awaits_copy_of(&self, response: &[u8], history: &RepeatHistory, now: Instant) -> bool {
-        self.remembered.iter().any(|earlier| *earlier.bytes == *response && earlier.is_awaited(history, now))
+    /// Until when the connection is not used behind a response: a copy of it could be taken for the next one.
+    fn rest_behind(
+        &self,
+        response: &[u8],
+        is_error: bool,
+        history: &RepeatHistory,
+        now: Instant,
+    ) -> Option<Instant> {
+        let is_repeater = history.repeats(now);
+        if is_repeater && !is_error {
+            history.record_response(response);
+        }
+        let is_next_maybe_equal = is_error || is_repeater && history.gives_equal_responses();
+        let rest = is_next_maybe_equal.then(|| now + history.rest_time());
+        let observed_until = self.hold.as_ref().filter(|_| !is_repeater).map(|hold| hold.verdict_at);
+        rest.max(observed_until)
     }
 
     fn remember(&mut self, response: RememberedResponse) {
--- a/crates/proxy/src/upstream/repeat_filter/response_bytes.rs
+++ b/crates/proxy/src/upstream/repeat_filter/response_bytes.rs
@@ -4,6 +4,7 @@
 pub(in crate::upstream) const RESPONSE_START: &[u8] = b"HTTP/1.";
 /// Where the first digit of a response's status stands.
 const STATUS_OFFSET: usize = b"HTTP/1.1 ".len();
+const STATUS_SERVED: &[u8] = b"200";
 const HEAD_END: &[u8] = b"\r\n\r\n";
 
 /// Whether bytes begin like a response.
@@ -17,6 +18,11 @@
     response.starts_with(RESPONSE_START) && response.get(STATUS_OFFSET) == Some(&b'1')
 }
 
+/// Whether a response says that its request was served.
+pub(super) fn is_served(response: &[u8]) -> bool {
+    response.get(STATUS_OFFSET..).is_some_and(|status| status.starts_with(STATUS_SERVED))
+}
+
 /// A response without the interim ones before it.
 pub(super) fn final_response(mut response: &[u8]) -> &[u8] {
     while is_interim(response) {
