Tests: scripted backends, and calls in a row, are shared support

The backends of stray_responses.rs that follow a script for each request, and the client that sends requests in a row, move to tests/support: another file needs them.

--- a/crates/proxy/tests/stray_responses.rs
+++ b/crates/proxy/tests/stray_responses.rs
@@ -3,12 +3,9 @@
 mod support;
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use support::*;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
 use tokio::time::sleep;
 
 /// A repeat comes so long after its response.
@@ -23,36 +20,10 @@
 /// Most answers of others that they get: one on each connection that a backend has before it is known.
 const MAX_WRONG_BEFORE_KNOWN: usize = 2 * CLIENTS;
 
-/// Answers each request with its id, twice.
-async fn repeat_responses(mut stream: TcpStream) {
-    let mut seen = Vec::new();
-    while stream.read_buf(&mut seen).await.is_ok_and(|length| length > 0) {
-        if !seen.ends_with(b"\r\n\r\n") {
-            continue;
-        }
-        let text = String::from_utf8(std::mem::take(&mut seen)).expect("text").to_ascii_lowercase();
-        let (_, rest) = text.split_once("req-id: ").expect("an id");
-        let id = &rest[..16];
-        let response = format!("HTTP/1.1 200 OK\r\nContent-Length: 16\r\n\r\n{id}");
-        // The proxy may close the connection in between.
-        let _ = stream.write_all(response.as_bytes()).await;
-        sleep(REPEAT_DELAY).await;
-        let _ = stream.write_all(response.as_bytes()).await;
-    }
-}
-
 #[tokio::test]
 async fn once_a_repeat_was_seen_no_client_gets_the_answer_of_another() {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-    let addr = listener.local_addr().expect("bound");
-    tokio::spawn(async move {
-        loop {
-            let (stream, _) = listener.accept().await.expect("a connection");
-            stream.set_nodelay(true).expect("open");
-            tokio::spawn(repeat_responses(stream));
-        }
-    });
-    let discovery = Discovery::start(vec![line("a", addr, "SERVING")]).await;
+    let backend = ScriptedBackend::start(|_, id| twice(&own_response(id))).await;
+    let discovery = Discovery::start(vec![line("a", backend.addr, "SERVING")]).await;
     let proxy = Proxy::wait_until_applied(&discovery, settings()).await;
     let mut client = proxy.client().await;
     // Given: a repeat that came while its connection was idle.
@@ -60,83 +31,12 @@
     sleep(20 * REPEAT_DELAY).await;
     // When: requests follow each other without a pause.
     for _ in 0..200 {
-        let request =
-            request("look").body(http_body_util::Full::<bytes::Bytes>::default()).expect("well formed");
-        let id = request.headers()["req-id"].to_str().expect("text").to_string();
+        let (id, answer) = client.call_with_id(request("look")).await;
         // Then: each gets its own answer.
-        assert_eq!(client.send(request).await, (200, id));
-    }
-}
-
-/// What a backend does for a request, step by step.
-enum Step {
-    Write(Vec<u8>),
-    Pause(Duration),
-    Close,
-}
-
-/// The steps for the n-th request on a connection, by the request's id.
-type Script = dyn Fn(usize, &str) -> Vec<Step> + Send + Sync;
-
-/// A backend that follows a script on each of its connections.
-struct ScriptedBackend {
-    addr: SocketAddr,
-    /// How often each request came.
-    received: Arc<Mutex<HashMap<String, usize>>>,
-}
-
-impl ScriptedBackend {
-    async fn start(script: impl Fn(usize, &str) -> Vec<Step> + Send + Sync + 'static) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-        let addr = listener.local_addr().expect("bound");
-        let received = Arc::<Mutex<HashMap<String, usize>>>::default();
-        let (script, seen): (Arc<Script>, _) = (Arc::new(script), received.clone());
-        tokio::spawn(async move {
-            loop {
-                let (stream, _) = listener.accept().await.expect("a connection");
-                stream.set_nodelay(true).expect("open");
-                tokio::spawn(follow_script(stream, script.clone(), seen.clone()));
-            }
-        });
-        ScriptedBackend { addr, received }
-    }
-}
-
-async fn follow_script(
-    mut stream: TcpStream,
-    script: Arc<Script>,
-    received: Arc<Mutex<HashMap<String, usize>>>,
-) {
-    let mut seen = Vec::new();
-    let mut count = 0;
-    while stream.read_buf(&mut seen).await.is_ok_and(|length| length > 0) {
-        if !seen.ends_with(b"\r\n\r\n") {
-            continue;
-        }
-        let text = String::from_utf8(std::mem::take(&mut seen)).expect("text").to_ascii_lowercase();
-        let (_, rest) = text.split_once("req-id: ").expect("an id");
-        let id = &rest[..16];
-        *received.lock().expect("no panic").entry(id.to_string()).or_default() += 1;
-        for step in script(count, id) {
-            match step {
-                // The proxy may close the connection in between.
-                Step::Write(bytes) => drop(stream.write_all(&bytes).await),
-                Step::Pause(pause) => sleep(pause).await,
-                Step::Close => return,
-            }
-        }
-        count += 1;
+        assert_eq!(answer, (200, id));
     }
 }
 
-fn response(status: u16, headers: &str, body: &str) -> Vec<u8> {
-    format!("HTTP/1.1 {status} X\r\n{headers}Content-Length: {}\r\n\r\n{body}", body.len()).into_bytes()
-}
-
-fn own_response(id: &str) -> Vec<u8> {
-    response(200, "", id)
-}
-
 /// Something, and again after the delay of a repeat.
 fn twice(bytes: &[u8]) -> Vec<Step> {
     vec![Step::Write(bytes.to_vec()), Step::Pause(REPEAT_DELAY), Step::Write(bytes.to_vec())]
@@ -155,19 +55,6 @@
     (discovery, proxy)
 }
 
-/// Sends requests one after the other without a pause, and gives for each its id and its answer.
-async fn call_in_a_row(proxy: &Proxy, class: &str, count: usize) -> Vec<(String, (u16, String))> {
-    let mut client = proxy.client().await;
-    let mut answers = Vec::new();
-    for _ in 0..count {
-        let request = request(class).body(http_body_util::Full::<bytes::Bytes>::default());
-        let request = request.expect("well formed");
-        let id = request.headers()["req-id"].to_str().expect("text").to_string();
-        answers.push((id, client.send(request).await));
-    }
-    answers
-}
-
 /// The answers to requests in a row before a backend whose first response on a connection comes twice, and the others as
 /// the script says.
 async fn answers_before(
--- a/crates/proxy/tests/support/client.rs
+++ b/crates/proxy/tests/support/client.rs
@@ -41,6 +41,13 @@
         }
     }
 
+    /// Sends a request without a body, and gives its id and its answer.
+    pub async fn call_with_id(&mut self, request: hyper::http::request::Builder) -> (String, (u16, String)) {
+        let request = request.body(Full::default()).expect("well formed");
+        let id = request.headers()["req-id"].to_str().expect("text").to_string();
+        (id, self.send(request).await)
+    }
+
     pub async fn call(&mut self, class: &str) -> (u16, String) {
         self.send(request(class).body(Full::default()).expect("well formed")).await
     }
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -6,12 +6,14 @@
 mod client;
 mod discovery;
 mod proxy;
+mod scripted_backend;
 mod sockets;
 
 pub use backend::*;
 pub use client::*;
 pub use discovery::*;
 pub use proxy::*;
+pub use scripted_backend::*;
 pub use sockets::*;
 
 use bytes::Bytes;
