Tests of first copies: late responses, chunks, equal responses, and what ends a held request

For the mend of first copies: what it must mend further, and what it must not break.

A request may carry a deadline of its own, and requests in a row may be made by the caller; others are as they were.

--- a/crates/proxy/tests/first_copies.rs
+++ b/crates/proxy/tests/first_copies.rs
@@ -8,13 +8,27 @@
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicUsize, Ordering::SeqCst};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use support::*;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::task::JoinSet;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 /// The response proper comes so long after the copy of the one before.
 const RESPONSE_DELAY: Duration = Duration::from_millis(100);
+/// The deadline of requests where it matters.
+const DEADLINE: Duration = Duration::from_secs(3);
+/// The deadline of requests that are in a hurry.
+const SHORT_DEADLINE: Duration = Duration::from_millis(300);
+/// The final answer comes no later than this after a deadline, or its request is lost.
+const MAX_LATENESS: Duration = Duration::from_millis(500);
+/// The latency objective where it matters.
+const OBJECTIVE: Duration = Duration::from_millis(200);
+/// Requests in a row to a backend whose responses are equal, and rightly so.
+const EQUAL_CALLS: usize = 300;
+/// Mean time of an answer to one of them, as a share of the objective.
+const MAX_MEAN_FRACTION: f64 = 0.1;
 /// Requests on one connection once the backend repeats.
 const CALLS: usize = 5;
 /// Busy clients at once.
@@ -54,12 +68,12 @@
 struct Deployment {
     backends: usize,
     /// A request whose backend declined it waits no longer than this for another try.
-    latency_objective_ms: f64,
+    latency_objective: Duration,
 }
 
 impl Default for Deployment {
     fn default() -> Self {
-        Deployment { backends: 1, latency_objective_ms: 20_000.0 }
+        Deployment { backends: 1, latency_objective: Duration::from_secs(20) }
     }
 }
 
@@ -90,7 +104,7 @@
         let discovery = Discovery::start(list).await;
         let mut settings = settings();
         for class in settings["classes"].as_array_mut().expect("a list") {
-            class["aim"] = deployment.latency_objective_ms.into();
+            class["aim"] = (1000.0 * deployment.latency_objective.as_secs_f64()).into();
         }
         let proxy = Proxy::wait_until_applied(&discovery, settings).await;
         Fixture { backends, gate, _discovery: discovery, proxy }
@@ -108,6 +122,7 @@
         count: usize,
         delay: Duration,
     ) -> Vec<(String, (u16, String))> {
+        let calls = send_in_a_row(&self.proxy, count, || request_with_deadline(class, DEADLINE));
         let openings = async {
             for arrivals in 1.. {
                 self.gate.wait_for_arrivals(arrivals).await;
@@ -116,7 +131,7 @@
             }
         };
         tokio::select! {
-            answers = call_in_a_row(&self.proxy, class, count) => answers,
+            answers = calls => answers,
             () = openings => unreachable!("it goes on for ever"),
         }
     }
@@ -207,6 +222,41 @@
     one_client_gets_its_own(3, CopyDelivery::WithResponse).await;
 }
 
+/// The response behind a copy takes longer than its backend's responses ever took: waiting for it ends too early.
+#[tokio::test]
+async fn a_first_copy_long_before_the_response_is_no_answer() {
+    const USUAL: usize = 20;
+    for delay in [Duration::from_millis(300), Duration::from_secs(1)] {
+        let fixture = Fixture::new(Deployment::default(), CopyDelivery::Whole, |count, id| Exchange {
+            response: own_response(id),
+            is_repeated: count == USUAL,
+            is_held: count == USUAL + 1,
+        })
+        .await;
+        let answers = fixture.call_in_a_row("once", USUAL + CALLS, delay).await;
+        fixture.assert_each_got_its_own(answers);
+    }
+}
+
+/// As with a length: where the end of a copy lies says its framing.
+#[tokio::test]
+async fn the_first_copy_in_chunks_is_not_the_answer_to_the_next_request() {
+    for delivery in [CopyDelivery::Whole, CopyDelivery::HeadThenBody, CopyDelivery::WithResponse] {
+        let fixture = Fixture::new(Deployment::default(), delivery, |count, id| Exchange {
+            response: chunked_response(id),
+            is_repeated: count >= 3,
+            is_held: count > 3,
+        })
+        .await;
+        let answers = fixture.call_in_a_row("once", 3 + CALLS, RESPONSE_DELAY).await;
+        fixture.assert_each_got_its_own(answers);
+    }
+}
+
+fn chunked_response(id: &str) -> Vec<u8> {
+    format!("HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n10\r\n{id}\r\n0\r\n\r\n").into_bytes()
+}
+
 /// Copies come on all connections before any of them has carried the response proper by which the backend were known.
 #[tokio::test]
 async fn first_copies_on_all_busy_connections_are_no_answers() {
@@ -253,7 +303,7 @@
 ) {
     let runs = Arc::new(Mutex::new(HashMap::<String, usize>::new()));
     let (backend_runs, received) = (runs.clone(), AtomicUsize::new(0));
-    let deployment = Deployment { backends, latency_objective_ms: 200.0 };
+    let deployment = Deployment { backends, latency_objective: OBJECTIVE };
     let fixture = Fixture::new(deployment, CopyDelivery::Whole, move |_, id| {
         let received_before = received.fetch_add(1, SeqCst);
         if received_before == errors_at {
@@ -296,3 +346,170 @@
         the_copy_of_an_error_is_no_answer(1, 500, "", errors_at).await;
     }
 }
+
+/// So many clients send requests in a row to backends that answer all of them alike, and write the response again behind
+/// the next request where it is told. Each request is served, runs once, and the mean of their times is bound.
+async fn equal_responses_are_served(clients: usize, deadline: Duration, is_repeated: fn(usize) -> bool) {
+    let deployment = Deployment { backends: 2, latency_objective: OBJECTIVE };
+    let fixture = Fixture::new(deployment, CopyDelivery::Whole, move |count, _| Exchange {
+        is_repeated: is_repeated(count),
+        ..Exchange::sound(response(200, "", "equal"))
+    })
+    .await;
+    let fixture = Arc::new(fixture);
+    let mut calls = JoinSet::new();
+    let begun_at = Instant::now();
+    for _ in 0..clients {
+        let fixture = fixture.clone();
+        calls.spawn(async move {
+            send_in_a_row(&fixture.proxy, EQUAL_CALLS, || request_with_deadline("once", deadline)).await
+        });
+    }
+    let answers = calls.join_all().await.concat();
+    let mean = begun_at.elapsed() / u32::try_from(EQUAL_CALLS).expect("few");
+    let wrong: Vec<_> = answers.iter().filter(|(_, answer)| *answer != (200, "equal".to_string())).collect();
+    assert!(wrong.is_empty(), "{} of {}: {:?}", wrong.len(), answers.len(), &wrong[..wrong.len().min(5)]);
+    for (id, _) in answers {
+        assert_eq!(fixture.times_received(&id), 1, "{id}");
+    }
+    assert!(mean <= OBJECTIVE.mul_f64(MAX_MEAN_FRACTION), "an answer takes {mean:?} in the mean");
+}
+
+/// Equal responses are held as if they were copies.
+#[tokio::test]
+async fn equal_responses_of_an_unknown_backend_are_served_to_one_client() {
+    equal_responses_are_served(1, DEADLINE, |_| false).await;
+}
+
+/// Equal responses are held as if they were copies, on several connections at once.
+#[tokio::test]
+async fn equal_responses_of_an_unknown_backend_are_served_to_busy_clients() {
+    equal_responses_are_served(CLIENTS, DEADLINE, |_| false).await;
+}
+
+/// Equal responses are held beyond short deadlines.
+#[tokio::test]
+async fn equal_responses_of_an_unknown_backend_are_served_within_short_deadlines() {
+    for clients in [1, CLIENTS] {
+        equal_responses_are_served(clients, SHORT_DEADLINE, |_| false).await;
+    }
+}
+
+/// Equal responses are taken for copies where some of them are: what is dropped too much is missing as an answer.
+#[tokio::test]
+async fn equal_responses_of_an_unknown_backend_that_repeats_some_are_served() {
+    for clients in [1, CLIENTS] {
+        equal_responses_are_served(clients, DEADLINE, |count| count % 5 == 4).await;
+    }
+}
+
+/// Declining responses, which are rightly equal, are held as if they were copies: a rejection comes too late to try again.
+#[tokio::test]
+async fn declining_responses_of_an_unknown_backend_delay_no_request_beyond_its_queue_time() {
+    const REJECTED_CALLS: usize = 100;
+    /// Beyond the time itself, as for all limits on time.
+    const SLACK: Duration = Duration::from_millis(50);
+    let deployment = Deployment { latency_objective: OBJECTIVE, ..Deployment::default() };
+    let declining = |_, _: &str| Exchange::sound(response(503, "Srv-Declined: 1\r\n", ""));
+    let fixture = Fixture::new(deployment, CopyDelivery::Whole, declining).await;
+    let fixture = Arc::new(fixture);
+    let mut calls = JoinSet::new();
+    for _ in 0..CLIENTS {
+        let fixture = fixture.clone();
+        calls.spawn(async move {
+            let mut client = fixture.proxy.client().await;
+            let mut times = Vec::new();
+            for _ in 0..REJECTED_CALLS / CLIENTS {
+                let begun_at = Instant::now();
+                let (_, (status, _)) = client.call_with_id(request_with_deadline("once", DEADLINE)).await;
+                times.push((begun_at.elapsed(), status));
+            }
+            times
+        });
+    }
+    let times = calls.join_all().await.concat();
+    assert!(times.iter().all(|&(_, status)| status == 503), "{times:?}");
+    let late: Vec<_> = times.iter().filter(|&&(time, _)| time > OBJECTIVE + SLACK).collect();
+    assert!(late.is_empty(), "{} of {}: {late:?}", late.len(), times.len());
+}
+
+/// A request whose response proper waits at the gate, behind the copy of the one before.
+struct HeldRequest {
+    fixture: Fixture,
+    id: String,
+    client: TcpStream,
+}
+
+impl HeldRequest {
+    /// With a proxy that has served one request.
+    async fn new(deadline: Duration) -> Self {
+        let fixture = Fixture::new(Deployment::default(), CopyDelivery::Whole, |count, id| Exchange {
+            response: own_response(id),
+            is_repeated: count == 0,
+            is_held: count == 1,
+        })
+        .await;
+        assert_eq!(fixture.proxy.call("once").await.0, 200);
+        let mut client = connected(fixture.proxy.addr).await;
+        let id = "00000000f1257c09".to_string();
+        let head = call("POST /once", &id);
+        let deadline_header = format!("Req-Deadline-Ms: {}", deadline.as_millis());
+        let head = head.replace("Req-Deadline-Ms: 60000", &deadline_header);
+        client.write_all(head.as_bytes()).await.expect("open");
+        fixture.gate.wait_for_arrivals(1).await;
+        HeldRequest { fixture, id, client }
+    }
+
+    /// What the client gets within some time, or up to the end of its connection.
+    async fn received_within(&mut self, time: Duration) -> String {
+        let mut received = Vec::new();
+        let _ = timeout(time, self.client.read_to_end(&mut received)).await;
+        String::from_utf8(received).expect("text")
+    }
+
+    /// The proxy goes on, and the request has run once.
+    async fn assert_others_are_served(&self) {
+        let answers = self.fixture.call_in_a_row("once", CALLS, Duration::ZERO).await;
+        self.fixture.assert_each_got_its_own(answers);
+        assert_eq!(self.fixture.times_received(&self.id), 1);
+    }
+}
+
+/// A client that leaves while its response is held leaves a connection on which the next one gets what was held.
+#[tokio::test]
+async fn a_client_that_leaves_while_its_response_is_held_leaves_nothing_behind() {
+    let mut held = HeldRequest::new(DEADLINE).await;
+    assert_eq!(held.received_within(RESPONSE_DELAY).await, "", "a copy was the answer");
+    held.client.shutdown().await.expect("open");
+    // The proxy closes the connection of a client that has gone.
+    // An end or a reset: nothing is left to read.
+    let end = in_time(held.client.read_to_end(&mut Vec::new())).await;
+    assert_eq!(end.unwrap_or_default(), 0);
+    held.fixture.gate.open(1);
+    held.assert_others_are_served().await;
+}
+
+/// A request whose response is held up to its deadline is answered with the copy, twice, as rejected, or not at all.
+#[tokio::test]
+async fn a_request_whose_response_is_held_at_its_deadline_fails_in_time() {
+    let mut held = HeldRequest::new(SHORT_DEADLINE).await;
+    let answer = held.received_within(SHORT_DEADLINE + MAX_LATENESS).await;
+    assert!(answer.starts_with("HTTP/1.1 5"), "{answer}");
+    assert!(!answer.starts_with("HTTP/1.1 503"), "it may have run: {answer}");
+    held.fixture.gate.open(1);
+    assert_eq!(held.received_within(RESPONSE_DELAY).await, "", "a second answer");
+    assert_eq!(answer.matches("HTTP/1.1").count(), 1, "{answer}");
+    held.assert_others_are_served().await;
+}
+
+/// A stop while a response is held ends the wait with the copy, or with none.
+#[tokio::test]
+async fn a_request_whose_response_is_held_at_a_stop_is_served() {
+    let mut held = HeldRequest::new(DEADLINE).await;
+    held.fixture.proxy.terminate().await;
+    sleep(RESPONSE_DELAY).await;
+    held.fixture.gate.open(1);
+    let answer = held.received_within(DEADLINE).await;
+    assert!(answer.starts_with("HTTP/1.1 200") && answer.ends_with(&held.id), "{answer}");
+    assert_eq!(held.fixture.times_received(&held.id), 1);
+}
--- a/crates/proxy/tests/support/client.rs
+++ b/crates/proxy/tests/support/client.rs
@@ -11,6 +11,10 @@
 
 /// A request as clients send them.
 pub fn request(class: &str) -> hyper::http::request::Builder {
+    request_with_deadline(class, Duration::from_secs(60))
+}
+
+pub fn request_with_deadline(class: &str, deadline: Duration) -> hyper::http::request::Builder {
     static NEXT: AtomicUsize = AtomicUsize::new(1);
     let request = Request::builder()
         .method(if class == "look" { "GET" } else { "POST" })
@@ -18,7 +22,7 @@
         .header("host", "origin.svc")
         .header("req-id", format!("{:016x}", NEXT.fetch_add(1, SeqCst)))
         .header("req-owner", "acme")
-        .header("req-deadline-ms", "60000");
+        .header("req-deadline-ms", deadline.as_millis().to_string());
     if class == "keep" { request.header("idempotency-key", "5c0f6e1a") } else { request }
 }
 
--- a/crates/proxy/tests/support/scripted_backend.rs
+++ b/crates/proxy/tests/support/scripted_backend.rs
@@ -140,10 +140,19 @@
 
 /// Sends requests one after the other without a pause, and gives for each its id and its answer.
 pub async fn call_in_a_row(proxy: &Proxy, class: &str, count: usize) -> Vec<(String, (u16, String))> {
+    send_in_a_row(proxy, count, || request(class)).await
+}
+
+/// As [`call_in_a_row`], with requests as they are made for it.
+pub async fn send_in_a_row(
+    proxy: &Proxy,
+    count: usize,
+    make_request: impl Fn() -> hyper::http::request::Builder,
+) -> Vec<(String, (u16, String))> {
     let mut client = proxy.client().await;
     let mut answers = Vec::new();
     for _ in 0..count {
-        answers.push(client.call_with_id(request(class)).await);
+        answers.push(client.call_with_id(make_request()).await);
     }
     answers
 }
