Tests of first copies: one test for each delay, framing and place of an error

A test that goes through several cases stops at its first failure, and showed nothing of the others.

--- a/crates/proxy/tests/first_copies.rs
+++ b/crates/proxy/tests/first_copies.rs
@@ -217,35 +217,59 @@
     one_client_gets_its_own(3, CopyDelivery::WithResponse).await;
 }
 
+/// One client before a backend that repeats one response, and takes so long for the one behind it.
+async fn a_late_response_is_waited_for(delay: Duration) {
+    const USUAL: usize = 20;
+    let fixture = Fixture::new(Deployment::default(), CopyDelivery::Whole, |count, id| Exchange {
+        response: own_response(id),
+        is_repeated: count == USUAL,
+        is_held: count == USUAL + 1,
+    })
+    .await;
+    let answers = fixture.call_in_a_row("once", USUAL + CALLS, delay).await;
+    fixture.assert_each_got_its_own(answers);
+}
+
 /// The response behind a copy takes longer than its backend's responses ever took: waiting for it ends too early.
 #[tokio::test]
 async fn a_first_copy_long_before_the_response_is_no_answer() {
-    const USUAL: usize = 20;
-    for delay in [Duration::from_millis(300), Duration::from_secs(1)] {
-        let fixture = Fixture::new(Deployment::default(), CopyDelivery::Whole, |count, id| Exchange {
-            response: own_response(id),
-            is_repeated: count == USUAL,
-            is_held: count == USUAL + 1,
-        })
-        .await;
-        let answers = fixture.call_in_a_row("once", USUAL + CALLS, delay).await;
-        fixture.assert_each_got_its_own(answers);
-    }
+    a_late_response_is_waited_for(Duration::from_millis(300)).await;
+}
+
+/// As before, with a third of the deadline gone.
+#[tokio::test]
+async fn a_first_copy_very_long_before_the_response_is_no_answer() {
+    a_late_response_is_waited_for(Duration::from_secs(1)).await;
+}
+
+/// One client before a backend that sends its responses in chunks.
+async fn one_client_gets_its_own_in_chunks(delivery: CopyDelivery) {
+    let fixture = Fixture::new(Deployment::default(), delivery, |count, id| Exchange {
+        response: chunked_response(id),
+        is_repeated: count >= 3,
+        is_held: count > 3,
+    })
+    .await;
+    let answers = fixture.call_in_a_row("once", 3 + CALLS, RESPONSE_DELAY).await;
+    fixture.assert_each_got_its_own(answers);
 }
 
 /// As with a length: where the end of a copy lies says its framing.
 #[tokio::test]
 async fn the_first_copy_in_chunks_is_not_the_answer_to_the_next_request() {
-    for delivery in [CopyDelivery::Whole, CopyDelivery::HeadThenBody, CopyDelivery::WithResponse] {
-        let fixture = Fixture::new(Deployment::default(), delivery, |count, id| Exchange {
-            response: chunked_response(id),
-            is_repeated: count >= 3,
-            is_held: count > 3,
-        })
-        .await;
-        let answers = fixture.call_in_a_row("once", 3 + CALLS, RESPONSE_DELAY).await;
-        fixture.assert_each_got_its_own(answers);
-    }
+    one_client_gets_its_own_in_chunks(CopyDelivery::Whole).await;
+}
+
+/// The head of a copy in chunks comes first, and says no length.
+#[tokio::test]
+async fn the_first_copy_in_chunks_and_pieces_is_not_the_answer_to_the_next_request() {
+    one_client_gets_its_own_in_chunks(CopyDelivery::HeadThenBody).await;
+}
+
+/// The response proper stands right behind the last chunk of a copy.
+#[tokio::test]
+async fn the_first_copy_in_chunks_in_one_write_with_the_response_is_not_the_answer() {
+    one_client_gets_its_own_in_chunks(CopyDelivery::WithResponse).await;
 }
 
 fn chunked_response(id: &str) -> Vec<u8> {
@@ -380,9 +404,13 @@
 /// The copy of a declining response says that the next request was not run, though it runs: it is answered as rejected.
 #[tokio::test]
 async fn the_first_copy_of_a_declining_response_is_no_word_on_the_next_request() {
-    for errors_at in [0, 3] {
-        the_copy_of_an_error_is_no_answer(1, 503, "Srv-Declined: 1\r\n", errors_at).await;
-    }
+    the_copy_of_an_error_is_no_answer(1, 503, "Srv-Declined: 1\r\n", 3).await;
+}
+
+/// As before, where the first response of all declines.
+#[tokio::test]
+async fn the_copy_of_a_first_response_that_declines_is_no_word_on_the_next_request() {
+    the_copy_of_an_error_is_no_answer(1, 503, "Srv-Declined: 1\r\n", 0).await;
 }
 
 /// As before, where another backend is left to send the request to: it runs twice.
@@ -394,9 +422,13 @@
 /// The copy of an error fails the next request, which is served.
 #[tokio::test]
 async fn the_first_copy_of_an_error_is_no_word_on_the_next_request() {
-    for errors_at in [0, 3] {
-        the_copy_of_an_error_is_no_answer(1, 500, "", errors_at).await;
-    }
+    the_copy_of_an_error_is_no_answer(1, 500, "", 3).await;
+}
+
+/// As before, where the first response of all is an error.
+#[tokio::test]
+async fn the_copy_of_a_first_response_that_is_an_error_is_no_word_on_the_next_request() {
+    the_copy_of_an_error_is_no_answer(1, 500, "", 0).await;
 }
 
 /// So many clients send requests in a row to backends that answer all of them alike, and write the response again behind
