--- /dev/null
+++ b/crates/proxy/tests/first_copies.rs
@@ -0,0 +1,604 @@
+//! Backends of which it is not known yet that they send responses again: no client gets the first copies.
+//!
+//! A copy is written once its backend has read the next request on the connection, and the response proper once the
+//! test lets it.
+
+mod support;
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicUsize, Ordering::SeqCst};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use support::*;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::task::JoinSet;
+use tokio::time::{sleep, timeout};
+
+/// The response proper comes so long after the copy of the one before.
+const RESPONSE_DELAY: Duration = Duration::from_millis(100);
+/// The deadline of requests where it matters.
+const DEADLINE: Duration = Duration::from_secs(3);
+/// The deadline of requests that are in a hurry.
+const SHORT_DEADLINE: Duration = Duration::from_millis(300);
+/// The final answer comes no later than this after a deadline, or its request is lost.
+const MAX_LATENESS: Duration = Duration::from_millis(500);
+/// The latency objective where it matters.
+const OBJECTIVE: Duration = Duration::from_millis(200);
+/// Requests in a row to a backend whose responses are equal, and rightly so.
+const EQUAL_CALLS: usize = 300;
+/// Mean time of an answer to one of them, as a share of the objective.
+const MAX_MEAN_FRACTION: f64 = 0.1;
+/// Requests on one connection once the backend repeats.
+const CALLS: usize = 5;
+/// Busy clients at once.
+const CLIENTS: usize = 5;
+
+/// What a backend does for a request.
+struct Exchange {
+    response: Vec<u8>,
+    /// Whether the response is written again once the next request on its connection has come.
+    is_repeated: bool,
+    /// Whether the response waits at the gate.
+    is_held: bool,
+}
+
+impl Exchange {
+    /// One as of any sound backend.
+    fn sound(response: Vec<u8>) -> Self {
+        Exchange { response, is_repeated: false, is_held: false }
+    }
+}
+
+/// How a copy is written before the response proper.
+#[derive(Clone, Copy)]
+enum CopyDelivery {
+    Whole,
+    HeadThenBody,
+    /// In one write with the response proper.
+    WithResponse,
+}
+
+/// The head of a response ends behind this.
+const HEAD_END: &[u8] = b"\r\n\r\n";
+/// Between two pieces of a copy.
+const PIECE_DELAY: Duration = Duration::from_millis(5);
+
+/// What stands behind the proxy, and what it is set to.
+struct Deployment {
+    backends: usize,
+    /// A request whose backend declined it waits no longer than this for another try.
+    latency_objective: Duration,
+}
+
+impl Default for Deployment {
+    fn default() -> Self {
+        Deployment { backends: 1, latency_objective: Duration::from_secs(20) }
+    }
+}
+
+/// Backends that send responses again, and the proxy before them.
+struct Fixture {
+    backends: Vec<ScriptedBackend>,
+    gate: Arc<Gate>,
+    _discovery: Discovery,
+    proxy: Proxy,
+}
+
+impl Fixture {
+    /// With backends that do what is given for the n-th request on a connection, by the request's id.
+    async fn new(
+        deployment: Deployment,
+        delivery: CopyDelivery,
+        exchange: impl Fn(usize, &str) -> Exchange + Send + Sync + 'static,
+    ) -> Self {
+        let (gate, exchange) = (Gate::closed(), Arc::new(exchange));
+        let (mut backends, mut list) = (Vec::new(), Vec::new());
+        for number in 0..deployment.backends {
+            let (exchange, gate) = (exchange.clone(), gate.clone());
+            let handler = move |connection| repeat_late(connection, delivery, exchange.clone(), gate.clone());
+            let backend = ScriptedBackend::serve(handler).await;
+            list.push(line(&format!("backend-{number}"), backend.addr, "SERVING"));
+            backends.push(backend);
+        }
+        let discovery = Discovery::start(list).await;
+        let mut settings = settings();
+        for class in settings["classes"].as_array_mut().expect("a list") {
+            class["aim"] = (1000.0 * deployment.latency_objective.as_secs_f64()).into();
+        }
+        let proxy = Proxy::wait_until_applied(&discovery, settings).await;
+        Fixture { backends, gate, _discovery: discovery, proxy }
+    }
+
+    /// How often a request came to any backend.
+    fn times_received(&self, id: &str) -> usize {
+        self.backends.iter().map(|backend| backend.times_received(id)).sum()
+    }
+
+    /// Sends requests in a row, each held at the gate for the time given, and gives each one's id and answer.
+    async fn call_in_a_row(&self, class: &str, count: usize, delay: Duration) -> Vec<Answered> {
+        let calls = send_in_a_row(&self.proxy, count, || request_with_deadline(class, DEADLINE));
+        let openings = async {
+            for arrivals in 1.. {
+                self.gate.wait_for_arrivals(arrivals).await;
+                sleep(delay).await;
+                self.gate.open(1);
+            }
+        };
+        tokio::select! {
+            answers = calls => answers,
+            () = openings => unreachable!("it goes on for ever"),
+        }
+    }
+
+    /// Each request is served with its own answer, and ran once.
+    fn assert_each_got_its_own(&self, answers: Vec<Answered>) {
+        let wrong: Vec<_> =
+            answers.iter().enumerate().filter(|(_, (id, answer))| *answer != (200, id.clone())).collect();
+        assert!(wrong.is_empty(), "{} of {}: {wrong:?}", wrong.len(), answers.len());
+        for (id, _) in answers {
+            assert_eq!(self.times_received(&id), 1, "{id} ran twice");
+        }
+    }
+}
+
+async fn repeat_late(
+    mut connection: BackendConnection,
+    delivery: CopyDelivery,
+    exchange: Arc<impl Fn(usize, &str) -> Exchange + Send + Sync + 'static>,
+    gate: Arc<Gate>,
+) {
+    let mut copy = Vec::new();
+    let mut count = 0;
+    while let Some(id) = connection.read_request().await {
+        let Exchange { response, is_repeated, is_held } = exchange(count, &id);
+        match delivery {
+            CopyDelivery::Whole => connection.write(&copy).await,
+            CopyDelivery::HeadThenBody => {
+                let head = copy.windows(HEAD_END.len()).position(|window| window == HEAD_END);
+                let (head, body) = copy.split_at(head.map_or(0, |end| end + HEAD_END.len()));
+                connection.write(head).await;
+                sleep(PIECE_DELAY).await;
+                connection.write(body).await;
+            }
+            CopyDelivery::WithResponse => {}
+        }
+        if is_held {
+            gate.pass().await;
+        }
+        match delivery {
+            CopyDelivery::WithResponse => connection.write(&[copy.as_slice(), &response].concat()).await,
+            CopyDelivery::Whole | CopyDelivery::HeadThenBody => connection.write(&response).await,
+        }
+        copy = if is_repeated { response } else { Vec::new() };
+        count += 1;
+    }
+}
+
+/// One client before a backend that begins to repeat with the response after so many.
+async fn one_client_gets_its_own(distinct: usize, delivery: CopyDelivery) {
+    let fixture = Fixture::new(Deployment::default(), delivery, move |count, id| Exchange {
+        response: own_response(id),
+        is_repeated: count >= distinct,
+        is_held: count > distinct,
+    })
+    .await;
+    let answers = fixture.call_in_a_row("once", distinct + CALLS, RESPONSE_DELAY).await;
+    fixture.assert_each_got_its_own(answers);
+}
+
+/// The copy of a response is taken for the next one, which comes later on the same connection.
+#[tokio::test]
+async fn the_first_copy_is_not_the_answer_to_the_next_request() {
+    one_client_gets_its_own(3, CopyDelivery::Whole).await;
+}
+
+/// As before, where nothing is known: the first response of the process is repeated.
+#[tokio::test]
+async fn the_copy_of_the_first_response_of_all_is_not_the_answer_to_the_next_request() {
+    one_client_gets_its_own(0, CopyDelivery::Whole).await;
+}
+
+/// As before, where the backend seems to be sound.
+#[tokio::test]
+async fn the_first_copy_after_many_distinct_responses_is_not_the_answer_to_the_next_request() {
+    one_client_gets_its_own(50, CopyDelivery::Whole).await;
+}
+
+/// The head of a copy comes first: it is no word on what follows.
+#[tokio::test]
+async fn the_first_copy_in_pieces_is_not_the_answer_to_the_next_request() {
+    one_client_gets_its_own(3, CopyDelivery::HeadThenBody).await;
+}
+
+/// The first of two responses in one write is taken, and the second thrown away.
+#[tokio::test]
+async fn the_first_copy_in_one_write_with_the_response_is_not_the_answer() {
+    one_client_gets_its_own(3, CopyDelivery::WithResponse).await;
+}
+
+/// One client before a backend that repeats one response, and takes so long for the one behind it.
+async fn a_late_response_is_waited_for(delay: Duration) {
+    const USUAL: usize = 20;
+    let fixture = Fixture::new(Deployment::default(), CopyDelivery::Whole, |count, id| Exchange {
+        response: own_response(id),
+        is_repeated: count == USUAL,
+        is_held: count == USUAL + 1,
+    })
+    .await;
+    let answers = fixture.call_in_a_row("once", USUAL + CALLS, delay).await;
+    fixture.assert_each_got_its_own(answers);
+}
+
+/// The response behind a copy takes longer than its backend's responses ever took: waiting for it ends too early.
+#[tokio::test]
+async fn a_first_copy_long_before_the_response_is_no_answer() {
+    a_late_response_is_waited_for(Duration::from_millis(300)).await;
+}
+
+/// As before, with a third of the deadline gone.
+#[tokio::test]
+async fn a_first_copy_very_long_before_the_response_is_no_answer() {
+    a_late_response_is_waited_for(Duration::from_secs(1)).await;
+}
+
+/// One client before a backend that sends its responses in chunks.
+async fn one_client_gets_its_own_in_chunks(delivery: CopyDelivery) {
+    let fixture = Fixture::new(Deployment::default(), delivery, |count, id| Exchange {
+        response: chunked_response(id),
+        is_repeated: count >= 3,
+        is_held: count > 3,
+    })
+    .await;
+    let answers = fixture.call_in_a_row("once", 3 + CALLS, RESPONSE_DELAY).await;
+    fixture.assert_each_got_its_own(answers);
+}
+
+/// As with a length: where the end of a copy lies says its framing.
+#[tokio::test]
+async fn the_first_copy_in_chunks_is_not_the_answer_to_the_next_request() {
+    one_client_gets_its_own_in_chunks(CopyDelivery::Whole).await;
+}
+
+/// The head of a copy in chunks comes first, and says no length.
+#[tokio::test]
+async fn the_first_copy_in_chunks_and_pieces_is_not_the_answer_to_the_next_request() {
+    one_client_gets_its_own_in_chunks(CopyDelivery::HeadThenBody).await;
+}
+
+/// The response proper stands right behind the last chunk of a copy.
+#[tokio::test]
+async fn the_first_copy_in_chunks_in_one_write_with_the_response_is_not_the_answer() {
+    one_client_gets_its_own_in_chunks(CopyDelivery::WithResponse).await;
+}
+
+fn chunked_response(id: &str) -> Vec<u8> {
+    format!("HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n10\r\n{id}\r\n0\r\n\r\n").into_bytes()
+}
+
+/// Clients that each send one request at a time, all at once, each on a connection of its own to one of two backends.
+struct BusyClients {
+    fixture: Fixture,
+    clients: Vec<Client>,
+    calls: JoinSet<(Client, Answered)>,
+    answers: Vec<Answered>,
+    rounds: usize,
+}
+
+impl BusyClients {
+    async fn new(delivery: CopyDelivery) -> Self {
+        // Two backends, since fewer requests than this are let through to one of which nothing is known.
+        let deployment = Deployment { backends: 2, ..Deployment::default() };
+        let fixture = Fixture::new(deployment, delivery, |_, id| Exchange {
+            response: own_response(id),
+            is_repeated: true,
+            is_held: true,
+        })
+        .await;
+        let mut clients = Vec::new();
+        for _ in 0..CLIENTS {
+            clients.push(fixture.proxy.client().await);
+        }
+        BusyClients { fixture, clients, calls: JoinSet::new(), answers: Vec::new(), rounds: 0 }
+    }
+
+    /// Sends a request of each client, and waits until all are at the gate.
+    async fn send_all(&mut self) {
+        self.rounds += 1;
+        for mut client in self.clients.drain(..) {
+            self.calls.spawn(async move {
+                let answer = client.call_with_id(request("once")).await;
+                (client, answer)
+            });
+        }
+        self.fixture.gate.wait_for_arrivals(self.rounds * CLIENTS).await;
+    }
+
+    /// Waits for the answers to all of them.
+    async fn receive_all(&mut self) {
+        while let Some(call) = self.calls.join_next().await {
+            let (client, answer) = call.expect("no panic");
+            self.clients.push(client);
+            self.answers.push(answer);
+        }
+    }
+
+    /// Waits until so many connections of the proxy to its backends have something that it has not read.
+    async fn wait_for_unread_responses(&self, count: usize) {
+        let ports: Vec<u16> = self.fixture.backends.iter().map(|backend| backend.addr.port()).collect();
+        let is_unread = |row: &Row| ports.contains(&row.remote) && row.unread > 0;
+        in_time(async {
+            while table().into_iter().filter(is_unread).count() < count {
+                tokio::task::yield_now().await;
+            }
+        })
+        .await;
+    }
+}
+
+/// Copies come on all connections before any of them has carried the response proper by which the backend were known.
+#[tokio::test]
+async fn first_copies_on_all_busy_connections_are_no_answers() {
+    let mut busy = BusyClients::new(CopyDelivery::Whole).await;
+    for _ in 0..CALLS {
+        busy.send_all().await;
+        sleep(RESPONSE_DELAY).await;
+        busy.fixture.gate.open(CLIENTS);
+        busy.receive_all().await;
+    }
+    busy.fixture.assert_each_got_its_own(busy.answers);
+}
+
+/// Copies come on all connections in one turn of the proxy, each right before the response proper: what one of them
+/// tells of its backend comes too late for the others, and for itself.
+#[tokio::test]
+async fn first_copies_that_come_with_the_responses_in_one_turn_are_no_answers() {
+    let mut busy = BusyClients::new(CopyDelivery::WithResponse).await;
+    // Given: connections that have each carried a response whose copy has not come, and a request now.
+    busy.send_all().await;
+    busy.fixture.gate.open(CLIENTS);
+    busy.receive_all().await;
+    busy.send_all().await;
+    // When: the copy and the response proper lie on each of them before the proxy's next turn.
+    busy.fixture.proxy.pause().await;
+    busy.fixture.gate.open(CLIENTS);
+    busy.wait_for_unread_responses(CLIENTS).await;
+    busy.fixture.proxy.resume_process().await;
+    busy.receive_all().await;
+    // Then: each gets its own answer.
+    busy.fixture.assert_each_got_its_own(busy.answers);
+}
+
+/// One client before a backend that fails one request, the one after so many, and repeats that error once it has the
+/// next request.
+async fn the_copy_of_an_error_is_no_answer(
+    backends: usize,
+    status: u16,
+    headers: &'static str,
+    errors_at: usize,
+) {
+    let runs = Arc::new(Mutex::new(HashMap::<String, usize>::new()));
+    let (backend_runs, received) = (runs.clone(), AtomicUsize::new(0));
+    let deployment = Deployment { backends, latency_objective: OBJECTIVE };
+    let fixture = Fixture::new(deployment, CopyDelivery::Whole, move |_, id| {
+        let received_before = received.fetch_add(1, SeqCst);
+        if received_before == errors_at {
+            return Exchange { response: response(status, headers, ""), is_repeated: true, is_held: false };
+        }
+        *backend_runs.lock().expect("no panic").entry(id.to_string()).or_default() += 1;
+        Exchange { is_held: received_before > errors_at, ..Exchange::sound(own_response(id)) }
+    })
+    .await;
+    let answers = fixture.call_in_a_row("once", errors_at + 2 * CALLS, RESPONSE_DELAY).await;
+    let runs = runs.lock().expect("no panic").clone();
+    let is_right = |(id, (status, body)): &Answered| {
+        let served = runs.get(id).copied().unwrap_or_default();
+        served <= 1 && (*status == 200) == (served == 1) && (*status != 200 || body == id)
+    };
+    let wrong: Vec<_> = answers.iter().enumerate().filter(|(_, answer)| !is_right(answer)).collect();
+    assert!(wrong.is_empty(), "{} of {}: {wrong:?}, runs {runs:?}", wrong.len(), answers.len());
+    // The error answers one request at the most.
+    assert!(answers.iter().filter(|(_, (status, _))| *status != 200).count() <= 1, "{answers:?}");
+}
+
+/// The copy of a declining response says that the next request was not run, though it runs: it is answered as rejected.
+#[tokio::test]
+async fn the_first_copy_of_a_declining_response_is_no_word_on_the_next_request() {
+    the_copy_of_an_error_is_no_answer(1, 503, "Srv-Declined: 1\r\n", 3).await;
+}
+
+/// As before, where the first response of all declines.
+#[tokio::test]
+async fn the_copy_of_a_first_response_that_declines_is_no_word_on_the_next_request() {
+    the_copy_of_an_error_is_no_answer(1, 503, "Srv-Declined: 1\r\n", 0).await;
+}
+
+/// As before, where another backend is left to send the request to: it runs twice.
+#[tokio::test]
+async fn the_first_copy_of_a_declining_response_is_no_reason_to_send_the_next_request_again() {
+    the_copy_of_an_error_is_no_answer(2, 503, "Srv-Declined: 1\r\n", 3).await;
+}
+
+/// The copy of an error fails the next request, which is served.
+#[tokio::test]
+async fn the_first_copy_of_an_error_is_no_word_on_the_next_request() {
+    the_copy_of_an_error_is_no_answer(1, 500, "", 3).await;
+}
+
+/// As before, where the first response of all is an error.
+#[tokio::test]
+async fn the_copy_of_a_first_response_that_is_an_error_is_no_word_on_the_next_request() {
+    the_copy_of_an_error_is_no_answer(1, 500, "", 0).await;
+}
+
+/// So many clients send requests in a row to backends that answer all of them alike, and write the response again behind
+/// the next request where it is told. Each request is served, runs once, and the mean of their times is bound.
+async fn equal_responses_are_served(clients: usize, deadline: Duration, is_repeated: fn(usize) -> bool) {
+    let deployment = Deployment { backends: 2, latency_objective: OBJECTIVE };
+    let fixture = Fixture::new(deployment, CopyDelivery::Whole, move |count, _| Exchange {
+        is_repeated: is_repeated(count),
+        ..Exchange::sound(response(200, "", "equal"))
+    })
+    .await;
+    let fixture = Arc::new(fixture);
+    let mut calls = JoinSet::new();
+    let begun_at = Instant::now();
+    for _ in 0..clients {
+        let fixture = fixture.clone();
+        calls.spawn(async move {
+            send_in_a_row(&fixture.proxy, EQUAL_CALLS, || request_with_deadline("once", deadline)).await
+        });
+    }
+    let answers = calls.join_all().await.concat();
+    let mean = begun_at.elapsed() / u32::try_from(EQUAL_CALLS).expect("few");
+    let wrong: Vec<_> = answers.iter().filter(|(_, answer)| *answer != (200, "equal".to_string())).collect();
+    assert!(wrong.is_empty(), "{} of {}: {:?}", wrong.len(), answers.len(), &wrong[..wrong.len().min(5)]);
+    for (id, _) in answers {
+        assert_eq!(fixture.times_received(&id), 1, "{id}");
+    }
+    assert!(mean <= OBJECTIVE.mul_f64(MAX_MEAN_FRACTION), "an answer takes {mean:?} in the mean");
+}
+
+/// Equal responses are held as if they were copies.
+#[tokio::test]
+async fn equal_responses_of_an_unknown_backend_are_served_to_one_client() {
+    equal_responses_are_served(1, DEADLINE, |_| false).await;
+}
+
+/// Equal responses are held as if they were copies, on several connections at once.
+#[tokio::test]
+async fn equal_responses_of_an_unknown_backend_are_served_to_busy_clients() {
+    equal_responses_are_served(CLIENTS, DEADLINE, |_| false).await;
+}
+
+/// Equal responses are held beyond short deadlines.
+#[tokio::test]
+async fn equal_responses_of_an_unknown_backend_are_served_within_short_deadlines() {
+    for clients in [1, CLIENTS] {
+        equal_responses_are_served(clients, SHORT_DEADLINE, |_| false).await;
+    }
+}
+
+/// Equal responses are taken for copies where some of them are: what is dropped too much is missing as an answer.
+#[tokio::test]
+async fn equal_responses_of_an_unknown_backend_that_repeats_some_are_served() {
+    for clients in [1, CLIENTS] {
+        equal_responses_are_served(clients, DEADLINE, |count| count % 5 == 4).await;
+    }
+}
+
+/// Declining responses, which are rightly equal, are held as if they were copies: a rejection comes too late to try again.
+#[tokio::test]
+async fn declining_responses_of_an_unknown_backend_delay_no_request_beyond_its_queue_time() {
+    const REJECTED_CALLS: usize = 100;
+    /// Beyond the time itself, in the mean, as for all limits on time ...
+    const MEAN_SLACK: Duration = Duration::from_millis(50);
+    /// ... and for each: other tests run beside this one.
+    const SLACK: Duration = Duration::from_millis(150);
+    let deployment = Deployment { latency_objective: OBJECTIVE, ..Deployment::default() };
+    let declining = |_, _: &str| Exchange::sound(response(503, "Srv-Declined: 1\r\n", ""));
+    let fixture = Fixture::new(deployment, CopyDelivery::Whole, declining).await;
+    let fixture = Arc::new(fixture);
+    let mut calls = JoinSet::new();
+    for _ in 0..CLIENTS {
+        let fixture = fixture.clone();
+        calls.spawn(async move {
+            let mut client = fixture.proxy.client().await;
+            let mut times = Vec::new();
+            for _ in 0..REJECTED_CALLS / CLIENTS {
+                let begun_at = Instant::now();
+                let (_, (status, _)) = client.call_with_id(request_with_deadline("once", DEADLINE)).await;
+                times.push((begun_at.elapsed(), status));
+            }
+            times
+        });
+    }
+    let times = calls.join_all().await.concat();
+    assert!(times.iter().all(|&(_, status)| status == 503), "{times:?}");
+    let late: Vec<_> = times.iter().filter(|&&(time, _)| time > OBJECTIVE + SLACK).collect();
+    assert!(late.is_empty(), "{} of {}: {late:?}", late.len(), times.len());
+    let sum: Duration = times.iter().map(|(time, _)| *time).sum();
+    let max_sum = (OBJECTIVE + MEAN_SLACK) * u32::try_from(times.len()).expect("few");
+    assert!(sum <= max_sum, "{sum:?} for {} requests", times.len());
+}
+
+/// A request whose response proper waits at the gate, behind the copy of the one before.
+struct HeldRequest {
+    fixture: Fixture,
+    id: String,
+    client: TcpStream,
+}
+
+impl HeldRequest {
+    /// With a proxy that has served one request.
+    async fn new(deadline: Duration) -> Self {
+        let fixture = Fixture::new(Deployment::default(), CopyDelivery::Whole, |count, id| Exchange {
+            response: own_response(id),
+            is_repeated: count == 0,
+            is_held: count == 1,
+        })
+        .await;
+        assert_eq!(fixture.proxy.call("once").await.0, 200);
+        let mut client = connected(fixture.proxy.addr).await;
+        let id = "00000000f1257c09".to_string();
+        let head = call("POST /once", &id);
+        let deadline_header = format!("Req-Deadline-Ms: {}", deadline.as_millis());
+        let head = head.replace("Req-Deadline-Ms: 60000", &deadline_header);
+        client.write_all(head.as_bytes()).await.expect("open");
+        fixture.gate.wait_for_arrivals(1).await;
+        HeldRequest { fixture, id, client }
+    }
+
+    /// What the client gets within some time, or up to the end of its connection.
+    async fn received_within(&mut self, time: Duration) -> String {
+        let mut received = Vec::new();
+        let _ = timeout(time, self.client.read_to_end(&mut received)).await;
+        String::from_utf8(received).expect("text")
+    }
+
+    /// The proxy goes on, and the request has run once.
+    async fn assert_others_are_served(&self) {
+        let answers = self.fixture.call_in_a_row("once", CALLS, Duration::ZERO).await;
+        self.fixture.assert_each_got_its_own(answers);
+        assert_eq!(self.fixture.times_received(&self.id), 1);
+    }
+}
+
+/// A client that leaves while its response is held leaves a connection on which the next one gets what was held.
+#[tokio::test]
+async fn a_client_that_leaves_while_its_response_is_held_leaves_nothing_behind() {
+    let mut held = HeldRequest::new(DEADLINE).await;
+    assert_eq!(held.received_within(RESPONSE_DELAY).await, "", "a copy was the answer");
+    held.client.shutdown().await.expect("open");
+    // The proxy closes the connection of a client that has gone.
+    // An end or a reset: nothing is left to read.
+    let end = in_time(held.client.read_to_end(&mut Vec::new())).await;
+    assert_eq!(end.unwrap_or_default(), 0);
+    held.fixture.gate.open(1);
+    held.assert_others_are_served().await;
+}
+
+/// A request whose response is held up to its deadline is answered with the copy, twice, as rejected, or not at all.
+#[tokio::test]
+async fn a_request_whose_response_is_held_at_its_deadline_fails_in_time() {
+    let mut held = HeldRequest::new(SHORT_DEADLINE).await;
+    let answer = held.received_within(SHORT_DEADLINE + MAX_LATENESS).await;
+    assert!(answer.starts_with("HTTP/1.1 5"), "{answer}");
+    assert!(!answer.starts_with("HTTP/1.1 503"), "it may have run: {answer}");
+    held.fixture.gate.open(1);
+    assert_eq!(held.received_within(RESPONSE_DELAY).await, "", "a second answer");
+    assert_eq!(answer.matches("HTTP/1.1").count(), 1, "{answer}");
+    held.assert_others_are_served().await;
+}
+
+/// A stop while a response is held ends the wait with the copy, or with none.
+#[tokio::test]
+async fn a_request_whose_response_is_held_at_a_stop_is_served() {
+    let mut held = HeldRequest::new(DEADLINE).await;
+    held.fixture.proxy.terminate().await;
+    sleep(RESPONSE_DELAY).await;
+    held.fixture.gate.open(1);
+    let answer = held.received_within(DEADLINE).await;
+    assert!(answer.starts_with("HTTP/1.1 200") && answer.ends_with(&held.id), "{answer}");
+    assert_eq!(held.fixture.times_received(&held.id), 1);
+}
--- a/crates/proxy/tests/support/client.rs
+++ b/crates/proxy/tests/support/client.rs
@@ -11,6 +11,10 @@
 
 /// A request as clients send them.
 pub fn request(class: &str) -> hyper::http::request::Builder {
+    request_with_deadline(class, Duration::from_secs(60))
+}
+
+pub fn request_with_deadline(class: &str, deadline: Duration) -> hyper::http::request::Builder {
     static NEXT: AtomicUsize = AtomicUsize::new(1);
     let request = Request::builder()
         .method(if class == "look" { "GET" } else { "POST" })
@@ -18,10 +22,13 @@
         .header("host", "origin.svc")
         .header("req-id", format!("{:016x}", NEXT.fetch_add(1, SeqCst)))
         .header("req-owner", "acme")
-        .header("req-deadline-ms", "60000");
+        .header("req-deadline-ms", deadline.as_millis().to_string());
     if class == "keep" { request.header("idempotency-key", "5c0f6e1a") } else { request }
 }
 
+/// A request's id, and the status and the body of its answer.
+pub type Answered = (String, (u16, String));
+
 pub struct Client(pub SendRequest<Full<Bytes>>);
 
 impl Client {
@@ -41,6 +48,13 @@
         }
     }
 
+    /// Sends a request without a body, and gives its id and its answer.
+    pub async fn call_with_id(&mut self, request: hyper::http::request::Builder) -> Answered {
+        let request = request.body(Full::default()).expect("well formed");
+        let id = request.headers()["req-id"].to_str().expect("text").to_string();
+        (id, self.send(request).await)
+    }
+
     pub async fn call(&mut self, class: &str) -> (u16, String) {
         self.send(request(class).body(Full::default()).expect("well formed")).await
     }
