--- a/crates/proxy/src/upstream/connection.rs
+++ b/crates/proxy/src/upstream/connection.rs
@@ -1,6 +1,6 @@
 //! A connection to a backend.
 
-use super::repeat_filter::{FilteredStream, RESPONSE_START, RepeatFilter, RepeatHistory};
+use super::repeat_filter::{FilteredStream, RepeatFilter, RepeatHistory, is_response_start};
 use crate::transport::{MAX_HEAD_BYTES, MAX_HEADERS, ObservedStream, RequestBody, StreamProgress, prepare};
 use bytes::Bytes;
 use foldhitch_balancer::api::Outcome;
@@ -75,7 +75,7 @@
             Ok(Ok(())) => IdleCheck::Reusable,
             Ok(Err(_)) => {
                 let rest = self.leftover.take();
-                let is_repeat = rest.starts_with(RESPONSE_START);
+                let is_repeat = is_response_start(&rest);
                 if is_repeat {
                     self.repeat_history.record_repeat(Instant::now());
                 }
--- a/crates/proxy/src/upstream/repeat_filter/equal_contents.rs
+++ b/crates/proxy/src/upstream/repeat_filter/equal_contents.rs
@@ -1,24 +1,12 @@
 //! Which contents a backend gives for different requests, and rightly so.
 
+use super::response_content::ContentHash;
 use std::collections::VecDeque;
-use std::hash::{DefaultHasher, Hash, Hasher};
 
 /// Contents of the latest responses that are compared.
 const MAX_RECENT: usize = 32;
-/// Most contents that are known: a backend that gives more of them more than once may do so with any.
-const MAX_KNOWN: usize = 4;
-
-/// Identifies what a response says.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct ContentHash(u64);
-
-impl ContentHash {
-    fn of(response: &[u8]) -> Self {
-        let mut hasher = DefaultHasher::new();
-        response.hash(&mut hasher);
-        ContentHash(hasher.finish())
-    }
-}
+/// Most contents that are known; the oldest is forgotten.
+const MAX_KNOWN: usize = 64;
 
 /// Identifies a connection to a backend.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -30,35 +18,35 @@
 pub(super) struct EqualContents {
     /// The oldest first.
     recent: VecDeque<(ContentHash, ConnectionNumber)>,
-    known: Vec<ContentHash>,
+    /// The oldest first.
+    known: VecDeque<ContentHash>,
 }
 
 impl EqualContents {
     /// Whether equal responses of this content tell nothing.
-    pub(super) fn contains(&self, response: &[u8]) -> bool {
-        self.known.len() == MAX_KNOWN || self.known.contains(&ContentHash::of(response))
+    pub(super) fn contains(&self, content: ContentHash) -> bool {
+        self.known.contains(&content)
     }
 
     /// Different requests got this content.
-    pub(super) fn insert(&mut self, response: &[u8]) {
-        self.insert_hash(ContentHash::of(response));
+    pub(super) fn insert(&mut self, content: ContentHash) {
+        if self.known.contains(&content) {
+            return;
+        }
+        self.known.push_back(content);
+        if self.known.len() > MAX_KNOWN {
+            self.known.pop_front();
+        }
     }
 
     /// A response came on a connection.
-    pub(super) fn record(&mut self, response: &[u8], connection: ConnectionNumber) {
-        let content = ContentHash::of(response);
+    pub(super) fn record(&mut self, content: ContentHash, connection: ConnectionNumber) {
         if self.recent.iter().any(|(earlier, other)| *earlier == content && *other != connection) {
-            self.insert_hash(content);
+            self.insert(content);
         }
         self.recent.push_back((content, connection));
         if self.recent.len() > MAX_RECENT {
             self.recent.pop_front();
         }
     }
-
-    fn insert_hash(&mut self, content: ContentHash) {
-        if self.known.len() < MAX_KNOWN && !self.known.contains(&content) {
-            self.known.push(content);
-        }
-    }
 }
--- a/crates/proxy/src/upstream/repeat_filter/filtered_stream.rs
+++ b/crates/proxy/src/upstream/repeat_filter/filtered_stream.rs
@@ -53,6 +53,9 @@
             return Poll::Pending;
         };
         let timer = self.release_timer.get_or_insert_with(|| Box::pin(sleep_until(held_until)));
+        if timer.deadline() != held_until {
+            timer.as_mut().reset(held_until);
+        }
         ready!(timer.as_mut().poll(context));
         self.release_timer = None;
         self.filter.borrow_mut().release_held(&self.history, Instant::now());
--- a/crates/proxy/src/upstream/repeat_filter/mod.rs
+++ b/crates/proxy/src/upstream/repeat_filter/mod.rs
@@ -12,29 +12,30 @@
 mod hold;
 mod repeat_history;
 mod response_bytes;
+mod response_content;
 #[cfg(test)]
 mod tests;
 
 pub(super) use filtered_stream::FilteredStream;
 pub(super) use repeat_history::RepeatHistory;
-pub(super) use response_bytes::RESPONSE_START;
+pub(super) use response_bytes::is_response_start;
 
 use crate::transport::MAX_HEAD_BYTES;
 use bytes::{Buf, BytesMut};
 use equal_contents::ConnectionNumber;
 use hold::Hold;
 use response_bytes::{
-    common_prefix_length, contains_chunked, final_response, find, head_length, is_interim, is_response_start,
-    is_served,
+    common_prefix_length, contains_chunked, has_response_start_near, head_length, is_interim, is_served,
 };
+use response_content::{MAX_WHOLE_BYTES, PresentResponse, ResponseContent};
 use std::collections::VecDeque;
 use std::time::Duration;
 use tokio::time::Instant;
 
 /// Most responses of a connection that are remembered: a slow copy may come behind later responses.
-const MAX_REMEMBERED_RESPONSES: usize = 8;
+const MAX_REMEMBERED_RESPONSES: usize = 64;
 /// Most bytes of them.
-const MAX_REMEMBERED_BYTES: usize = 16 * 1024;
+const MAX_REMEMBERED_BYTES: usize = MAX_WHOLE_BYTES;
 
 /// What a response is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -64,11 +65,13 @@
 
 /// A response whose copy has not come.
 struct RememberedResponse {
-    bytes: Box<[u8]>,
+    content: ResponseContent,
     received_at: Instant,
     /// Until when its connection is not used, if the next response may rightly equal it. Where the backend is known to
     /// repeat it is forgotten then.
     rests_until: Option<Instant>,
+    /// A copy of it came, by which the backend is known to repeat: another may come, or an equal response.
+    was_copied: bool,
 }
 
 impl RememberedResponse {
@@ -93,9 +96,7 @@
     /// The oldest first.
     remembered: VecDeque<RememberedResponse>,
     /// What was passed on of the present response.
-    present: Vec<u8>,
-    /// Whether the present response is too long to be remembered.
-    is_present_too_long: bool,
+    present: PresentResponse,
     /// What may be a copy.
     held: BytesMut,
     /// How long it is held; stays behind what was passed on before that was known to be no copy.
@@ -125,8 +126,7 @@
             connection: history.connection_number(),
             phase: Phase::Idle,
             remembered: VecDeque::new(),
-            present: Vec::new(),
-            is_present_too_long: false,
+            present: PresentResponse::new(),
             held: BytesMut::new(),
             hold: None,
             held_for: Duration::ZERO,
@@ -150,11 +150,15 @@
     /// The first byte of a request is about to be written.
     fn begin_request(&mut self, history: &RepeatHistory, now: Instant) {
         if self.phase != Phase::Idle {
+            self.restart_hold(history, now);
             return;
         }
+        history.forget_old_delays(now);
         if self.hold.take().is_some_and(|hold| hold.is_verdict_due(now)) {
             // Nothing came behind a response that was passed on before that was known.
-            history.record_equal(final_response(&self.present));
+            if let Some(last) = self.remembered.back() {
+                history.record_equal(&last.content);
+            }
         }
         // Nothing came in all the time in which an earlier response would have come.
         let is_copy_awaited = self.remembered.back().is_some_and(|last| last.is_awaited(history, now));
@@ -162,8 +166,14 @@
         self.phase = Phase::Awaiting;
         self.request_began_at = Some(now);
         self.held_for = Duration::ZERO;
-        self.present.clear();
-        self.is_present_too_long = false;
+        self.present = PresentResponse::new();
+    }
+
+    /// More of the present request is written: its response comes behind its last byte only.
+    fn restart_hold(&mut self, history: &RepeatHistory, now: Instant) {
+        if !self.held.is_empty() && self.hold.take().is_some() {
+            self.hold(history, now);
+        }
     }
 
     /// Takes what has been read.
@@ -194,13 +204,13 @@
     /// Drops copies from what is held, and passes on what is none.
     fn compare(&mut self, history: &RepeatHistory, now: Instant) -> Result<(), Untrusted> {
         while !self.held.is_empty() {
-            if let Some(index) = self.remembered.iter().position(|copy| self.held.starts_with(&copy.bytes)) {
+            if let Some(index) = self.equal_response() {
                 if self.take_equal(index, history, now) {
                     continue;
                 }
                 return Ok(());
             }
-            if self.remembered.iter().any(|copy| copy.bytes.starts_with(&self.held)) {
+            if self.remembered.iter().any(|copy| copy.content.may_start_with(&self.held)) {
                 self.hold(history, now);
                 return Ok(());
             }
@@ -210,14 +220,17 @@
                 };
                 let head = self.held.split_to(end);
                 self.ready.extend_from_slice(&head);
+                self.hold = None;
                 continue;
             }
-            if history.repeats(now) && self.may_be_broken_copy()? {
+            if self.may_be_broken_copy()? {
+                self.hold(history, now);
                 return Ok(());
             }
             if history.repeats(now) && self.may_be_out_of_step {
                 return Err(Untrusted);
             }
+            self.hold = None;
             self.pass_response();
         }
         Ok(())
@@ -226,14 +239,16 @@
     /// Takes a response that equals one that is remembered, as a copy or as the answer; false if that is not known yet.
     fn take_equal(&mut self, index: usize, history: &RepeatHistory, now: Instant) -> bool {
         let remembered = &self.remembered[index];
-        let is_followed = self.held.len() > remembered.bytes.len();
+        let is_followed = self.held.len() > remembered.content.length();
         let is_awaited = remembered.is_awaited(history, now);
-        let is_known_equal = history.is_equal_known(&remembered.bytes);
-        let is_copy = is_followed || history.repeats(now) && is_awaited && !is_known_equal;
-        let is_answer = is_known_equal && !(history.repeats(now) && is_awaited);
+        let is_known_equal = history.is_equal_known(&remembered.content);
+        let is_expected = history.repeats(now) && is_awaited;
+        let is_copy = is_followed || is_expected && !is_known_equal && !remembered.was_copied;
+        let is_answer = is_known_equal && !is_expected;
         if is_copy {
             self.drop_copy(index, history, now);
         } else if is_answer {
+            self.hold = None;
             self.pass_response();
         } else {
             self.hold(history, now);
@@ -244,16 +259,24 @@
     /// Holds what has come until something comes behind it, and for a limited time.
     fn hold(&mut self, history: &RepeatHistory, now: Instant) {
         if self.hold.is_none() {
-            let times = history.hold_times(ResponseKind::of(&self.held));
+            let mut times = history.hold_times(ResponseKind::of(&self.held));
+            if history.is_equal_known(&ResponseContent::of(&self.held)) {
+                times.longest = times.usual;
+            }
             self.hold = Some(Hold::begin(now, times, self.response_expires_at));
         }
     }
 
     fn drop_copy(&mut self, index: usize, history: &RepeatHistory, now: Instant) {
-        let Some(response) = self.remembered.remove(index) else { return };
-        self.held.advance(response.bytes.len());
+        let remembered = &mut self.remembered[index];
+        let is_first = !history.repeats(now) && !remembered.was_copied;
+        remembered.was_copied = true;
         let came_at = self.hold.take().map_or(now, |hold| hold.began_at);
-        history.record_copy(now, came_at.duration_since(response.received_at));
+        history.record_copy(now, came_at.duration_since(remembered.received_at));
+        self.held.advance(remembered.content.length());
+        if !is_first {
+            self.remembered.remove(index);
+        }
     }
 
     /// Whether what is held begins like a response that is remembered, and more of it has to come before it is known
@@ -261,16 +284,16 @@
     fn may_be_broken_copy(&self) -> Result<bool, Untrusted> {
         let mut needs_more = false;
         for response in &self.remembered {
-            let common = common_prefix_length(&response.bytes, &self.held);
-            let Some(head) = head_length(&response.bytes) else { continue };
+            let Some(bytes) = response.content.whole() else { continue };
+            let Some(head) = head_length(bytes) else { continue };
+            let common = common_prefix_length(bytes, &self.held);
             let has_equal_head = common >= head;
-            // With one head, and so one length, both are equally long.
-            let end = if has_equal_head { response.bytes.len() } else { head };
-            let compared = &self.held[..self.held.len().min(end + RESPONSE_START.len())];
-            if find(&compared[1..], RESPONSE_START).is_some_and(|position| position < common) {
+            if common < bytes.len() && has_response_start_near(&self.held, common) {
                 return Err(Untrusted);
             }
-            let has_length = !contains_chunked(&response.bytes[..head]);
+            // With one head, and so one length, both are equally long.
+            let end = bytes.len();
+            let has_length = !contains_chunked(&bytes[..head]);
             needs_more |= has_equal_head && has_length && self.held.len() < end;
         }
         Ok(needs_more)
@@ -285,9 +308,10 @@
     /// Whether what is held is the copy, or the beginning of one, that was awaited of a backend that repeats.
     fn is_awaited_copy(&self, hold: Hold, history: &RepeatHistory, now: Instant) -> bool {
         let is_awaited = |copy: &RememberedResponse| {
-            copy.bytes.starts_with(&self.held)
+            copy.content.may_start_with(&self.held)
                 && copy.is_awaited(history, hold.began_at)
-                && !history.is_equal_known(&copy.bytes)
+                && !copy.was_copied
+                && !history.is_equal_known(&copy.content)
         };
         history.repeats(now) && self.remembered.iter().any(is_awaited)
     }
@@ -298,15 +322,27 @@
         if self.held.is_empty() || self.is_awaited_copy(hold, history, now) {
             return;
         }
-        let is_whole = self.remembered.iter().any(|copy| *copy.bytes == *self.held);
-        if is_whole && hold.is_verdict_due(now) {
-            history.record_equal(&self.held);
-            self.hold = None;
+        // The rest of one that is not whole is its backend's to send.
+        let content = ResponseContent::of(&self.held);
+        if self.is_remembered(&content) {
+            self.held_for = now.duration_since(hold.began_at);
+            if hold.is_verdict_due(now) {
+                history.record_equal(&content);
+                self.hold = None;
+            }
         }
-        self.held_for = now.duration_since(hold.began_at);
         self.pass_response();
     }
 
+    /// The place of the response that what is held begins with.
+    fn equal_response(&self) -> Option<usize> {
+        self.remembered.iter().position(|earlier| earlier.content.is_start_of(&self.held))
+    }
+
+    fn is_remembered(&self, content: &ResponseContent) -> bool {
+        self.remembered.iter().any(|earlier| earlier.content.hash() == content.hash())
+    }
+
     /// What is held is no copy, and neither is the rest of its response.
     fn pass_response(&mut self) {
         let held = self.held.split();
@@ -316,78 +352,72 @@
 
     fn pass(&mut self, bytes: &[u8]) {
         self.ready.extend_from_slice(bytes);
-        self.record_passed(bytes);
-    }
-
-    /// Keeps what is passed on, as far as it is remembered.
-    fn record_passed(&mut self, bytes: &[u8]) {
-        if self.present.len() + bytes.len() > MAX_REMEMBERED_BYTES {
-            self.is_present_too_long = true;
-            self.present = Vec::new();
-        }
-        if !self.is_present_too_long {
-            self.present.extend_from_slice(bytes);
-        }
+        self.present.record(bytes);
     }
 
     /// Whether the rest of the present response may go by the filter.
     fn is_bypassed(&self) -> bool {
-        self.phase == Phase::Receiving && self.is_present_too_long && self.ready.is_empty()
+        self.phase == Phase::Receiving && self.present.is_too_long() && self.ready.is_empty()
     }
 
     /// The present response has been read as a whole, and its connection could be used again.
     pub(super) fn finish_response(&mut self, is_error: bool, history: &RepeatHistory, now: Instant) {
         self.phase = Phase::Idle;
-        if self.is_present_too_long {
+        let Some(content) = self.present.take_content() else {
             self.hold = None;
             return;
-        }
-        let response = final_response(&self.present);
-        let is_equal = self.remembered.iter().any(|earlier| *earlier.bytes == *response);
+        };
+        let is_equal = self.is_remembered(&content);
         self.may_be_out_of_step |= is_equal;
         if !is_equal {
-            history.record_distinct(response, self.connection);
+            history.record_distinct(&content, self.connection);
             self.hold = None;
         }
-        let rests_until = self.rest_behind(response, is_error, history, now);
-        self.remember(RememberedResponse { bytes: response.into(), received_at: now, rests_until });
+        let rests_until = self.rest_behind(&content, is_error, history, now);
+        self.remember(RememberedResponse { content, received_at: now, rests_until, was_copied: false });
     }
 
     /// Until when the connection is not used behind a response: a copy of it could be taken for the next one.
     fn rest_behind(
         &self,
-        response: &[u8],
+        content: &ResponseContent,
         is_error: bool,
         history: &RepeatHistory,
         now: Instant,
     ) -> Option<Instant> {
-        let is_repeater = history.repeats(now);
-        if is_repeater && !is_error {
-            history.record_response(response);
+        if history.repeats(now) {
+            if !is_error {
+                history.record_response(content);
+            }
+            let is_next_maybe_equal = is_error || history.gives_equal_responses();
+            return is_next_maybe_equal.then(|| now + history.rest_time());
         }
-        let is_next_maybe_equal = is_error || is_repeater && history.gives_equal_responses();
-        let rest = is_next_maybe_equal.then(|| now + history.rest_time());
-        let observed_until = self.hold.as_ref().filter(|_| !is_repeater).map(|hold| hold.verdict_at);
-        rest.max(observed_until)
+        let observed_until = self.hold.as_ref().map(|hold| hold.verdict_at);
+        let is_copy_awaited_until = is_error.then(|| now + history.copy_window());
+        observed_until.max(is_copy_awaited_until)
     }
 
     fn remember(&mut self, response: RememberedResponse) {
         self.remembered.push_back(response);
-        while self.remembered.len() > MAX_REMEMBERED_RESPONSES
-            || self.remembered_bytes() > MAX_REMEMBERED_BYTES
-        {
+        if self.remembered.len() > MAX_REMEMBERED_RESPONSES {
             self.remembered.pop_front();
         }
+        while self.remembered_bytes() > MAX_REMEMBERED_BYTES {
+            let was_shortened = self.remembered.iter_mut().any(|response| response.content.shorten());
+            if !was_shortened {
+                self.remembered.pop_front();
+            }
+        }
     }
 
     fn remembered_bytes(&self) -> usize {
-        self.remembered.iter().map(|response| response.bytes.len()).sum()
+        self.remembered.iter().map(|response| response.content.kept_bytes()).sum()
     }
 
     /// Whether the connection can carry no further request: a copy of a response that is too long to be remembered
     /// could not be told from the next one.
     pub(super) fn is_unusable(&self, history: &RepeatHistory, now: Instant) -> bool {
-        history.repeats(now) && (self.is_present_too_long || self.may_be_out_of_step)
+        history.repeats(now) && (self.present.is_long() || self.may_be_out_of_step)
     }
 
     /// Whether the connection is not to be used yet.
--- a/crates/proxy/src/upstream/repeat_filter/repeat_history.rs
+++ b/crates/proxy/src/upstream/repeat_filter/repeat_history.rs
@@ -3,9 +3,9 @@
 use super::ResponseKind;
 use super::equal_contents::{ConnectionNumber, EqualContents};
 use super::hold::HoldTimes;
+use super::response_content::{ContentHash, ResponseContent};
 use crate::log::log;
 use std::cell::{Cell, RefCell};
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -38,9 +38,10 @@
     last_repeat_at: Cell<Option<Instant>>,
     longest_delay: Cell<Duration>,
     response_times: Cell<RecentMaximum>,
-    equal_contents: RefCell<EqualContents>,
+    equal_served: RefCell<EqualContents>,
+    equal_errors: RefCell<EqualContents>,
     next_connection: Cell<u64>,
-    last_response_hash: Cell<Option<u64>>,
+    last_response: Cell<Option<ContentHash>>,
     gives_equal_responses: Cell<bool>,
 }
 
@@ -52,9 +53,10 @@
             last_repeat_at: Cell::default(),
             longest_delay: Cell::default(),
             response_times: Cell::default(),
-            equal_contents: RefCell::default(),
+            equal_served: RefCell::default(),
+            equal_errors: RefCell::default(),
             next_connection: Cell::default(),
-            last_response_hash: Cell::default(),
+            last_response: Cell::default(),
             gives_equal_responses: Cell::default(),
         }
     }
@@ -64,6 +66,13 @@
         self.last_repeat_at.get().is_some_and(|at| now.duration_since(at) < REPEATER_MEMORY)
     }
 
+    /// Forgets how late copies came once the backend no longer repeats.
+    pub(super) fn forget_old_delays(&self, now: Instant) {
+        if !self.repeats(now) {
+            self.longest_delay.set(Duration::ZERO);
+        }
+    }
+
     /// A response came that nobody waited for.
     pub(in crate::upstream) fn record_repeat(&self, now: Instant) {
         if !self.repeats(now) {
@@ -89,11 +98,8 @@
     }
 
     /// A response was passed on, and was no copy.
-    pub(super) fn record_response(&self, response: &[u8]) {
-        let mut hasher = DefaultHasher::new();
-        response.hash(&mut hasher);
-        let hash = hasher.finish();
-        if self.last_response_hash.replace(Some(hash)) == Some(hash) {
+    pub(super) fn record_response(&self, content: &ResponseContent) {
+        if self.last_response.replace(Some(content.hash())) == Some(content.hash()) {
             self.gives_equal_responses.set(true);
         }
     }
@@ -111,18 +117,26 @@
     }
 
     /// A response differed from those before it on its connection.
-    pub(super) fn record_distinct(&self, response: &[u8], connection: ConnectionNumber) {
-        self.equal_contents.borrow_mut().record(response, connection);
+    pub(super) fn record_distinct(&self, content: &ResponseContent, connection: ConnectionNumber) {
+        self.equal_contents(content.kind()).borrow_mut().record(content.hash(), connection);
     }
 
     /// Equal responses of this content were given to different requests.
-    pub(super) fn record_equal(&self, response: &[u8]) {
-        self.equal_contents.borrow_mut().insert(response);
+    pub(super) fn record_equal(&self, content: &ResponseContent) {
+        self.equal_contents(content.kind()).borrow_mut().insert(content.hash());
     }
 
     /// Whether an equal response of this content tells nothing: different requests were given it before.
-    pub(super) fn is_equal_known(&self, response: &[u8]) -> bool {
-        self.equal_contents.borrow().contains(response)
+    pub(super) fn is_equal_known(&self, content: &ResponseContent) -> bool {
+        self.equal_contents(content.kind()).borrow().contains(content.hash())
+    }
+
+    /// Errors are equal more often than not, and say nothing of other responses.
+    fn equal_contents(&self, kind: ResponseKind) -> &RefCell<EqualContents> {
+        match kind {
+            ResponseKind::Served => &self.equal_served,
+            ResponseKind::Error => &self.equal_errors,
+        }
     }
 
     /// A response began so long after its request.
--- a/crates/proxy/src/upstream/repeat_filter/response_bytes.rs
+++ b/crates/proxy/src/upstream/repeat_filter/response_bytes.rs
@@ -1,14 +1,14 @@
 //! Where responses begin and end in the bytes of a connection.
 
 /// What every response begins with.
-pub(in crate::upstream) const RESPONSE_START: &[u8] = b"HTTP/1.";
+const RESPONSE_START: &[u8] = b"HTTP/1.";
 /// Where the first digit of a response's status stands.
 const STATUS_OFFSET: usize = b"HTTP/1.1 ".len();
 const STATUS_SERVED: &[u8] = b"200";
 const HEAD_END: &[u8] = b"\r\n\r\n";
 
 /// Whether bytes begin like a response.
-pub(super) fn is_response_start(bytes: &[u8]) -> bool {
+pub(in crate::upstream) fn is_response_start(bytes: &[u8]) -> bool {
     let length = bytes.len().min(RESPONSE_START.len());
     length > 0 && bytes[..length] == RESPONSE_START[..length]
 }
@@ -42,8 +42,14 @@
     find(&head.to_ascii_lowercase(), b"chunked").is_some()
 }
 
+/// Whether a response begins inside some bytes, at a position or so shortly before that it goes beyond it.
+pub(super) fn has_response_start_near(bytes: &[u8], position: usize) -> bool {
+    let first = (position + 1).saturating_sub(RESPONSE_START.len()).max(1);
+    (first..=position).any(|start| bytes.get(start..).is_some_and(|rest| rest.starts_with(RESPONSE_START)))
+}
+
 /// Where a pattern stands for the first time.
-pub(super) fn find(bytes: &[u8], pattern: &[u8]) -> Option<usize> {
+fn find(bytes: &[u8], pattern: &[u8]) -> Option<usize> {
     bytes.windows(pattern.len()).position(|window| window == pattern)
 }
 
--- a/crates/proxy/src/upstream/repeat_filter/tests.rs
+++ b/crates/proxy/src/upstream/repeat_filter/tests.rs
@@ -226,13 +226,14 @@
 }
 
 #[test]
-fn where_several_contents_are_given_to_different_requests_any_may_be() {
+fn however_many_contents_are_given_to_different_requests_others_may_be_copies() {
     let mut fixture = Fixture::unknown_backend();
-    for content in ["a", "b", "c", "d"] {
-        fixture.history.record_equal(&response(200, content));
+    for number in 0..1000 {
+        fixture.history.record_equal(&ResponseContent::of(&response(200, &number.to_string())));
     }
-    fixture.exchange(&response(200, "e"), false);
-    fixture.exchange(&response(200, "e"), false);
+    let first = response(200, "first");
+    fixture.exchange(&first, false);
+    assert_is_no_answer(&mut fixture, &first);
 }
 
 #[test]
@@ -288,7 +289,7 @@
 #[test]
 fn an_equal_error_is_held_although_equal_responses_are_known() {
     let mut fixture = Fixture::unknown_backend();
-    fixture.history.record_equal(&response(200, "first"));
+    fixture.history.record_equal(&ResponseContent::of(&response(200, "first")));
     let error = response(503, "");
     fixture.exchange(&error, true);
     fixture.begin_request();
@@ -300,7 +301,7 @@
 #[test]
 fn once_a_backend_repeats_a_connection_with_equal_responses_is_not_trusted() {
     let mut fixture = Fixture::unknown_backend();
-    fixture.history.record_equal(&response(200, "first"));
+    fixture.history.record_equal(&ResponseContent::of(&response(200, "first")));
     let (first, second) = (response(200, "first"), response(200, "other"));
     fixture.exchange(&first, false);
     assert!(fixture.exchange(&second, false));
@@ -315,7 +316,7 @@
 #[test]
 fn a_connection_on_which_nothing_came_for_long_is_trusted_again() {
     let mut fixture = Fixture::unknown_backend();
-    fixture.history.record_equal(&response(503, ""));
+    fixture.history.record_equal(&ResponseContent::of(&response(503, "")));
     fixture.exchange(&response(503, ""), true);
     fixture.exchange(&response(503, ""), true);
     fixture.now += 2 * fixture.history.copy_window();
@@ -451,9 +452,8 @@
 }
 
 impl RandomBackend {
-    fn new(seed: u64) -> Self {
+    fn new(seed: u64, fixture: Fixture) -> Self {
         let random = fastrand::Rng::with_seed(seed);
-        let fixture = Fixture::repeating_backend();
         RandomBackend { random, fixture, copies: VecDeque::new(), request_count: 0 }
     }
 
@@ -472,7 +472,9 @@
         let oldest = (self.request_count + 1).saturating_sub(MAX_REMEMBERED_RESPONSES);
         let due = self.copies.iter().take_while(|(request, _)| *request <= oldest).count();
         let count = self.random.usize(due..=self.copies.len());
-        self.copies.drain(..count).flat_map(|(_, copy)| copy).collect()
+        let mut copies: Vec<_> = self.copies.drain(..count).collect();
+        self.random.shuffle(&mut copies);
+        copies.into_iter().flat_map(|(_, copy)| copy).collect()
     }
 
     /// Sends bytes in pieces, and gives what is passed on.
@@ -513,7 +515,8 @@
 #[test]
 fn whatever_the_cuts_and_the_order_each_request_gets_its_own_response() {
     for seed in 0..2000 {
-        let mut backend = RandomBackend::new(seed);
+        let fixture = if seed % 2 == 0 { Fixture::repeating_backend() } else { Fixture::unknown_backend() };
+        let mut backend = RandomBackend::new(seed, fixture);
         for _ in 0..30 {
             if !backend.exchange() {
                 break;
@@ -521,3 +524,201 @@
         }
     }
 }
+
+/// So long after a response its copy comes, where that is slow.
+const COPY_DELAY: Duration = Duration::from_millis(100);
+
+/// Takes what would be the copy of a response if it were sent again, and then a response unlike all others: gives what
+/// is passed on of both.
+fn passed_of_copy_and_response(fixture: &mut Fixture, copy: &[u8]) -> String {
+    fixture.begin_request();
+    let mut passed = fixture.receive(copy).expect("it is held or dropped");
+    passed.extend(fixture.receive(&response(200, "unlike")).expect("a response"));
+    String::from_utf8(passed).expect("text")
+}
+
+fn assert_is_no_answer(fixture: &mut Fixture, copy: &[u8]) {
+    let passed = passed_of_copy_and_response(fixture, copy);
+    let expected = String::from_utf8(response(200, "unlike")).expect("text");
+    assert!(passed == expected, "{} bytes are passed on for {}", passed.len(), expected.len());
+}
+
+#[test]
+fn the_first_copy_of_a_response_too_long_to_be_remembered_is_no_answer() {
+    let mut fixture = Fixture::unknown_backend();
+    let long = response(200, &"x".repeat(MAX_REMEMBERED_BYTES));
+    if fixture.exchange(&long, false) && !fixture.is_resting() {
+        assert_is_no_answer(&mut fixture, &long);
+    }
+}
+
+#[test]
+fn the_first_copy_of_the_response_before_the_last_is_no_answer_where_both_are_long() {
+    let mut fixture = Fixture::unknown_backend();
+    let long = |letter: &str| response(200, &letter.repeat(MAX_REMEMBERED_BYTES * 2 / 3));
+    fixture.exchange(&long("a"), false);
+    fixture.exchange(&long("b"), false);
+    assert_is_no_answer(&mut fixture, &long("a"));
+}
+
+#[test]
+fn the_first_copy_behind_many_fast_responses_is_no_answer() {
+    let mut fixture = Fixture::unknown_backend();
+    let first = response(200, "first");
+    fixture.exchange(&first, false);
+    let expected_until = fixture.now + fixture.history.copy_window();
+    for number in 0.. {
+        fixture.exchange(&response(200, &number.to_string()), false);
+        fixture.now += Duration::from_millis(10);
+        if fixture.now + Duration::from_millis(20) > expected_until {
+            break;
+        }
+    }
+    assert_is_no_answer(&mut fixture, &first);
+}
+
+/// Errors that a backend gives on two connections each, and rightly so.
+fn give_equal_errors(fixture: &mut Fixture, errors: &[Vec<u8>]) {
+    for _ in 0..2 {
+        for error in errors {
+            fixture.exchange(error, true);
+            fixture.now += fixture.history.rest_time();
+        }
+        fixture.connect_again();
+    }
+}
+
+#[test]
+fn however_many_errors_are_equal_the_first_copy_of_a_served_response_is_no_answer() {
+    let mut fixture = Fixture::unknown_backend();
+    let errors = ["full", "draining", "connections", "over"].map(|reason| response(503, reason));
+    give_equal_errors(&mut fixture, &errors);
+    let first = response(200, "first");
+    fixture.exchange(&first, false);
+    assert_is_no_answer(&mut fixture, &first);
+}
+
+#[test]
+fn however_many_errors_are_equal_the_copy_of_a_served_response_of_a_repeater_is_dropped() {
+    let mut fixture = Fixture::unknown_backend();
+    let errors = ["full", "draining", "connections", "over"].map(|reason| response(503, reason));
+    give_equal_errors(&mut fixture, &errors);
+    fixture.history.record_repeat(fixture.now);
+    let first = response(200, "first");
+    fixture.exchange(&first, false);
+    fixture.begin_request();
+    fixture.receive_held(&first);
+    assert_eq!(fixture.filter.held_until(&fixture.history, fixture.now), None, "it becomes the answer");
+}
+
+#[test]
+fn the_first_copy_of_an_error_that_different_requests_got_is_no_word_on_the_next_request() {
+    let mut fixture = Fixture::unknown_backend();
+    let error = response(503, "");
+    give_equal_errors(&mut fixture, std::slice::from_ref(&error));
+    fixture.exchange(&error, true);
+    fixture.now += COPY_DELAY;
+    // Where the connection still rests nobody takes it for an answer.
+    if !fixture.is_resting() {
+        assert_is_no_answer(&mut fixture, &error);
+    }
+}
+
+#[test]
+fn behind_the_first_copy_of_a_known_error_the_response_proper_is_no_other_requests_answer() {
+    let mut fixture = Fixture::unknown_backend();
+    let error = response(503, "");
+    give_equal_errors(&mut fixture, std::slice::from_ref(&error));
+    fixture.exchange(&error, true);
+    fixture.now += COPY_DELAY;
+    if fixture.is_resting() {
+        return;
+    }
+    fixture.begin_request();
+    let is_taken = !fixture.receive(&error).expect("it is held or passed on").is_empty();
+    let is_used_again = is_taken && fixture.finish(true);
+    fixture.now += COPY_DELAY;
+    if is_used_again && !fixture.is_resting() {
+        fixture.begin_request();
+        let passed = fixture.receive(&response(200, "of the request before")).unwrap_or_default();
+        assert!(passed.is_empty(), "a client gets the answer of another's request");
+    }
+}
+
+#[test]
+fn a_connection_does_not_rest_behind_an_equal_response_in_pieces_of_known_content() {
+    let equal = response(200, "equal");
+    for cut in 1..equal.len() {
+        let mut fixture = Fixture::unknown_backend();
+        fixture.history.record_equal(&ResponseContent::of(&equal));
+        fixture.exchange(&equal, false);
+        fixture.begin_request();
+        fixture.receive_held(&equal[..cut]);
+        assert_eq!(fixture.receive(&equal[cut..]).expect("the answer"), equal);
+        assert!(fixture.finish(false));
+        assert!(!fixture.is_resting(), "cut at {cut}");
+    }
+}
+
+#[test]
+fn the_time_in_which_the_rest_of_a_response_does_not_come_is_its_backends() {
+    let mut fixture = Fixture::unknown_backend();
+    let (first, second) = (response(200, "first"), response(200, "other"));
+    fixture.exchange(&first, false);
+    fixture.begin_request();
+    let cut = head_length(&second).expect("a head");
+    fixture.receive_held(&second[..cut]);
+    assert_eq!(fixture.release(), second[..cut]);
+    assert_eq!(fixture.receive(&second[cut..]).expect("the rest"), second[cut..]);
+    assert_eq!(fixture.filter.held_for(), Duration::ZERO);
+}
+
+#[test]
+fn the_first_copy_that_broke_off_ends_the_connection() {
+    for cut in 1..response(200, "first").len() {
+        let mut fixture = Fixture::unknown_backend();
+        let (first, second) = (response(200, "first"), response(200, "other"));
+        fixture.exchange(&first, false);
+        fixture.begin_request();
+        fixture.receive_held(&first[..cut]);
+        assert!(fixture.receive(&second).is_err(), "cut at {cut}");
+    }
+}
+
+#[test]
+fn a_second_copy_of_an_unlike_response_is_no_answer() {
+    let mut fixture = Fixture::unknown_backend();
+    let first = response(200, "first");
+    fixture.exchange(&first, false);
+    assert_is_no_answer(&mut fixture, &[first.as_slice(), &first].concat());
+}
+
+#[test]
+fn a_backend_that_no_longer_repeats_has_its_connections_rest_no_longer_than_others() {
+    let mut fixture = Fixture::unknown_backend();
+    let usual = fixture.history.copy_window();
+    fixture.history.record_copy(fixture.now, Duration::from_millis(250));
+    fixture.now += repeat_history::REPEATER_MEMORY;
+    fixture.exchange(&response(503, ""), true);
+    fixture.now += usual;
+    assert!(!fixture.is_resting());
+}
+
+#[test]
+fn a_response_behind_an_interim_one_in_pieces_is_held_as_long_as_others() {
+    let interim = b"HTTP/1.1 100 Continue\r\n\r\n";
+    for cut in 1..interim.len() {
+        let mut fixture = Fixture::unknown_backend();
+        let first = response(200, "first");
+        fixture.exchange(&first, false);
+        fixture.begin_request();
+        let mut passed = fixture.receive(&interim[..cut]).expect("held");
+        passed.extend(fixture.receive(&interim[cut..]).expect("an interim response"));
+        assert_eq!(passed, interim);
+        fixture.now += fixture.hold_time();
+        fixture.receive_held(&first);
+        let came_at = fixture.now;
+        assert_eq!(fixture.release(), first);
+        assert_eq!(fixture.now - came_at, fixture.hold_time(), "cut at {cut}");
+    }
+}
--- a/crates/proxy/tests/first_copies.rs
+++ b/crates/proxy/tests/first_copies.rs
@@ -59,8 +59,6 @@
     WithResponse,
 }
 
-/// The head of a response ends behind this.
-const HEAD_END: &[u8] = b"\r\n\r\n";
 /// Between two pieces of a copy.
 const PIECE_DELAY: Duration = Duration::from_millis(5);
 
@@ -530,22 +528,28 @@
 }
 
 impl HeldRequest {
-    /// With a proxy that has served one request.
-    async fn new(deadline: Duration) -> Self {
+    /// With a proxy that has served one request, whose response took so long.
+    async fn new(deadline: Duration, response_time: Duration) -> Self {
         let fixture = Fixture::new(Deployment::default(), CopyDelivery::Whole, |count, id| Exchange {
             response: own_response(id),
             is_repeated: count == 0,
-            is_held: count == 1,
+            is_held: count <= 1,
         })
         .await;
-        assert_eq!(fixture.proxy.call("once").await.0, 200);
+        let response_comes = async {
+            fixture.gate.wait_for_arrivals(1).await;
+            sleep(response_time).await;
+            fixture.gate.open(1);
+        };
+        let (answer, ()) = tokio::join!(fixture.proxy.call("once"), response_comes);
+        assert_eq!(answer.0, 200);
         let mut client = connected(fixture.proxy.addr).await;
         let id = "00000000f1257c09".to_string();
         let head = call("POST /once", &id);
         let deadline_header = format!("Req-Deadline-Ms: {}", deadline.as_millis());
         let head = head.replace("Req-Deadline-Ms: 60000", &deadline_header);
         client.write_all(head.as_bytes()).await.expect("open");
-        fixture.gate.wait_for_arrivals(1).await;
+        fixture.gate.wait_for_arrivals(2).await;
         HeldRequest { fixture, id, client }
     }
 
@@ -567,7 +571,7 @@
 /// A client that leaves while its response is held leaves a connection on which the next one gets what was held.
 #[tokio::test]
 async fn a_client_that_leaves_while_its_response_is_held_leaves_nothing_behind() {
-    let mut held = HeldRequest::new(DEADLINE).await;
+    let mut held = HeldRequest::new(DEADLINE, Duration::ZERO).await;
     assert_eq!(held.received_within(RESPONSE_DELAY).await, "", "a copy was the answer");
     held.client.shutdown().await.expect("open");
     // The proxy closes the connection of a client that has gone.
@@ -578,10 +582,11 @@
     held.assert_others_are_served().await;
 }
 
-/// A request whose response is held up to its deadline is answered with the copy, twice, as rejected, or not at all.
+/// A request whose response is held up to its deadline, since responses may take as long, is answered with the copy,
+/// twice, as rejected, or not at all.
 #[tokio::test]
 async fn a_request_whose_response_is_held_at_its_deadline_fails_in_time() {
-    let mut held = HeldRequest::new(SHORT_DEADLINE).await;
+    let mut held = HeldRequest::new(SHORT_DEADLINE, SHORT_DEADLINE / 4).await;
     let answer = held.received_within(SHORT_DEADLINE + MAX_LATENESS).await;
     assert!(answer.starts_with("HTTP/1.1 5"), "{answer}");
     assert!(!answer.starts_with("HTTP/1.1 503"), "it may have run: {answer}");
@@ -594,7 +599,7 @@
 /// A stop while a response is held ends the wait with the copy, or with none.
 #[tokio::test]
 async fn a_request_whose_response_is_held_at_a_stop_is_served() {
-    let mut held = HeldRequest::new(DEADLINE).await;
+    let mut held = HeldRequest::new(DEADLINE, Duration::ZERO).await;
     held.fixture.proxy.terminate().await;
     sleep(RESPONSE_DELAY).await;
     held.fixture.gate.open(1);
@@ -602,3 +607,171 @@
     assert!(answer.starts_with("HTTP/1.1 200") && answer.ends_with(&held.id), "{answer}");
     assert_eq!(held.fixture.times_received(&held.id), 1);
 }
+
+/// Clients on one connection before a backend whose responses are long, and which begins to repeat them.
+async fn one_client_gets_its_own_of_length(length: usize) {
+    let padding = "x".repeat(length);
+    let fixture = Fixture::new(Deployment::default(), CopyDelivery::Whole, move |count, id| Exchange {
+        response: response(200, "", &format!("{id}{padding}")),
+        is_repeated: count >= 3,
+        is_held: count > 3,
+    })
+    .await;
+    let answers = fixture.call_in_a_row("once", 3 + CALLS, RESPONSE_DELAY).await;
+    let without_padding = |(id, (status, body)): Answered| {
+        assert!(status != 200 || body.len() == id.len() + length, "it is broken");
+        (id, (status, body.trim_end_matches('x').to_string()))
+    };
+    fixture.assert_each_got_its_own(answers.into_iter().map(without_padding).collect());
+}
+
+/// Long responses are not remembered as a whole: their copies are not seen.
+#[tokio::test]
+async fn the_first_copy_of_a_long_response_is_not_the_answer_to_the_next_request() {
+    one_client_gets_its_own_of_length(20 * 1024).await;
+}
+
+/// As before, where responses are longer than what is buffered of them.
+#[tokio::test]
+async fn the_first_copy_of_a_streamed_response_is_not_the_answer_to_the_next_request() {
+    one_client_gets_its_own_of_length(100 * 1024).await;
+}
+
+/// A backend that gave some errors to different requests is one that gives anything to different requests.
+#[tokio::test]
+async fn the_first_copy_behind_different_errors_is_not_the_answer_to_the_next_request() {
+    const ERRORS: usize = 4;
+    /// An error, another response, the same error on another connection, and another response.
+    const ROUND: usize = 4;
+    const SOUND: usize = ERRORS * ROUND;
+    let received = AtomicUsize::new(0);
+    let fixture = Fixture::new(Deployment::default(), CopyDelivery::Whole, move |_, id| {
+        let number = received.fetch_add(1, SeqCst);
+        if number < SOUND && number.is_multiple_of(2) {
+            return Exchange::sound(response(500, "", &format!("cause {}", number / ROUND)));
+        }
+        Exchange { response: own_response(id), is_repeated: number > SOUND, is_held: number > SOUND + 1 }
+    })
+    .await;
+    let mut answers = fixture.call_in_a_row("once", SOUND + 2 * CALLS, RESPONSE_DELAY).await;
+    assert!(answers[..SOUND].iter().step_by(2).all(|(_, (status, _))| *status != 200), "{answers:?}");
+    fixture.assert_each_got_its_own(answers.split_off(SOUND));
+}
+
+/// A proxy before one backend that follows a script.
+async fn scripted(
+    script: impl Fn(usize, &str) -> Vec<Step> + Send + Sync + 'static,
+) -> (ScriptedBackend, Discovery, Proxy) {
+    let backend = ScriptedBackend::start(script).await;
+    let discovery = Discovery::start(vec![line("backend-0", backend.addr, "SERVING")]).await;
+    let proxy = Proxy::wait_until_applied(&discovery, settings()).await;
+    (backend, discovery, proxy)
+}
+
+/// The first bytes of a copy in one read with its response are taken for a rest of its body: the response is lost.
+#[tokio::test]
+async fn a_response_with_the_first_bytes_of_its_copy_behind_it_is_served() {
+    let mut lost = Vec::new();
+    for length in 1..=8 {
+        let (_backend, _discovery, proxy) = scripted(move |_, id| {
+            let response = own_response(id);
+            let (begin, rest) = response.split_at(length);
+            let written = [response.as_slice(), begin].concat();
+            vec![Step::Write(written), Step::Pause(PIECE_DELAY), Step::Write(rest.to_vec())]
+        })
+        .await;
+        let (id, answer) = call_in_a_row(&proxy, "once", 1).await.remove(0);
+        if answer != (200, id) {
+            lost.push((length, answer));
+        }
+    }
+    assert!(lost.is_empty(), "{lost:?}");
+}
+
+/// Equal responses that come in pieces have their connection rest each time: others are made in its place.
+#[tokio::test]
+async fn equal_responses_in_pieces_need_few_connections() {
+    const MAX_CONNECTIONS: usize = 5;
+    let connections = Arc::new(AtomicUsize::new(0));
+    let made = connections.clone();
+    let (_backend, _discovery, proxy) = scripted(move |count, _| {
+        if count == 0 {
+            made.fetch_add(1, SeqCst);
+        }
+        let response = response(200, "", "equal");
+        let (head, body) = response.split_at(response.len() - "equal".len());
+        vec![Step::Write(head.to_vec()), Step::Pause(PIECE_DELAY), Step::Write(body.to_vec())]
+    })
+    .await;
+    for (_, answer) in call_in_a_row(&proxy, "once", 8 * MAX_CONNECTIONS).await {
+        assert_eq!(answer, (200, "equal".to_string()));
+    }
+    let connections = connections.load(SeqCst);
+    assert!(connections <= MAX_CONNECTIONS, "{connections}");
+}
+
+/// An error behind a copy is held until the copy would have been passed on.
+#[tokio::test]
+async fn an_equal_error_behind_a_copy_is_held_no_longer_than_other_errors() {
+    /// An error is held for half a second at the most.
+    const MAX_TIME: Duration = Duration::from_secs(1);
+    let (first, error) = (response(200, "", "first"), response(500, "", ""));
+    let (_backend, _discovery, proxy) = scripted(move |count, _| match count {
+        0 => vec![Step::Write(first.clone())],
+        1 => vec![Step::Write(error.clone())],
+        _ => vec![Step::Write(first.clone()), Step::Pause(RESPONSE_DELAY), Step::Write(error.clone())],
+    })
+    .await;
+    let mut client = proxy.client().await;
+    for status in [200, 500] {
+        let (_, answer) = client.call_with_id(request_with_deadline("once", DEADLINE)).await;
+        assert_eq!(answer.0 == 200, status == 200);
+    }
+    // Behind an error the connection rests.
+    sleep(3 * RESPONSE_DELAY).await;
+    let begun_at = Instant::now();
+    let (_, (status, _)) = client.call_with_id(request_with_deadline("once", DEADLINE)).await;
+    assert_ne!(status, 200, "a copy is the answer");
+    assert!(begun_at.elapsed() < MAX_TIME, "{:?}", begun_at.elapsed());
+}
+
+/// What comes while a request is still being written is held up to a time that counts from when it came.
+#[tokio::test]
+async fn a_copy_that_comes_long_before_the_end_of_its_request_is_no_answer() {
+    const BODY_BYTES: usize = 100_000;
+    /// More than is buffered: from then on the request is written to its backend.
+    const FIRST_BYTES: usize = 70_000;
+    const PIECES: usize = 50;
+    /// Longer than anything is held.
+    const UPLOAD_TIME: Duration = Duration::from_secs(3);
+    let (first, other) = (response(200, "", "first"), response(200, "", "other"));
+    let (_backend, _discovery, proxy) = scripted(move |count, _| match count {
+        0 => vec![Step::Write(first.clone())],
+        _ => vec![
+            Step::Write(first.clone()),
+            Step::Pause(UPLOAD_TIME + RESPONSE_DELAY),
+            Step::Write(other.clone()),
+            // What is left of the request is not read.
+            Step::Pause(RESPONSE_DELAY),
+            Step::Close,
+        ],
+    })
+    .await;
+    assert_eq!(proxy.call("once").await, (200, "first".to_string()));
+    let mut client = connected(proxy.addr).await;
+    let head = call("POST /once", "00000000f1257c0a");
+    let length = format!("\r\nContent-Length: {BODY_BYTES}\r\n\r\n");
+    client.write_all(head.replace("\r\n\r\n", &length).as_bytes()).await.expect("open");
+    client.write_all(&[b'x'; FIRST_BYTES]).await.expect("open");
+    let mut received = Vec::new();
+    for _ in 0..PIECES {
+        client.write_all(&[b'x'; (BODY_BYTES - FIRST_BYTES) / PIECES]).await.expect("open");
+        let early = timeout(UPLOAD_TIME / PIECES as u32, client.read_buf(&mut received)).await;
+        let received = String::from_utf8_lossy(&received);
+        assert!(early.is_err(), "an answer before the response proper: {received}");
+    }
+    while ![b"first", b"other"].iter().any(|body| received.ends_with(*body)) {
+        assert_ne!(in_time(client.read_buf(&mut received)).await.expect("an answer"), 0);
+    }
+    assert!(received.ends_with(b"other"), "{}", String::from_utf8_lossy(&received));
+}
--- a/crates/proxy/tests/support/scripted_backend.rs
+++ b/crates/proxy/tests/support/scripted_backend.rs
@@ -5,6 +5,9 @@
 use tokio::sync::Semaphore;
 use tokio::time::sleep;
 
+/// The head of a message ends behind this.
+pub const HEAD_END: &[u8] = b"\r\n\r\n";
+
 /// How often each request came, by its id.
 pub type ReceivedRequests = Arc<Mutex<HashMap<String, usize>>>;
 
@@ -64,12 +67,13 @@
     /// body.
     pub async fn read_request(&mut self) -> Option<String> {
         let mut seen = Vec::new();
-        while !seen.ends_with(b"\r\n\r\n") {
+        // The first of a body may come with it.
+        while !seen.windows(HEAD_END.len()).any(|window| window == HEAD_END) {
             if self.stream.read_buf(&mut seen).await.ok()? == 0 {
                 return None;
             }
         }
-        let text = String::from_utf8(seen).expect("text").to_ascii_lowercase();
+        let text = String::from_utf8_lossy(&seen).to_ascii_lowercase();
         let (_, rest) = text.split_once("req-id: ").expect("an id");
         let id = rest[..16].to_string();
         *self.received.lock().expect("no panic").entry(id.clone()).or_default() += 1;
