--- a/crates/proxy/src/upstream/repeat_filter/tests.rs
+++ b/crates/proxy/src/upstream/repeat_filter/tests.rs
@@ -451,9 +451,8 @@
 }
 
 impl RandomBackend {
-    fn new(seed: u64) -> Self {
+    fn new(seed: u64, fixture: Fixture) -> Self {
         let random = fastrand::Rng::with_seed(seed);
-        let fixture = Fixture::repeating_backend();
         RandomBackend { random, fixture, copies: VecDeque::new(), request_count: 0 }
     }
 
@@ -472,7 +471,9 @@
         let oldest = (self.request_count + 1).saturating_sub(MAX_REMEMBERED_RESPONSES);
         let due = self.copies.iter().take_while(|(request, _)| *request <= oldest).count();
         let count = self.random.usize(due..=self.copies.len());
-        self.copies.drain(..count).flat_map(|(_, copy)| copy).collect()
+        let mut copies: Vec<_> = self.copies.drain(..count).collect();
+        self.random.shuffle(&mut copies);
+        copies.into_iter().flat_map(|(_, copy)| copy).collect()
     }
 
     /// Sends bytes in pieces, and gives what is passed on.
@@ -513,7 +514,8 @@
 #[test]
 fn whatever_the_cuts_and_the_order_each_request_gets_its_own_response() {
     for seed in 0..2000 {
-        let mut backend = RandomBackend::new(seed);
+        let fixture = if seed % 2 == 0 { Fixture::repeating_backend() } else { Fixture::unknown_backend() };
+        let mut backend = RandomBackend::new(seed, fixture);
         for _ in 0..30 {
             if !backend.exchange() {
                 break;
