--- a/crates/proxy/src/upstream/repeat_filter/tests.rs
+++ b/crates/proxy/src/upstream/repeat_filter/tests.rs
@@ -523,3 +523,36 @@
         }
     }
 }
+
+/// Takes what would be the copy of a response if it were sent again, and then a response unlike all others: gives what
+/// is passed on of both.
+fn passed_of_copy_and_response(fixture: &mut Fixture, copy: &[u8]) -> String {
+    fixture.begin_request();
+    let mut passed = fixture.receive(copy).expect("it is held or dropped");
+    passed.extend(fixture.receive(&response(200, "unlike")).expect("a response"));
+    String::from_utf8(passed).expect("text")
+}
+
+fn assert_is_no_answer(fixture: &mut Fixture, copy: &[u8]) {
+    let passed = passed_of_copy_and_response(fixture, copy);
+    let expected = String::from_utf8(response(200, "unlike")).expect("text");
+    assert!(passed == expected, "{} bytes are passed on for {}", passed.len(), expected.len());
+}
+
+#[test]
+fn the_first_copy_of_a_response_too_long_to_be_remembered_is_no_answer() {
+    let mut fixture = Fixture::unknown_backend();
+    let long = response(200, &"x".repeat(MAX_REMEMBERED_BYTES));
+    if fixture.exchange(&long, false) && !fixture.is_resting() {
+        assert_is_no_answer(&mut fixture, &long);
+    }
+}
+
+#[test]
+fn the_first_copy_of_the_response_before_the_last_is_no_answer_where_both_are_long() {
+    let mut fixture = Fixture::unknown_backend();
+    let long = |letter: &str| response(200, &letter.repeat(MAX_REMEMBERED_BYTES * 2 / 3));
+    fixture.exchange(&long("a"), false);
+    fixture.exchange(&long("b"), false);
+    assert_is_no_answer(&mut fixture, &long("a"));
+}
--- a/crates/proxy/tests/first_copies.rs
+++ b/crates/proxy/tests/first_copies.rs
@@ -602,3 +602,32 @@
     assert!(answer.starts_with("HTTP/1.1 200") && answer.ends_with(&held.id), "{answer}");
     assert_eq!(held.fixture.times_received(&held.id), 1);
 }
+
+/// Clients on one connection before a backend whose responses are long, and which begins to repeat them.
+async fn one_client_gets_its_own_of_length(length: usize) {
+    let padding = "x".repeat(length);
+    let fixture = Fixture::new(Deployment::default(), CopyDelivery::Whole, move |count, id| Exchange {
+        response: response(200, "", &format!("{id}{padding}")),
+        is_repeated: count >= 3,
+        is_held: count > 3,
+    })
+    .await;
+    let answers = fixture.call_in_a_row("once", 3 + CALLS, RESPONSE_DELAY).await;
+    let without_padding = |(id, (status, body)): Answered| {
+        assert!(status != 200 || body.len() == id.len() + length, "it is broken");
+        (id, (status, body.trim_end_matches('x').to_string()))
+    };
+    fixture.assert_each_got_its_own(answers.into_iter().map(without_padding).collect());
+}
+
+/// Long responses are not remembered as a whole: their copies are not seen.
+#[tokio::test]
+async fn the_first_copy_of_a_long_response_is_not_the_answer_to_the_next_request() {
+    one_client_gets_its_own_of_length(20 * 1024).await;
+}
+
+/// As before, where responses are longer than what is buffered of them.
+#[tokio::test]
+async fn the_first_copy_of_a_streamed_response_is_not_the_answer_to_the_next_request() {
+    one_client_gets_its_own_of_length(100 * 1024).await;
+}
