--- a/crates/proxy/src/upstream/repeat_filter/tests.rs
+++ b/crates/proxy/src/upstream/repeat_filter/tests.rs
@@ -556,3 +556,37 @@
     fixture.exchange(&long("b"), false);
     assert_is_no_answer(&mut fixture, &long("a"));
 }
+
+/// Errors that a backend gives on two connections each, and rightly so.
+fn give_equal_errors(fixture: &mut Fixture, errors: &[Vec<u8>]) {
+    for _ in 0..2 {
+        for error in errors {
+            fixture.exchange(error, true);
+            fixture.now += fixture.history.rest_time();
+        }
+        fixture.connect_again();
+    }
+}
+
+#[test]
+fn however_many_errors_are_equal_the_first_copy_of_a_served_response_is_no_answer() {
+    let mut fixture = Fixture::unknown_backend();
+    let errors = ["full", "draining", "connections", "over"].map(|reason| response(503, reason));
+    give_equal_errors(&mut fixture, &errors);
+    let first = response(200, "first");
+    fixture.exchange(&first, false);
+    assert_is_no_answer(&mut fixture, &first);
+}
+
+#[test]
+fn however_many_errors_are_equal_the_copy_of_a_served_response_of_a_repeater_is_dropped() {
+    let mut fixture = Fixture::unknown_backend();
+    let errors = ["full", "draining", "connections", "over"].map(|reason| response(503, reason));
+    give_equal_errors(&mut fixture, &errors);
+    fixture.history.record_repeat(fixture.now);
+    let first = response(200, "first");
+    fixture.exchange(&first, false);
+    fixture.begin_request();
+    fixture.receive_held(&first);
+    assert_eq!(fixture.filter.held_until(&fixture.history, fixture.now), None, "it becomes the answer");
+}
--- a/crates/proxy/tests/first_copies.rs
+++ b/crates/proxy/tests/first_copies.rs
@@ -631,3 +631,24 @@
 async fn the_first_copy_of_a_streamed_response_is_not_the_answer_to_the_next_request() {
     one_client_gets_its_own_of_length(100 * 1024).await;
 }
+
+/// A backend that gave some errors to different requests is one that gives anything to different requests.
+#[tokio::test]
+async fn the_first_copy_behind_different_errors_is_not_the_answer_to_the_next_request() {
+    const ERRORS: usize = 4;
+    /// An error, another response, the same error on another connection, and another response.
+    const ROUND: usize = 4;
+    const SOUND: usize = ERRORS * ROUND;
+    let received = AtomicUsize::new(0);
+    let fixture = Fixture::new(Deployment::default(), CopyDelivery::Whole, move |_, id| {
+        let number = received.fetch_add(1, SeqCst);
+        if number < SOUND && number.is_multiple_of(2) {
+            return Exchange::sound(response(500, "", &format!("cause {}", number / ROUND)));
+        }
+        Exchange { response: own_response(id), is_repeated: number > SOUND, is_held: number > SOUND + 1 }
+    })
+    .await;
+    let mut answers = fixture.call_in_a_row("once", SOUND + 2 * CALLS, RESPONSE_DELAY).await;
+    assert!(answers[..SOUND].iter().step_by(2).all(|(_, (status, _))| *status != 200), "{answers:?}");
+    fixture.assert_each_got_its_own(answers.split_off(SOUND));
+}
