--- a/crates/proxy/src/upstream/repeat_filter/tests.rs
+++ b/crates/proxy/src/upstream/repeat_filter/tests.rs
@@ -524,6 +524,9 @@
     }
 }
 
+/// So long after a response its copy comes, where that is slow.
+const COPY_DELAY: Duration = Duration::from_millis(100);
+
 /// Takes what would be the copy of a response if it were sent again, and then a response unlike all others: gives what
 /// is passed on of both.
 fn passed_of_copy_and_response(fixture: &mut Fixture, copy: &[u8]) -> String {
@@ -590,3 +593,37 @@
     fixture.receive_held(&first);
     assert_eq!(fixture.filter.held_until(&fixture.history, fixture.now), None, "it becomes the answer");
 }
+
+#[test]
+fn the_first_copy_of_an_error_that_different_requests_got_is_no_word_on_the_next_request() {
+    let mut fixture = Fixture::unknown_backend();
+    let error = response(503, "");
+    give_equal_errors(&mut fixture, std::slice::from_ref(&error));
+    fixture.exchange(&error, true);
+    fixture.now += COPY_DELAY;
+    // Where the connection still rests nobody takes it for an answer.
+    if !fixture.is_resting() {
+        assert_is_no_answer(&mut fixture, &error);
+    }
+}
+
+#[test]
+fn behind_the_first_copy_of_a_known_error_the_response_proper_is_no_other_requests_answer() {
+    let mut fixture = Fixture::unknown_backend();
+    let error = response(503, "");
+    give_equal_errors(&mut fixture, std::slice::from_ref(&error));
+    fixture.exchange(&error, true);
+    fixture.now += COPY_DELAY;
+    if fixture.is_resting() {
+        return;
+    }
+    fixture.begin_request();
+    let is_taken = !fixture.receive(&error).expect("it is held or passed on").is_empty();
+    let is_used_again = is_taken && fixture.finish(true);
+    fixture.now += COPY_DELAY;
+    if is_used_again && !fixture.is_resting() {
+        fixture.begin_request();
+        let passed = fixture.receive(&response(200, "of the request before")).unwrap_or_default();
+        assert!(passed.is_empty(), "a client gets the answer of another's request");
+    }
+}
