--- a/crates/proxy/src/upstream/repeat_filter/tests.rs
+++ b/crates/proxy/src/upstream/repeat_filter/tests.rs
@@ -560,6 +560,22 @@
     assert_is_no_answer(&mut fixture, &long("a"));
 }
 
+#[test]
+fn the_first_copy_behind_many_fast_responses_is_no_answer() {
+    let mut fixture = Fixture::unknown_backend();
+    let first = response(200, "first");
+    fixture.exchange(&first, false);
+    let expected_until = fixture.now + fixture.history.copy_window();
+    for number in 0.. {
+        fixture.exchange(&response(200, &number.to_string()), false);
+        fixture.now += Duration::from_millis(10);
+        if fixture.now + Duration::from_millis(20) > expected_until {
+            break;
+        }
+    }
+    assert_is_no_answer(&mut fixture, &first);
+}
+
 /// Errors that a backend gives on two connections each, and rightly so.
 fn give_equal_errors(fixture: &mut Fixture, errors: &[Vec<u8>]) {
     for _ in 0..2 {
