--- a/crates/proxy/tests/first_copies.rs
+++ b/crates/proxy/tests/first_copies.rs
@@ -652,3 +652,50 @@
     assert!(answers[..SOUND].iter().step_by(2).all(|(_, (status, _))| *status != 200), "{answers:?}");
     fixture.assert_each_got_its_own(answers.split_off(SOUND));
 }
+
+/// A proxy before one backend that follows a script.
+async fn scripted(
+    script: impl Fn(usize, &str) -> Vec<Step> + Send + Sync + 'static,
+) -> (ScriptedBackend, Discovery, Proxy) {
+    let backend = ScriptedBackend::start(script).await;
+    let discovery = Discovery::start(vec![line("backend-0", backend.addr, "SERVING")]).await;
+    let proxy = Proxy::wait_until_applied(&discovery, settings()).await;
+    (backend, discovery, proxy)
+}
+
+/// What comes while a request is still being written is held up to a time that counts from when it came.
+#[tokio::test]
+async fn a_copy_that_comes_long_before_the_end_of_its_request_is_no_answer() {
+    /// More than is buffered.
+    const BODY_BYTES: usize = 100_000;
+    const PIECES: usize = 50;
+    /// Longer than anything is held.
+    const UPLOAD_TIME: Duration = Duration::from_secs(3);
+    let (first, other) = (response(200, "", "first"), response(200, "", "other"));
+    let (_backend, _discovery, proxy) = scripted(move |count, _| match count {
+        0 => vec![Step::Write(first.clone())],
+        _ => vec![
+            Step::Write(first.clone()),
+            Step::Pause(UPLOAD_TIME + RESPONSE_DELAY),
+            Step::Write(other.clone()),
+            // What is left of the request is not read.
+            Step::Pause(RESPONSE_DELAY),
+            Step::Close,
+        ],
+    })
+    .await;
+    assert_eq!(proxy.call("once").await, (200, "first".to_string()));
+    let mut client = connected(proxy.addr).await;
+    let head = call("POST /once", "00000000f1257c0a");
+    let length = format!("\r\nContent-Length: {BODY_BYTES}\r\n\r\n");
+    client.write_all(head.replace("\r\n\r\n", &length).as_bytes()).await.expect("open");
+    let mut received = Vec::new();
+    for _ in 0..PIECES {
+        client.write_all(&[b'x'; BODY_BYTES / PIECES]).await.expect("open");
+        let early = timeout(UPLOAD_TIME / PIECES as u32, client.read_buf(&mut received)).await;
+        let received = String::from_utf8_lossy(&received);
+        assert!(early.is_err(), "an answer before the response proper: {received}");
+    }
+    in_time(client.read_buf(&mut received)).await.expect("an answer");
+    assert!(received.ends_with(b"other"), "{}", String::from_utf8_lossy(&received));
+}
