--- a/crates/proxy/src/upstream/repeat_filter/tests.rs
+++ b/crates/proxy/src/upstream/repeat_filter/tests.rs
@@ -643,3 +643,18 @@
         assert!(passed.is_empty(), "a client gets the answer of another's request");
     }
 }
+
+#[test]
+fn a_connection_does_not_rest_behind_an_equal_response_in_pieces_of_known_content() {
+    let equal = response(200, "equal");
+    for cut in 1..equal.len() {
+        let mut fixture = Fixture::unknown_backend();
+        fixture.history.record_equal(&equal);
+        fixture.exchange(&equal, false);
+        fixture.begin_request();
+        fixture.receive_held(&equal[..cut]);
+        assert_eq!(fixture.receive(&equal[cut..]).expect("the answer"), equal);
+        assert!(fixture.finish(false));
+        assert!(!fixture.is_resting(), "cut at {cut}");
+    }
+}
--- a/crates/proxy/tests/first_copies.rs
+++ b/crates/proxy/tests/first_copies.rs
@@ -663,6 +663,28 @@
     (backend, discovery, proxy)
 }
 
+/// Equal responses that come in pieces have their connection rest each time: others are made in its place.
+#[tokio::test]
+async fn equal_responses_in_pieces_need_few_connections() {
+    const MAX_CONNECTIONS: usize = 5;
+    let connections = Arc::new(AtomicUsize::new(0));
+    let made = connections.clone();
+    let (_backend, _discovery, proxy) = scripted(move |count, _| {
+        if count == 0 {
+            made.fetch_add(1, SeqCst);
+        }
+        let response = response(200, "", "equal");
+        let (head, body) = response.split_at(response.len() - "equal".len());
+        vec![Step::Write(head.to_vec()), Step::Pause(PIECE_DELAY), Step::Write(body.to_vec())]
+    })
+    .await;
+    for (_, answer) in call_in_a_row(&proxy, "once", 8 * MAX_CONNECTIONS).await {
+        assert_eq!(answer, (200, "equal".to_string()));
+    }
+    let connections = connections.load(SeqCst);
+    assert!(connections <= MAX_CONNECTIONS, "{connections}");
+}
+
 /// What comes while a request is still being written is held up to a time that counts from when it came.
 #[tokio::test]
 async fn a_copy_that_comes_long_before_the_end_of_its_request_is_no_answer() {
