--- a/crates/proxy/tests/first_copies.rs
+++ b/crates/proxy/tests/first_copies.rs
@@ -663,6 +663,26 @@
     (backend, discovery, proxy)
 }
 
+/// The first bytes of a copy in one read with its response are taken for a rest of its body: the response is lost.
+#[tokio::test]
+async fn a_response_with_the_first_bytes_of_its_copy_behind_it_is_served() {
+    let mut lost = Vec::new();
+    for length in 1..=8 {
+        let (_backend, _discovery, proxy) = scripted(move |_, id| {
+            let response = own_response(id);
+            let (begin, rest) = response.split_at(length);
+            let written = [response.as_slice(), begin].concat();
+            vec![Step::Write(written), Step::Pause(PIECE_DELAY), Step::Write(rest.to_vec())]
+        })
+        .await;
+        let (id, answer) = call_in_a_row(&proxy, "once", 1).await.remove(0);
+        if answer != (200, id) {
+            lost.push((length, answer));
+        }
+    }
+    assert!(lost.is_empty(), "{lost:?}");
+}
+
 /// Equal responses that come in pieces have their connection rest each time: others are made in its place.
 #[tokio::test]
 async fn equal_responses_in_pieces_need_few_connections() {
