--- a/crates/proxy/tests/first_copies.rs
+++ b/crates/proxy/tests/first_copies.rs
@@ -705,6 +705,31 @@
     assert!(connections <= MAX_CONNECTIONS, "{connections}");
 }
 
+/// An error behind a copy is held until the copy would have been passed on.
+#[tokio::test]
+async fn an_equal_error_behind_a_copy_is_held_no_longer_than_other_errors() {
+    /// An error is held for half a second at the most.
+    const MAX_TIME: Duration = Duration::from_secs(1);
+    let (first, error) = (response(200, "", "first"), response(500, "", ""));
+    let (_backend, _discovery, proxy) = scripted(move |count, _| match count {
+        0 => vec![Step::Write(first.clone())],
+        1 => vec![Step::Write(error.clone())],
+        _ => vec![Step::Write(first.clone()), Step::Pause(RESPONSE_DELAY), Step::Write(error.clone())],
+    })
+    .await;
+    let mut client = proxy.client().await;
+    for status in [200, 500] {
+        let (_, answer) = client.call_with_id(request_with_deadline("once", DEADLINE)).await;
+        assert_eq!(answer.0 == 200, status == 200);
+    }
+    // Behind an error the connection rests.
+    sleep(RESPONSE_DELAY).await;
+    let begun_at = Instant::now();
+    let (_, (status, _)) = client.call_with_id(request_with_deadline("once", DEADLINE)).await;
+    assert_ne!(status, 200, "a copy is the answer");
+    assert!(begun_at.elapsed() < MAX_TIME, "{:?}", begun_at.elapsed());
+}
+
 /// What comes while a request is still being written is held up to a time that counts from when it came.
 #[tokio::test]
 async fn a_copy_that_comes_long_before_the_end_of_its_request_is_no_answer() {
