--- a/crates/proxy/src/upstream/repeat_filter/tests.rs
+++ b/crates/proxy/src/upstream/repeat_filter/tests.rs
@@ -658,3 +658,16 @@
         assert!(!fixture.is_resting(), "cut at {cut}");
     }
 }
+
+#[test]
+fn the_time_in_which_the_rest_of_a_response_does_not_come_is_its_backends() {
+    let mut fixture = Fixture::unknown_backend();
+    let (first, second) = (response(200, "first"), response(200, "other"));
+    fixture.exchange(&first, false);
+    fixture.begin_request();
+    let cut = head_length(&second).expect("a head");
+    fixture.receive_held(&second[..cut]);
+    assert_eq!(fixture.release(), second[..cut]);
+    assert_eq!(fixture.receive(&second[cut..]).expect("the rest"), second[cut..]);
+    assert_eq!(fixture.filter.held_for(), Duration::ZERO);
+}
