--- a/crates/proxy/src/upstream/repeat_filter/tests.rs
+++ b/crates/proxy/src/upstream/repeat_filter/tests.rs
@@ -671,3 +671,15 @@
     assert_eq!(fixture.receive(&second[cut..]).expect("the rest"), second[cut..]);
     assert_eq!(fixture.filter.held_for(), Duration::ZERO);
 }
+
+#[test]
+fn the_first_copy_that_broke_off_ends_the_connection() {
+    for cut in 1..response(200, "first").len() {
+        let mut fixture = Fixture::unknown_backend();
+        let (first, second) = (response(200, "first"), response(200, "other"));
+        fixture.exchange(&first, false);
+        fixture.begin_request();
+        fixture.receive_held(&first[..cut]);
+        assert!(fixture.receive(&second).is_err(), "cut at {cut}");
+    }
+}
