--- a/crates/proxy/src/upstream/repeat_filter/tests.rs
+++ b/crates/proxy/src/upstream/repeat_filter/tests.rs
@@ -683,3 +683,11 @@
         assert!(fixture.receive(&second).is_err(), "cut at {cut}");
     }
 }
+
+#[test]
+fn a_second_copy_of_an_unlike_response_is_no_answer() {
+    let mut fixture = Fixture::unknown_backend();
+    let first = response(200, "first");
+    fixture.exchange(&first, false);
+    assert_is_no_answer(&mut fixture, &[first.as_slice(), &first].concat());
+}
