--- a/crates/proxy/src/upstream/repeat_filter/tests.rs
+++ b/crates/proxy/src/upstream/repeat_filter/tests.rs
@@ -691,3 +691,22 @@
     fixture.exchange(&first, false);
     assert_is_no_answer(&mut fixture, &[first.as_slice(), &first].concat());
 }
+
+#[test]
+fn a_response_behind_an_interim_one_in_pieces_is_held_as_long_as_others() {
+    let interim = b"HTTP/1.1 100 Continue\r\n\r\n";
+    for cut in 1..interim.len() {
+        let mut fixture = Fixture::unknown_backend();
+        let first = response(200, "first");
+        fixture.exchange(&first, false);
+        fixture.begin_request();
+        let mut passed = fixture.receive(&interim[..cut]).expect("held");
+        passed.extend(fixture.receive(&interim[cut..]).expect("an interim response"));
+        assert_eq!(passed, interim);
+        fixture.now += fixture.hold_time();
+        fixture.receive_held(&first);
+        let came_at = fixture.now;
+        assert_eq!(fixture.release(), first);
+        assert_eq!(fixture.now - came_at, fixture.hold_time(), "cut at {cut}");
+    }
+}
