--- a/crates/proxy/src/upstream/repeat_filter/tests.rs
+++ b/crates/proxy/src/upstream/repeat_filter/tests.rs
@@ -692,6 +692,17 @@
     assert_is_no_answer(&mut fixture, &[first.as_slice(), &first].concat());
 }
 
+#[test]
+fn a_backend_that_no_longer_repeats_has_its_connections_rest_no_longer_than_others() {
+    let mut fixture = Fixture::unknown_backend();
+    let usual = fixture.history.rest_time();
+    fixture.history.record_copy(fixture.now, Duration::from_millis(250));
+    fixture.now += repeat_history::REPEATER_MEMORY;
+    fixture.exchange(&response(503, ""), true);
+    fixture.now += usual;
+    assert!(!fixture.is_resting());
+}
+
 #[test]
 fn a_response_behind_an_interim_one_in_pieces_is_held_as_long_as_others() {
     let interim = b"HTTP/1.1 100 Continue\r\n\r\n";
