Nobody is forced out of a table that has space again

Callers saw: clients that had been served and were idle were closed, all of up to eight at once, though there was space.

Cause: at a full table the accept loop waits 5 ms before it forces clients out, and then did so without a second look. Where the turns of the connections take longer than these 5 ms, the end of the wait and the ended connections are ready in the same poll, and select takes one by chance. With the crowd gone, those who can give way are the ones that were served.

Evidence: a dump of the table at the eviction in a_request_that_crosses_the_close_of_an_idle_connection_is_served beside four busy processes (trial on a scratch state): BlockedListener, 7 connections in the table, all idle and served, in a table of about a hundred. The log said "7 evicted (0 closing, 0 late, 0 rejected before, 7 idle, 0 arriving)". The suspicion that many accepts in one turn evict a used connection by themselves is refuted in that play: no eviction for a new connection was counted.

Mend: the loop asks again whether the table is full. What is accepted, and when, stays as it was.

--- a/crates/proxy/src/downstream/listener.rs
+++ b/crates/proxy/src/downstream/listener.rs
@@ -52,7 +52,10 @@
                 server.table.close_overdue();
                 server.statistics.log_if_full();
             }
-            () = sleep(FORCED_EVICTION_DELAY), if is_full => server.force_evictions(FORCED_EVICTIONS),
+            // The turns of the connections may have taken longer than the pause, and have made space.
+            () = sleep(FORCED_EVICTION_DELAY), if is_full => if server.is_full() {
+                server.force_evictions(FORCED_EVICTIONS);
+            },
             accepted = listener.accept(), if !is_full => match accepted {
                 Ok((stream, _)) => {
                     server.statistics.record_accepted();
--- a/crates/proxy/tests/connection_close.rs
+++ b/crates/proxy/tests/connection_close.rs
@@ -10,10 +10,17 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::sync::Notify;
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until};
 
 /// So many requests at once are surely let through by a limit that has learned nothing yet.
 const AT_ONCE: usize = 7;
+/// Connections that wait in the system's queue together: fewer than it has places, and several times the table.
+const BURST_CONNECTIONS: usize = 1000;
+/// Which of two things that are ready the accept loop does first is left to chance.
+const BURSTS: usize = 10;
+/// How often in a burst the program is held up, and for how long: longer than it waits before it forces somebody out.
+const HOLD_UPS: usize = 20;
+const HOLD_UP: Duration = Duration::from_millis(10);
 
 struct Fixture {
     script: Arc<BackendScript>,
@@ -80,6 +87,42 @@
     assert_eq!(s.script.requests_at("a"), 40 + AT_ONCE, "each runs once");
 }
 
+/// Lets a paused program go on a little at a time.
+async fn hold_up(proxy: &Proxy) {
+    for _ in 0..HOLD_UPS {
+        proxy.resume_process().await;
+        proxy.pause().await;
+        sleep(HOLD_UP).await;
+    }
+}
+
+/// A burst fills the table in one turn of the accept loop and is gone again before the next: nobody has to give way.
+#[tokio::test]
+async fn idle_clients_stay_when_a_burst_has_left_before_they_have_to_give_way() {
+    let s = fixture(|_| {}).await;
+    let mut clients = Vec::new();
+    for n in 0..AT_ONCE {
+        let mut client = connected(s.proxy.addr).await;
+        client.write_all(call("GET /look", &n.to_string()).as_bytes()).await.expect("open");
+        assert!(served(&mut client).await, "{n}");
+        clients.push(client);
+    }
+    for burst in 0..BURSTS {
+        s.proxy.pause().await;
+        for _ in 0..BURST_CONNECTIONS {
+            drop(connected(s.proxy.addr).await);
+        }
+        hold_up(&s.proxy).await;
+        s.proxy.resume_process().await;
+        // It waits behind the burst.
+        assert_eq!(s.proxy.call("look").await, (200, "a".into()));
+        for (n, client) in clients.iter_mut().enumerate() {
+            client.write_all(call("GET /look", &format!("{burst}-{n}")).as_bytes()).await.expect("open");
+            assert!(served(client).await, "client {n} after burst {burst}");
+        }
+    }
+}
+
 /// Connections at rest are closed near the end of a planned stop; a request may lie there by then.
 #[tokio::test]
 async fn a_request_that_crosses_the_close_of_an_idle_connection_is_served() {
