The test of a stop waits for the listener's close without filling its queue

What was wrong: the test connected again and again until it was refused. Loopback connects come faster than they are accepted, the system's queue of 1,024 filled up, and the next connect was repeated only a second later: in each of the plays looked at one connect took 1.00 to 1.03 s. In three of eight plays without load the refusal was seen 1.53 to 1.56 s after the signal, when idle connections had been closed as they should (1.5 s). Where the program has ended by then, pause() waits without a limit for a process that can't stop any more; that is the likely reason, not shown, why one run of the file beside load spun for 19 minutes until it was ended by hand.

Now: the test waits until the system's table has no listener at the address, then a connect has to be refused as before, and all that it checks is unchanged. pause() has the time limit of all waits.

--- a/crates/proxy/tests/support/proxy.rs
+++ b/crates/proxy/tests/support/proxy.rs
@@ -109,9 +109,13 @@
     pub async fn pause(&self) {
         self.kill("-STOP").await;
         let path = format!("/proc/{}/stat", self.child.id().expect("it runs"));
-        while !std::fs::read_to_string(&path).expect("a state").contains(") T ") {
-            tokio::task::yield_now().await;
-        }
+        // One that has ended never stops.
+        in_time(async {
+            while !std::fs::read_to_string(&path).expect("a state").contains(") T ") {
+                tokio::task::yield_now().await;
+            }
+        })
+        .await;
     }
 
     pub async fn resume_process(&self) {
--- a/crates/proxy/tests/support/sockets.rs
+++ b/crates/proxy/tests/support/sockets.rs
@@ -65,6 +65,8 @@
 
 /// Neither side has ended its sending.
 pub const ESTABLISHED: u8 = 1;
+/// Connections are taken there.
+pub const LISTENING: u8 = 10;
 
 /// The system's table of connections.
 pub fn table() -> Vec<Row> {
@@ -79,3 +81,15 @@
     let text = std::fs::read_to_string("/proc/net/tcp").expect("a table");
     text.lines().filter_map(row).collect()
 }
+
+/// Waits until nobody listens at an address any more. It connects to nobody: the system's queue would fill up, and a
+/// connect to a full one is repeated only after a second.
+pub async fn listener_closed(addr: SocketAddr) {
+    let is_listener = |row: &Row| row.local == addr.port() && row.state == LISTENING;
+    in_time(async {
+        while table().iter().any(is_listener) {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    })
+    .await;
+}
