Tests hold the port on which connects are to be refused

What was wrong: two tests freed a port and expected a refusal there, where any other test may listen by then. Forced, with a stranger that listens on it, an_upload_that_nobody_has_begun_goes_to_another_backend fails: (200, "stranger") in place of (200, "b"). So the tests are at fault in this order, and the product is not: it sends to whom discovery names.

Now: refusing(), which held the port in discovery_notification.rs, stands in the support module, and both tests use it: a socket that is bound and never listens. What they check is unchanged. Other tests of the proxy and of the discovery client free no port so; Discovery::set(Refusing) still does, and binds its port again.

--- a/crates/proxy/tests/bodies.rs
+++ b/crates/proxy/tests/bodies.rs
@@ -114,7 +114,7 @@
 async fn an_upload_that_nobody_has_begun_goes_to_another_backend() {
     let script = Arc::new(BackendScript::default());
     let b = Backend::start("b", &script).await;
-    let nobody = TcpListener::bind("127.0.0.1:0").await.expect("a port").local_addr().expect("bound");
+    let (_held, nobody) = refusing();
     let discovery = Discovery::start(vec![line("a", nobody, "SERVING"), b.line("SERVING")]).await;
     let proxy = Proxy::wait_until_applied(&discovery, settings()).await;
     for n in 1..=8 {
--- a/crates/proxy/tests/discovery_notification.rs
+++ b/crates/proxy/tests/discovery_notification.rs
@@ -5,23 +5,14 @@
 
 use foldhitch_balancer::api::NOTIFICATION_DEADLINE_MS;
 use serde_json::{Value, json};
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use support::*;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpSocket};
+use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::time::{sleep, timeout};
 
-/// A port that is taken, and on which nobody listens yet: connects are refused.
-fn refusing() -> (TcpSocket, SocketAddr) {
-    let socket = TcpSocket::new_v4().expect("a socket");
-    socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a port");
-    let address = socket.local_addr().expect("bound");
-    (socket, address)
-}
-
 /// An agent that ends its first connections at their first call, then tells a list; the calls as they come.
 fn agent(listener: TcpListener, failing: usize, hosts: Vec<Value>) -> mpsc::UnboundedReceiver<String> {
     let (wait_for_requests, calls) = mpsc::unbounded_channel();
--- a/crates/proxy/tests/proxy.rs
+++ b/crates/proxy/tests/proxy.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 use support::*;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
 /// Two backends with common orders, discovery that lists them, and a proxy that holds the list.
@@ -103,7 +103,7 @@
 
 #[tokio::test]
 async fn a_refused_connection_proves_that_nothing_ran() {
-    let addr = TcpListener::bind("127.0.0.1:0").await.expect("a port").local_addr().expect("bound");
+    let (_held, addr) = refusing();
     goes_round(addr).await;
 }
 
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -34,7 +34,7 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::process::{Child, ChildStderr, Command};
 use tokio::sync::{Notify, watch};
 use tokio::time::timeout;
--- a/crates/proxy/tests/support/sockets.rs
+++ b/crates/proxy/tests/support/sockets.rs
@@ -4,7 +4,7 @@
 
 /// A listener whose queue is full: connects to it neither succeed nor fail. The streams hold the queue.
 pub async fn silent() -> (TcpListener, Vec<TcpStream>) {
-    let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
+    let socket = TcpSocket::new_v4().expect("a socket");
     socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a port");
     let listener = socket.listen(1).expect("it listens");
     let addr = listener.local_addr().expect("bound");
@@ -16,6 +16,14 @@
     (listener, held)
 }
 
+/// A port that is taken, and on which nobody listens yet: connects are refused while the socket is held.
+pub fn refusing() -> (TcpSocket, SocketAddr) {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a port");
+    let address = socket.local_addr().expect("bound");
+    (socket, address)
+}
+
 /// Waits until somebody's connect to an address is under way, by the system's table of connections.
 pub async fn connecting(addr: SocketAddr) {
     const SYN_SENT: &str = "02";
