A request's time counts from when it came, also while it waited to be accepted

Callers saw: at a full table a backend was told (Req-Deadline-Ms) up to 0.2 s more than its client had left, and worked on for clients that had given up.

Cause: request_times in downstream/connection.rs counts from the read. In an upgrade with 64 descriptors a process has two places for clients and one to reject; a crowd of 64 idle clients comes again at once, and some 400 are accepted a second, so that each connection waits for all others in the system's queue. Eight violating requests traced, all of them the first on their connection: the bytes had come 178 to 201 ms before they were read, the accept was 24 to 58 microseconds before; the backend had them at once. Excluded by this: the loop's turns, the dispatcher, connects to backends, and kept connections.

Mend: the listener asks the system to stamp what comes (SO_TIMESTAMPNS; accepted connections inherit it). Before the first read on a new connection the stamp of what lies there is peeked at, and what has waited for 10 ms or more counts from its stamp; what comes later is read as it comes. So it is one system call more on a new connection, and one a read only while old bytes lie there. A stamp from before the queue was last seen empty is of another clock, and counts for nothing, as a missing one: no request loses time that it did not wait. The queue is seen empty when the system itself says so, after an accept or by a poll every 250 ms: the reactor's word is no proof, since a signal ends its look without events. Eviction and connection timeouts count as before.

Tests: crates/proxy/tests/late_accept.rs, the program paused while whole requests come. Unit tests: a stamp that can't be, and none.

--- a/crates/proxy/src/downstream/connection.rs
+++ b/crates/proxy/src/downstream/connection.rs
@@ -15,8 +15,8 @@
 use crate::dispatcher::{Answer, IncomingRequest, RESPONSE_MARGIN};
 use crate::log::log;
 use crate::transport::{
-    ClientSocket, MAX_BODY_BYTES, MAX_HEAD_BYTES, MAX_HEADERS, ObservedStream, RequestPayload, SendGuard,
-    StreamedBody, StreamedUpload, UnreadProbe, prepare,
+    ArrivalProbe, ClientSocket, MAX_BODY_BYTES, MAX_HEAD_BYTES, MAX_HEADERS, ObservedStream, RequestPayload,
+    SendGuard, StreamedBody, StreamedUpload, UnreadProbe, prepare,
 };
 use crate::upstream::{UpstreamRequest, printable_id};
 use bytes::Bytes;
@@ -78,11 +78,18 @@
 }
 
 impl AcceptedConnection {
-    /// Takes a connection into the table.
-    pub(super) fn new(server: Rc<Server>, stream: TcpStream, is_past_limit: bool) -> Self {
+    /// Takes a connection into the table. It may have waited in the system's queue since a time, as far as that is
+    /// known.
+    pub(super) fn new(
+        server: Rc<Server>,
+        stream: TcpStream,
+        is_past_limit: bool,
+        waiting_since: Option<Instant>,
+    ) -> Self {
         let is_prepared = prepare(&stream).is_ok();
         let socket = ClientSocket::new(stream);
-        let stream = ObservedStream::new(socket.clone());
+        let arrival_probe = waiting_since.map(|earliest| ArrivalProbe::new(socket.clone(), earliest));
+        let stream = ObservedStream::with_arrivals(socket.clone(), arrival_probe);
         let guard = ConnectionGuard::new(&server.table, stream.progress(), socket.liveness());
         let state = guard.state.clone();
         state.progress.expect_head();
--- a/crates/proxy/src/downstream/listener.rs
+++ b/crates/proxy/src/downstream/listener.rs
@@ -1,5 +1,6 @@
 //! Accepts clients' connections.
 
+use super::accept_queue::AcceptQueue;
 use super::connection::AcceptedConnection;
 use super::connection_table::EvictionPurpose;
 use super::response::rejected_response_bytes;
@@ -33,6 +34,7 @@
 /// Nobody is kept waiting in the system's queue, where requests may lie whose answers are pending: whom there is
 /// no space for takes that of a client that has long sent nothing.
 pub async fn serve(server: Rc<Server>, listener: TcpListener, mut phase: watch::Receiver<ListenerPhase>) {
+    let queue = AcceptQueue::new(listener);
     let mut connections = JoinSet::new();
     let mut overdue_check = interval(OVERDUE_CHECK_INTERVAL);
     let connection_phase = phase.clone();
@@ -49,16 +51,19 @@
             _ = phase.changed() => break,
             Some(_) = connections.join_next() => {}
             _ = overdue_check.tick() => {
+                queue.look();
                 server.table.close_overdue();
                 server.statistics.log_if_full();
             }
             () = sleep(FORCED_EVICTION_DELAY), if is_full => server.force_evictions(FORCED_EVICTIONS),
-            accepted = listener.accept(), if !is_full => match accepted {
-                Ok((stream, _)) => {
+            accepted = queue.accept(), if !is_full => match accepted {
+                Ok(stream) => {
                     server.statistics.record_accepted();
                     // Without a pause, so that none waits in the system's queue for the turns of others.
                     let is_past_limit = !server.has_space();
-                    let connection = AcceptedConnection::new(server.clone(), stream, is_past_limit);
+                    let waiting_since = queue.waiting_since();
+                    let connection =
+                        AcceptedConnection::new(server.clone(), stream, is_past_limit, waiting_since);
                     connections.spawn_local(connection.serve(connection_phase.clone()));
                 }
                 // No error ends the loop, out of descriptors or other: clients are waiting, and what is short
@@ -74,7 +79,7 @@
     if *phase.borrow() == ListenerPhase::HandedOver {
         server.is_handed_over.set(true);
     }
-    take_queued(&server, listener, &mut connections, &connection_phase).await;
+    take_queued(&server, queue, &mut connections, &connection_phase).await;
     wait_for_close(&server, connections, overdue_check).await;
 }
 
@@ -94,12 +99,13 @@
 /// yet; closed over them it would reset them. Past the descriptors others have to give way first, as for any that comes.
 async fn take_queued(
     server: &Rc<Server>,
-    listener: TcpListener,
+    queue: AcceptQueue,
     connections: &mut JoinSet<()>,
     phase: &watch::Receiver<ListenerPhase>,
 ) {
     // The reactor knows only what it was told when it last looked: the system is asked until it says no.
-    let Ok(listener) = listener.into_std() else { return };
+    let waiting_since = queue.waiting_since();
+    let Ok(listener) = queue.into_std() else { return };
     let take_until = Instant::now() + QUEUE_LIMIT;
     while Instant::now() < take_until {
         while connections.try_join_next().is_some() {}
@@ -113,7 +119,7 @@
             continue;
         }
         if let Ok(stream) = TcpStream::from_std(stream) {
-            let connection = AcceptedConnection::new(server.clone(), stream, true);
+            let connection = AcceptedConnection::new(server.clone(), stream, true, waiting_since);
             connections.spawn_local(connection.serve(phase.clone()));
         }
     }
--- a/crates/proxy/src/downstream/mod.rs
+++ b/crates/proxy/src/downstream/mod.rs
@@ -1,5 +1,6 @@
 //! The clients' side: takes requests, checks them, and writes each one's final answer.
 
+mod accept_queue;
 mod accept_statistics;
 mod connection;
 mod connection_table;
--- a/crates/proxy/src/transport/client_socket.rs
+++ b/crates/proxy/src/transport/client_socket.rs
@@ -34,6 +34,11 @@
         ClientSocket(Rc::new(RefCell::new(TokioIo::new(stream))))
     }
 
+    /// Calls a function with the stream itself.
+    pub(super) fn with_stream<T>(&self, call: impl FnOnce(&TcpStream) -> T) -> T {
+        call(self.0.borrow().inner())
+    }
+
     /// Tells whether the client is still connected, also after this hand has let go of the socket.
     pub fn liveness(&self) -> ClientLiveness {
         ClientLiveness(Rc::downgrade(&self.0))
--- a/crates/proxy/src/transport/mod.rs
+++ b/crates/proxy/src/transport/mod.rs
@@ -1,5 +1,6 @@
 //! Connections of either side: streams that observe themselves, and bodies that are streamed through.
 
+mod arrival;
 mod body;
 mod client_socket;
 mod observed_stream;
@@ -8,6 +9,7 @@
 #[cfg(test)]
 mod tests;
 
+pub use arrival::{ArrivalProbe, stamp_arrivals};
 pub use body::{BodyContent, FrameSender, StreamedBody, StreamedUpload};
 pub use client_socket::{ClientLiveness, ClientSocket};
 pub use observed_stream::{ObservedStream, UnreadProbe};
--- a/crates/proxy/src/transport/observed_stream.rs
+++ b/crates/proxy/src/transport/observed_stream.rs
@@ -1,6 +1,7 @@
 //! A stream that observes what is read and written: whether a request got out completely, whether the other side
 //! has stopped taking bytes, and since when it sends.
 
+use super::arrival::ArrivalProbe;
 use super::progress::StreamProgress;
 use super::{MAX_HEAD_BYTES, WRITE_STALL_TIMEOUT};
 use hyper::rt::{Read, ReadBuf, ReadBufCursor, Write};
@@ -37,12 +38,20 @@
     stream: S,
     progress: Rc<StreamProgress>,
     stall_timer: Option<Pin<Box<Sleep>>>,
+    /// As long as bytes may lie there that came before the connection was served.
+    arrival_probe: Option<ArrivalProbe>,
 }
 
 impl<S> ObservedStream<S> {
     /// Observes a stream.
     pub fn new(stream: S) -> Self {
-        ObservedStream { stream, progress: Rc::default(), stall_timer: None }
+        ObservedStream { stream, progress: Rc::default(), stall_timer: None, arrival_probe: None }
+    }
+
+    /// Observes a new connection, on which bytes may have waited for some time: what is read of them counts from when
+    /// they came.
+    pub fn with_arrivals(stream: S, arrival_probe: Option<ArrivalProbe>) -> Self {
+        ObservedStream { arrival_probe, ..ObservedStream::new(stream) }
     }
 
     /// What is observed.
@@ -72,10 +81,20 @@
         result
     }
 
-    fn observe_read(&self) {
+    /// When the bytes came that a read of so many would find; none if they have not waited. Whatever comes after such
+    /// a read is read as it comes.
+    fn waiting_since(&mut self, read_bytes: usize) -> Option<Instant> {
+        let waiting_since = self.arrival_probe.as_ref()?.waiting_since(read_bytes);
+        if waiting_since.is_none() {
+            self.arrival_probe = None;
+        }
+        waiting_since
+    }
+
+    fn observe_read(&self, waiting_since: Option<Instant>) {
         let read = &self.progress.read;
         let now = Instant::now();
-        read.last_byte_at.set(Some(now));
+        read.last_byte_at.set(Some(waiting_since.unwrap_or(now)));
         if read.first_byte_at.get().is_none() {
             read.first_byte_at.set(Some(now));
         }
@@ -122,8 +141,10 @@
         context: &mut Context<'_>,
         buffer: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        let head = self.progress.read.head.take();
-        let read = match head.filter(|head| head.len() < MAX_HEAD_BYTES) {
+        let head = self.progress.read.head.take().filter(|head| head.len() < MAX_HEAD_BYTES);
+        let most_bytes = if head.is_some() { HEAD_READ_BYTES } else { usize::MAX };
+        let waiting_since = self.waiting_since(buffer.remaining().min(most_bytes));
+        let read = match head {
             Some(mut head) => {
                 let read = self.read_head(context, buffer, &mut head);
                 self.progress.read.head.replace(Some(head));
@@ -132,7 +153,7 @@
             None => Pin::new(&mut self.stream).poll_read(context, buffer),
         };
         if read.is_ready() {
-            self.observe_read();
+            self.observe_read(waiting_since);
         }
         read
     }
--- a/crates/proxy/src/transport/tests.rs
+++ b/crates/proxy/src/transport/tests.rs
@@ -9,7 +9,7 @@
 use std::pin::Pin;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream, duplex};
 use tokio::task::{LocalSet, spawn_local};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 impl UnreadProbe for TokioIo<DuplexStream> {
     fn has_unread(&self) -> bool {
@@ -131,3 +131,67 @@
     assert_eq!(write(true).await.expect_err("unclean").kind(), io::ErrorKind::InvalidData);
     assert!(!progress.has_begun());
 }
+
+/// So long bytes wait in these tests; the system's clock may tell it this exactly.
+const WAIT: Duration = Duration::from_millis(50);
+const CLOCK_SLACK: Duration = Duration::from_millis(10);
+/// The system begins to stamp a moment after it is first asked to.
+const STAMP_TRIES: usize = 20;
+
+/// Both ends of a new connection on which bytes have waited, and the times between which they came.
+struct WaitingBytes {
+    near: ClientSocket,
+    _far: TcpStream,
+    sent_after: Instant,
+    sent_before: Instant,
+}
+
+async fn waiting_bytes(is_stamped: bool) -> WaitingBytes {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    if is_stamped {
+        assert!(stamp_arrivals(&listener), "the system stamps");
+    }
+    let mut far = TcpStream::connect(listener.local_addr().expect("bound")).await.expect("it listens");
+    let sent_after = Instant::now();
+    far.write_all(b"request").await.expect("open");
+    let sent_before = Instant::now();
+    sleep(WAIT).await;
+    let (near, _) = listener.accept().await.expect("it came");
+    WaitingBytes { near: ClientSocket::new(near), _far: far, sent_after, sent_before }
+}
+
+#[tokio::test]
+async fn bytes_that_waited_count_from_when_they_came() {
+    for _ in 0..STAMP_TRIES {
+        let bytes = waiting_bytes(true).await;
+        let probe = ArrivalProbe::new(bytes.near.clone(), bytes.sent_after);
+        let Some(came_at) = probe.waiting_since(MAX_HEAD_BYTES) else { continue };
+        assert!(came_at + CLOCK_SLACK >= bytes.sent_after, "{:?} too early", bytes.sent_after - came_at);
+        assert!(came_at <= bytes.sent_before + CLOCK_SLACK, "{:?} too late", came_at - bytes.sent_before);
+        return;
+    }
+    panic!("nothing is stamped");
+}
+
+/// Guards against the stamps of a clock that differs from the program's, which would take time from requests.
+#[tokio::test]
+async fn a_stamp_from_before_a_connection_can_have_come_is_not_believed() {
+    for _ in 0..STAMP_TRIES {
+        let bytes = waiting_bytes(true).await;
+        let impossible = ArrivalProbe::new(bytes.near.clone(), Instant::now());
+        assert_eq!(impossible.waiting_since(MAX_HEAD_BYTES), None);
+        // The same stamp is believed where it is possible.
+        let possible = ArrivalProbe::new(bytes.near.clone(), bytes.sent_after);
+        if possible.waiting_since(MAX_HEAD_BYTES).is_some() {
+            return;
+        }
+    }
+    panic!("nothing is stamped");
+}
+
+#[tokio::test]
+async fn bytes_without_a_stamp_count_from_their_read() {
+    let bytes = waiting_bytes(false).await;
+    let probe = ArrivalProbe::new(bytes.near.clone(), bytes.sent_after);
+    assert_eq!(probe.waiting_since(MAX_HEAD_BYTES), None);
+}
--- /dev/null
+++ b/crates/proxy/tests/late_accept.rs
@@ -0,0 +1,146 @@
+//! Connections that wait in the system's queue before the program accepts them: their requests' time runs meanwhile.
+//! The program is paused while they come.
+
+mod support;
+
+use std::sync::Arc;
+use std::time::Duration;
+use support::*;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::time::{Instant, sleep_until};
+
+/// How long a client waits for its answer.
+const CLIENT_TIMEOUT: Duration = Duration::from_secs(10);
+/// So long the connections wait.
+const QUEUE_TIME: Duration = Duration::from_millis(500);
+/// A backend may be told so much more than is left to the client.
+const TOLD_SLACK: Duration = Duration::from_millis(150);
+/// So many requests at once are surely let through by a limit that has learned nothing yet.
+const AT_ONCE: usize = 7;
+/// More than is read at once, and less than is streamed.
+const LONG_BODY_BYTES: usize = 40_000;
+
+struct Fixture {
+    script: Arc<BackendScript>,
+    _backend: Backend,
+    _discovery: Discovery,
+    proxy: Proxy,
+}
+
+impl Fixture {
+    async fn new() -> Self {
+        let script = Arc::new(BackendScript::default());
+        let backend = Backend::start("a", &script).await;
+        let discovery = Discovery::start(vec![backend.line("SERVING")]).await;
+        let proxy = Proxy::wait_until_applied(&discovery, settings()).await;
+        Fixture { script, _backend: backend, _discovery: discovery, proxy }
+    }
+
+    /// What the backend was told of the times that are left.
+    fn told(&self) -> Vec<Duration> {
+        let told = |head: &hyper::http::request::Parts| {
+            let text = head.headers["req-deadline-ms"].to_str().expect("text");
+            Duration::from_millis(text.parse().expect("a number"))
+        };
+        self.script.seen.borrow().iter().map(|(_, head, _)| told(head)).collect()
+    }
+}
+
+/// A request whose client waits so long, with a body of so many bytes.
+fn request_text(client_timeout: Duration, number: usize, body_bytes: usize) -> String {
+    let deadline = format!("Req-Deadline-Ms: {}", client_timeout.as_millis());
+    let head = call("POST /once", &format!("{number:016x}")).replace("Req-Deadline-Ms: 60000", &deadline);
+    let head = head.replace("Host: o", &format!("Host: o\r\nContent-Length: {body_bytes}"));
+    head + &"x".repeat(body_bytes)
+}
+
+/// A client whose request has gone out completely.
+struct WaitingClient {
+    stream: TcpStream,
+    sent_at: Instant,
+}
+
+/// Clients that connect and send at once while nobody accepts.
+async fn queued_clients(proxy: &Proxy, client_timeout: Duration, body_bytes: usize) -> Vec<WaitingClient> {
+    let mut clients = Vec::new();
+    for number in 0..AT_ONCE {
+        let mut stream = connected(proxy.addr).await;
+        let text = request_text(client_timeout, number, body_bytes);
+        in_time(stream.write_all(text.as_bytes())).await.expect("the system takes it");
+        clients.push(WaitingClient { stream, sent_at: Instant::now() });
+    }
+    clients
+}
+
+/// Guards against backends that are told of time that has passed while the connection waited.
+async fn backends_are_told_what_is_left(body_bytes: usize) {
+    let fixture = Fixture::new().await;
+    // Given: complete requests on connections that nobody accepts.
+    fixture.proxy.pause().await;
+    let mut clients = queued_clients(&fixture.proxy, CLIENT_TIMEOUT, body_bytes).await;
+    let last_sent_at = clients.iter().map(|client| client.sent_at).max().expect("there are some");
+    sleep_until(last_sent_at + QUEUE_TIME).await;
+    // When: the program goes on.
+    fixture.proxy.resume_process().await;
+    // Then: each is served, and the backend was told of no more time than was left by then.
+    for client in &mut clients {
+        assert_eq!(status(&mut client.stream).await, Some(200));
+    }
+    let told = fixture.told();
+    println!("{told:?}");
+    assert_eq!(told.len(), AT_ONCE);
+    for told in told {
+        assert!(told <= CLIENT_TIMEOUT - QUEUE_TIME + TOLD_SLACK, "told {told:?}");
+    }
+}
+
+#[tokio::test]
+async fn a_backend_is_told_what_is_left_after_the_wait_for_an_accept() {
+    backends_are_told_what_is_left(0).await;
+}
+
+#[tokio::test]
+async fn a_backend_is_told_what_is_left_after_the_wait_of_a_long_request() {
+    backends_are_told_what_is_left(LONG_BODY_BYTES).await;
+}
+
+/// Guards against counting from the connect: a request's time begins with its last byte.
+#[tokio::test]
+async fn a_request_sent_at_the_end_of_its_connections_wait_keeps_its_time() {
+    let fixture = Fixture::new().await;
+    // Given: a connection that nobody accepts, and half of a head on it.
+    fixture.proxy.pause().await;
+    let text = request_text(CLIENT_TIMEOUT, 0, 0);
+    let (first, rest) = text.split_at(text.len() / 2);
+    let mut stream = connected(fixture.proxy.addr).await;
+    stream.write_all(first.as_bytes()).await.expect("the system takes it");
+    sleep_until(Instant::now() + QUEUE_TIME).await;
+    // When: the rest comes right before the program goes on.
+    let rest_began_at = Instant::now();
+    stream.write_all(rest.as_bytes()).await.expect("the system takes it");
+    fixture.proxy.resume_process().await;
+    // Then: only the time since then is taken from what the backend is told.
+    assert_eq!(status(&mut stream).await, Some(200));
+    let passed = rest_began_at.elapsed();
+    let told = fixture.told();
+    println!("{told:?}, {passed:?} passed");
+    assert_eq!(told.len(), 1);
+    assert!(told[0] + passed + TOLD_SLACK >= CLIENT_TIMEOUT, "told {told:?}, {passed:?} passed");
+}
+
+/// Guards against work for a client that has given up, and against one that waits for ever.
+#[tokio::test]
+async fn a_request_whose_time_ends_before_the_accept_is_answered_and_not_sent() {
+    let fixture = Fixture::new().await;
+    fixture.proxy.pause().await;
+    let mut clients = queued_clients(&fixture.proxy, QUEUE_TIME / 2, 0).await;
+    let last_sent_at = clients.iter().map(|client| client.sent_at).max().expect("there are some");
+    sleep_until(last_sent_at + QUEUE_TIME).await;
+    fixture.proxy.resume_process().await;
+    for client in &mut clients {
+        let answer = status(&mut client.stream).await;
+        assert!(matches!(answer, Some(429 | 502 | 503 | 504)), "{answer:?}");
+    }
+    assert_eq!(fixture.told(), []);
+}
