Scale test: the simulated fleet's files get the names of what they hold

Moves only, with the `mod` and `use` lines that name them: in `simulated/`, `fleet.rs` is `fleet/mod.rs`, `registry.rs` is `fleet/discovery.rs`, `agenda.rs` is `event_queue.rs`, `tally.rs` is `metrics.rs`, `plan.rs` is `topology.rs`.

--- a/crates/scale-test/src/simulated/registry.rs
+++ b/crates/scale-test/src/simulated/fleet/discovery.rs
@@ -1,9 +1,9 @@
 //! Discovery in virtual time: what it knows of each backend, and how that comes to the proxies.
 
-use super::agenda::{Happening, Step};
-use super::fleet::Fleet;
-use super::plan::Plan;
+use super::Fleet;
 use crate::scenario::Invalid;
+use crate::simulated::event_queue::{Happening, Step};
+use crate::simulated::topology::Plan;
 use foldhitch_balancer::api::{BackendId, EndpointInfo, EndpointListKind, Event, Phase};
 use rand::Rng;
 
@@ -37,7 +37,7 @@
 
 impl Changes {
     pub fn new(plan: &Plan) -> Self {
-        let entry = |(i, p): (usize, &super::plan::Place)| EndpointInfo {
+        let entry = |(i, p): (usize, &crate::simulated::topology::Place)| EndpointInfo {
             backend: i as BackendId + 1,
             zone: p.zone,
             weight: 1.0,
@@ -124,7 +124,7 @@
         for change in missed {
             self.in_force(copy, change);
         }
-        let of = |(b, e): (&super::backend::Backend, &EndpointInfo)| {
+        let of = |(b, e): (&crate::simulated::backend::Backend, &EndpointInfo)| {
             (b.service == service && e.phase != Phase::Gone).then(|| e.clone())
         };
         let entries: Vec<EndpointInfo> =
@@ -292,7 +292,7 @@
     /// Proxies that do not hold what discovery has published for the service that they follow, and to which
     /// nothing is on its way.
     pub fn behind(&self) -> u64 {
-        let behind = |c: &&super::fleet::Copy| {
+        let behind = |c: &&super::Copy| {
             let (live, on_the_way) = (c.alive && !c.replaced, c.told_at > self.now);
             live && !on_the_way
                 && self.backends.iter().zip(&self.changes.published).any(|(b, e)| {
@@ -311,7 +311,7 @@
 
     /// Entries that proxies cut off have lost of the regions beyond: the last good list holds.
     pub fn lost_while_cut(&self) -> u64 {
-        let lost = |c: &super::fleet::Copy| {
+        let lost = |c: &super::Copy| {
             let listed = self.backends.iter().zip(&self.changes.published);
             let region = self.scenario.region_of(c.zone);
             let beyond =
--- a/crates/scale-test/src/simulated/fleet.rs
+++ b/crates/scale-test/src/simulated/fleet/mod.rs
@@ -1,13 +1,15 @@
 //! The fleet in virtual time: carries out what the copies of the decision module decide, and tells them what
 //! comes of it.
 
-use super::agenda::{Agenda, Happening};
+pub mod discovery;
+
 use super::backend::Backend;
-use super::plan::Plan;
-use super::registry::{Changes, Held};
+use super::event_queue::{Agenda, Happening};
+use super::metrics::Tally;
 use super::report::{Checks, Worth};
-use super::tally::Tally;
+use super::topology::Plan;
 use crate::scenario::{Invalid, Scenario};
+use discovery::{Changes, Held};
 use foldhitch_balancer::Balancer;
 use foldhitch_balancer::api::*;
 use rand::rngs::StdRng;
@@ -504,7 +506,7 @@
         if fell {
             self.stop(to, false);
             let back = self.scenario.backend.fall_s * 1000.0;
-            self.agenda.at(now + back, Happening::Step(super::agenda::Step::Start { backend: to }));
+            self.agenda.at(now + back, Happening::Step(super::event_queue::Step::Start { backend: to }));
             self.answer(id, attempt, Outcome::Reset);
             return self.clear(id);
         }
--- a/crates/scale-test/src/simulated/mod.rs
+++ b/crates/scale-test/src/simulated/mod.rs
@@ -5,23 +5,22 @@
 //! through their own proxies, processes that end and machines that fall silent, and discovery's delays. What
 //! it doesn't: a proxy's processor time, the bytes of messages, connections beyond the first to each backend.
 
-mod agenda;
 mod backend;
+mod event_queue;
 mod fleet;
-mod plan;
-mod registry;
+mod metrics;
 mod report;
-mod tally;
+mod topology;
 
 pub use report::{Checks, Control, EventReport, Hop, Module, Part, Report, Spread, Worth};
 
 use crate::scenario::{Invalid, Scenario};
-use agenda::{Happening, Step};
 use backend::ColdRule;
+use event_queue::{Happening, Step};
 use fleet::Fleet;
+use metrics::Tally;
 use rand::Rng;
 use report::sum;
-use tally::Tally;
 
 /// What happens to the fleet, in this order, each after a quiet time; those that leave most backends cold
 /// come last.
@@ -105,7 +104,7 @@
         (event_report.before, event_report.during, event_report.after) = (before, during, later);
         event_report.windows = windows;
         event_report.in_force = t.spread(&[part + 1, part + 2]);
-        let of = |c: &&registry::Change| c.missing > 0 && (part + 1..=part + 2).contains(&c.part);
+        let of = |c: &&fleet::discovery::Change| c.missing > 0 && (part + 1..=part + 2).contains(&c.part);
         event_report.not_in_force = fleet.changes.log.iter().filter(of).count();
     }
     report.played_s = (fleet.now - begin) / 1000.0;
