Scale test: the simulated fleet in modules with one job each, without the import circle

From `discovery.rs` the data moved to `endpoint_log.rs` and the steps of the scenario to `scenario_steps.rs`; the fleet imports only the data, so that no two files import each other.

--- a/crates/scale-test/src/simulated/fleet/discovery.rs
+++ b/crates/scale-test/src/simulated/fleet/discovery.rs
@@ -1,60 +1,21 @@
-//! Discovery in virtual time: what it knows of each backend, and how that comes to the proxies.
+//! Discovery in virtual time: how what it knows of each backend comes to the proxies.
 
 use super::Fleet;
-use crate::scenario::Invalid;
-use crate::simulated::event_queue::{Happening, Step};
-use crate::simulated::topology::Plan;
-use foldhitch_balancer::api::{BackendId, EndpointInfo, EndpointListKind, Event, Phase};
+use super::endpoint_log::{Change, Held};
+use super::proxy::Copy;
+use crate::simulated::backend::Backend;
+use crate::simulated::event_queue::Happening;
+use foldhitch_balancer::api::{EndpointInfo, EndpointListKind, Event, Phase};
 use rand::Rng;
 
-/// What a proxy holds of a backend.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Held {
-    pub phase: Phase,
-    pub weight: f64,
-    pub started_at_ms: f64,
-    /// Since when.
-    pub since: f64,
-}
-
-/// A change that discovery has published.
-pub struct Change {
-    pub entry: EndpointInfo,
-    /// When it happened.
-    pub since: f64,
-    /// Proxies to which it has still to come.
-    pub missing: usize,
-    /// The report's part in which it happened.
-    pub part: usize,
-}
-
-/// What discovery knows.
-pub struct Changes {
-    /// By backend.
-    pub published: Vec<EndpointInfo>,
-    pub log: Vec<Change>,
-}
-
-impl Changes {
-    pub fn new(plan: &Plan) -> Self {
-        let entry = |(i, p): (usize, &crate::simulated::topology::Place)| EndpointInfo {
-            backend: i as BackendId + 1,
-            zone: p.zone,
-            weight: 1.0,
-            ..EndpointInfo::default()
-        };
-        Changes { published: plan.backends.iter().enumerate().map(entry).collect(), log: Vec::new() }
-    }
-}
-
 impl Fleet<'_> {
     /// Discovery will take notice of what has just happened to a backend.
-    fn notice(&mut self, backend: usize, after: f64) {
+    pub(super) fn notice(&mut self, backend: usize, after: f64) {
         self.agenda.at(self.now + after, Happening::Publish { backend, since: self.now });
     }
 
     /// Discovery takes notice of a backend as it is now, and the change goes out to those who follow it.
-    pub fn publish(&mut self, backend: usize, since: f64) {
+    pub(super) fn publish(&mut self, backend: usize, since: f64) {
         let b = &self.backends[backend];
         let phase = match (b.down && b.silent, b.draining || b.down) {
             (true, _) => Phase::Gone,
@@ -105,7 +66,7 @@
     }
 
     /// A change comes to a proxy.
-    pub fn tell_change(&mut self, copy: usize, change: usize) {
+    pub(super) fn tell_change(&mut self, copy: usize, change: usize) {
         if !self.in_force(copy, change) {
             return;
         }
@@ -115,7 +76,7 @@
     }
 
     /// The whole list comes to a proxy.
-    pub fn tell_all(&mut self, copy: usize) {
+    pub(super) fn tell_all(&mut self, copy: usize) {
         let c = &mut self.copies[copy];
         if !c.alive || c.replaced {
             return;
@@ -124,7 +85,7 @@
         for change in missed {
             self.in_force(copy, change);
         }
-        let of = |(b, e): (&crate::simulated::backend::Backend, &EndpointInfo)| {
+        let of = |(b, e): (&Backend, &EndpointInfo)| {
             (b.service == service && e.phase != Phase::Gone).then(|| e.clone())
         };
         let entries: Vec<EndpointInfo> =
@@ -166,120 +127,15 @@
     }
 
     /// A proxy's process runs no more: what it missed is owed to nobody.
-    fn owe_nothing(&mut self, copy: usize) {
+    pub(super) fn owe_nothing(&mut self, copy: usize) {
         let missed = std::mem::take(&mut self.copies[copy].missed);
         for change in missed {
             self.in_force(copy, change);
         }
     }
 
-    /// Takes a step of the scenario.
-    pub fn step(&mut self, step: Step) -> Result<(), Invalid> {
-        let (notice, silence) = (self.scenario.discovery.notice_ms, self.scenario.discovery.silent_notice_ms);
-        match step {
-            Step::Part(part) => self.tally.begin(part, self.now),
-            Step::Change => {
-                let backend = self.rng.random_range(..self.backends.len());
-                self.backends[backend].weight = 0.8 + 0.4 * self.rng.random::<f64>();
-                self.notice(backend, notice);
-            }
-            Step::Restart { backend } => {
-                let backend = backend.unwrap_or_else(|| self.rng.random_range(..self.proxies_beside()));
-                let b = &mut self.backends[backend];
-                if !b.down && !b.draining {
-                    b.draining = true;
-                    self.notice(backend, notice);
-                    // It stops once every proxy has been told and the grace is over.
-                    let d = &self.scenario.discovery;
-                    let told = notice + d.spread_ms[1] + d.region_ms;
-                    let stop = told + self.scenario.guarantee("stopSendingWithin");
-                    self.agenda.at(self.now + stop, Happening::Step(Step::Stop { backend }));
-                }
-            }
-            Step::Stop { backend } => {
-                self.stop(backend, false);
-                let back = self.scenario.backend.restart_s * 1000.0;
-                self.agenda.at(self.now + back, Happening::Step(Step::Start { backend }));
-            }
-            Step::Start { backend } => {
-                // One that went silent meanwhile comes back with its machine.
-                if self.backends[backend].down && !self.backends[backend].silent {
-                    self.start(backend);
-                    self.notice(backend, notice);
-                }
-            }
-            Step::LoseMachine { backend, back } => {
-                let backend = backend.unwrap_or_else(|| self.rng.random_range(..self.proxies_beside()));
-                if !self.backends[backend].silent {
-                    self.lose_machine(backend, silence);
-                    self.agenda.at(self.now + back, Happening::Step(Step::MachineBack { backend }));
-                }
-            }
-            Step::MachineBack { backend } => self.machine_back(backend, notice)?,
-            Step::Zone { zone, on } => {
-                for proxy in 0..self.proxies.len() {
-                    if self.proxies[proxy].zone == zone {
-                        match (on, proxy < self.backends.len()) {
-                            (false, true) => self.lose_machine(proxy, silence),
-                            (true, true) => self.machine_back(proxy, notice)?,
-                            (false, false) => self.lose_proxy(proxy),
-                            (true, false) => self.start_proxy(proxy)?,
-                        }
-                    }
-                }
-            }
-            Step::Cut { on } => {
-                self.cut = on;
-                if !on {
-                    self.resync(true);
-                }
-            }
-            Step::Discovery { on } => {
-                self.discovery_up = on;
-                if on {
-                    self.resync(true);
-                }
-            }
-            Step::Resync => self.resync(false),
-            Step::Replace { proxy } => {
-                if self.proxies[proxy].on {
-                    let old = self.proxies[proxy].copy;
-                    self.owe_nothing(old);
-                    self.copies[old].replaced = true;
-                    self.start_proxy(proxy)?;
-                }
-            }
-        }
-        Ok(())
-    }
-
-    fn proxies_beside(&self) -> usize {
-        self.backends.len()
-    }
-
-    fn lose_machine(&mut self, backend: usize, silence: f64) {
-        self.lose_proxy(backend);
-        self.stop(backend, true);
-        self.notice(backend, silence);
-    }
-
-    fn lose_proxy(&mut self, proxy: usize) {
-        let copy = self.proxies[proxy].copy;
-        self.stop_proxy(proxy);
-        self.owe_nothing(copy);
-    }
-
-    fn machine_back(&mut self, backend: usize, notice: f64) -> Result<(), Invalid> {
-        if self.backends[backend].silent {
-            self.start(backend);
-            self.notice(backend, notice);
-            self.start_proxy(backend)?;
-        }
-        Ok(())
-    }
-
     /// Every proxy gets the whole list, or those that missed something do.
-    fn resync(&mut self, missed: bool) {
+    pub(super) fn resync(&mut self, missed: bool) {
         for copy in 0..self.copies.len() {
             let c = &self.copies[copy];
             if c.alive && !c.replaced && (!missed || !c.missed.is_empty()) {
@@ -292,7 +148,7 @@
     /// Proxies that do not hold what discovery has published for the service that they follow, and to which
     /// nothing is on its way.
     pub fn behind(&self) -> u64 {
-        let behind = |c: &&super::Copy| {
+        let behind = |c: &&Copy| {
             let (live, on_the_way) = (c.alive && !c.replaced, c.told_at > self.now);
             live && !on_the_way
                 && self.backends.iter().zip(&self.changes.published).any(|(b, e)| {
@@ -311,7 +167,7 @@
 
     /// Entries that proxies cut off have lost of the regions beyond: the last good list holds.
     pub fn lost_while_cut(&self) -> u64 {
-        let lost = |c: &super::Copy| {
+        let lost = |c: &Copy| {
             let listed = self.backends.iter().zip(&self.changes.published);
             let region = self.scenario.region_of(c.zone);
             let beyond =
--- a/crates/scale-test/src/simulated/mod.rs
+++ b/crates/scale-test/src/simulated/mod.rs
@@ -104,7 +104,7 @@
         (event_report.before, event_report.during, event_report.after) = (before, during, later);
         event_report.windows = windows;
         event_report.in_force = t.spread(&[part + 1, part + 2]);
-        let of = |c: &&fleet::discovery::Change| c.missing > 0 && (part + 1..=part + 2).contains(&c.part);
+        let of = |c: &&fleet::endpoint_log::Change| c.missing > 0 && (part + 1..=part + 2).contains(&c.part);
         event_report.not_in_force = fleet.changes.log.iter().filter(of).count();
     }
     report.played_s = (fleet.now - begin) / 1000.0;
