--- a/crates/scale-test/examples/housekeeping.rs
+++ b/crates/scale-test/examples/housekeeping.rs
@@ -100,7 +100,7 @@
         for (copies, per_s) in [(1, 0.0), (75, 0.0), (1, 65.0), (75, 65.0), (75, 650.0)] {
             let (mut each, mut lists, mut period) = (Vec::new(), Vec::new(), 0.0);
             for round in 0..ROUNDS {
-                let settings = scenario.facts(0, copies, 1, 0)?.balancer;
+                let settings = scenario.resolved_settings(0, copies, 1, 0)?.balancer;
                 period = settings.tick_ms * 10.0;
                 let balancer = Balancer::new(settings, round as u64)?;
                 let (now, next) = (1000.0, 1);
@@ -134,7 +134,7 @@
     let begun = resident()?;
     let mut copies = Vec::new();
     for copy in 0..COPIES {
-        copies.push(Balancer::new(scenario.facts(copy, COPIES, 1, 0)?.balancer, copy.into())?);
+        copies.push(Balancer::new(scenario.resolved_settings(copy, COPIES, 1, 0)?.balancer, copy.into())?);
     }
     let mut actions = Vec::new();
     for round in 0..=100u32 {
--- a/crates/scale-test/src/scenario.rs
+++ b/crates/scale-test/src/scenario.rs
@@ -243,7 +243,13 @@
     }
 
     /// The same, read as the proxy reads them.
-    pub fn facts(&self, copy: u32, copies: u32, tier: u32, zone: u16) -> Result<ResolvedSettings, Invalid> {
+    pub fn resolved_settings(
+        &self,
+        copy: u32,
+        copies: u32,
+        tier: u32,
+        zone: u16,
+    ) -> Result<ResolvedSettings, Invalid> {
         settings_format::read(self.settings_of(copy, copies, tier, zone))
             .map_err(|error| Invalid(error.to_string()))
     }
@@ -354,12 +360,12 @@
     }
 
     fn check_settings(&self) -> Result<(), Invalid> {
-        let facts = self.facts(0, 1, 0, 0)?;
-        let (mix, classes) = (&self.calls.mix, facts.balancer.classes.len());
+        let resolved = self.resolved_settings(0, 1, 0, 0)?;
+        let (mix, classes) = (&self.calls.mix, resolved.balancer.classes.len());
         if mix.len() != classes || mix.iter().sum::<f64>() <= 0.0 {
             return Err(Invalid(format!("calls.mix: {mix:?} gives no share to each of {classes} classes")));
         }
-        foldhitch_balancer::Balancer::new(facts.balancer, 0).map(drop).map_err(|e| Invalid(e.to_string()))
+        foldhitch_balancer::Balancer::new(resolved.balancer, 0).map(drop).map_err(|e| Invalid(e.to_string()))
     }
 }
 
--- a/crates/scale-test/src/simulated/backend.rs
+++ b/crates/scale-test/src/simulated/backend.rs
@@ -1,4 +1,4 @@
-//! A hollow backend: slots, a queue, warmth.
+//! A simulated backend: slots, a queue, and a capacity that grows while it warms up.
 
 use super::report::Checks;
 use crate::scenario;
@@ -10,27 +10,36 @@
     pub zone: u16,
     pub service: usize,
     pub weight: f64,
-    /// Its process does not run; `silent`: nor does its machine answer.
-    pub down: bool,
-    pub silent: bool,
-    pub draining: bool,
+    /// Its process does not run.
+    pub is_down: bool,
+    /// Nor does its machine answer.
+    pub is_unresponsive: bool,
+    pub is_draining: bool,
     /// When its process started; 0 is long ago.
     pub started_at_ms: f64,
     pub busy: usize,
     pub queue: VecDeque<(RequestId, usize)>,
     /// All attempts that are there.
     pub jobs: BTreeSet<(RequestId, usize)>,
-    /// Calls that came while it was cold, not longer ago than counts; whether their proxy knew of the start.
-    pub came: VecDeque<(f64, bool)>,
+    /// Requests that came while it was warming up, within the time of the `WarmUpRule`.
+    pub recent_arrivals: VecDeque<Arrival>,
 }
 
-/// What the settings promise a cold backend.
+/// A request that came to a backend while it was warming up.
 #[derive(Debug, Clone, Copy)]
-pub struct ColdRule {
+pub struct Arrival {
+    pub at_ms: f64,
+    /// Its proxy knew when the backend's process started.
+    pub knows_start: bool,
+}
+
+/// What the settings promise a backend that is warming up.
+#[derive(Debug, Clone, Copy)]
+pub struct WarmUpRule {
     /// It falls when it gets more than this multiple of what it can do ...
     pub multiple: f64,
-    /// ... in so many ms.
-    pub within: f64,
+    /// ... in this time.
+    pub within_ms: f64,
 }
 
 impl Backend {
@@ -39,19 +48,19 @@
             zone,
             service,
             weight: 1.0,
-            down: false,
-            silent: false,
-            draining: false,
+            is_down: false,
+            is_unresponsive: false,
+            is_draining: false,
             started_at_ms: 0.0,
             busy: 0,
             queue: VecDeque::new(),
             jobs: BTreeSet::new(),
-            came: VecDeque::new(),
+            recent_arrivals: VecDeque::new(),
         }
     }
 
     /// Its capacity as a share of the full one.
-    pub fn warmth(&self, now: f64, figures: &scenario::Backend) -> f64 {
+    pub fn capacity_fraction(&self, now: f64, figures: &scenario::Backend) -> f64 {
         let cold = figures.cold_s * 1000.0;
         if self.started_at_ms == 0.0 || now >= self.started_at_ms + cold {
             return 1.0;
@@ -60,36 +69,36 @@
         figures.cold_capacity * (1.0 - grown) + grown
     }
 
-    /// Takes note of a call; whether it is one too many for a cold backend.
-    pub fn came(
+    /// Takes note of a request; whether it is one too many for a backend that is warming up.
+    pub fn record_arrival(
         &mut self,
         now: f64,
-        told: bool,
+        knows_start: bool,
         figures: &scenario::Backend,
-        rule: ColdRule,
+        rule: WarmUpRule,
         checks: &mut Checks,
     ) -> bool {
-        let warmth = self.warmth(now, figures);
-        if warmth >= 1.0 {
-            self.came.clear();
+        let capacity_fraction = self.capacity_fraction(now, figures);
+        if capacity_fraction >= 1.0 {
+            self.recent_arrivals.clear();
             return false;
         }
         checks.cold_calls += 1;
-        self.came.push_back((now, told));
-        while self.came.front().is_some_and(|c| c.0 < now - rule.within) {
-            self.came.pop_front();
+        self.recent_arrivals.push_back(Arrival { at_ms: now, knows_start });
+        while self.recent_arrivals.front().is_some_and(|arrival| arrival.at_ms < now - rule.within_ms) {
+            self.recent_arrivals.pop_front();
         }
-        let capacity = figures.slots as f64 / figures.work_ms * rule.within;
-        let budget = rule.multiple * warmth * capacity;
+        let capacity = figures.slots as f64 / figures.work_ms * rule.within_ms;
+        let budget = rule.multiple * capacity_fraction * capacity;
         let bears = budget + 2.0 * budget.sqrt() + 2.0;
-        let sum = self.came.len() as f64;
+        let sum = self.recent_arrivals.len() as f64;
         checks.cold_worst = checks.cold_worst.max(sum / bears);
         if sum <= bears {
             return false;
         }
-        let knew = self.came.iter().filter(|c| c.1).count();
+        let knew = self.recent_arrivals.iter().filter(|arrival| arrival.knows_start).count();
         checks.cold_falls += 1;
-        checks.cold_falls_told += u64::from(3 * knew > 2 * self.came.len());
+        checks.cold_falls_told += u64::from(3 * knew > 2 * self.recent_arrivals.len());
         true
     }
 }
--- a/crates/scale-test/src/simulated/event_queue.rs
+++ b/crates/scale-test/src/simulated/event_queue.rs
@@ -1,43 +1,43 @@
-//! What happens when, in virtual time.
+//! The events of the simulation, and the queue that orders them by virtual time.
 
 use foldhitch_balancer::api::{Outcome, RequestId, TimerToken};
 use std::cmp::Ordering;
 use std::collections::{BTreeMap, BinaryHeap};
 
-/// Something that happens.
+/// An event of the simulation.
 #[derive(Debug, Clone, Copy)]
-pub enum Happening {
-    /// A client makes a call; the next one follows.
-    Client,
-    /// A client that was refused tries again.
-    TryAgain { class: u16, tries: u32, born: f64 },
+pub enum SimulationEvent {
+    /// A client makes a request; the next one follows.
+    ClientArrival,
+    /// A client that was rejected sends its request again.
+    ClientRetry { class: u16, retries: u32, created_ms: f64 },
     /// A proxy's timer is due.
-    Wake { copy: usize, token: TimerToken },
+    TimerFired { instance: usize, token: TimerToken },
     /// An attempt comes to its backend.
-    Arrive { request: RequestId, attempt: usize },
+    AttemptArrived { request: RequestId, attempt: usize },
     /// A backend has done its own work on it.
-    Worked { request: RequestId, attempt: usize },
+    WorkFinished { request: RequestId, attempt: usize },
     /// Its outcome comes to the proxy.
-    Reply { request: RequestId, attempt: usize, outcome: Outcome },
+    OutcomeArrived { request: RequestId, attempt: usize, outcome: Outcome },
     /// Its backend learns that nobody waits for it any more.
-    Withdraw { request: RequestId, attempt: usize },
-    /// A call's time is over.
-    Expire { request: RequestId },
-    /// Longer than anything is owed after that.
-    Overdue { request: RequestId },
+    AttemptCancelled { request: RequestId, attempt: usize },
+    /// A request's time is over.
+    DeadlinePassed { request: RequestId },
+    /// By then the request must have its final answer.
+    FinalAnswerDue { request: RequestId },
     /// Discovery takes notice of a backend as it is now; changed at `since`.
-    Publish { backend: usize, since: f64 },
+    EndpointPublished { backend: usize, since: f64 },
     /// A change comes to a proxy.
-    Tell { copy: usize, change: usize },
-    /// A whole list comes to a proxy.
-    TellAll { copy: usize },
+    ChangeDelivered { instance: usize, change: usize },
+    /// A full list comes to a proxy.
+    FullListDelivered { instance: usize },
     /// A step of the scenario.
-    Step(Step),
+    Step(ScenarioStep),
 }
 
 /// What the scenario does to the fleet.
 #[derive(Debug, Clone, Copy)]
-pub enum Step {
+pub enum ScenarioStep {
     /// Another part of the report begins.
     Part(usize),
     /// A change of configuration: a backend's weight.
@@ -46,17 +46,17 @@
     Restart { backend: Option<usize> },
     /// A backend's process ends.
     Stop { backend: usize },
-    /// It is back, cold.
+    /// It is back, warming up.
     Start { backend: usize },
-    /// A machine goes silent, proxy and backend, and comes back after so many ms.
+    /// A machine becomes unresponsive, proxy and backend, and comes back after so many ms.
     LoseMachine { backend: Option<usize>, back: f64 },
     /// A machine is back.
     MachineBack { backend: usize },
-    /// A zone goes silent, or is back.
+    /// A zone becomes unresponsive, or is back.
     Zone { zone: u16, on: bool },
     /// Regions lose each other, or are joined again.
     Cut { on: bool },
-    /// Every proxy gets the whole list.
+    /// Every proxy gets the full list.
     Resync,
     /// Discovery is down, or back.
     Discovery { on: bool },
@@ -64,65 +64,66 @@
     Replace { proxy: usize },
 }
 
-struct EndpointInfo {
-    at: f64,
-    no: u64,
-    what: Happening,
+struct QueuedEvent {
+    at_ms: f64,
+    sequence: u64,
+    event: SimulationEvent,
 }
 
-impl PartialEq for EndpointInfo {
+impl PartialEq for QueuedEvent {
     fn eq(&self, other: &Self) -> bool {
         self.cmp(other) == Ordering::Equal
     }
 }
-impl Eq for EndpointInfo {}
-impl PartialOrd for EndpointInfo {
+impl Eq for QueuedEvent {}
+impl PartialOrd for QueuedEvent {
     fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
         Some(self.cmp(other))
     }
 }
-impl Ord for EndpointInfo {
-    /// The earliest is the greatest; of one time, the first that was put down.
+impl Ord for QueuedEvent {
+    /// The earliest is the greatest; of one time, the first that was scheduled.
     fn cmp(&self, other: &Self) -> Ordering {
-        other.at.total_cmp(&self.at).then(other.no.cmp(&self.no))
+        other.at_ms.total_cmp(&self.at_ms).then(other.sequence.cmp(&self.sequence))
     }
 }
 
 /// What lies further ahead than the present slice of so many ms waits unsorted: most timers outlive their
-/// calls, and in one heap they would make every other step slow.
-const SLICE: f64 = 8.0;
+/// requests, and in one heap they would make every other step slow.
+const SLICE_MS: f64 = 8.0;
 
-/// The queue of what is to happen.
+/// The events that are still to come, the earliest first.
 #[derive(Default)]
-pub struct Agenda {
-    near: BinaryHeap<EndpointInfo>,
+pub struct EventQueue {
+    near: BinaryHeap<QueuedEvent>,
     /// The slice up to which all is in `near`.
     sorted: u64,
-    far: BTreeMap<u64, Vec<EndpointInfo>>,
-    no: u64,
+    far: BTreeMap<u64, Vec<QueuedEvent>>,
+    last_sequence: u64,
 }
 
-impl Agenda {
-    /// Puts down what happens at `at`.
-    pub fn at(&mut self, at: f64, what: Happening) {
-        self.no += 1;
-        let (entry, slice) = (EndpointInfo { at, no: self.no, what }, (at / SLICE) as u64);
+impl EventQueue {
+    /// Schedules an event for a time.
+    pub fn schedule(&mut self, at_ms: f64, event: SimulationEvent) {
+        self.last_sequence += 1;
+        let entry = QueuedEvent { at_ms, sequence: self.last_sequence, event };
+        let slice = (at_ms / SLICE_MS) as u64;
         if slice <= self.sorted {
             self.near.push(entry);
         } else {
             self.far.entry(slice).or_default().push(entry);
         }
     }
-    /// The next thing before `end`.
-    pub fn next(&mut self, end: f64) -> Option<(f64, Happening)> {
+    /// Takes out the next event before `end_ms`, with its time.
+    pub fn pop_before(&mut self, end_ms: f64) -> Option<(f64, SimulationEvent)> {
         while self.near.is_empty() {
             let (slice, entries) = self.far.pop_first()?;
             self.sorted = slice;
             self.near = entries.into();
         }
-        if self.near.peek()?.at >= end {
+        if self.near.peek()?.at_ms >= end_ms {
             return None;
         }
-        self.near.pop().map(|e| (e.at, e.what))
+        self.near.pop().map(|entry| (entry.at_ms, entry.event))
     }
 }
--- a/crates/scale-test/src/simulated/fleet/backend_work.rs
+++ b/crates/scale-test/src/simulated/fleet/backend_work.rs
@@ -1,147 +1,176 @@
 //! Attempts at their backends: queues, work, and requests of a backend's own.
 
 use super::Fleet;
-use super::request_table::{Request, Stage};
-use crate::simulated::event_queue::{Happening, Step};
+use super::request_table::{AttemptStage, Request};
+use crate::simulated::event_queue::{ScenarioStep, SimulationEvent};
 use foldhitch_balancer::api::{Event, Outcome, RequestId};
 use rand::Rng;
 
 impl Fleet<'_> {
-    pub(super) fn arrive(&mut self, id: RequestId, attempt: usize) {
+    pub(super) fn receive_attempt(&mut self, id: RequestId, attempt: usize) {
         let now = self.now;
-        let Some(r) = self.requests.get_mut(id) else { return };
-        let a = &mut r.attempts[attempt];
-        let (to, told) = (a.backend, a.told);
-        if a.stage != Stage::OnTheWay {
+        let Some(request) = self.requests.get_mut(id) else { return };
+        let entry = &mut request.attempts[attempt];
+        let (to, told) = (entry.backend, entry.knows_start);
+        if entry.stage != AttemptStage::InTransit {
             return;
         }
-        a.stage = Stage::Over;
-        let b = &mut self.backends[to];
-        if b.down {
-            if !b.silent {
-                self.answer(id, attempt, Outcome::Reset);
+        entry.stage = AttemptStage::Finished;
+        let backend = &mut self.backends[to];
+        if backend.is_down {
+            if !backend.is_unresponsive {
+                self.send_outcome(id, attempt, Outcome::Reset);
             }
-            return self.clear(id);
+            return self.forget_if_over(id);
         }
-        let fell = b.came(now, told, &self.scenario.backend, self.tally.cold, &mut self.checks);
+        let fell = backend.record_arrival(
+            now,
+            told,
+            &self.scenario.backend,
+            self.metrics.warm_up_rule,
+            &mut self.checks,
+        );
         if fell {
-            self.stop(to, false);
+            self.stop_backend(to, false);
             let back = self.scenario.backend.fall_s * 1000.0;
-            self.agenda.at(now + back, Happening::Step(Step::Start { backend: to }));
-            self.answer(id, attempt, Outcome::Reset);
-            return self.clear(id);
+            self.event_queue.schedule(now + back, SimulationEvent::Step(ScenarioStep::Start { backend: to }));
+            self.send_outcome(id, attempt, Outcome::Reset);
+            return self.forget_if_over(id);
         }
-        let b = &mut self.backends[to];
-        if b.busy >= self.scenario.backend.slots && b.queue.len() >= self.scenario.backend.queue {
-            self.answer(id, attempt, Outcome::Full);
-            return self.clear(id);
+        let backend = &mut self.backends[to];
+        if backend.busy >= self.scenario.backend.slots && backend.queue.len() >= self.scenario.backend.queue {
+            self.send_outcome(id, attempt, Outcome::Full);
+            return self.forget_if_over(id);
         }
-        b.jobs.insert((id, attempt));
-        b.queue.push_back((id, attempt));
-        if let Some(r) = self.requests.get_mut(id) {
-            r.attempts[attempt].stage = Stage::Queued;
+        backend.jobs.insert((id, attempt));
+        backend.queue.push_back((id, attempt));
+        if let Some(request) = self.requests.get_mut(id) {
+            request.attempts[attempt].stage = AttemptStage::Queued;
         }
-        self.work(to);
+        self.start_queued_work(to);
     }
 
-    /// A backend begins what waits there, while it has room.
-    fn work(&mut self, at: usize) {
+    /// A backend begins what waits there, while it has capacity.
+    fn start_queued_work(&mut self, at: usize) {
         let cold = self.scenario.backend.work_ms;
         while self.backends[at].busy < self.scenario.backend.slots {
             let Some((id, attempt)) = self.backends[at].queue.pop_front() else { return };
-            let warmth = self.backends[at].warmth(self.now, &self.scenario.backend);
+            let capacity_fraction = self.backends[at].capacity_fraction(self.now, &self.scenario.backend);
             let work: f64 = self.rng.sample(rand_distr::Exp1);
-            let Some(r) = self.requests.get_mut(id) else { continue };
-            r.attempts[attempt].stage = Stage::Working;
+            let Some(request) = self.requests.get_mut(id) else { continue };
+            request.attempts[attempt].stage = AttemptStage::Processing;
             self.backends[at].busy += 1;
-            self.agenda.at(self.now + work * cold / warmth, Happening::Worked { request: id, attempt });
+            self.event_queue.schedule(
+                self.now + work * cold / capacity_fraction,
+                SimulationEvent::WorkFinished { request: id, attempt },
+            );
         }
     }
 
-    pub(super) fn worked(&mut self, id: RequestId, attempt: usize) {
-        let Some(r) = self.requests.get(id) else { return };
-        let a = &r.attempts[attempt];
-        if a.stage != Stage::Working {
+    pub(super) fn finish_work(&mut self, id: RequestId, attempt: usize) {
+        let Some(request) = self.requests.get(id) else { return };
+        let entry = &request.attempts[attempt];
+        if entry.stage != AttemptStage::Processing {
             return;
         }
-        let (to, depth, class, born) = (a.backend, r.depth + 1, r.class, r.born);
-        let deadline = r.deadline - self.scenario.calls.reserve_ms;
+        let (to, depth, class, created_ms) =
+            (entry.backend, request.depth + 1, request.class, request.created_ms);
+        let deadline_ms = request.deadline_ms - self.scenario.calls.reserve_ms;
         self.backends[to].busy -= 1;
-        let calls = self.plan.calls[self.backends[to].service].is_some();
+        let calls = self.topology.callees[self.backends[to].service].is_some();
         let onward = calls && self.rng.random::<f64>() < self.scenario.calls.onward_share;
-        if onward && deadline > self.now {
-            let copy = self.proxies[to].copy;
-            // The child is known before its module answers, for that may be at once.
+        if onward && deadline_ms > self.now {
+            let instance = self.proxies[to].instance;
+            // The child is known before its balancer answers, for that may be at once.
             let child = self.requests.next_id();
-            self.set_stage(id, attempt, Stage::Onward(child));
+            self.set_stage(id, attempt, AttemptStage::WaitingForChild(child));
             let parent = Some((id, attempt));
-            let (tries, ended, attempts) = (0, false, Vec::new());
-            self.call(Request { copy, depth, class, tries, born, deadline, parent, ended, attempts });
+            let (retries, has_ended, attempts) = (0, false, Vec::new());
+            self.open_request(Request {
+                instance,
+                depth,
+                class,
+                retries,
+                created_ms,
+                deadline_ms,
+                parent,
+                has_ended,
+                attempts,
+            });
         } else {
-            self.finish(id, attempt, if onward { Outcome::Error } else { Outcome::Ok });
+            self.finish_attempt(id, attempt, if onward { Outcome::Error } else { Outcome::Ok });
         }
-        self.work(to);
+        self.start_queued_work(to);
     }
 
-    pub(super) fn set_stage(&mut self, id: RequestId, attempt: usize, stage: Stage) {
-        if let Some(r) = self.requests.get_mut(id) {
-            r.attempts[attempt].stage = stage;
+    pub(super) fn set_stage(&mut self, id: RequestId, attempt: usize, stage: AttemptStage) {
+        if let Some(request) = self.requests.get_mut(id) {
+            request.attempts[attempt].stage = stage;
         }
     }
 
-    /// A backend's call of its own is over.
-    pub(super) fn answered(&mut self, id: RequestId, attempt: usize, child: RequestId, served: bool) {
-        if self.requests.get(id).is_some_and(|r| r.attempts[attempt].stage == Stage::Onward(child)) {
-            self.finish(id, attempt, if served { Outcome::Ok } else { Outcome::Error });
+    /// A backend's request of its own is over.
+    pub(super) fn finish_child(&mut self, id: RequestId, attempt: usize, child: RequestId, served: bool) {
+        if self
+            .requests
+            .get(id)
+            .is_some_and(|request| request.attempts[attempt].stage == AttemptStage::WaitingForChild(child))
+        {
+            self.finish_attempt(id, attempt, if served { Outcome::Ok } else { Outcome::Error });
         }
     }
 
     /// A backend is done with an attempt.
-    fn finish(&mut self, id: RequestId, attempt: usize, outcome: Outcome) {
-        self.leave(id, attempt);
-        self.answer(id, attempt, outcome);
-        self.clear(id);
+    fn finish_attempt(&mut self, id: RequestId, attempt: usize, outcome: Outcome) {
+        self.remove_job(id, attempt);
+        self.send_outcome(id, attempt, outcome);
+        self.forget_if_over(id);
     }
 
-    fn leave(&mut self, id: RequestId, attempt: usize) {
-        let Some(r) = self.requests.get_mut(id) else { return };
-        r.attempts[attempt].stage = Stage::Over;
-        let at = r.attempts[attempt].backend;
+    fn remove_job(&mut self, id: RequestId, attempt: usize) {
+        let Some(request) = self.requests.get_mut(id) else { return };
+        request.attempts[attempt].stage = AttemptStage::Finished;
+        let at = request.attempts[attempt].backend;
         self.backends[at].jobs.remove(&(id, attempt));
     }
 
     /// Sends an outcome back to the proxy.
-    pub(super) fn answer(&mut self, id: RequestId, attempt: usize, outcome: Outcome) {
-        let Some(r) = self.requests.get(id).filter(|r| r.attempts[attempt].out) else { return };
-        let (from, to) = (self.backends[r.attempts[attempt].backend].zone, self.copies[r.copy].zone);
-        if let Some(way) = self.way(from, to) {
-            self.agenda.at(self.now + way, Happening::Reply { request: id, attempt, outcome });
+    pub(super) fn send_outcome(&mut self, id: RequestId, attempt: usize, outcome: Outcome) {
+        let Some(request) = self.requests.get(id).filter(|request| request.attempts[attempt].is_pending)
+        else {
+            return;
+        };
+        let (from, to) =
+            (self.backends[request.attempts[attempt].backend].zone, self.instances[request.instance].zone);
+        if let Some(way) = self.one_way_ms(from, to) {
+            self.event_queue
+                .schedule(self.now + way, SimulationEvent::OutcomeArrived { request: id, attempt, outcome });
         }
     }
 
-    pub(super) fn withdraw(&mut self, id: RequestId, attempt: usize) {
-        let Some(r) = self.requests.get(id) else { return };
-        let (at, stage) = (r.attempts[attempt].backend, r.attempts[attempt].stage);
+    pub(super) fn cancel_attempt(&mut self, id: RequestId, attempt: usize) {
+        let Some(request) = self.requests.get(id) else { return };
+        let (at, stage) = (request.attempts[attempt].backend, request.attempts[attempt].stage);
         match stage {
-            Stage::Over => return,
-            Stage::OnTheWay => {}
-            Stage::Queued => self.backends[at].queue.retain(|&j| j != (id, attempt)),
-            Stage::Working => self.backends[at].busy -= 1,
-            Stage::Onward(child) => self.hang_up(child),
+            AttemptStage::Finished => return,
+            AttemptStage::InTransit => {}
+            AttemptStage::Queued => self.backends[at].queue.retain(|&j| j != (id, attempt)),
+            AttemptStage::Processing => self.backends[at].busy -= 1,
+            AttemptStage::WaitingForChild(child) => self.cancel_request(child),
         }
-        self.leave(id, attempt);
-        self.clear(id);
-        self.work(at);
+        self.remove_job(id, attempt);
+        self.forget_if_over(id);
+        self.start_queued_work(at);
     }
 
-    pub(super) fn hang_up(&mut self, id: RequestId) {
-        let Some(r) = self.requests.get_mut(id).filter(|r| !r.ended) else { return };
-        r.ended = true;
-        let copy = r.copy;
-        self.copies[copy].open -= 1;
-        if self.copies[copy].alive {
-            self.tell(copy, Event::ClientDisconnected { request: id });
+    pub(super) fn cancel_request(&mut self, id: RequestId) {
+        let Some(request) = self.requests.get_mut(id).filter(|request| !request.has_ended) else { return };
+        request.has_ended = true;
+        let instance = request.instance;
+        self.instances[instance].open_requests -= 1;
+        if self.instances[instance].is_alive {
+            self.notify_balancer(instance, Event::ClientDisconnected { request: id });
         }
-        self.clear(id);
+        self.forget_if_over(id);
     }
 }
--- a/crates/scale-test/src/simulated/fleet/discovery.rs
+++ b/crates/scale-test/src/simulated/fleet/discovery.rs
@@ -1,179 +1,215 @@
 //! Discovery in virtual time: how what it knows of each backend comes to the proxies.
 
 use super::Fleet;
-use super::endpoint_log::{Change, Held};
-use super::proxy::Copy;
-use crate::simulated::backend::Backend;
-use crate::simulated::event_queue::Happening;
+use super::endpoint_log::{Change, KnownEndpoint};
+use super::proxy::ProxyInstance;
+use crate::simulated::event_queue::SimulationEvent;
 use foldhitch_balancer::api::{EndpointInfo, EndpointListKind, Event, Phase};
 use rand::Rng;
 
 impl Fleet<'_> {
     /// Discovery will take notice of what has just happened to a backend.
-    pub(super) fn notice(&mut self, backend: usize, after: f64) {
-        self.agenda.at(self.now + after, Happening::Publish { backend, since: self.now });
+    pub(super) fn schedule_publication(&mut self, backend: usize, after: f64) {
+        self.event_queue
+            .schedule(self.now + after, SimulationEvent::EndpointPublished { backend, since: self.now });
     }
 
     /// Discovery takes notice of a backend as it is now, and the change goes out to those who follow it.
     pub(super) fn publish(&mut self, backend: usize, since: f64) {
-        let b = &self.backends[backend];
-        let phase = match (b.down && b.silent, b.draining || b.down) {
+        let state = &self.backends[backend];
+        let phase = match (state.is_down && state.is_unresponsive, state.is_draining || state.is_down) {
             (true, _) => Phase::Gone,
             (_, true) => Phase::Draining,
             _ => Phase::Ready,
         };
-        let old = &self.changes.published[backend];
-        let entry = EndpointInfo { phase, weight: b.weight, started_at_ms: b.started_at_ms, ..old.clone() };
+        let old = &self.endpoint_log.published[backend];
+        let entry =
+            EndpointInfo { phase, weight: state.weight, started_at_ms: state.started_at_ms, ..old.clone() };
         if entry == *old {
             return;
         }
-        self.changes.published[backend] = entry.clone();
-        let (service, zone, change) = (b.service, b.zone, self.changes.log.len());
-        let part = self.tally.number();
-        self.changes.log.push(Change { entry, since, missing: 0, part });
-        self.tally.part().control.changes += 1;
-        for copy in 0..self.copies.len() {
-            let c = &self.copies[copy];
-            if !c.alive || c.replaced || c.service != service {
+        self.endpoint_log.published[backend] = entry.clone();
+        let (service, zone, change) = (state.service, state.zone, self.endpoint_log.changes.len());
+        let part = self.metrics.part_index();
+        self.endpoint_log.changes.push(Change { entry, since, missing: 0, part });
+        self.metrics.current_part().control.changes += 1;
+        for instance in 0..self.instances.len() {
+            let proxy = &self.instances[instance];
+            if !proxy.follows_discovery() || proxy.service != service {
                 continue;
             }
-            self.changes.log[change].missing += 1;
-            match self.discovery_way(zone, copy) {
-                Some(way) => self.post(copy, way, Happening::Tell { copy, change }),
-                None => self.copies[copy].missed.push(change),
+            self.endpoint_log.changes[change].missing += 1;
+            match self.discovery_delay_ms(zone, instance) {
+                Some(way) => self.schedule_delivery(
+                    instance,
+                    way,
+                    SimulationEvent::ChangeDelivered { instance, change },
+                ),
+                None => self.instances[instance].missed_changes.push(change),
             }
         }
     }
 
     /// How long a change in a zone takes to a proxy; never where they are cut off from each other.
-    fn discovery_way(&mut self, zone: u16, copy: usize) -> Option<f64> {
-        let d = &self.scenario.discovery;
-        let [least, most] = d.spread_ms;
+    fn discovery_delay_ms(&mut self, zone: u16, instance: usize) -> Option<f64> {
+        let discovery = &self.scenario.discovery;
+        let [least, most] = discovery.spread_ms;
         let spread = least + (most - least) * self.rng.random::<f64>();
-        let same = self.scenario.region_of(zone) == self.scenario.region_of(self.copies[copy].zone);
+        let same = self.scenario.region_of(zone) == self.scenario.region_of(self.instances[instance].zone);
         match same {
-            _ if !self.discovery_up => None,
+            _ if !self.is_discovery_up => None,
             true => Some(spread),
-            false => (!self.cut).then_some(spread + d.region_ms),
+            false => (!self.is_region_cut).then_some(spread + discovery.region_ms),
         }
     }
 
     /// Sends a message to a proxy; none overtakes another.
-    fn post(&mut self, copy: usize, way: f64, what: Happening) {
-        let c = &mut self.copies[copy];
-        c.told_at = c.told_at.max(self.now + way);
-        self.agenda.at(c.told_at, what);
+    fn schedule_delivery(&mut self, instance: usize, way: f64, what: SimulationEvent) {
+        let proxy = &mut self.instances[instance];
+        proxy.last_delivery_ms = proxy.last_delivery_ms.max(self.now + way);
+        self.event_queue.schedule(proxy.last_delivery_ms, what);
     }
 
     /// A change comes to a proxy.
-    pub(super) fn tell_change(&mut self, copy: usize, change: usize) {
-        if !self.in_force(copy, change) {
+    pub(super) fn deliver_change(&mut self, instance: usize, change: usize) {
+        if !self.acknowledge(instance, change) {
             return;
         }
-        let entry = self.changes.log[change].entry.clone();
-        self.hold(copy, &entry);
-        self.list(copy, EndpointListKind::Delta, vec![entry]);
+        let entry = self.endpoint_log.changes[change].entry.clone();
+        self.record_endpoint(instance, &entry);
+        self.deliver_list(instance, EndpointListKind::Delta, vec![entry]);
     }
 
-    /// The whole list comes to a proxy.
-    pub(super) fn tell_all(&mut self, copy: usize) {
-        let c = &mut self.copies[copy];
-        if !c.alive || c.replaced {
+    /// The full list comes to a proxy.
+    pub(super) fn deliver_full_list(&mut self, instance: usize) {
+        let proxy = &mut self.instances[instance];
+        if !proxy.follows_discovery() {
             return;
         }
-        let (service, missed) = (c.service, std::mem::take(&mut c.missed));
+        let (service, missed) = (proxy.service, std::mem::take(&mut proxy.missed_changes));
         for change in missed {
-            self.in_force(copy, change);
+            self.acknowledge(instance, change);
         }
-        let of = |(b, e): (&Backend, &EndpointInfo)| {
-            (b.service == service && e.phase != Phase::Gone).then(|| e.clone())
-        };
-        let entries: Vec<EndpointInfo> =
-            self.backends.iter().zip(&self.changes.published).filter_map(of).collect();
+        let entries = self.listed_endpoints(service);
         let now = self.now;
-        for (id, held) in &mut self.copies[copy].held {
-            if held.phase != Phase::Gone && entries.iter().all(|e| e.backend != *id) {
-                (held.phase, held.since) = (Phase::Gone, now);
+        for (id, known) in &mut self.instances[instance].endpoints {
+            let is_listed = entries.iter().any(|entry| entry.backend == *id);
+            if known.phase != Phase::Gone && !is_listed {
+                known.phase = Phase::Gone;
+                known.since_ms = now;
             }
         }
-        entries.iter().for_each(|e| self.hold(copy, e));
-        self.tally.part().control.whole += 1;
-        self.list(copy, EndpointListKind::Full, entries);
+        for entry in &entries {
+            self.record_endpoint(instance, entry);
+        }
+        self.metrics.current_part().control.whole += 1;
+        self.deliver_list(instance, EndpointListKind::Full, entries);
     }
 
-    fn list(&mut self, copy: usize, kind: EndpointListKind, entries: Vec<EndpointInfo>) {
-        let part = self.tally.part();
+    /// The endpoints of a service that are not gone.
+    fn listed_endpoints(&self, service: usize) -> Vec<EndpointInfo> {
+        let mut entries = Vec::new();
+        for (backend, entry) in self.backends.iter().zip(&self.endpoint_log.published) {
+            if backend.service == service && entry.phase != Phase::Gone {
+                entries.push(entry.clone());
+            }
+        }
+        entries
+    }
+
+    fn deliver_list(&mut self, instance: usize, kind: EndpointListKind, entries: Vec<EndpointInfo>) {
+        let part = self.metrics.current_part();
         part.control.messages += 1;
         part.control.entries += entries.len() as u64;
         part.module.lists += 1;
-        self.tell(copy, Event::EndpointList { kind, endpoints: entries });
+        self.notify_balancer(instance, Event::EndpointList { kind, endpoints: entries });
     }
 
-    fn hold(&mut self, copy: usize, e: &EndpointInfo) {
-        let held = &mut self.copies[copy].held;
-        let since = held.get(&e.backend).filter(|h| h.phase == e.phase).map_or(self.now, |h| h.since);
-        let (phase, weight, started_at_ms) = (e.phase, e.weight, e.started_at_ms);
-        held.insert(e.backend, Held { phase, weight, started_at_ms, since });
+    fn record_endpoint(&mut self, instance: usize, entry: &EndpointInfo) {
+        let endpoints = &mut self.instances[instance].endpoints;
+        let since_ms = match endpoints.get(&entry.backend) {
+            Some(known) if known.phase == entry.phase => known.since_ms,
+            _ => self.now,
+        };
+        let known = KnownEndpoint {
+            phase: entry.phase,
+            weight: entry.weight,
+            started_at_ms: entry.started_at_ms,
+            since_ms,
+        };
+        endpoints.insert(entry.backend, known);
     }
 
-    /// A change is in force at a proxy, or its process runs no more; whether the former.
-    fn in_force(&mut self, copy: usize, change: usize) -> bool {
-        let (c, log) = (&self.copies[copy], &mut self.changes.log[change]);
-        log.missing -= 1;
-        if log.missing == 0 {
-            self.tally.in_force(log.part, self.now - log.since);
+    /// A change is in force at a proxy, or its process runs no more; returns whether it is in force.
+    fn acknowledge(&mut self, instance: usize, change: usize) -> bool {
+        let change = &mut self.endpoint_log.changes[change];
+        change.missing -= 1;
+        if change.missing == 0 {
+            self.metrics.record_in_force(change.part, self.now - change.since);
         }
-        c.alive && !c.replaced
+        self.instances[instance].follows_discovery()
     }
 
-    /// A proxy's process runs no more: what it missed is owed to nobody.
-    pub(super) fn owe_nothing(&mut self, copy: usize) {
-        let missed = std::mem::take(&mut self.copies[copy].missed);
+    /// A proxy's process runs no more: what it missed is not delivered any more.
+    pub(super) fn discard_missed_changes(&mut self, instance: usize) {
+        let missed = std::mem::take(&mut self.instances[instance].missed_changes);
         for change in missed {
-            self.in_force(copy, change);
+            self.acknowledge(instance, change);
         }
     }
 
-    /// Every proxy gets the whole list, or those that missed something do.
+    /// Every proxy gets the full list, or those that missed something do.
     pub(super) fn resync(&mut self, missed: bool) {
-        for copy in 0..self.copies.len() {
-            let c = &self.copies[copy];
-            if c.alive && !c.replaced && (!missed || !c.missed.is_empty()) {
-                let way = self.discovery_way(c.zone, copy).unwrap_or(0.0);
-                self.post(copy, way, Happening::TellAll { copy });
+        for instance in 0..self.instances.len() {
+            let proxy = &self.instances[instance];
+            if proxy.follows_discovery() && (!missed || !proxy.missed_changes.is_empty()) {
+                let way = self.discovery_delay_ms(proxy.zone, instance).unwrap_or(0.0);
+                self.schedule_delivery(instance, way, SimulationEvent::FullListDelivered { instance });
             }
         }
     }
 
     /// Proxies that do not hold what discovery has published for the service that they follow, and to which
     /// nothing is on its way.
-    pub fn behind(&self) -> u64 {
-        let behind = |c: &&Copy| {
-            let (live, on_the_way) = (c.alive && !c.replaced, c.told_at > self.now);
-            live && !on_the_way
-                && self.backends.iter().zip(&self.changes.published).any(|(b, e)| {
-                    b.service == c.service
-                        && match c.held.get(&e.backend) {
-                            Some(h) if h.phase == Phase::Gone => e.phase != Phase::Gone,
-                            Some(h) => {
-                                (h.phase, h.weight, h.started_at_ms) != (e.phase, e.weight, e.started_at_ms)
-                            }
-                            None => e.phase != Phase::Gone,
-                        }
-                })
+    pub fn instances_behind(&self) -> u64 {
+        let is_behind = |proxy: &&ProxyInstance| {
+            let awaits_delivery = proxy.last_delivery_ms > self.now;
+            proxy.follows_discovery() && !awaits_delivery && self.differs_from_published(proxy)
         };
-        self.copies.iter().filter(behind).count() as u64
+        self.instances.iter().filter(is_behind).count() as u64
     }
 
-    /// Entries that proxies cut off have lost of the regions beyond: the last good list holds.
+    /// Whether a proxy holds anything else than what is published for its service.
+    fn differs_from_published(&self, proxy: &ProxyInstance) -> bool {
+        let mut published = self.backends.iter().zip(&self.endpoint_log.published);
+        published.any(|(backend, entry)| {
+            backend.service == proxy.service
+                && match proxy.endpoints.get(&entry.backend) {
+                    Some(known) if known.phase != Phase::Gone => !known.equals(entry),
+                    _ => entry.phase != Phase::Gone,
+                }
+        })
+    }
+
+    /// Entries that proxies cut off have lost of the regions beyond: the last valid list holds.
     pub fn lost_while_cut(&self) -> u64 {
-        let lost = |c: &Copy| {
-            let listed = self.backends.iter().zip(&self.changes.published);
-            let region = self.scenario.region_of(c.zone);
-            let beyond =
-                listed.filter(|(b, _)| b.service == c.service && self.scenario.region_of(b.zone) != region);
-            beyond.filter(|(_, e)| c.held.get(&e.backend).is_none_or(|h| h.phase == Phase::Gone)).count()
-        };
-        self.copies.iter().filter(|c| c.alive && !c.replaced).map(|c| lost(c) as u64).sum()
+        let followers = self.instances.iter().filter(|proxy| proxy.follows_discovery());
+        followers.map(|proxy| self.lost_of_other_regions(proxy)).sum()
+    }
+
+    /// Entries of other regions that a proxy's list has lost.
+    fn lost_of_other_regions(&self, proxy: &ProxyInstance) -> u64 {
+        let region = self.scenario.region_of(proxy.zone);
+        let mut lost = 0;
+        for (backend, entry) in self.backends.iter().zip(&self.endpoint_log.published) {
+            if backend.service != proxy.service || self.scenario.region_of(backend.zone) == region {
+                continue;
+            }
+            let known = proxy.endpoints.get(&entry.backend);
+            if known.is_none_or(|known| known.phase == Phase::Gone) {
+                lost += 1;
+            }
+        }
+        lost
     }
 }
--- a/crates/scale-test/src/simulated/fleet/endpoint_log.rs
+++ b/crates/scale-test/src/simulated/fleet/endpoint_log.rs
@@ -1,16 +1,23 @@
 //! What discovery has published of each backend, and what a proxy holds of it.
 
-use crate::simulated::topology::{Place, Plan};
+use crate::simulated::topology::{Placement, Topology};
 use foldhitch_balancer::api::{BackendId, EndpointInfo, Phase};
 
 /// What a proxy holds of a backend.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Held {
+pub struct KnownEndpoint {
     pub phase: Phase,
     pub weight: f64,
     pub started_at_ms: f64,
-    /// Since when.
-    pub since: f64,
+    /// Time since which it has had this phase.
+    pub since_ms: f64,
+}
+
+impl KnownEndpoint {
+    /// Whether it is what the entry says.
+    pub fn equals(&self, entry: &EndpointInfo) -> bool {
+        self.phase == entry.phase && self.weight == entry.weight && self.started_at_ms == entry.started_at_ms
+    }
 }
 
 /// A change that discovery has published.
@@ -24,21 +31,24 @@
     pub part: usize,
 }
 
-/// What discovery knows.
-pub struct Changes {
+/// The endpoints as discovery has published them, and the changes that led there.
+pub struct EndpointLog {
     /// By backend.
     pub published: Vec<EndpointInfo>,
-    pub log: Vec<Change>,
+    pub changes: Vec<Change>,
 }
 
-impl Changes {
-    pub fn new(plan: &Plan) -> Self {
-        let entry = |(i, p): (usize, &Place)| EndpointInfo {
+impl EndpointLog {
+    pub fn new(topology: &Topology) -> Self {
+        let entry = |(i, p): (usize, &Placement)| EndpointInfo {
             backend: i as BackendId + 1,
             zone: p.zone,
             weight: 1.0,
             ..EndpointInfo::default()
         };
-        Changes { published: plan.backends.iter().enumerate().map(entry).collect(), log: Vec::new() }
+        EndpointLog {
+            published: topology.backends.iter().enumerate().map(entry).collect(),
+            changes: Vec::new(),
+        }
     }
 }
--- a/crates/scale-test/src/simulated/fleet/processes.rs
+++ b/crates/scale-test/src/simulated/fleet/processes.rs
@@ -1,8 +1,8 @@
 //! Processes of backends and proxies that start and end.
 
 use super::Fleet;
-use super::proxy::Copy;
-use super::request_table::Stage;
+use super::proxy::ProxyInstance;
+use super::request_table::AttemptStage;
 use crate::scenario::Invalid;
 use foldhitch_balancer::Balancer;
 use foldhitch_balancer::api::Outcome;
@@ -10,85 +10,91 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 impl Fleet<'_> {
-    /// Starts a proxy's process; it has the whole list from discovery at once.
+    /// Starts a proxy's process; it has the full list from discovery at once.
     pub(super) fn start_proxy(&mut self, proxy: usize) -> Result<(), Invalid> {
-        let p = &mut self.proxies[proxy];
-        let facts = self.scenario.facts(p.number, p.copies, p.tier, p.zone)?;
-        let balancer = Balancer::new(facts.balancer, self.rng.random()).map_err(Invalid::of)?;
-        p.copy = self.copies.len();
-        p.on = true;
-        self.copies.push(Copy {
+        let place = &mut self.proxies[proxy];
+        let settings = self.scenario.resolved_settings(
+            place.instance_index,
+            place.instance_count,
+            place.tier,
+            place.zone,
+        )?;
+        let balancer = Balancer::new(settings.balancer, self.rng.random()).map_err(Invalid::of)?;
+        place.instance = self.instances.len();
+        place.is_running = true;
+        self.instances.push(ProxyInstance {
             balancer,
-            zone: p.zone,
-            service: p.service,
-            alive: true,
-            replaced: false,
-            open: 0,
-            links: BTreeSet::new(),
-            held: BTreeMap::new(),
-            missed: Vec::new(),
-            told_at: self.now,
+            zone: place.zone,
+            service: place.service,
+            is_alive: true,
+            is_replaced: false,
+            open_requests: 0,
+            connections: BTreeSet::new(),
+            endpoints: BTreeMap::new(),
+            missed_changes: Vec::new(),
+            last_delivery_ms: self.now,
         });
-        let copy = p.copy;
-        self.tell_all(copy);
+        let instance = place.instance;
+        self.deliver_full_list(instance);
         Ok(())
     }
 
-    /// A backend's process ends; one that goes silent tells nobody.
-    pub(super) fn stop(&mut self, at: usize, silent: bool) {
-        let b = &mut self.backends[at];
-        if b.down {
-            b.silent |= silent;
+    /// A backend's process ends; one that becomes unresponsive notifies nobody.
+    pub(super) fn stop_backend(&mut self, at: usize, is_unresponsive: bool) {
+        let backend = &mut self.backends[at];
+        if backend.is_down {
+            backend.is_unresponsive |= is_unresponsive;
             return;
         }
-        (b.down, b.silent, b.busy) = (true, silent, 0);
-        b.queue.clear();
-        for (id, attempt) in std::mem::take(&mut b.jobs) {
-            let stage = self.requests.get(id).map(|r| r.attempts[attempt].stage);
-            self.set_stage(id, attempt, Stage::Over);
-            if let Some(Stage::Onward(child)) = stage {
-                self.hang_up(child);
+        (backend.is_down, backend.is_unresponsive, backend.busy) = (true, is_unresponsive, 0);
+        backend.queue.clear();
+        for (id, attempt) in std::mem::take(&mut backend.jobs) {
+            let stage = self.requests.get(id).map(|request| request.attempts[attempt].stage);
+            self.set_stage(id, attempt, AttemptStage::Finished);
+            if let Some(AttemptStage::WaitingForChild(child)) = stage {
+                self.cancel_request(child);
             }
-            if !silent {
-                self.answer(id, attempt, Outcome::Reset);
+            if !is_unresponsive {
+                self.send_outcome(id, attempt, Outcome::Reset);
             }
-            self.clear(id);
+            self.forget_if_over(id);
         }
-        if !silent {
-            self.unlink(at);
+        if !is_unresponsive {
+            self.drop_connections(at);
         }
     }
 
-    fn unlink(&mut self, backend: usize) {
-        for copy in &mut self.copies {
-            copy.links.remove(&backend);
+    fn drop_connections(&mut self, backend: usize) {
+        for instance in &mut self.instances {
+            instance.connections.remove(&backend);
         }
     }
 
-    /// It is back, cold.
-    pub(super) fn start(&mut self, at: usize) {
-        let b = &mut self.backends[at];
-        (b.down, b.silent, b.started_at_ms, b.draining) = (false, false, self.now, false);
-        b.came.clear();
+    /// It is back, warming up.
+    pub(super) fn start_backend(&mut self, at: usize) {
+        let backend = &mut self.backends[at];
+        (backend.is_down, backend.is_unresponsive, backend.started_at_ms, backend.is_draining) =
+            (false, false, self.now, false);
+        backend.recent_arrivals.clear();
         self.checks.cold_starts += 1;
         // Connections of the old process are reset at the first use; that costs a connection.
-        self.unlink(at);
+        self.drop_connections(at);
     }
 
-    /// A proxy's process ends with all its calls, and tells nobody.
+    /// A proxy's process ends with all its requests, and notifies nobody.
     pub(super) fn stop_proxy(&mut self, proxy: usize) {
-        self.proxies[proxy].on = false;
-        let dead = self.proxies[proxy].copy;
-        self.copies[dead].alive = false;
+        self.proxies[proxy].is_running = false;
+        let dead = self.proxies[proxy].instance;
+        self.instances[dead].is_alive = false;
         for id in self.requests.ids_of(dead) {
-            let Some(r) = self.requests.get_mut(id) else { continue };
-            let (born, client) = (r.born, r.parent.is_none() && !r.ended);
-            r.ended = true;
-            r.attempts.iter_mut().for_each(|a| a.out = false);
+            let Some(request) = self.requests.get_mut(id) else { continue };
+            let (created_ms, client) = (request.created_ms, request.parent.is_none() && !request.has_ended);
+            request.has_ended = true;
+            request.attempts.iter_mut().for_each(|attempt| attempt.is_pending = false);
             if client {
-                self.tally.worth(born).failed += 1;
+                self.metrics.window_at(created_ms).failed += 1;
             }
-            self.clear(id);
+            self.forget_if_over(id);
         }
     }
 }
--- a/crates/scale-test/src/simulated/fleet/request_table.rs
+++ b/crates/scale-test/src/simulated/fleet/request_table.rs
@@ -3,54 +3,55 @@
 use foldhitch_balancer::api::RequestId;
 use std::collections::VecDeque;
 
-/// A call as its proxy sees it.
+/// A request as its proxy sees it.
 pub struct Request {
-    pub copy: usize,
+    pub instance: usize,
     pub depth: usize,
     pub class: usize,
-    pub tries: u32,
-    pub born: f64,
-    pub deadline: f64,
+    pub retries: u32,
+    pub created_ms: f64,
+    pub deadline_ms: f64,
     pub parent: Option<(RequestId, usize)>,
-    pub ended: bool,
+    pub has_ended: bool,
     pub attempts: Vec<Attempt>,
 }
 
 impl Request {
     /// It has ended, and neither its proxy nor a backend has an attempt of it.
     fn is_over(&self) -> bool {
-        let is_attempt_over = |attempt: &Attempt| !attempt.out && attempt.stage == Stage::Over;
-        self.ended && self.attempts.iter().all(is_attempt_over)
+        let is_attempt_over =
+            |attempt: &Attempt| !attempt.is_pending && attempt.stage == AttemptStage::Finished;
+        self.has_ended && self.attempts.iter().all(is_attempt_over)
     }
 }
 
-/// An attempt of a call.
+/// An attempt of a request.
 pub struct Attempt {
     pub backend: usize,
-    pub sent: f64,
+    pub sent_ms: f64,
     /// Without an outcome.
-    pub out: bool,
-    pub stage: Stage,
+    pub is_pending: bool,
+    pub stage: AttemptStage,
     /// The proxy knew when the backend's process started.
-    pub told: bool,
+    pub knows_start: bool,
 }
 
 /// What an attempt's backend does with it.
 #[derive(Clone, Copy, PartialEq, Eq)]
-pub enum Stage {
-    OnTheWay,
+pub enum AttemptStage {
+    InTransit,
     Queued,
-    Working,
-    /// Waits for a call of its own.
-    Onward(RequestId),
-    Over,
+    Processing,
+    /// Waits for a request of its own.
+    WaitingForChild(RequestId),
+    Finished,
 }
 
-/// How a call ended.
+/// How a request ended.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub enum End {
+pub enum RequestOutcome {
     Served,
-    Refused { retry_after: f64 },
+    Rejected { retry_after_ms: f64 },
     Failed,
 }
 
@@ -94,10 +95,10 @@
     }
 
     /// The requests of a proxy's process.
-    pub fn ids_of(&self, copy: usize) -> Vec<RequestId> {
+    pub fn ids_of(&self, instance: usize) -> Vec<RequestId> {
         let mut ids = Vec::new();
         for (id, entry) in (self.first..).zip(&self.entries) {
-            if entry.as_ref().is_some_and(|request| request.copy == copy) {
+            if entry.as_ref().is_some_and(|request| request.instance == instance) {
                 ids.push(id);
             }
         }
--- a/crates/scale-test/src/simulated/fleet/scenario_steps.rs
+++ b/crates/scale-test/src/simulated/fleet/scenario_steps.rs
@@ -2,54 +2,59 @@
 
 use super::Fleet;
 use crate::scenario::Invalid;
-use crate::simulated::event_queue::{Happening, Step};
+use crate::simulated::event_queue::{ScenarioStep, SimulationEvent};
 use rand::Rng;
 
 impl Fleet<'_> {
     /// Takes a step of the scenario.
-    pub(super) fn step(&mut self, step: Step) -> Result<(), Invalid> {
+    pub(super) fn apply_step(&mut self, step: ScenarioStep) -> Result<(), Invalid> {
         let (notice, silence) = (self.scenario.discovery.notice_ms, self.scenario.discovery.silent_notice_ms);
         match step {
-            Step::Part(part) => self.tally.begin(part, self.now),
-            Step::Change => {
+            ScenarioStep::Part(part) => self.metrics.begin_part(part, self.now),
+            ScenarioStep::Change => {
                 let backend = self.rng.random_range(..self.backends.len());
                 self.backends[backend].weight = 0.8 + 0.4 * self.rng.random::<f64>();
-                self.notice(backend, notice);
+                self.schedule_publication(backend, notice);
             }
-            Step::Restart { backend } => {
+            ScenarioStep::Restart { backend } => {
                 let backend = backend.unwrap_or_else(|| self.rng.random_range(..self.proxies_beside()));
-                let b = &mut self.backends[backend];
-                if !b.down && !b.draining {
-                    b.draining = true;
-                    self.notice(backend, notice);
-                    // It stops once every proxy has been told and the grace is over.
-                    let d = &self.scenario.discovery;
-                    let told = notice + d.spread_ms[1] + d.region_ms;
+                let state = &mut self.backends[backend];
+                if !state.is_down && !state.is_draining {
+                    state.is_draining = true;
+                    self.schedule_publication(backend, notice);
+                    // It stops once every proxy has been notified and the drain deadline has passed.
+                    let discovery = &self.scenario.discovery;
+                    let told = notice + discovery.spread_ms[1] + discovery.region_ms;
                     let stop = told + self.scenario.guarantee("stopSendingWithin");
-                    self.agenda.at(self.now + stop, Happening::Step(Step::Stop { backend }));
+                    self.event_queue
+                        .schedule(self.now + stop, SimulationEvent::Step(ScenarioStep::Stop { backend }));
                 }
             }
-            Step::Stop { backend } => {
-                self.stop(backend, false);
+            ScenarioStep::Stop { backend } => {
+                self.stop_backend(backend, false);
                 let back = self.scenario.backend.restart_s * 1000.0;
-                self.agenda.at(self.now + back, Happening::Step(Step::Start { backend }));
+                self.event_queue
+                    .schedule(self.now + back, SimulationEvent::Step(ScenarioStep::Start { backend }));
             }
-            Step::Start { backend } => {
-                // One that went silent meanwhile comes back with its machine.
-                if self.backends[backend].down && !self.backends[backend].silent {
-                    self.start(backend);
-                    self.notice(backend, notice);
+            ScenarioStep::Start { backend } => {
+                // One that became unresponsive meanwhile comes back with its machine.
+                if self.backends[backend].is_down && !self.backends[backend].is_unresponsive {
+                    self.start_backend(backend);
+                    self.schedule_publication(backend, notice);
                 }
             }
-            Step::LoseMachine { backend, back } => {
+            ScenarioStep::LoseMachine { backend, back } => {
                 let backend = backend.unwrap_or_else(|| self.rng.random_range(..self.proxies_beside()));
-                if !self.backends[backend].silent {
+                if !self.backends[backend].is_unresponsive {
                     self.lose_machine(backend, silence);
-                    self.agenda.at(self.now + back, Happening::Step(Step::MachineBack { backend }));
+                    self.event_queue.schedule(
+                        self.now + back,
+                        SimulationEvent::Step(ScenarioStep::MachineBack { backend }),
+                    );
                 }
             }
-            Step::MachineBack { backend } => self.machine_back(backend, notice)?,
-            Step::Zone { zone, on } => {
+            ScenarioStep::MachineBack { backend } => self.machine_back(backend, notice)?,
+            ScenarioStep::Zone { zone, on } => {
                 for proxy in 0..self.proxies.len() {
                     if self.proxies[proxy].zone == zone {
                         match (on, proxy < self.backends.len()) {
@@ -61,24 +66,24 @@
                     }
                 }
             }
-            Step::Cut { on } => {
-                self.cut = on;
+            ScenarioStep::Cut { on } => {
+                self.is_region_cut = on;
                 if !on {
                     self.resync(true);
                 }
             }
-            Step::Discovery { on } => {
-                self.discovery_up = on;
+            ScenarioStep::Discovery { on } => {
+                self.is_discovery_up = on;
                 if on {
                     self.resync(true);
                 }
             }
-            Step::Resync => self.resync(false),
-            Step::Replace { proxy } => {
-                if self.proxies[proxy].on {
-                    let old = self.proxies[proxy].copy;
-                    self.owe_nothing(old);
-                    self.copies[old].replaced = true;
+            ScenarioStep::Resync => self.resync(false),
+            ScenarioStep::Replace { proxy } => {
+                if self.proxies[proxy].is_running {
+                    let old = self.proxies[proxy].instance;
+                    self.discard_missed_changes(old);
+                    self.instances[old].is_replaced = true;
                     self.start_proxy(proxy)?;
                 }
             }
@@ -92,20 +97,20 @@
 
     fn lose_machine(&mut self, backend: usize, silence: f64) {
         self.lose_proxy(backend);
-        self.stop(backend, true);
-        self.notice(backend, silence);
+        self.stop_backend(backend, true);
+        self.schedule_publication(backend, silence);
     }
 
     fn lose_proxy(&mut self, proxy: usize) {
-        let copy = self.proxies[proxy].copy;
+        let instance = self.proxies[proxy].instance;
         self.stop_proxy(proxy);
-        self.owe_nothing(copy);
+        self.discard_missed_changes(instance);
     }
 
     fn machine_back(&mut self, backend: usize, notice: f64) -> Result<(), Invalid> {
-        if self.backends[backend].silent {
-            self.start(backend);
-            self.notice(backend, notice);
+        if self.backends[backend].is_unresponsive {
+            self.start_backend(backend);
+            self.schedule_publication(backend, notice);
             self.start_proxy(backend)?;
         }
         Ok(())
--- a/crates/scale-test/src/simulated/metrics.rs
+++ b/crates/scale-test/src/simulated/metrics.rs
@@ -1,6 +1,6 @@
 //! Counts what happens, part by part of the run.
 
-use super::backend::ColdRule;
+use super::backend::WarmUpRule;
 use super::report::{Hop, Part, Spread, Worth, sum};
 use foldhitch_balancer::api::Action;
 use hdrhistogram::Histogram;
@@ -11,7 +11,7 @@
 }
 
 /// The counts of a run.
-pub struct Tally {
+pub struct Metrics {
     parts: Vec<Part>,
     begins: Vec<f64>,
     part: usize,
@@ -21,14 +21,14 @@
     begin: f64,
     in_force: Vec<Histogram<u64>>,
     pub decisions: u64,
-    pub cold: ColdRule,
+    pub warm_up_rule: WarmUpRule,
 }
 
-impl Tally {
-    /// For so many parts, from `begin` on, in windows of so many ms.
-    pub fn new(parts: usize, depth: usize, begin: f64, window: f64, cold: ColdRule) -> Self {
+impl Metrics {
+    /// For a number of parts, from `begin` on, in windows of `window` milliseconds.
+    pub fn new(parts: usize, depth: usize, begin: f64, window: f64, warm_up_rule: WarmUpRule) -> Self {
         let part = Part { hops: vec![Hop::default(); depth], ..Part::default() };
-        Tally {
+        Metrics {
             parts: vec![part; parts],
             begins: vec![begin; parts + 1],
             part: 0,
@@ -38,67 +38,67 @@
             begin,
             in_force: (0..parts).filter_map(|_| histogram()).collect(),
             decisions: 0xcbf2_9ce4_8422_2325,
-            cold,
+            warm_up_rule,
         }
     }
 
     /// A part begins.
-    pub fn begin(&mut self, part: usize, now: f64) {
+    pub fn begin_part(&mut self, part: usize, now: f64) {
         self.part = part;
         self.begins[part] = now;
     }
     /// The number of the present part.
-    pub fn number(&self) -> usize {
+    pub fn part_index(&self) -> usize {
         self.part
     }
     /// The present part.
-    pub fn part(&mut self) -> &mut Part {
+    pub fn current_part(&mut self) -> &mut Part {
         &mut self.parts[self.part]
     }
-    /// The present part's calls at a depth.
+    /// The present part's requests at a depth.
     pub fn hop(&mut self, depth: usize) -> &mut Hop {
         let last = self.depth - 1;
         &mut self.parts[self.part].hops[depth.min(last)]
     }
 
-    /// The window of a request made at `born`.
-    pub fn worth(&mut self, born: f64) -> &mut Worth {
-        let window = ((born - self.begin) / self.window).max(0.0) as usize;
+    /// The window of a request made at `created_ms`.
+    pub fn window_at(&mut self, created_ms: f64) -> &mut Worth {
+        let window = ((created_ms - self.begin) / self.window).max(0.0) as usize;
         if window >= self.windows.len() {
             self.windows.resize(window + 1, Worth::default());
         }
         &mut self.windows[window]
     }
     /// A client makes a request.
-    pub fn asked(&mut self, now: f64, points: f64) {
-        let worth = self.worth(now);
+    pub fn record_request(&mut self, now: f64, priority_weight: f64) {
+        let worth = self.window_at(now);
         worth.requests += 1;
-        worth.asked += points;
+        worth.asked += priority_weight;
     }
 
     /// A change came into force at the last proxy.
-    pub fn in_force(&mut self, part: usize, after: f64) {
+    pub fn record_in_force(&mut self, part: usize, after: f64) {
         if let Some(histogram) = self.in_force.get_mut(part) {
             histogram.saturating_record((after * 1000.0) as u64);
         }
     }
 
     /// Takes a decision into the hash (FNV-1a, by words).
-    pub fn decided(&mut self, copy: usize, now: f64, action: &Action) {
+    pub fn record_decision(&mut self, instance: usize, now: f64, action: &Action) {
         let words: [u64; 4] = match *action {
             Action::Send { request, backend, expires_at_ms } => {
                 [1, request, backend.into(), expires_at_ms.to_bits()]
             }
-            Action::Reject { request, retry_after_ms: retry_after } => [2, request, 0, retry_after.to_bits()],
+            Action::Reject { request, retry_after_ms } => [2, request, 0, retry_after_ms.to_bits()],
             Action::Fail { request } => [3, request, 0, 0],
             Action::Cancel { request, attempt } => [4, request, attempt.into(), 0],
-            Action::SetTimer { delay_ms: delay, token } => [5, token.0, 0, delay.to_bits()],
+            Action::SetTimer { delay_ms, token } => [5, token.0, 0, delay_ms.to_bits()],
             Action::CloseIdleConnections { backend } => [6, backend.into(), 0, 0],
             Action::PollEndpoints => [7, 1, 0, 0],
             Action::SetSuspended { backend, is_suspended: on } => [8, backend.into(), on.into(), 0],
             Action::SetDraining { is_draining: on } => [9, on.into(), 0, 0],
         };
-        for word in [copy as u64, now.to_bits()].into_iter().chain(words) {
+        for word in [instance as u64, now.to_bits()].into_iter().chain(words) {
             self.decisions = (self.decisions ^ word).wrapping_mul(0x0100_0000_01b3);
         }
     }
@@ -111,7 +111,7 @@
     }
 
     /// A part with its requests, from its begin to `end`.
-    pub fn close(&self, part: usize, end: f64) -> (Part, Vec<Worth>) {
+    pub fn close_part(&self, part: usize, end: f64) -> (Part, Vec<Worth>) {
         let windows = self.windows(self.begins[part], end);
         let mut closed = self.parts[part].clone();
         closed.seconds = (end - self.begins[part]) / 1000.0;
@@ -120,10 +120,10 @@
     }
 
     /// Times to being in force of the changes of some parts.
-    pub fn spread(&self, parts: &[usize]) -> Spread {
+    pub fn propagation(&self, parts: &[usize]) -> Spread {
         let Some(mut all) = histogram() else { return Spread::default() };
         for histogram in parts.iter().filter_map(|&p| self.in_force.get(p)) {
-            // All have the same bounds, so that none is refused.
+            // All have the same bounds, so that each can be added.
             let _ = all.add(histogram);
         }
         let ms = |us: u64| us as f64 / 1000.0;
--- a/crates/scale-test/src/simulated/topology.rs
+++ b/crates/scale-test/src/simulated/topology.rs
@@ -1,11 +1,11 @@
-//! Who is where and who calls whom: services in layers, each calling one of the next layer, as deep as the
-//! target says.
+//! Where backends and proxies are and which service calls which: services in layers, each calling one of the next layer,
+//! as deep as the target says.
 
 use crate::scenario::Scenario;
 
-/// A backend's or a proxy's place.
+/// Where a backend or a proxy is.
 #[derive(Debug, Clone, Copy)]
-pub struct Place {
+pub struct Placement {
     pub zone: u16,
     /// Service of a backend; service that a proxy calls.
     pub service: usize,
@@ -13,25 +13,25 @@
 
 /// The fleet's layout.
 #[derive(Debug)]
-pub struct Plan {
-    /// Backends; each has a proxy that calls the service named in `calls`.
-    pub backends: Vec<Place>,
+pub struct Topology {
+    /// Backends; each has a proxy that calls the service named in `callees`.
+    pub backends: Vec<Placement>,
     /// By service: the service that its backends call; none in the last layer.
-    pub calls: Vec<Option<usize>>,
+    pub callees: Vec<Option<usize>>,
     /// Proxies through which clients come.
-    pub entries: Vec<Place>,
-    /// Clients' calls a second.
+    pub entries: Vec<Placement>,
+    /// Clients' requests a second.
     pub clients_per_s: f64,
 }
 
-impl Plan {
+impl Topology {
     /// The layout of a fleet of `size` backends.
     pub fn new(scenario: &Scenario, size: usize) -> Self {
         let (services, depth) = (scenario.target.services, scenario.target.depth);
         let onward = scenario.calls.onward_share;
         let layer = |service: usize| service * depth / services;
         let members = |of: usize| (0..services).filter(move |&s| layer(s) == of).collect::<Vec<_>>();
-        let mut calls = vec![None; services];
+        let mut callees = vec![None; services];
         let first = members(0);
         let mut load = vec![0.0; services];
         first.iter().for_each(|&s| load[s] = 1.0 / first.len() as f64);
@@ -39,7 +39,7 @@
             let next = members(of + 1);
             for (i, s) in members(of).into_iter().enumerate() {
                 let to = next[i % next.len()];
-                calls[s] = Some(to);
+                callees[s] = Some(to);
                 load[to] += load[s] * onward;
             }
         }
@@ -48,13 +48,13 @@
         let mut backends = Vec::with_capacity(size);
         for (service, count) in share_out(size, &load).into_iter().enumerate() {
             // Each service begins at a zone of its own, so that all zones get alike many.
-            let place = |i| Place { zone: ((i + service * 3) % zones) as u16, service };
+            let place = |i| Placement { zone: ((i + service * 3) % zones) as u16, service };
             backends.extend((0..count).map(place));
         }
         let count = ((size as f64 * scenario.run.entry_per_backend).ceil() as usize).max(first.len());
-        let entry = |i: usize| Place { zone: (i % zones) as u16, service: first[i % first.len()] };
+        let entry = |i: usize| Placement { zone: (i % zones) as u16, service: first[i % first.len()] };
         let rate = scenario.run.hollow_calls_per_s_per_backend * size as f64;
-        Plan { backends, calls, entries: (0..count).map(entry).collect(), clients_per_s: rate / total }
+        Topology { backends, callees, entries: (0..count).map(entry).collect(), clients_per_s: rate / total }
     }
 }
 
