Scale test: the real part's files get the names of what they hold

Moves only, with the `mod` and `use` lines that name them: in `real/`, `play.rs` is `fleet.rs`, `copies.rs` is `simulated_proxies.rs`, `plan.rs` is `requirements.rs`.

--- a/crates/scale-test/src/main.rs
+++ b/crates/scale-test/src/main.rs
@@ -180,7 +180,7 @@
 fn start(command: Command) -> anyhow::Result<()> {
     match command {
         Command::Soak(_) => unreachable!("it was run"),
-        Command::HollowProxies => real::copies::serve(),
+        Command::HollowProxies => real::simulated_proxies::serve(),
         Command::Check { scenario } => {
             let scenario = Scenario::load(&scenario)?;
             real::check(&scenario, true)?;
--- a/crates/scale-test/src/real/children.rs
+++ b/crates/scale-test/src/real/children.rs
@@ -1,6 +1,6 @@
 //! The processes of a run: real proxies and hosts of hollow ones. None outlives it.
 
-use super::copies::{Activity, Orders};
+use super::simulated_proxies::{Activity, Orders};
 use anyhow::{Context, anyhow, bail};
 use serde_json::Value;
 use std::net::SocketAddr;
--- a/crates/scale-test/src/real/play.rs
+++ b/crates/scale-test/src/real/fleet.rs
@@ -3,10 +3,10 @@
 use super::backends::{Backends, Mode, Next, Work};
 use super::children::Children;
 use super::client::{Call, Client, TENANT};
-use super::copies::{CopyOrders, Orders};
 use super::load::{Class, Load, Tally};
-use super::plan::{Need, PROXY_MEMORY_MB, PROXY_SOCKETS};
 use super::registry::{self, Health, Host, Registry};
+use super::requirements::{Need, PROXY_MEMORY_MB, PROXY_SOCKETS};
+use super::simulated_proxies::{CopyOrders, Orders};
 use super::usage;
 use super::{Options, histogram};
 use crate::report::{Added, Phase, Quantiles, Size};
--- a/crates/scale-test/src/real/mod.rs
+++ b/crates/scale-test/src/real/mod.rs
@@ -3,12 +3,12 @@
 pub mod backends;
 pub mod children;
 pub mod client;
-pub mod copies;
 pub mod counted;
+mod fleet;
 pub mod load;
-pub mod plan;
-mod play;
 pub mod registry;
+pub mod requirements;
+pub mod simulated_proxies;
 pub mod usage;
 
 use crate::report::Size;
@@ -47,7 +47,10 @@
 ///
 /// A line that names the limit and the need.
 pub fn check(scenario: &Scenario, hollow: bool) -> anyhow::Result<()> {
-    scenario.sizes.iter().try_for_each(|&size| plan::Need::of(scenario, size, hollow).check(scenario, size))
+    scenario
+        .sizes
+        .iter()
+        .try_for_each(|&size| requirements::Need::of(scenario, size, hollow).check(scenario, size))
 }
 
 /// Plays the sizes one after the other. No process that it started is left when it returns, however it ends.
@@ -75,7 +78,7 @@
 async fn sizes(scenario: &Scenario, options: &Options, children: &mut Children) -> anyhow::Result<Vec<Size>> {
     let mut sizes = Vec::new();
     for &size in &scenario.sizes {
-        let played = play::size(scenario, options, size, children).await?;
+        let played = fleet::size(scenario, options, size, children).await?;
         children.stop().await;
         let limit = scenario.limits.memory_gb * 1000.0;
         if played.total_resident_mb > limit {
--- a/crates/scale-test/src/scenario.rs
+++ b/crates/scale-test/src/scenario.rs
@@ -1,6 +1,6 @@
 //! The scenario file: the target's figures by name, and those of the run that scales it down.
 
-use crate::real::plan::Plan;
+use crate::real::requirements::Plan;
 use foldhitch_balancer::settings_format::{self, ResolvedSettings};
 use serde::Deserialize;
 use serde_json::{Map, Value};
