Scale test: the scenario without the import circle, and its validation by section

The figures of the real part moved from `real/requirements.rs` to `scenario/real_part.rs`, so that the scenario imports nothing of the real part. The check of all ranges, a function of 80 lines, moved to `scenario/validation.rs`: one list of typed figures for each section, checked in the order and with the messages of before; bounds are named constants. The keys of scenario files stay (`#[serde(rename)]` where a field has the standard name).

--- a/crates/scale-test/src/real/fleet.rs
+++ b/crates/scale-test/src/real/fleet.rs
@@ -150,7 +150,7 @@
             settings
         };
         let hollow: Vec<usize> = (need.real..need.watches).collect();
-        for copies in hollow.chunks(plan.hollow_per_process) {
+        for copies in hollow.chunks(plan.simulated_per_process) {
             let copies = copies.iter().map(|&copy| CopyOrders {
                 settings: settings(copy),
                 seed: rng.random(),
--- a/crates/scale-test/src/scenario.rs
+++ b/crates/scale-test/src/scenario.rs
@@ -1,6 +1,10 @@
 //! The scenario file: the target's figures by name, and those of the run that scales it down.
 
-use crate::real::requirements::Plan;
+mod real_part;
+mod validation;
+
+pub use real_part::RealPart;
+
 use foldhitch_balancer::settings_format::{self, ResolvedSettings};
 use serde::Deserialize;
 use serde_json::{Map, Value};
@@ -11,7 +15,7 @@
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Scenario {
-    /// Feeds every random number of the hollow part.
+    /// Feeds every random number of the simulated part.
     pub seed: u64,
     /// Backends, each with its proxy, of each step of the run.
     pub sizes: Vec<usize>,
@@ -22,10 +26,10 @@
     /// How the run is laid out.
     pub run: Run,
     /// How the real part is laid out.
-    pub real: Plan,
+    pub real: RealPart,
     /// How services call each other.
     pub calls: Calls,
-    /// What a hollow backend is like.
+    /// What a simulated backend is like.
     pub backend: Backend,
     /// Ways between proxies and backends.
     pub network: Network,
@@ -97,8 +101,9 @@
 pub struct Run {
     /// Calls a second for each backend, of real processes.
     pub calls_per_s_per_backend: f64,
-    /// Calls a second for each backend of the hollow fleet, over all depths.
-    pub hollow_calls_per_s_per_backend: f64,
+    /// Requests a second for each backend of the simulated fleet, over all depths.
+    #[serde(rename = "hollow_calls_per_s_per_backend")]
+    pub simulated_calls_per_s_per_backend: f64,
     /// Times as many changes a second as the target has.
     pub change_compression: f64,
     /// Seconds before an event.
@@ -109,7 +114,7 @@
     pub after_s: f64,
     /// Seconds of a window of the report.
     pub window_s: f64,
-    /// Real processes of each size, beside the hollow proxies.
+    /// Real processes of each size, beside the simulated proxies.
     pub real_processes: usize,
     /// Proxies through which clients come, for each backend.
     pub entry_per_backend: f64,
@@ -125,13 +130,13 @@
     pub reserve_ms: f64,
     /// Share of each class in clients' calls, in the order of the settings.
     pub mix: Vec<f64>,
-    /// Further tries of a client whose call was refused.
+    /// Retries of a client whose request was rejected.
     pub client_retries: u32,
-    /// Pause before such a try, in milliseconds, where the refusal advises none.
+    /// Backoff before a retry, in milliseconds, where the rejection has no `Retry-After`.
     pub client_backoff_ms: f64,
 }
 
-/// What a hollow backend is like.
+/// What a simulated backend is like.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Backend {
@@ -145,7 +150,7 @@
     pub cold_capacity: f64,
     /// Seconds until it is warm.
     pub cold_s: f64,
-    /// Seconds that one is away which was pushed over while cold.
+    /// Seconds that until one is back that failed under load while it was warming up.
     pub fall_s: f64,
     /// A connection not made by then has failed, in milliseconds.
     pub connect_timeout_ms: f64,
@@ -177,11 +182,11 @@
     pub spread_ms: [f64; 2],
     /// From region to region.
     pub region_ms: f64,
-    /// Until a backend that is silent is taken off the list.
+    /// Until a backend that is unresponsive is taken off the list.
     pub silent_notice_ms: f64,
 }
 
-/// Why a scenario was turned down: one line that names the key.
+/// Why a scenario was rejected: one line that names the key.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Invalid(String);
 
@@ -194,15 +199,12 @@
 impl std::error::Error for Invalid {}
 
 impl Invalid {
-    /// What another part turned down.
+    /// What another part rejected.
     pub fn of(e: impl fmt::Display) -> Self {
         Invalid(e.to_string())
     }
 }
 
-/// Most sizes, and most backends of one, that a run takes on.
-const MOST: (usize, usize) = (16, 4096);
-
 impl Scenario {
     /// Reads a file.
     pub fn load(path: &Path) -> Result<Self, Invalid> {
@@ -227,12 +229,12 @@
     }
 
     /// The settings of a proxy, as its file has them.
-    pub fn settings_of(&self, copy: u32, copies: u32, tier: u32, zone: u16) -> Value {
+    pub fn settings_of(&self, instance_index: u32, instance_count: u32, tier: u32, zone: u16) -> Value {
         let mut settings = self.settings.clone();
         let zones: Vec<String> = (0..self.target.zones).map(zone_name).collect();
         for (key, value) in [
-            ("slotNo", copy.into()),
-            ("peersTotal", copies.into()),
+            ("slotNo", instance_index.into()),
+            ("peersTotal", instance_count.into()),
             ("tier", tier.into()),
             ("locality", zone.into()),
             ("localities", zones.into()),
@@ -245,16 +247,16 @@
     /// The same, read as the proxy reads them.
     pub fn resolved_settings(
         &self,
-        copy: u32,
-        copies: u32,
+        instance_index: u32,
+        instance_count: u32,
         tier: u32,
         zone: u16,
     ) -> Result<ResolvedSettings, Invalid> {
-        settings_format::read(self.settings_of(copy, copies, tier, zone))
+        settings_format::read(self.settings_of(instance_index, instance_count, tier, zone))
             .map_err(|error| Invalid(error.to_string()))
     }
 
-    /// A figure of the settings that the decision module isn't told, as of `classes`; 0 where it is left out.
+    /// A figure of the settings that the balancer doesn't get, as of `classes`; 0 where it is left out.
     pub fn of_classes(&self, key: &str) -> Vec<f64> {
         let classes = self.settings.get("classes").and_then(Value::as_array);
         let figure = |class: &Value| class.get(key).and_then(Value::as_f64).unwrap_or(0.0);
@@ -276,97 +278,6 @@
     pub fn changes_per_s(&self) -> f64 {
         self.target.changes_per_day / 86_400.0 * self.run.change_compression
     }
-
-    /// Whether its figures are in their ranges; an error names the key.
-    pub fn check(&self) -> Result<(), Invalid> {
-        let (t, l, r, b) = (&self.target, &self.limits, &self.run, &self.backend);
-        let (c, n, d) = (&self.calls, &self.network, &self.discovery);
-        let sizes = self.sizes.len();
-        if sizes == 0 || sizes > MOST.0 {
-            return Err(Invalid(format!("sizes: {sizes} of them, where 1 to {} can be run", MOST.0)));
-        }
-        let day = 1e9;
-        let mut figures = vec![
-            ("target.backends".to_string(), t.backends as f64, 1.0, MOST.1 as f64),
-            ("target.services".to_string(), t.services as f64, 1.0, t.backends as f64),
-        ];
-        for (i, &size) in self.sizes.iter().enumerate() {
-            figures.push((format!("sizes[{i}]"), size as f64, t.services as f64, MOST.1 as f64));
-        }
-        for (i, &share) in c.mix.iter().enumerate() {
-            figures.push((format!("calls.mix[{i}]"), share, 0.0, 1.0));
-        }
-        let rest = [
-            ("target.calls_per_s", t.calls_per_s, 0.0, day),
-            ("target.depth", t.depth as f64, 1.0, t.services as f64),
-            ("target.added_p99_ms", t.added_p99_ms, 0.0, day),
-            ("target.regions", t.regions as f64, 1.0, t.zones as f64),
-            ("target.zones", t.zones as f64, 1.0, 1000.0),
-            ("target.changes_per_day", t.changes_per_day, 0.0, day),
-            ("target.in_force_within_s", t.in_force_within_s, 0.001, day),
-            ("target.control_core_share", t.control_core_share, 1e-6, 1000.0),
-            ("target.control_memory_mb", t.control_memory_mb, 1e-3, day),
-            ("target.control_kb_per_s", t.control_kb_per_s, 1e-3, day),
-            ("target.control_machines", t.control_machines as f64, 1.0, day),
-            ("target.machine_failures_per_day", t.machine_failures_per_day, 0.0, day),
-            ("target.restarts_per_day", t.restarts_per_day, 0.0, day),
-            ("target.rack_losses_per_year", t.rack_losses_per_year, 0.0, day),
-            ("target.zone_losses_per_year", t.zone_losses_per_year, 0.0, day),
-            ("target.region_cuts_per_year", t.region_cuts_per_year, 0.0, day),
-            ("target.region_cut_minutes", t.region_cut_minutes, 0.0, day),
-            ("limits.memory_gb", l.memory_gb, 0.1, 10.0),
-            ("limits.processes", l.processes as f64, 1.0, 300.0),
-            ("limits.run_s", l.run_s, 1.0, 300.0),
-            ("run.calls_per_s_per_backend", r.calls_per_s_per_backend, 0.001, 10_000.0),
-            ("run.hollow_calls_per_s_per_backend", r.hollow_calls_per_s_per_backend, 0.001, 10_000.0),
-            ("run.change_compression", r.change_compression, 0.0, 1e6),
-            ("run.steady_s", r.steady_s, 0.1, 3600.0),
-            ("run.event_s", r.event_s, 0.1, 3600.0),
-            ("run.after_s", r.after_s, 0.1, 3600.0),
-            ("run.window_s", r.window_s, 0.01, 3600.0),
-            ("run.real_processes", r.real_processes as f64, 0.0, l.processes as f64),
-            ("run.entry_per_backend", r.entry_per_backend, 0.0, 1.0),
-            ("calls.onward_share", c.onward_share, 0.0, 1.0),
-            ("calls.reserve_ms", c.reserve_ms, 0.0, 1e6),
-            ("calls.client_retries", f64::from(c.client_retries), 0.0, 10.0),
-            ("calls.client_backoff_ms", c.client_backoff_ms, 1.0, day),
-            ("backend.work_ms", b.work_ms, 0.001, 1e6),
-            ("backend.slots", b.slots as f64, 1.0, 1e6),
-            ("backend.queue", b.queue as f64, 0.0, 1e6),
-            ("backend.cold_capacity", b.cold_capacity, 0.001, 1.0),
-            ("backend.cold_s", b.cold_s, 0.0, 3600.0),
-            ("backend.fall_s", b.fall_s, 0.0, 3600.0),
-            ("backend.connect_timeout_ms", b.connect_timeout_ms, 1.0, 1e6),
-            ("backend.restart_s", b.restart_s, 0.0, 3600.0),
-            ("network.same_zone_ms", n.same_zone_ms, 0.0, 1e6),
-            ("network.same_region_ms", n.same_region_ms, 0.0, 1e6),
-            ("network.cross_region_ms", n.cross_region_ms, 0.0, 1e6),
-            ("network.connect_rtts", n.connect_rtts, 0.0, 100.0),
-            ("discovery.notice_ms", d.notice_ms, 0.0, 1e6),
-            ("discovery.spread_ms[0]", d.spread_ms[0], 0.0, 1e6),
-            ("discovery.spread_ms[1]", d.spread_ms[1], d.spread_ms[0], 1e6),
-            ("discovery.region_ms", d.region_ms, 0.0, 1e6),
-            ("discovery.silent_notice_ms", d.silent_notice_ms, 0.0, 1e6),
-        ];
-        figures.extend(rest.map(|(key, x, least, most)| (key.to_string(), x, least, most)));
-        // What is no number is in no range.
-        match figures.into_iter().find(|(_, x, least, most)| !(least..=most).contains(&x)) {
-            Some((key, x, least, most)) => Err(Invalid(format!("{key}: {x} is not in {least} to {most}"))),
-            None => match self.real.check() {
-                Some(wrong) => Err(Invalid(wrong)),
-                None => self.check_settings(),
-            },
-        }
-    }
-
-    fn check_settings(&self) -> Result<(), Invalid> {
-        let resolved = self.resolved_settings(0, 1, 0, 0)?;
-        let (mix, classes) = (&self.calls.mix, resolved.balancer.classes.len());
-        if mix.len() != classes || mix.iter().sum::<f64>() <= 0.0 {
-            return Err(Invalid(format!("calls.mix: {mix:?} gives no share to each of {classes} classes")));
-        }
-        foldhitch_balancer::Balancer::new(resolved.balancer, 0).map(drop).map_err(|e| Invalid(e.to_string()))
-    }
 }
 
 /// Name of a zone.
--- a/crates/scale-test/src/simulated/topology.rs
+++ b/crates/scale-test/src/simulated/topology.rs
@@ -53,7 +53,7 @@
         }
         let count = ((size as f64 * scenario.run.entry_per_backend).ceil() as usize).max(first.len());
         let entry = |i: usize| Placement { zone: (i % zones) as u16, service: first[i % first.len()] };
-        let rate = scenario.run.hollow_calls_per_s_per_backend * size as f64;
+        let rate = scenario.run.simulated_calls_per_s_per_backend * size as f64;
         Topology { backends, callees, entries: (0..count).map(entry).collect(), clients_per_s: rate / total }
     }
 }
--- a/crates/scale-test/tests/simulated.rs
+++ b/crates/scale-test/tests/simulated.rs
@@ -12,7 +12,7 @@
 fn scenario() -> Scenario {
     let mut s = Scenario::parse(TARGET).expect("sound");
     (s.run.steady_s, s.run.event_s, s.run.after_s) = (4.0, 3.0, 3.0);
-    s.run.hollow_calls_per_s_per_backend = 16.0;
+    s.run.simulated_calls_per_s_per_backend = 16.0;
     s
 }
 
@@ -56,7 +56,7 @@
 fn the_rules_hold_in_a_fleet_of_720() {
     let mut s = scenario();
     (s.run.steady_s, s.run.event_s, s.run.after_s) = (1.0, 3.0, 2.0);
-    s.run.hollow_calls_per_s_per_backend = 2.0;
+    s.run.simulated_calls_per_s_per_backend = 2.0;
     let report = simulated::run_events(&s, 720, 7, &["release", "regions cut"]).expect("sound");
     assert!(report.proxies >= 720 && report.checks.cold_starts > 100, "{:?}", report.checks);
     sound(&report.checks);
@@ -104,7 +104,7 @@
     guarantees.insert("cold".to_string(), 60_000.0.into());
     guarantees.insert("coldFrom".to_string(), 0.05.into());
     guarantees.insert("fallMultiple".to_string(), 1.0.into());
-    s.run.hollow_calls_per_s_per_backend = 64.0;
+    s.run.simulated_calls_per_s_per_backend = 64.0;
     // Many copies to few services: each has few calls out, so that only the budget spares the cold.
     (s.target.services, s.target.depth) = (2, 2);
     let events = ["release", "zone lost and back", "all replaced in a release"];
