--- a/crates/scale-test/src/main.rs
+++ b/crates/scale-test/src/main.rs
@@ -4,7 +4,7 @@
 
 use anyhow::{Context, bail};
 use clap::{Args, Parser, Subcommand, ValueEnum};
-use foldhitch_scale_test::report::{Hollow, Machine, Real, rounded};
+use foldhitch_scale_test::report::{Machine, Real, SimulatedPart, rounded};
 use foldhitch_scale_test::scenario::Scenario;
 use foldhitch_scale_test::soak::SeedReport;
 use foldhitch_scale_test::soak::plan::SoakPlan;
@@ -201,7 +201,7 @@
                 report.insert("real".to_string(), rounded(to_value(real)?));
             }
             if part != Part::Real {
-                let hollow = play_hollow(&scenario, begun)?;
+                let hollow = play_simulated(&scenario, begun)?;
                 print!("{hollow}");
                 report.insert("hollow".to_string(), rounded(to_value(hollow)?));
             }
@@ -215,7 +215,7 @@
 }
 
 /// Begins no size once the time of the whole run is over.
-fn play_hollow(scenario: &Scenario, begun: Instant) -> anyhow::Result<Hollow> {
+fn play_simulated(scenario: &Scenario, begun: Instant) -> anyhow::Result<SimulatedPart> {
     let mut sizes = Vec::new();
     for &size in &scenario.sizes {
         let limit = scenario.limits.run_s;
@@ -225,11 +225,11 @@
         tracing::info!("size {size}: hollow part");
         sizes.push(simulated::run(scenario, size, scenario.seed)?);
     }
-    Ok(Hollow::new(sizes))
+    Ok(SimulatedPart::new(sizes))
 }
 
-fn play_real(scenario: &Scenario, proxy_program: PathBuf, hollow: bool) -> anyhow::Result<Real> {
-    real::check(scenario, hollow)?;
+fn play_real(scenario: &Scenario, proxy_program: PathBuf, with_simulated: bool) -> anyhow::Result<Real> {
+    real::check(scenario, with_simulated)?;
     if !proxy_program.is_file() {
         bail!("--proxy: {}: no such program", proxy_program.display());
     }
@@ -237,7 +237,7 @@
         seed: scenario.seed,
         proxy_program,
         program: std::env::current_exe().context("this program's own path")?,
-        hollow,
+        with_simulated,
         time: Duration::from_secs_f64(scenario.limits.run_s),
     };
     let machine = Machine {
--- a/crates/scale-test/src/real/backends.rs
+++ b/crates/scale-test/src/real/backends.rs
@@ -1,5 +1,5 @@
-//! Hollow backends: many listeners in one process that serve, are silent, are gone or are cold. One that is told to
-//! call on does so as a client of the next proxy, with the time that is left.
+//! Simulated backends: many listeners in one process that serve, are unresponsive, are gone or are warming up.
+//! One that is to call another does so as a client of the next proxy, with the time that is left.
 
 use super::client::{Answer, Call, Client};
 use super::loopback;
@@ -32,7 +32,7 @@
     /// Answers.
     Serving,
     /// Keeps connections open and says nothing; new ones never come up.
-    Silent,
+    Unresponsive,
     /// Its process is gone: connections are reset, new ones refused.
     Gone,
 }
@@ -46,7 +46,7 @@
     /// How long that takes.
     pub cold_for: Duration,
     /// A draining one may be sent to for so long after the change.
-    pub grace: Duration,
+    pub drain_deadline: Duration,
 }
 
 /// Where calls go on to.
@@ -58,14 +58,14 @@
 }
 
 /// An address that is still held is tried again so often.
-const LET_GO: usize = 500;
+const BIND_RETRIES: usize = 500;
 
 /// Counts over all backends.
 #[derive(Default)]
 pub struct Counts {
     /// Calls that came through proxies.
     pub calls: AtomicU64,
-    /// Those of them that came to a backend past the grace of its drain.
+    /// Those of them that came to a backend past its drain deadline.
     pub late_to_draining: AtomicU64,
     /// Connections.
     pub connections: AtomicU64,
@@ -155,10 +155,10 @@
 }
 
 /// What stands at a backend's address.
-enum Door {
+enum ListenerState {
     Open(TcpListener),
     /// A listener whose queue of one is full, by a connection that nobody takes: the system drops what else comes.
-    /// If another caller has the place, the task waits in vain and is ended with the rest.
+    /// If another client has the place, the task waits in vain and is ended with the rest.
     Blocked {
         _listener: TcpListener,
         _filler: JoinSet<()>,
@@ -166,43 +166,43 @@
     Shut,
 }
 
-impl Door {
-    /// The door for a mode. One whose address can't be had is shut, which the log says. A process that is just being
+impl ListenerState {
+    /// The state for a mode. One whose address can't be had is shut, which the log says. A process that is just being
     /// started holds all that this one had open for a moment, an old listener too: that is waited out.
     async fn of(mode: Mode, address: SocketAddr) -> Self {
-        let mut door = Door::at_once(mode, address);
-        for _ in 0..LET_GO {
-            if !door.as_ref().is_err_and(|e| e.kind() == io::ErrorKind::AddrInUse) {
+        let mut listener_state = ListenerState::at_once(mode, address);
+        for _ in 0..BIND_RETRIES {
+            if !listener_state.as_ref().is_err_and(|e| e.kind() == io::ErrorKind::AddrInUse) {
                 break;
             }
             sleep(Duration::from_millis(10)).await;
-            door = Door::at_once(mode, address);
+            listener_state = ListenerState::at_once(mode, address);
         }
-        door.unwrap_or_else(|e| {
+        listener_state.unwrap_or_else(|e| {
             tracing::warn!("{address}: {e}");
-            Door::Shut
+            ListenerState::Shut
         })
     }
 
     fn at_once(mode: Mode, address: SocketAddr) -> io::Result<Self> {
         match mode {
-            Mode::Serving => listen(address, QUEUE).map(Door::Open),
-            Mode::Silent => listen(address, 0).map(|listener| {
+            Mode::Serving => listen(address, QUEUE).map(ListenerState::Open),
+            Mode::Unresponsive => listen(address, 0).map(|listener| {
                 let mut filler = JoinSet::new();
                 filler.spawn(async move {
                     let _held = TcpStream::connect(address).await;
                     std::future::pending().await
                 });
-                Door::Blocked { _listener: listener, _filler: filler }
+                ListenerState::Blocked { _listener: listener, _filler: filler }
             }),
-            Mode::Gone => Ok(Door::Shut),
+            Mode::Gone => Ok(ListenerState::Shut),
         }
     }
 
     async fn accept(&self) -> io::Result<TcpStream> {
         match self {
-            Door::Open(listener) => listener.accept().await.map(|(stream, _)| stream),
-            Door::Blocked { .. } | Door::Shut => std::future::pending().await,
+            ListenerState::Open(listener) => listener.accept().await.map(|(stream, _)| stream),
+            ListenerState::Blocked { .. } | ListenerState::Shut => std::future::pending().await,
         }
     }
 }
@@ -225,7 +225,7 @@
     }
 
     async fn run(self: Arc<Self>, listener: TcpListener, common: Arc<Common>) {
-        let (mut door, mut mode) = (Door::Open(listener), self.mode.subscribe());
+        let (mut listener_state, mut mode) = (ListenerState::Open(listener), self.mode.subscribe());
         loop {
             tokio::select! {
                 changed = mode.changed() => {
@@ -233,11 +233,11 @@
                         return;
                     }
                     // The old one has to let go of the address first.
-                    drop(std::mem::replace(&mut door, Door::Shut));
+                    drop(std::mem::replace(&mut listener_state, ListenerState::Shut));
                     let mode = *mode.borrow_and_update();
-                    door = Door::of(mode, self.address).await;
+                    listener_state = ListenerState::of(mode, self.address).await;
                 }
-                accepted = door.accept() => match accepted {
+                accepted = listener_state.accept() => match accepted {
                     Ok(stream) => {
                         common.counts.connections.fetch_add(1, Relaxed);
                         tokio::spawn(self.clone().connection(stream, common.clone()));
@@ -256,7 +256,7 @@
         let service = service_fn(|request| self.answer(request, &common));
         let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
         tokio::select! {
-            // Its caller has gone, as callers may.
+            // Its client has gone, as clients may.
             _ = connection => {}
             _ = mode.wait_for(|mode| *mode == Mode::Gone) => {}
         }
@@ -270,7 +270,7 @@
         if !query.direct {
             common.counts.calls.fetch_add(1, Relaxed);
             let draining = self.since.lock().unwrap_or_else(PoisonError::into_inner).draining;
-            if draining.is_some_and(|since| since.elapsed() > common.work.grace) {
+            if draining.is_some_and(|since| since.elapsed() > common.work.drain_deadline) {
                 common.counts.late_to_draining.fetch_add(1, Relaxed);
             }
         }
@@ -280,11 +280,14 @@
         }
         let status = match query.hops {
             0 => StatusCode::OK,
-            _ => self.call_on(&head.headers, &head.method, head.uri.path(), &query, received, common).await,
+            _ => {
+                self.call_next_hop(&head.headers, &head.method, head.uri.path(), &query, received, common)
+                    .await
+            }
         };
-        // One that is silent answers once it is heard again, if its caller still waits.
+        // One that is unresponsive answers once it is heard again, if its client still waits.
         let mut mode = self.mode.subscribe();
-        let _ = mode.wait_for(|mode| *mode != Mode::Silent).await;
+        let _ = mode.wait_for(|mode| *mode != Mode::Unresponsive).await;
         let mut reply = Response::new(Full::from("served"));
         *reply.status_mut() = status;
         Ok(reply)
@@ -300,7 +303,7 @@
     }
 
     /// The next hop's answer decides this one's.
-    async fn call_on(
+    async fn call_next_hop(
         &self,
         headers: &HeaderMap,
         method: &hyper::Method,
@@ -320,7 +323,7 @@
             method: method.clone(),
             keyed: headers.contains_key("idempotency-key"),
             query: Query { hops: query.hops - 1, direct: query.direct }.text(),
-            patience: left,
+            time_limit: left,
         };
         match common.client.call(to, &call).await {
             Answer::Served => StatusCode::OK,
@@ -329,7 +332,7 @@
     }
 }
 
-/// What a backend is told to do with a call.
+/// What a backend is asked to do with a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Query {
     /// Calls that are to follow, one behind the other.
--- a/crates/scale-test/src/real/children.rs
+++ b/crates/scale-test/src/real/children.rs
@@ -1,6 +1,6 @@
-//! The processes of a run: real proxies and hosts of hollow ones. None outlives it.
+//! The processes of a run: real proxies and hosts of simulated ones. None outlives it.
 
-use super::simulated_proxies::{Activity, Orders};
+use super::simulated_proxies::{Activity, HostConfig};
 use anyhow::{Context, anyhow, bail};
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -12,26 +12,26 @@
 use tokio::time::timeout;
 
 /// No process takes longer than this to say what it must.
-const SOON: Duration = Duration::from_secs(30);
+const RESPONSE_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// A real proxy.
 pub struct Proxy {
     child: Child,
     /// Its process.
     pub pid: u32,
-    /// Where callers connect.
+    /// Where clients connect.
     pub address: SocketAddr,
     /// It is not read any more, but a log without an end would be an error to write to.
     _log: Lines<BufReader<ChildStderr>>,
 }
 
-/// A process of hollow proxies.
+/// A process of simulated proxies.
 pub struct Host {
     child: Child,
     /// Its process.
     pub pid: u32,
     /// How many proxies it holds.
-    pub copies: usize,
+    pub proxy_count: usize,
     input: ChildStdin,
     output: Lines<BufReader<ChildStdout>>,
 }
@@ -41,7 +41,7 @@
 pub struct Children {
     /// Real proxies.
     pub proxies: Vec<Proxy>,
-    /// Processes of hollow ones.
+    /// Processes of simulated ones.
     pub hosts: Vec<Host>,
 }
 
@@ -75,7 +75,7 @@
         let log = child.stderr.take().ok_or_else(|| anyhow!("{name}: has no log"))?;
         let mut log = BufReader::new(log).lines();
         let mut said = String::new();
-        let address = timeout(SOON, async {
+        let address = timeout(RESPONSE_TIMEOUT, async {
             while let Some(line) = log.next_line().await? {
                 if let Some((_, address)) = line.split_once("listening on ") {
                     return Ok(Some(address.parse()?));
@@ -99,12 +99,12 @@
         Ok(())
     }
 
-    /// Starts a process of hollow proxies by this program's own hidden command.
+    /// Starts a process of simulated proxies by this program's own hidden command.
     ///
     /// # Errors
     ///
-    /// If it can't be started or does not take its orders.
-    pub async fn start_host(&mut self, program: &Path, orders: &Orders) -> anyhow::Result<()> {
+    /// If it can't be started or does not take its configuration.
+    pub async fn start_host(&mut self, program: &Path, config: &HostConfig) -> anyhow::Result<()> {
         let mut child = Command::new(program)
             .arg(super::HOST_COMMAND)
             .stdin(Stdio::piped())
@@ -113,30 +113,32 @@
             .spawn()
             .with_context(|| format!("{}: does not start", program.display()))?;
         let (pid, pipes) = (child.id(), child.stdin.take().zip(child.stdout.take()));
-        let Some((pid, (input, output))) = pid.zip(pipes) else { bail!("hollow proxies: ended at once") };
-        tracing::info!("process {pid}: {} hollow proxies", orders.copies.len());
+        let Some((pid, (input, output))) = pid.zip(pipes) else { bail!("simulated proxies: ended at once") };
+        tracing::info!("process {pid}: {} simulated proxies", config.proxies.len());
         let output = BufReader::new(output).lines();
-        self.hosts.push(Host { child, pid, copies: orders.copies.len(), input, output });
+        self.hosts.push(Host { child, pid, proxy_count: config.proxies.len(), input, output });
         let Some(host) = self.hosts.last_mut() else { unreachable!("it was pushed") };
-        let mut line = serde_json::to_vec(orders)?;
+        let mut line = serde_json::to_vec(config)?;
         line.push(b'\n');
-        host.input.write_all(&line).await.context("hollow proxies: ended at their start")?;
+        host.input.write_all(&line).await.context("simulated proxies: ended at their start")?;
         Ok(())
     }
 
-    /// What the hollow proxies did since they were asked last, all together.
+    /// What the simulated proxies did since they were asked last, all together.
     ///
     /// # Errors
     ///
     /// If one of their processes has ended or does not answer in time.
     pub async fn activity(&mut self) -> anyhow::Result<Activity> {
         for host in &mut self.hosts {
-            host.input.write_all(b"\n").await.context("hollow proxies: ended early")?;
+            host.input.write_all(b"\n").await.context("simulated proxies: ended early")?;
         }
         let mut sum = Activity::default();
         for host in &mut self.hosts {
-            let line = timeout(SOON, host.output.next_line()).await.context("hollow proxies: silent")??;
-            let line = line.ok_or_else(|| anyhow!("hollow proxies: ended early"))?;
+            let line = timeout(RESPONSE_TIMEOUT, host.output.next_line())
+                .await
+                .context("simulated proxies: unresponsive")??;
+            let line = line.ok_or_else(|| anyhow!("simulated proxies: ended early"))?;
             sum = sum.plus(serde_json::from_str(&line)?);
         }
         Ok(sum)
--- a/crates/scale-test/src/real/client.rs
+++ b/crates/scale-test/src/real/client.rs
@@ -21,11 +21,11 @@
 pub enum Answer {
     /// Served.
     Served,
-    /// Turned away; a further try is harmless.
+    /// Rejected; a retry is harmless.
     Refused,
     /// Failed.
     Failed,
-    /// No whole answer in time.
+    /// No complete answer in time.
     TimedOut,
 }
 
@@ -41,15 +41,15 @@
     /// What the backends are told, as a query.
     pub query: String,
     /// Its time.
-    pub patience: Duration,
+    pub time_limit: Duration,
 }
 
-type Link = SendRequest<Full<Bytes>>;
+type Connection = SendRequest<Full<Bytes>>;
 
 /// Connections and the ids of requests.
 #[derive(Default)]
 pub struct Client {
-    idle: Mutex<HashMap<SocketAddr, Vec<Link>>>,
+    idle: Mutex<HashMap<SocketAddr, Vec<Connection>>>,
     ids: AtomicU64,
 }
 
@@ -61,7 +61,7 @@
 
     /// Makes a call and waits for its answer.
     pub async fn call(&self, address: SocketAddr, call: &Call) -> Answer {
-        timeout(call.patience, self.attempt(address, call)).await.unwrap_or(Answer::TimedOut)
+        timeout(call.time_limit, self.attempt(address, call)).await.unwrap_or(Answer::TimedOut)
     }
 
     /// Closes the connections that are idle.
@@ -69,33 +69,33 @@
         self.idle().clear();
     }
 
-    fn idle(&self) -> MutexGuard<'_, HashMap<SocketAddr, Vec<Link>>> {
+    fn idle(&self) -> MutexGuard<'_, HashMap<SocketAddr, Vec<Connection>>> {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn kept(&self, address: SocketAddr) -> Option<Link> {
+    fn kept(&self, address: SocketAddr) -> Option<Connection> {
         let mut idle = self.idle();
-        let links = idle.get_mut(&address)?;
-        links.retain(|link| !link.is_closed());
-        links.pop()
+        let connections = idle.get_mut(&address)?;
+        connections.retain(|connection| !connection.is_closed());
+        connections.pop()
     }
 
     async fn attempt(&self, address: SocketAddr, call: &Call) -> Answer {
         let id = self.ids.fetch_add(1, Relaxed);
-        while let Some(link) = self.kept(address) {
+        while let Some(connection) = self.kept(address) {
             // One that the other side closed between requests, which it may: the request was not read.
-            if let Ok(answer) = self.send(link, address, call, id).await {
+            if let Ok(answer) = self.send(connection, address, call, id).await {
                 return answer;
             }
         }
-        let Ok(link) = connect(address).await else { return Answer::Failed };
-        self.send(link, address, call, id).await.unwrap_or(Answer::Failed)
+        let Ok(connection) = connect(address).await else { return Answer::Failed };
+        self.send(connection, address, call, id).await.unwrap_or(Answer::Failed)
     }
 
     /// An error where the connection was at its end before the request was read.
     async fn send(
         &self,
-        mut link: Link,
+        mut connection: Connection,
         address: SocketAddr,
         call: &Call,
         id: u64,
@@ -106,10 +106,10 @@
             .header(header::HOST, "origin.svc")
             .header("req-id", format!("{id:016x}"))
             .header("req-owner", TENANT)
-            .header("req-deadline-ms", call.patience.as_millis().to_string());
+            .header("req-deadline-ms", call.time_limit.as_millis().to_string());
         let request = if call.keyed { request.header("idempotency-key", format!("{id:x}")) } else { request };
         let Ok(request) = request.body(Full::default()) else { return Ok(Answer::Failed) };
-        let reply = match link.send_request(request).await {
+        let reply = match connection.send_request(request).await {
             Ok(reply) => reply,
             Err(e) if e.is_canceled() || e.is_incomplete_message() => return Err(e),
             Err(_) => return Ok(Answer::Failed),
@@ -118,8 +118,8 @@
         if reply.into_body().collect().await.is_err() {
             return Ok(Answer::Failed);
         }
-        if link.ready().await.is_ok() {
-            self.idle().entry(address).or_default().push(link);
+        if connection.ready().await.is_ok() {
+            self.idle().entry(address).or_default().push(connection);
         }
         Ok(match status {
             StatusCode::OK => Answer::Served,
@@ -129,7 +129,7 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> std::io::Result<Link> {
+async fn connect(address: SocketAddr) -> std::io::Result<Connection> {
     let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
     let (sender, connection) = handshake(TokioIo::new(stream)).await.map_err(std::io::Error::other)?;
--- a/crates/scale-test/src/real/fleet.rs
+++ b/crates/scale-test/src/real/fleet.rs
@@ -3,10 +3,10 @@
 use super::backends::{Backends, Mode, Next, Work};
 use super::children::Children;
 use super::client::{Call, Client, TENANT};
-use super::load::{Class, Load, Tally};
+use super::load::{Class, Load, LoadMetrics};
 use super::registry::{self, Health, Host, Registry};
 use super::requirements::{Need, PROXY_MEMORY_MB, PROXY_SOCKETS};
-use super::simulated_proxies::{CopyOrders, Orders};
+use super::simulated_proxies::{HostConfig, SimulatedProxyConfig};
 use super::usage;
 use super::{Options, histogram};
 use crate::report::{Added, Phase, Quantiles, Size};
@@ -26,7 +26,7 @@
 /// All proxies hold the first list by then.
 const START: Duration = Duration::from_secs(30);
 /// The protocol page allows so much more at every time limit.
-const GRANTED: Duration = Duration::from_millis(50);
+const TIME_LIMIT_SLACK: Duration = Duration::from_millis(50);
 /// Longest load before the first that is measured.
 const WARM_UP: Duration = Duration::from_secs(3);
 /// Backends that calls straight to them go to, for each real proxy: as many as the proxy's subset at the least.
@@ -47,7 +47,7 @@
     loads: StdRng,
 }
 
-/// Plays a size. The processes that it starts are left to the caller, who ends them.
+/// Plays a size. The processes that it starts stay in `children`, which ends them.
 ///
 /// # Errors
 ///
@@ -58,7 +58,7 @@
     size: usize,
     children: &mut Children,
 ) -> anyhow::Result<Size> {
-    let need = Need::of(scenario, size, options.hollow);
+    let need = Need::of(scenario, size, options.with_simulated);
     need.check(scenario, size)?;
     let folder = tempfile::tempdir().context("folder for temporary files")?;
     let begun = Instant::now();
@@ -78,7 +78,7 @@
     Ok(Size {
         size,
         real,
-        hollow: need.watches - real,
+        simulated: need.watches - real,
         processes: 1 + real + need.hosts,
         start_s,
         holding_first_list: holding,
@@ -106,11 +106,11 @@
             method: if class["semantics"] == "retryable" { Method::GET } else { Method::POST },
             keyed: class["semantics"] == "dedup",
             query: String::new(),
-            patience: millis(figure(class, "giveUp")),
+            time_limit: millis(figure(class, "giveUp")),
         },
         share: if place == 0 { 8.0 } else { 1.0 },
-        points: figure(class, "points"),
-        aim: millis(figure(class, "aim")),
+        priority_weight: figure(class, "points"),
+        latency_objective: millis(figure(class, "aim")),
         late_worth: figure(class, "lateWorth"),
     };
     list.iter().enumerate().map(class).collect()
@@ -127,15 +127,15 @@
     ) -> anyhow::Result<Self> {
         let (plan, zones) = (&scenario.real, scenario.target.zones);
         let figure = |part: &str, key: &str| scenario.settings.get(part).and_then(|p| p[key].as_f64());
-        let grace = figure("guarantees", "stopSendingWithin").unwrap_or(0.0);
+        let drain_deadline_ms = figure("guarantees", "stopSendingWithin").unwrap_or(0.0);
         let cold_for = Duration::from_secs_f64(scenario.backend.cold_s);
         let work = Work {
             warm: millis(plan.work_ms),
             cold: millis(plan.cold_work_ms),
             cold_for,
-            grace: millis(grace) + GRANTED,
+            drain_deadline: millis(drain_deadline_ms) + TIME_LIMIT_SLACK,
         };
-        let backends = Backends::start(size, work).context("hollow backends")?;
+        let backends = Backends::start(size, work).context("simulated backends")?;
         let hosts = backends.all.iter().enumerate().map(|(number, backend)| {
             let (zone, cell) = (zone_name(number % zones), (number / zones / 4) as u16);
             Host::serving(format!("s-{number:04}"), backend.address, zone, cell)
@@ -144,28 +144,29 @@
         let registry = Registry::start(hosts.clone(), need.watches).await.context("stand-in of discovery")?;
         let mut rng = StdRng::seed_from_u64(options.seed ^ size as u64);
         let loads = StdRng::seed_from_u64(rng.random());
-        let settings = |copy: usize| {
-            let mut settings = scenario.settings_of(copy as u32, size as u32, 0, (copy % zones) as u16);
+        let settings = |instance: usize| {
+            let mut settings =
+                scenario.settings_of(instance as u32, size as u32, 0, (instance % zones) as u16);
             settings["tenants"] = json!([{"name": TENANT, "quotaPerS": 1e9}]);
             settings
         };
-        let hollow: Vec<usize> = (need.real..need.watches).collect();
-        for copies in hollow.chunks(plan.simulated_per_process) {
-            let copies = copies.iter().map(|&copy| CopyOrders {
-                settings: settings(copy),
+        let simulated: Vec<usize> = (need.real..need.watches).collect();
+        for instances in simulated.chunks(plan.simulated_per_process) {
+            let proxies = instances.iter().map(|&instance| SimulatedProxyConfig {
+                settings: settings(instance),
                 seed: rng.random(),
-                discovery: registry.addresses()[copy],
+                discovery: registry.addresses()[instance],
             });
-            children.start_host(&options.program, &Orders { copies: copies.collect() }).await?;
+            children.start_host(&options.program, &HostConfig { proxies: proxies.collect() }).await?;
         }
-        for copy in 0..need.real {
+        for instance in 0..need.real {
             let config = json!({
-                "name": format!("n{copy}"),
+                "name": format!("n{instance}"),
                 "listen": "127.0.0.1:0",
-                "discovery": registry.addresses()[copy].to_string(),
+                "discovery": registry.addresses()[instance].to_string(),
                 "seed": format!("{:016x}", rng.random::<u64>()),
                 "limits": {"cores": 1.0, "memory_mb": PROXY_MEMORY_MB, "sockets": PROXY_SOCKETS},
-                "settings": settings(copy),
+                "settings": settings(instance),
             });
             children.start_proxy(&options.proxy_program, &config, folder).await?;
         }
@@ -192,20 +193,21 @@
             |n: &usize| self.scenario.region_of((n % self.scenario.target.zones) as u16) == region;
         let of_region: Vec<usize> = (0..self.size).filter(of_region).collect();
         let mut phases = Vec::new();
-        phases.push(self.phase("idle", Traffic::None, Happening::Nothing).await?);
+        phases.push(self.phase("idle", Traffic::None, PhaseEvent::Nothing).await?);
         self.warm_up().await?;
-        phases.push(self.phase("steady", Traffic::Compared, Happening::Nothing).await?);
-        phases.push(self.phase("idle, changes", Traffic::None, Happening::Changes).await?);
-        phases.push(self.phase("changes", Traffic::Proxied, Happening::Changes).await?);
-        phases.push(self.phase("zone lost", Traffic::Proxied, Happening::Lost(&of_zone)).await?);
-        phases.push(self.phase("zone back", Traffic::Proxied, Happening::Back(&of_zone)).await?);
+        phases.push(self.phase("steady", Traffic::Compared, PhaseEvent::Nothing).await?);
+        phases.push(self.phase("idle, changes", Traffic::None, PhaseEvent::Changes).await?);
+        phases.push(self.phase("changes", Traffic::Proxied, PhaseEvent::Changes).await?);
+        phases.push(self.phase("zone lost", Traffic::Proxied, PhaseEvent::Lost(&of_zone)).await?);
+        phases.push(self.phase("zone back", Traffic::Proxied, PhaseEvent::Back(&of_zone)).await?);
         phases.push(
-            self.phase("region cut", Traffic::Proxied, Happening::Mode(&of_region, Mode::Silent)).await?,
+            self.phase("region cut", Traffic::Proxied, PhaseEvent::Mode(&of_region, Mode::Unresponsive))
+                .await?,
         );
         phases.push(
-            self.phase("region heard", Traffic::Proxied, Happening::Mode(&of_region, Mode::Serving)).await?,
+            self.phase("region heard", Traffic::Proxied, PhaseEvent::Mode(&of_region, Mode::Serving)).await?,
         );
-        phases.push(self.phase("resync", Traffic::Proxied, Happening::Resync).await?);
+        phases.push(self.phase("resync", Traffic::Proxied, PhaseEvent::Resync).await?);
         Ok(phases)
     }
 
@@ -220,7 +222,7 @@
     }
 
     /// Measures what happens, under a load.
-    async fn phase(&mut self, name: &str, traffic: Traffic, what: Happening<'_>) -> anyhow::Result<Phase> {
+    async fn phase(&mut self, name: &str, traffic: Traffic, what: PhaseEvent<'_>) -> anyhow::Result<Phase> {
         let plan = &self.scenario.real;
         let time = Duration::from_secs_f64(plan.phase_s);
         tracing::info!("size {}: {name}", self.size);
@@ -233,8 +235,8 @@
         let (load, seed, direct) =
             (self.load.clone(), self.loads.random(), matches!(traffic, Traffic::Compared));
         let calls = tokio::spawn(async move { load.run(seed, rate, time, direct).await });
-        self.make(what, Instant::now() + time).await;
-        let tally = calls.await.context("the load's generator")?;
+        self.run_event(what, Instant::now() + time).await;
+        let metrics = calls.await.context("the load's generator")?;
         // What the last change still has to do; the term counts from the change.
         let most = Duration::from_secs_f64(self.scenario.target.in_force_within_s);
         let seq = self.registry.version();
@@ -249,8 +251,8 @@
         };
         let (real, hosts) = (share(&after.proxies, &before.proxies), share(&after.hosts, &before.hosts));
         let resident = |of: &[usage::Usage]| of.iter().map(|u| u.resident as f64 / 1e6).sum::<f64>();
-        let (count, hollow) =
-            (real.len().max(1) as f64, self.children.hosts.iter().map(|h| h.copies).sum::<usize>());
+        let (count, simulated) =
+            (real.len().max(1) as f64, self.children.hosts.iter().map(|h| h.proxy_count).sum::<usize>());
         let mean = real.iter().sum::<f64>() / count;
         let deviation = (real.iter().map(|x| (x - mean).powi(2)).sum::<f64>() / count).sqrt();
         let per_proxy = |x: u64| x as f64 / wall / self.registry.addresses().len() as f64;
@@ -258,55 +260,55 @@
             name: name.to_string(),
             wall_s: wall,
             load_average: usage::load_average(),
-            asked: tally.asked,
-            served: tally.served,
-            refused: tally.refused,
-            failed: tally.failed,
-            timed_out: tally.timed_out,
-            served_by_depth: tally
+            asked: metrics.asked,
+            served: metrics.served,
+            refused: metrics.refused,
+            failed: metrics.failed,
+            timed_out: metrics.timed_out,
+            served_by_depth: metrics
                 .by_depth
                 .iter()
                 .map(|(&depth, &(asked, served))| (depth, asked, served))
                 .collect(),
             worth_lost_percent: 100.0
-                * (1.0 - tally.earned / tally.worth.max(f64::MIN_POSITIVE))
-                * f64::from(u8::from(tally.worth > 0.0)),
-            sends_per_hop: (after.sends - before.sends) as f64 / tally.hops.max(1) as f64,
+                * (1.0 - metrics.earned / metrics.worth.max(f64::MIN_POSITIVE))
+                * f64::from(u8::from(metrics.worth > 0.0)),
+            sends_per_hop: (after.sends - before.sends) as f64 / metrics.hops.max(1) as f64,
             late_to_draining: after.late_to_draining - before.late_to_draining,
-            late_calls_percent: 100.0 * tally.late as f64 / tally.sent.max(1) as f64,
+            late_calls_percent: 100.0 * metrics.late as f64 / metrics.sent.max(1) as f64,
             real_core_percent: mean,
             real_core_percent_deviation: deviation,
             real_core_percent_max: real.iter().copied().fold(0.0, f64::max),
-            hollow_wakes_per_s: activity.wakes as f64 / wall / hollow.max(1) as f64,
-            hollow_core_percent: hosts.iter().fold(0.0, |sum, x| sum + x) / hollow.max(1) as f64,
-            hollow_host_core_percent_max: hosts.iter().copied().fold(0.0, f64::max),
-            hollow_late_timers_percent: 100.0 * activity.late_wakes as f64 / activity.wakes.max(1) as f64,
+            simulated_wakes_per_s: activity.wakes as f64 / wall / simulated.max(1) as f64,
+            simulated_core_percent: hosts.iter().fold(0.0, |sum, x| sum + x) / simulated.max(1) as f64,
+            simulated_host_core_percent_max: hosts.iter().copied().fold(0.0, f64::max),
+            simulated_late_timers_percent: 100.0 * activity.late_wakes as f64 / activity.wakes.max(1) as f64,
             registry_core_percent: 100.0 * after.registry.saturating_sub(before.registry).as_secs_f64()
                 / wall,
             real_resident_mb: resident(&after.proxies) / count,
             real_resident_max_mb: after.proxies.iter().map(|u| u.resident as f64 / 1e6).fold(0.0, f64::max),
-            hollow_resident_mb: resident(&after.hosts) / hollow.max(1) as f64,
+            simulated_resident_mb: resident(&after.hosts) / simulated.max(1) as f64,
             control_kb_per_s: per_proxy(after.volume.bytes - before.volume.bytes) / 1000.0,
             control_messages_per_s: per_proxy(after.volume.messages - before.volume.messages),
             changes: spread.changes,
             changes_not_in_force: spread.unfinished,
             in_force_ms: Quantiles::of_micros(&spread.each),
             in_force_at_last_ms: Quantiles::of_micros(&spread.last),
-            added: added(&tally),
+            added: added(&metrics),
         })
     }
 
-    async fn make(&mut self, what: Happening<'_>, end: Instant) {
+    async fn run_event(&mut self, what: PhaseEvent<'_>, end: Instant) {
         match what {
-            Happening::Nothing => sleep_until(end).await,
-            Happening::Changes => self.changes(end).await,
-            Happening::Lost(numbers) => {
+            PhaseEvent::Nothing => sleep_until(end).await,
+            PhaseEvent::Changes => self.changes(end).await,
+            PhaseEvent::Lost(numbers) => {
                 numbers.iter().for_each(|&n| self.backends.all[n].set(Mode::Gone));
                 sleep(millis(self.scenario.discovery.notice_ms)).await;
                 self.list(numbers, Health::Deleted);
                 sleep_until(end).await;
             }
-            Happening::Back(numbers) => {
+            PhaseEvent::Back(numbers) => {
                 for &n in numbers {
                     self.backends.all[n].restart();
                     self.backends.all[n].set(Mode::Serving);
@@ -316,11 +318,11 @@
                 self.list(numbers, Health::Serving);
                 sleep_until(end).await;
             }
-            Happening::Mode(numbers, mode) => {
+            PhaseEvent::Mode(numbers, mode) => {
                 numbers.iter().for_each(|&n| self.backends.all[n].set(mode));
                 sleep_until(end).await;
             }
-            Happening::Resync => {
+            PhaseEvent::Resync => {
                 self.registry.resync();
                 sleep_until(end).await;
             }
@@ -379,7 +381,7 @@
 }
 
 /// What happens in a phase.
-enum Happening<'a> {
+enum PhaseEvent<'a> {
     Nothing,
     Changes,
     /// Backends are gone, and taken off the list when that is noticed.
@@ -388,7 +390,7 @@
     Back(&'a [usize]),
     /// Backends do something else, which no list says.
     Mode(&'a [usize], Mode),
-    /// Everybody is sent the whole list.
+    /// Everybody is sent the full list.
     Resync,
 }
 
@@ -413,7 +415,7 @@
         Ok(Readings {
             at: Instant::now(),
             proxies: processor("a real proxy", fleet.children.proxies.iter().map(|p| p.pid).collect())?,
-            hosts: processor("hollow proxies", fleet.children.hosts.iter().map(|h| h.pid).collect())?,
+            hosts: processor("simulated proxies", fleet.children.hosts.iter().map(|h| h.pid).collect())?,
             registry: usage::of_thread(registry::THREAD)?,
             volume: fleet.registry.traffic().volume(),
             sends: counts.calls.load(Relaxed),
@@ -423,9 +425,9 @@
 }
 
 /// What the proxies add to calls of each depth, against straight ones of the same phase.
-fn added(tally: &Tally) -> Vec<Added> {
+fn added(metrics: &LoadMetrics) -> Vec<Added> {
     let mut depths = BTreeMap::new();
-    for ((depth, direct), times) in &tally.times {
+    for ((depth, direct), times) in &metrics.times {
         let pair = depths.entry(*depth).or_insert_with(|| (histogram(), histogram()));
         *(if *direct { &mut pair.1 } else { &mut pair.0 }) = times.clone();
     }
--- a/crates/scale-test/src/real/load.rs
+++ b/crates/scale-test/src/real/load.rs
@@ -22,9 +22,9 @@
     /// Share of all calls.
     pub share: f64,
     /// Worth of an answer in time.
-    pub points: f64,
+    pub priority_weight: f64,
     /// In time is within this.
-    pub aim: Duration,
+    pub latency_objective: Duration,
     /// Share of the worth that a later answer still has.
     pub late_worth: f64,
 }
@@ -47,12 +47,12 @@
 
 /// What became of calls.
 #[derive(Debug, Clone)]
-pub struct Tally {
+pub struct LoadMetrics {
     /// Calls of clients.
     pub asked: u64,
     /// Those served.
     pub served: u64,
-    /// Turned away.
+    /// Rejected.
     pub refused: u64,
     /// Failed.
     pub failed: u64,
@@ -86,15 +86,21 @@
     /// Calls at so many hops a second for so long through proxies, and where told as many straight to backends, and
     /// waits for all answers. Those through proxies and those straight ones are told apart in the times alone; the
     /// counts are of those through proxies.
-    pub async fn run(self: &Arc<Self>, seed: u64, hops_per_s: f64, time: Duration, direct: bool) -> Tally {
+    pub async fn run(
+        self: &Arc<Self>,
+        seed: u64,
+        hops_per_s: f64,
+        time: Duration,
+        direct: bool,
+    ) -> LoadMetrics {
         let mut rng = StdRng::seed_from_u64(seed);
-        let mut tally = Tally::new();
+        let mut metrics = LoadMetrics::new();
         let depth = self.depths.iter().sum::<usize>() as f64 / self.depths.len().max(1) as f64;
         let rate = hops_per_s / depth.max(1.0) * if direct { 2.0 } else { 1.0 };
         // A rate of 0 or less gives no gaps, and so no calls.
         let Some(gaps) = Exp::new(rate).ok().filter(|_| rate > 0.0 && !self.classes.is_empty()) else {
             tokio::time::sleep(time).await;
-            return tally;
+            return metrics;
         };
         let (mut calls, begin) = (JoinSet::new(), Instant::now());
         let mut due = begin;
@@ -117,16 +123,16 @@
                 Ended { class, query, answer, took: sent.elapsed(), late }
             });
             while let Some(Ok(ended)) = calls.try_join_next() {
-                tally.add(&self.classes[ended.class], &ended);
+                metrics.add(&self.classes[ended.class], &ended);
             }
         }
         while let Some(ended) = calls.join_next().await {
             // A task that panicked would be this program's fault, and its call is missed in the sum.
             if let Ok(ended) = ended {
-                tally.add(&self.classes[ended.class], &ended);
+                metrics.add(&self.classes[ended.class], &ended);
             }
         }
-        tally
+        metrics
     }
 
     fn draw(&self, rng: &mut StdRng) -> usize {
@@ -139,9 +145,9 @@
     }
 }
 
-impl Tally {
+impl LoadMetrics {
     fn new() -> Self {
-        Tally {
+        LoadMetrics {
             asked: 0,
             served: 0,
             refused: 0,
@@ -170,13 +176,14 @@
         }
         self.asked += 1;
         self.hops += depth as u64;
-        self.worth += class.points;
+        self.worth += class.priority_weight;
         let (asked, served) = self.by_depth.entry(depth).or_default();
         (*asked, *served) = (*asked + 1, *served + u64::from(ended.answer == Answer::Served));
         match ended.answer {
             Answer::Served => {
                 self.served += 1;
-                self.earned += class.points * if ended.took <= class.aim { 1.0 } else { class.late_worth };
+                self.earned += class.priority_weight
+                    * if ended.took <= class.latency_objective { 1.0 } else { class.late_worth };
             }
             Answer::Refused => self.refused += 1,
             Answer::Failed => self.failed += 1,
--- a/crates/scale-test/src/real/mod.rs
+++ b/crates/scale-test/src/real/mod.rs
@@ -21,7 +21,7 @@
 use std::time::Duration;
 use tokio::signal::unix::{SignalKind, signal};
 
-/// The hidden command that hosts hollow proxies.
+/// The hidden command that hosts simulated proxies.
 pub const HOST_COMMAND: &str = "hollow-proxies";
 /// Longest time that a histogram tells from longer ones, in microseconds.
 const SLOWEST_US: u64 = 120_000_000;
@@ -33,10 +33,10 @@
     pub seed: u64,
     /// The real proxy's program.
     pub proxy_program: PathBuf,
-    /// This program, which hosts the hollow proxies.
+    /// This program, which hosts the simulated proxies.
     pub program: PathBuf,
-    /// Whether hollow proxies fill a size up.
-    pub hollow: bool,
+    /// Whether simulated proxies fill a size up.
+    pub with_simulated: bool,
     /// Time for all sizes.
     pub time: Duration,
 }
@@ -46,11 +46,11 @@
 /// # Errors
 ///
 /// A line that names the limit and the need.
-pub fn check(scenario: &Scenario, hollow: bool) -> anyhow::Result<()> {
+pub fn check(scenario: &Scenario, with_simulated: bool) -> anyhow::Result<()> {
     scenario
         .sizes
         .iter()
-        .try_for_each(|&size| requirements::Need::of(scenario, size, hollow).check(scenario, size))
+        .try_for_each(|&size| requirements::Need::of(scenario, size, with_simulated).check(scenario, size))
 }
 
 /// Plays the sizes one after the other. No process that it started is left when it returns, however it ends.
@@ -60,7 +60,7 @@
 /// If a size needs more than there is, the fleet can't be started, one of its processes ends early, the time is over,
 /// or a signal comes.
 pub async fn run(scenario: &Scenario, options: &Options) -> anyhow::Result<Vec<Size>> {
-    check(scenario, options.hollow)?;
+    check(scenario, options.with_simulated)?;
     let (mut interrupt, mut terminate) = (signal(SignalKind::interrupt())?, signal(SignalKind::terminate())?);
     let mut children = Children::default();
     let played = tokio::select! {
--- a/crates/scale-test/src/real/requirements.rs
+++ b/crates/scale-test/src/real/requirements.rs
@@ -16,12 +16,12 @@
 }
 
 /// Descriptors of this process beside connections: standard streams, reactors, pipes.
-const RESERVED: usize = 256;
+const RESERVED_DESCRIPTORS: usize = 256;
 /// Connections of clients and to backends that a real proxy has at this process, at the most that is seen.
-const PER_PROXY: usize = 64;
-/// Descriptors that a real proxy is told that it may hold.
+const CONNECTIONS_PER_PROXY: usize = 64;
+/// Descriptors that a real proxy may hold, by its configuration.
 pub const PROXY_SOCKETS: usize = 1024;
-/// Memory that a real proxy is told that it may use, in MB.
+/// Memory that a real proxy may use, by its configuration, in MB.
 pub const PROXY_MEMORY_MB: usize = 192;
 
 impl Need {
@@ -31,7 +31,8 @@
         let watches = if with_simulated { size } else { real };
         let hosts = (watches - real).div_ceil(scenario.real.simulated_per_process);
         // A backend; for each proxy a listener of discovery and a watch; two pipes for each process.
-        let descriptors = size + 2 * watches + (PER_PROXY + 2) * real + 2 * hosts + RESERVED;
+        let descriptors =
+            size + 2 * watches + (CONNECTIONS_PER_PROXY + 2) * real + 2 * hosts + RESERVED_DESCRIPTORS;
         Need { real, watches, hosts, descriptors }
     }
 
--- a/crates/scale-test/src/real/simulated_proxies.rs
+++ b/crates/scale-test/src/real/simulated_proxies.rs
@@ -1,5 +1,5 @@
-//! Hollow proxies: many to a process, each with its own decision module, its own watch on discovery and its timers, as
-//! a proxy has them, and no connections of callers or to backends.
+//! Simulated proxies: many to a process, each with its own balancer, its own watch on discovery and its timers, as
+//! a proxy has them, and no connections of clients or to backends.
 
 use foldhitch_balancer::Balancer;
 use foldhitch_balancer::api::{Action, BackendId, EndpointInfo, EndpointListKind, Event, Phase};
@@ -21,18 +21,18 @@
 use tokio::time::{Instant, sleep};
 
 /// A timer that comes later than this is late.
-const LATE: Duration = Duration::from_millis(20);
+const LATE_TIMER: Duration = Duration::from_millis(20);
 
-/// What a process of hollow proxies is told at its start, as one line.
+/// What a process of simulated proxies gets at its start, as one line.
 #[derive(Debug, Serialize, Deserialize)]
-pub struct Orders {
+pub struct HostConfig {
     /// Its proxies.
-    pub copies: Vec<CopyOrders>,
+    pub proxies: Vec<SimulatedProxyConfig>,
 }
 
 /// The same for one of them.
 #[derive(Debug, Serialize, Deserialize)]
-pub struct CopyOrders {
+pub struct SimulatedProxyConfig {
     /// Its settings, as a real proxy's file has them.
     pub settings: serde_json::Value,
     /// Feeds its random numbers.
@@ -68,29 +68,29 @@
 
 struct State {
     balancer: Balancer,
-    /// Backends that the list names: the module's number, and the start of one that drains.
+    /// Backends that the list names: the balancer's number, and the start of one that drains.
     listed: HashMap<String, (BackendId, Option<f64>)>,
     names: HashMap<BackendId, String>,
     ready: usize,
 }
 
-struct Copy {
+struct SimulatedProxy {
     state: RefCell<State>,
-    facts: ResolvedSettings,
+    settings: ResolvedSettings,
     start: Instant,
     base: f64,
     watching: watch::Sender<bool>,
     activity: Rc<Cell<Activity>>,
 }
 
-impl Copy {
-    fn new(orders: &CopyOrders, activity: Rc<Cell<Activity>>) -> anyhow::Result<Rc<Self>> {
-        let facts = settings_format::read(&orders.settings)?;
-        let balancer = Balancer::new(facts.balancer.clone(), orders.seed)?;
+impl SimulatedProxy {
+    fn new(config: &SimulatedProxyConfig, activity: Rc<Cell<Activity>>) -> anyhow::Result<Rc<Self>> {
+        let settings = settings_format::read(&config.settings)?;
+        let balancer = Balancer::new(settings.balancer.clone(), config.seed)?;
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Ok(Rc::new(Copy {
+        Ok(Rc::new(SimulatedProxy {
             state: RefCell::new(State { balancer, listed: HashMap::new(), names: HashMap::new(), ready: 0 }),
-            facts,
+            settings,
             start: Instant::now(),
             base: unix.as_secs_f64() * 1000.0,
             watching: watch::Sender::new(false),
@@ -111,16 +111,16 @@
         for action in actions {
             match action {
                 Action::SetTimer { delay_ms: delay, token } => {
-                    let copy = self.clone();
+                    let proxy = self.clone();
                     let delay = Duration::from_secs_f64((delay / 1000.0).clamp(0.0, 86_400.0));
                     spawn_local(async move {
                         let due = Instant::now() + delay;
                         sleep(delay).await;
-                        let late = due.elapsed() > LATE;
-                        copy.count(|a| {
+                        let late = due.elapsed() > LATE_TIMER;
+                        proxy.count(|a| {
                             (a.wakes, a.late_wakes) = (a.wakes + 1, a.late_wakes + u64::from(late))
                         });
-                        copy.tell(Event::TimerFired { token });
+                        proxy.tell(Event::TimerFired { token });
                     });
                 }
                 Action::PollEndpoints => {
@@ -132,9 +132,9 @@
         }
     }
 
-    /// The module's entry for a line of the list; the same rules as at the real proxy.
+    /// The balancer's entry for a line of the list; the same rules as at the real proxy.
     fn entry(&self, s: &mut State, host: EndpointRecord, older: bool) -> Option<EndpointInfo> {
-        let zone = self.facts.site.zone_names.iter().position(|zone| *zone == host.zone);
+        let zone = self.settings.site.zone_names.iter().position(|zone| *zone == host.zone);
         if zone.is_none() && host.health != HealthState::Deleted {
             return None;
         }
@@ -172,7 +172,7 @@
     }
 }
 
-impl EndpointObserver for Copy {
+impl EndpointObserver for SimulatedProxy {
     fn has_ready_endpoint(&self) -> bool {
         self.state.borrow().ready > 0
     }
@@ -218,17 +218,17 @@
     }
 }
 
-/// The whole life of a process of hollow proxies: its orders as the first line of its standard input, then for each
-/// further line what it did since the last one, and its end with the input's.
+/// The whole life of a process of simulated proxies: its configuration as the first line of its standard input,
+/// then for each further line what it did since the last one, and its end with the input's.
 ///
 /// # Errors
 ///
-/// If its orders can't be read or its settings can't be used.
+/// If its configuration can't be read or its settings can't be used.
 pub fn serve() -> anyhow::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let mut first = String::new();
     std::io::stdin().lock().read_line(&mut first)?;
-    let orders: Orders = serde_json::from_str(&first)?;
+    let config: HostConfig = serde_json::from_str(&first)?;
     drop(first);
     let (asked, mut asks) = mpsc::unbounded_channel();
     std::thread::spawn(move || {
@@ -240,22 +240,23 @@
     });
     LocalSet::new().block_on(&runtime, async {
         let activity = Rc::new(Cell::new(Activity::default()));
-        for orders in &orders.copies {
-            let copy = Copy::new(orders, activity.clone())?;
-            let mode = copy.facts.balancer.discovery_mode;
-            let grace =
-                Duration::from_secs_f64((copy.facts.site.drain_deadline_ms / 1000.0).clamp(0.0, 86_400.0));
+        for config in &config.proxies {
+            let proxy = SimulatedProxy::new(config, activity.clone())?;
+            let mode = proxy.settings.balancer.discovery_mode;
+            let grace = Duration::from_secs_f64(
+                (proxy.settings.site.drain_deadline_ms / 1000.0).clamp(0.0, 86_400.0),
+            );
             let options = FollowOptions {
-                address: orders.discovery,
+                address: config.discovery,
                 mode,
                 timeouts: WatchTimeouts::new(grace),
                 newest_version: Rc::default(),
-                poll_wanted: copy.watching.subscribe(),
+                poll_wanted: proxy.watching.subscribe(),
             };
-            copy.tell(Event::EndpointList { kind: EndpointListKind::Cached, endpoints: Vec::new() });
-            spawn_local(follow(copy, options));
+            proxy.tell(Event::EndpointList { kind: EndpointListKind::Cached, endpoints: Vec::new() });
+            spawn_local(follow(proxy, options));
         }
-        drop(orders);
+        drop(config);
         while asks.recv().await.is_some() {
             let mut out = std::io::stdout().lock();
             serde_json::to_writer(&mut out, &activity.take())?;
--- a/crates/scale-test/src/report.rs
+++ b/crates/scale-test/src/report.rs
@@ -60,7 +60,7 @@
     pub asked: u64,
     /// Those served.
     pub served: u64,
-    /// Turned away.
+    /// Rejected.
     pub refused: u64,
     /// Failed.
     pub failed: u64,
@@ -72,7 +72,7 @@
     pub worth_lost_percent: f64,
     /// Requests that came to backends for each hop that clients' calls were to make.
     pub sends_per_hop: f64,
-    /// Requests that came to a draining backend past its grace.
+    /// Requests that came to a draining backend past its drain deadline.
     pub late_to_draining: u64,
     /// Calls sent late by the load's generator.
     pub late_calls_percent: f64,
@@ -82,22 +82,27 @@
     pub real_core_percent_deviation: f64,
     /// The busiest one.
     pub real_core_percent_max: f64,
-    /// Timers of a hollow proxy that came due: fewer than the module asks for where the machine does not carry them.
-    pub hollow_wakes_per_s: f64,
-    /// Processor time of a hollow proxy, mean.
-    pub hollow_core_percent: f64,
-    /// The busiest process of hollow proxies: near 100 it is not carried.
-    pub hollow_host_core_percent_max: f64,
-    /// Timers of hollow proxies that came more than 20 ms late.
-    pub hollow_late_timers_percent: f64,
+    /// Timers of a simulated proxy that came due: fewer than the balancer asks for where the machine does not carry them.
+    #[serde(rename = "hollow_wakes_per_s")]
+    pub simulated_wakes_per_s: f64,
+    /// Processor time of a simulated proxy, mean.
+    #[serde(rename = "hollow_core_percent")]
+    pub simulated_core_percent: f64,
+    /// The busiest process of simulated proxies: near 100 it is not carried.
+    #[serde(rename = "hollow_host_core_percent_max")]
+    pub simulated_host_core_percent_max: f64,
+    /// Timers of simulated proxies that came more than 20 ms late.
+    #[serde(rename = "hollow_late_timers_percent")]
+    pub simulated_late_timers_percent: f64,
     /// Processor time of the stand-in of discovery for all proxies together.
     pub registry_core_percent: f64,
     /// Resident memory of a real proxy, mean.
     pub real_resident_mb: f64,
     /// The largest one.
     pub real_resident_max_mb: f64,
-    /// Resident memory of a hollow proxy, mean.
-    pub hollow_resident_mb: f64,
+    /// Resident memory of a simulated proxy, mean.
+    #[serde(rename = "hollow_resident_mb")]
+    pub simulated_resident_mb: f64,
     /// Bytes of a proxy's watch, both ways, in thousands a second, without the headers of TCP and IP.
     pub control_kb_per_s: f64,
     /// Calls of a proxy's watch and their answers, a second.
@@ -122,15 +127,16 @@
     pub size: usize,
     /// Real proxies.
     pub real: usize,
-    /// Hollow ones.
-    pub hollow: usize,
+    /// Simulated ones.
+    #[serde(rename = "hollow")]
+    pub simulated: usize,
     /// Processes, this program's own among them.
     pub processes: usize,
     /// Seconds from the start to the first list at all proxies.
     pub start_s: f64,
     /// Proxies that held it then.
     pub holding_first_list: usize,
-    /// Size of the whole list.
+    /// Size of the full list.
     pub whole_list_bytes: usize,
     /// Resident memory of all processes at the end, in MB.
     pub total_resident_mb: f64,
@@ -173,7 +179,7 @@
     pub not_carried: Vec<String>,
 }
 
-/// A busier process of hollow proxies has no room left.
+/// A busier process of simulated proxies has no room left.
 const FULL_CORE_PERCENT: f64 = 90.0;
 /// More of the calls or timers late than this, and the machine did not carry the phase.
 const LATE_PERCENT: f64 = 1.0;
@@ -192,10 +198,10 @@
 
 const MEASURES: [Measure; 8] = [
     measure("core % of a real proxy", |p| p.real_core_percent, false),
-    measure("core % of a hollow proxy", |p| p.hollow_core_percent, true),
+    measure("core % of a hollow proxy", |p| p.simulated_core_percent, true),
     measure("core % of discovery", |p| p.registry_core_percent, true),
     measure("MB of a real proxy", |p| p.real_resident_mb, false),
-    measure("MB of a hollow proxy", |p| p.hollow_resident_mb, false),
+    measure("MB of a hollow proxy", |p| p.simulated_resident_mb, false),
     measure("control KB/s of a proxy", |p| p.control_kb_per_s, true),
     measure("control messages/s of a proxy", |p| p.control_messages_per_s, true),
     measure("ms in force at the last, p99", |p| p.in_force_at_last_ms.p99, true),
@@ -242,11 +248,15 @@
     fn troubles(&self) -> Vec<String> {
         let figures = [
             (
-                self.hollow_host_core_percent_max,
+                self.simulated_host_core_percent_max,
                 FULL_CORE_PERCENT,
                 "of a core for a process of hollow proxies",
             ),
-            (self.hollow_late_timers_percent, LATE_PERCENT, "of hollow proxies' timers more than 20 ms late"),
+            (
+                self.simulated_late_timers_percent,
+                LATE_PERCENT,
+                "of hollow proxies' timers more than 20 ms late",
+            ),
             (self.late_calls_percent, LATE_PERCENT, "of the calls sent late"),
             (self.registry_core_percent, FULL_CORE_PERCENT, "of a core for the stand-in of discovery"),
         ];
@@ -258,7 +268,7 @@
 fn not_carried(sizes: &[Size]) -> Vec<String> {
     let mut lines = Vec::new();
     for size in sizes {
-        let proxies = size.real + size.hollow;
+        let proxies = size.real + size.simulated;
         if size.holding_first_list < proxies {
             let held = size.holding_first_list;
             lines
@@ -305,7 +315,7 @@
                  {:.1} s; whole list {:.1} kB",
                 s.size,
                 s.real,
-                s.hollow,
+                s.simulated,
                 s.processes,
                 s.total_resident_mb,
                 s.holding_first_list,
@@ -390,7 +400,7 @@
             p.late_to_draining,
             p.real_core_percent,
             p.real_core_percent_deviation,
-            p.hollow_core_percent,
+            p.simulated_core_percent,
             p.registry_core_percent,
             p.real_resident_mb,
             p.control_kb_per_s,
@@ -398,22 +408,22 @@
             format!("{}/{}", p.changes - p.changes_not_in_force, p.changes),
             p.in_force_at_last_ms.p99,
             p.late_calls_percent,
-            p.hollow_late_timers_percent
+            p.simulated_late_timers_percent
         );
     }
     text
 }
 
-/// The hollow part of a run, on virtual time.
+/// The simulated part of a run, on virtual time.
 #[derive(Debug, Clone, Serialize)]
-pub struct Hollow {
+pub struct SimulatedPart {
     /// Its sizes.
     pub sizes: Vec<simulated::Report>,
     /// Over the sizes.
     pub slopes: Vec<Slope>,
 }
 
-impl Hollow {
+impl SimulatedPart {
     /// Of sizes that were played.
     pub fn new(sizes: Vec<simulated::Report>) -> Self {
         let mut slopes = Vec::new();
@@ -435,11 +445,11 @@
                 slopes.extend(fit::line(&floats).map(|line| Slope { measure, points, line }));
             }
         }
-        Hollow { sizes, slopes }
+        SimulatedPart { sizes, slopes }
     }
 }
 
-impl fmt::Display for Hollow {
+impl fmt::Display for SimulatedPart {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         for s in &self.sizes {
             writeln!(
--- a/crates/scale-test/tests/real.rs
+++ b/crates/scale-test/tests/real.rs
@@ -186,7 +186,7 @@
 }
 
 fn work() -> Work {
-    Work { warm: Duration::ZERO, cold: Duration::ZERO, cold_for: LONG, grace: Duration::ZERO }
+    Work { warm: Duration::ZERO, cold: Duration::ZERO, cold_for: LONG, drain_deadline: Duration::ZERO }
 }
 
 fn call(query: &str) -> Call {
@@ -195,7 +195,7 @@
         method: hyper::Method::GET,
         keyed: false,
         query: query.to_string(),
-        patience: LONG,
+        time_limit: LONG,
     }
 }
 
@@ -229,7 +229,7 @@
     let (backend, client) = (&backends.all[0], Arc::new(Client::new(1)));
     assert_eq!(client.call(backend.address, &call("")).await, Answer::Served);
     // Silent: the call is there, and is answered once the backend is heard again.
-    backend.set(Mode::Silent);
+    backend.set(Mode::Unresponsive);
     let (caller, address) = (client.clone(), backend.address);
     let asked = tokio::spawn(async move { caller.call(address, &call("")).await });
     soon(async {
