Scale test: the simulated run's long functions are named steps

Begin and tail of a run are named constants. Two comments that a rename had changed say `Changes` again.

--- a/crates/scale-test/src/simulated/fleet/endpoint_log.rs
+++ b/crates/scale-test/src/simulated/fleet/endpoint_log.rs
@@ -2,6 +2,7 @@
 
 use crate::simulated::topology::{Placement, Topology};
 use foldhitch_balancer::api::{BackendId, EndpointInfo, Phase};
+use std::ops::RangeInclusive;
 
 /// What a proxy holds of a backend.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -51,4 +52,10 @@
             changes: Vec::new(),
         }
     }
+
+    /// Changes of some parts of the report that have not come to all their proxies.
+    pub fn unfinished_of_parts(&self, parts: RangeInclusive<usize>) -> usize {
+        let unfinished = self.changes.iter().filter(|change| change.missing > 0);
+        unfinished.filter(|change| parts.contains(&change.part)).count()
+    }
 }
--- a/crates/scale-test/src/simulated/fleet/mod.rs
+++ b/crates/scale-test/src/simulated/fleet/mod.rs
@@ -4,7 +4,7 @@
 mod backend_work;
 mod clients;
 mod discovery;
-pub mod endpoint_log;
+mod endpoint_log;
 mod processes;
 mod proxy;
 mod proxy_requests;
--- a/crates/scale-test/src/simulated/fleet/proxy.rs
+++ b/crates/scale-test/src/simulated/fleet/proxy.rs
@@ -17,7 +17,7 @@
     /// Backends to which it has connections.
     pub connections: BTreeSet<usize>,
     pub endpoints: BTreeMap<BackendId, KnownEndpoint>,
-    /// EndpointLog that did not come to it; the next full list brings them.
+    /// Changes that did not come to it; the next full list brings them.
     pub missed_changes: Vec<usize>,
     /// When the last list comes to it: none overtakes another.
     pub last_delivery_ms: f64,
--- a/crates/scale-test/src/simulated/mod.rs
+++ b/crates/scale-test/src/simulated/mod.rs
@@ -41,6 +41,56 @@
     run_events(scenario, size, seed, &EVENTS)
 }
 
+/// When the run begins, in virtual milliseconds.
+const BEGIN_MS: f64 = 1000.0;
+/// After the last event the fleet is played on for this long at the least.
+const MIN_TAIL_MS: f64 = 5000.0;
+/// Parts of the report for each event: before, during and after it.
+const PARTS_PER_EVENT: usize = 3;
+
+/// How long the parts of a run last, in whole windows.
+struct Timeline {
+    window_ms: f64,
+    steady_ms: f64,
+    event_ms: f64,
+    after_ms: f64,
+    longest_request_ms: f64,
+}
+
+impl Timeline {
+    fn new(scenario: &Scenario) -> Self {
+        let run = &scenario.run;
+        let window_ms = run.window_s * 1000.0;
+        Timeline {
+            window_ms,
+            steady_ms: whole_windows_ms(run.steady_s, window_ms),
+            event_ms: whole_windows_ms(run.event_s, window_ms),
+            after_ms: whole_windows_ms(run.after_s, window_ms),
+            longest_request_ms: scenario.of_classes("giveUp").into_iter().fold(0.0, f64::max),
+        }
+    }
+
+    /// Windows that the longest request spans.
+    fn lead_windows(&self) -> usize {
+        (self.longest_request_ms / self.window_ms).ceil() as usize
+    }
+
+    /// How long the fleet is played after the last event.
+    fn tail_ms(&self) -> f64 {
+        whole_windows_ms(self.longest_request_ms.max(MIN_TAIL_MS) / 1000.0, self.window_ms)
+    }
+}
+
+/// Seconds, rounded up to whole windows of at least one.
+fn whole_windows_ms(seconds: f64, window_ms: f64) -> f64 {
+    (seconds * 1000.0 / window_ms).ceil().max(1.0) * window_ms
+}
+
+/// The part of the report that stands before an event.
+fn part_before(event: usize) -> usize {
+    1 + PARTS_PER_EVENT * event
+}
+
 /// The same with some of the events only.
 pub fn run_events(
     scenario: &Scenario,
@@ -48,72 +98,89 @@
     seed: u64,
     events: &[&'static str],
 ) -> Result<Report, Invalid> {
-    let r = &scenario.run;
-    // Parts begin and end with windows.
-    let window = r.window_s * 1000.0;
-    let whole = |s: f64| (s * 1000.0 / window).ceil().max(1.0) * window;
-    let (steady, event, after) = (whole(r.steady_s), whole(r.event_s), whole(r.after_s));
+    let timeline = Timeline::new(scenario);
     let warm_up_rule = WarmUpRule {
         multiple: scenario.guarantee("fallMultiple"),
         within_ms: scenario.guarantee("fall").max(1.0),
     };
-    let begin = 1000.0;
-    let longest = scenario.of_classes("giveUp").into_iter().fold(0.0, f64::max);
-    let lead = (longest / window).ceil() as usize;
     // The first part is the start, until the limits are learned, and the last is the end, until all is
     // answered.
-    let metrics = Metrics::new(2 + 3 * events.len(), scenario.target.depth, begin, window, warm_up_rule);
+    let parts = 2 + PARTS_PER_EVENT * events.len();
+    let metrics = Metrics::new(parts, scenario.target.depth, BEGIN_MS, timeline.window_ms, warm_up_rule);
     let mut fleet = Fleet::new(scenario, size, seed, metrics)?;
     let mut report = Report { size, seed, proxies: fleet.proxies.len(), ..Report::default() };
-    let mut now = begin + steady;
+    let mut now = BEGIN_MS + timeline.steady_ms;
     fleet.play_until(now)?;
-    for (i, &name) in events.iter().enumerate() {
-        let part = 1 + 3 * i;
-        let (starts, ends, over) = (now + steady, now + steady + event, now + steady + event + after);
-        for (step, at) in [(part, now), (part + 1, starts), (part + 2, ends)] {
-            fleet.event_queue.schedule(at, SimulationEvent::Step(ScenarioStep::Part(step)));
-        }
-        plan_event(&mut fleet, name, starts, ends);
-        if name == "regions cut" {
-            fleet.play_until(ends)?;
-            fleet.checks.lost_while_cut += fleet.lost_while_cut();
-        }
-        fleet.play_until(over)?;
-        now = over;
+    for (index, &name) in events.iter().enumerate() {
+        now = play_event(&mut fleet, &timeline, name, part_before(index), now)?;
         report.events.push(EventReport { name, ..EventReport::default() });
     }
-    fleet.event_queue.schedule(now, SimulationEvent::Step(ScenarioStep::Part(1 + 3 * events.len())));
+    let last_part = ScenarioStep::Part(part_before(events.len()));
+    fleet.event_queue.schedule(now, SimulationEvent::Step(last_part));
     // What is still on its way comes, so that lists and requests can be judged.
-    fleet.play_until(now + whole(longest.max(5000.0) / 1000.0))?;
+    fleet.play_until(now + timeline.tail_ms())?;
     fleet.checks.lists_behind = fleet.instances_behind();
-    for (i, event_report) in report.events.iter_mut().enumerate() {
-        let (part, starts) = (1 + 3 * i, begin + steady + (steady + event + after) * i as f64);
-        let metrics = &fleet.metrics;
-        // A request that was under way when the event began is the event's.
-        let (mut before, mut windows) = metrics.close_part(part, starts + steady);
-        let lead = windows.split_off(windows.len().saturating_sub(lead).max(1).min(windows.len()));
-        before.worth = sum(&windows);
-        let (mut during, middle) = metrics.close_part(part + 1, starts + steady + event);
-        let middle: Vec<Worth> = lead.into_iter().chain(middle).collect();
-        during.worth = sum(&middle);
-        let (later, rest) = metrics.close_part(part + 2, starts + steady + event + after);
-        let share = before.worth.share();
-        let lost = |windows: &[Worth]| windows.iter().map(|w| (share - w.share()) * r.window_s).sum::<f64>();
-        event_report.lost_s = [lost(&middle), lost(&rest)];
-        windows.extend(middle.into_iter().chain(rest));
-        (event_report.before, event_report.during, event_report.after) = (before, during, later);
-        event_report.windows = windows;
-        event_report.in_force = metrics.propagation(&[part + 1, part + 2]);
-        let of = |c: &&fleet::endpoint_log::Change| c.missing > 0 && (part + 1..=part + 2).contains(&c.part);
-        event_report.not_in_force = fleet.endpoint_log.changes.iter().filter(of).count();
+    for (index, event_report) in report.events.iter_mut().enumerate() {
+        summarize_event(&fleet, &timeline, index, event_report);
     }
-    report.played_s = (fleet.now - begin) / 1000.0;
+    report.played_s = (fleet.now - BEGIN_MS) / 1000.0;
     report.decisions = fleet.metrics.decisions;
     report.checks = fleet.checks;
     Ok(report)
 }
 
-/// EndpointLog of configuration that need a restart of every proxy, one on the heels of the other, each in force
+/// Plays the quiet time before an event, the event, and the time after it; returns when that is over.
+fn play_event(
+    fleet: &mut Fleet,
+    timeline: &Timeline,
+    name: &str,
+    first_part: usize,
+    now: f64,
+) -> Result<f64, Invalid> {
+    let starts = now + timeline.steady_ms;
+    let ends = starts + timeline.event_ms;
+    let over = ends + timeline.after_ms;
+    for (part, at) in [(first_part, now), (first_part + 1, starts), (first_part + 2, ends)] {
+        fleet.event_queue.schedule(at, SimulationEvent::Step(ScenarioStep::Part(part)));
+    }
+    plan_event(fleet, name, starts, ends);
+    if name == "regions cut" {
+        fleet.play_until(ends)?;
+        fleet.checks.lost_while_cut += fleet.lost_while_cut();
+    }
+    fleet.play_until(over)?;
+    Ok(over)
+}
+
+/// Puts what was measured around an event into its report.
+fn summarize_event(fleet: &Fleet, timeline: &Timeline, index: usize, event_report: &mut EventReport) {
+    let metrics = &fleet.metrics;
+    let Timeline { steady_ms, event_ms, after_ms, .. } = *timeline;
+    let part = part_before(index);
+    let starts = BEGIN_MS + steady_ms + (steady_ms + event_ms + after_ms) * index as f64;
+    // A request that was under way when the event began is the event's.
+    let (mut before, mut windows) = metrics.close_part(part, starts + steady_ms);
+    let quiet = windows.len().saturating_sub(timeline.lead_windows()).max(1).min(windows.len());
+    let lead = windows.split_off(quiet);
+    before.worth = sum(&windows);
+    let (mut during, middle) = metrics.close_part(part + 1, starts + steady_ms + event_ms);
+    let middle: Vec<Worth> = lead.into_iter().chain(middle).collect();
+    during.worth = sum(&middle);
+    let (after, rest) = metrics.close_part(part + 2, starts + steady_ms + event_ms + after_ms);
+    let share = before.worth.share();
+    let window_s = fleet.scenario.run.window_s;
+    let lost_s = |windows: &[Worth]| windows.iter().map(|w| (share - w.share()) * window_s).sum::<f64>();
+    event_report.lost_s = [lost_s(&middle), lost_s(&rest)];
+    windows.extend(middle.into_iter().chain(rest));
+    event_report.before = before;
+    event_report.during = during;
+    event_report.after = after;
+    event_report.windows = windows;
+    event_report.in_force = metrics.propagation(&[part + 1, part + 2]);
+    event_report.not_in_force = fleet.endpoint_log.unfinished_of_parts(part + 1..=part + 2);
+}
+
+/// Changes of configuration that need a restart of every proxy, one on the heels of the other, each in force
 /// within its time.
 fn replace_all(fleet: &mut Fleet, starts: f64, lasts: f64) {
     let within = (fleet.scenario.target.in_force_within_s * 1000.0).min(lasts);
@@ -139,7 +206,6 @@
 
 /// Schedules what an event does between `starts` and `ends`.
 fn plan_event(fleet: &mut Fleet, name: &str, starts: f64, ends: f64) {
-    let scenario = fleet.scenario;
     let mut at =
         |time: f64, step: ScenarioStep| fleet.event_queue.schedule(time, SimulationEvent::Step(step));
     let lasts = ends - starts;
@@ -182,25 +248,32 @@
         _ => {}
     }
     if matches!(name, "changes" | "regions cut" | "discovery down") {
-        let per_ms = scenario.changes_per_s() / 1000.0;
-        let t = &scenario.target;
-        let share = |per_day: f64| per_day / t.changes_per_day.max(1e-9);
-        let (restarts, failures) = (share(t.restarts_per_day), share(t.machine_failures_per_day));
-        let mut time = starts;
-        loop {
-            time += -(1.0 - fleet.rng.random::<f64>()).ln() / per_ms;
-            if per_ms <= 0.0 || time >= ends {
-                break;
-            }
-            let kind = fleet.rng.random::<f64>();
-            let step = if kind < restarts {
-                ScenarioStep::Restart { backend: None }
-            } else if kind < restarts + failures {
-                ScenarioStep::LoseMachine { backend: None, back: scenario.backend.restart_s * 1000.0 }
-            } else {
-                ScenarioStep::Change
-            };
-            fleet.event_queue.schedule(time, SimulationEvent::Step(step));
+        schedule_changes(fleet, starts, ends);
+    }
+}
+
+/// Changes, restarts and lost machines at random instants, at the rates of the scenario.
+fn schedule_changes(fleet: &mut Fleet, starts: f64, ends: f64) {
+    let scenario = fleet.scenario;
+    let per_ms = scenario.changes_per_s() / 1000.0;
+    let target = &scenario.target;
+    let share = |per_day: f64| per_day / target.changes_per_day.max(1e-9);
+    let restarts = share(target.restarts_per_day);
+    let failures = share(target.machine_failures_per_day);
+    let mut time = starts;
+    loop {
+        time += -(1.0 - fleet.rng.random::<f64>()).ln() / per_ms;
+        if per_ms <= 0.0 || time >= ends {
+            break;
         }
+        let kind = fleet.rng.random::<f64>();
+        let step = if kind < restarts {
+            ScenarioStep::Restart { backend: None }
+        } else if kind < restarts + failures {
+            ScenarioStep::LoseMachine { backend: None, back: scenario.backend.restart_s * 1000.0 }
+        } else {
+            ScenarioStep::Change
+        };
+        fleet.event_queue.schedule(time, SimulationEvent::Step(step));
     }
 }
