--- /dev/null
+++ b/crates/scale-test/src/simulated/fleet/mod.rs
@@ -0,0 +1,170 @@
+//! The fleet in virtual time: carries out what the balancers decide, and notifies them of the outcomes.
+//! Here are its state and the events; each of the modules below handles events of one kind.
+
+mod backend_work;
+mod clients;
+mod discovery;
+mod endpoint_log;
+mod processes;
+mod proxy;
+mod proxy_requests;
+mod request_table;
+mod scenario_steps;
+
+use super::backend::Backend;
+use super::event_queue::{EventQueue, SimulationEvent};
+use super::metrics::Metrics;
+use super::report::Checks;
+use super::topology::Topology;
+use crate::scenario::{Invalid, Scenario};
+use endpoint_log::EndpointLog;
+use foldhitch_balancer::api::*;
+use proxy::{Proxy, ProxyInstance};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use request_table::RequestTable;
+use std::collections::BTreeMap;
+
+/// The fleet.
+pub struct Fleet<'a> {
+    pub scenario: &'a Scenario,
+    pub topology: Topology,
+    pub now: f64,
+    pub rng: StdRng,
+    pub event_queue: EventQueue,
+    pub instances: Vec<ProxyInstance>,
+    /// Those beside the backends first, then those through which clients come.
+    pub proxies: Vec<Proxy>,
+    pub backends: Vec<Backend>,
+    requests: RequestTable,
+    actions: Vec<Action>,
+    pub endpoint_log: EndpointLog,
+    pub is_region_cut: bool,
+    pub is_discovery_up: bool,
+    pub metrics: Metrics,
+    pub checks: Checks,
+    client_timeouts_ms: Vec<f64>,
+    late_worth_shares: Vec<f64>,
+    classes: Vec<Class>,
+    drain_deadline_ms: f64,
+}
+
+impl<'a> Fleet<'a> {
+    /// A fleet whose backends are warm and whose proxies have their lists.
+    pub fn new(scenario: &'a Scenario, size: usize, seed: u64, metrics: Metrics) -> Result<Self, Invalid> {
+        let topology = Topology::new(scenario, size);
+        let settings = scenario.resolved_settings(0, 1, 0, 0)?;
+        let backends = topology.backends.iter().map(|p| Backend::new(p.zone, p.service)).collect();
+        let mut fleet = Fleet {
+            scenario,
+            now: 1000.0,
+            rng: StdRng::seed_from_u64(seed),
+            event_queue: EventQueue::default(),
+            instances: Vec::new(),
+            proxies: Vec::new(),
+            backends,
+            requests: RequestTable::new(),
+            actions: Vec::new(),
+            endpoint_log: EndpointLog::new(&topology),
+            is_region_cut: false,
+            is_discovery_up: true,
+            metrics,
+            checks: Checks::default(),
+            client_timeouts_ms: scenario.of_classes("giveUp"),
+            late_worth_shares: scenario.of_classes("lateWorth"),
+            classes: settings.balancer.classes,
+            drain_deadline_ms: settings.site.drain_deadline_ms,
+            topology,
+        };
+        fleet.place_proxies();
+        for proxy in 0..fleet.proxies.len() {
+            fleet.start_proxy(proxy)?;
+        }
+        fleet.event_queue.schedule(fleet.now, SimulationEvent::ClientArrival);
+        Ok(fleet)
+    }
+
+    fn place_proxies(&mut self) {
+        let layer_of_clients = self.topology.entries.first().map_or(0, |e| e.service);
+        let beside = self.topology.backends.iter().map(|b| (b.zone, self.topology.callees[b.service], 1));
+        let entries = self.topology.entries.iter().map(|e| (e.zone, Some(e.service), 0));
+        let placements: Vec<(u16, Option<usize>, u32)> = beside.chain(entries).collect();
+        let proxies_of = |to: Option<usize>| placements.iter().filter(|p| p.1 == to).count() as u32;
+        let mut numbers = BTreeMap::<Option<usize>, u32>::new();
+        for &(zone, calls, tier) in &placements {
+            let number = numbers.entry(calls).or_default();
+            // A proxy beside a backend that calls nobody follows a list all the same.
+            let service = calls.unwrap_or(layer_of_clients);
+            let instances = proxies_of(calls);
+            self.proxies.push(Proxy {
+                instance: 0,
+                instance_index: *number,
+                instance_count: instances,
+                tier,
+                zone,
+                service,
+                is_running: true,
+            });
+            *number += 1;
+        }
+    }
+
+    /// Plays until `end`.
+    pub fn play_until(&mut self, end: f64) -> Result<(), Invalid> {
+        while let Some((at_ms, event)) = self.event_queue.pop_before(end) {
+            self.now = at_ms;
+            self.handle(event)?;
+        }
+        self.now = end;
+        Ok(())
+    }
+
+    fn handle(&mut self, event: SimulationEvent) -> Result<(), Invalid> {
+        match event {
+            SimulationEvent::ClientArrival => self.client_arrival(),
+            SimulationEvent::ClientRetry { class, retries, created_ms } => {
+                self.enter(usize::from(class), retries, created_ms)
+            }
+            SimulationEvent::TimerFired { instance, token } => {
+                let proxy = &self.instances[instance];
+                if proxy.is_alive && !(proxy.is_replaced && proxy.open_requests == 0) {
+                    self.metrics.current_part().module.wakes += 1;
+                    self.notify_balancer(instance, Event::TimerFired { token });
+                }
+            }
+            SimulationEvent::AttemptArrived { request, attempt } => self.receive_attempt(request, attempt),
+            SimulationEvent::WorkFinished { request, attempt } => self.finish_work(request, attempt),
+            SimulationEvent::OutcomeArrived { request, attempt, outcome } => {
+                self.receive_outcome(request, attempt, outcome)
+            }
+            SimulationEvent::AttemptCancelled { request, attempt } => self.cancel_attempt(request, attempt),
+            SimulationEvent::DeadlinePassed { request } => self.pass_deadline(request),
+            SimulationEvent::FinalAnswerDue { request } => {
+                if self.requests.get(request).is_some_and(|request| !request.has_ended) {
+                    self.checks.never_ended += 1;
+                }
+            }
+            SimulationEvent::EndpointPublished { backend, since } => self.publish(backend, since),
+            SimulationEvent::ChangeDelivered { instance, change } => self.deliver_change(instance, change),
+            SimulationEvent::FullListDelivered { instance } => self.deliver_full_list(instance),
+            SimulationEvent::Step(step) => return self.apply_step(step),
+        }
+        Ok(())
+    }
+
+    /// One-way time between two zones, or nothing where they are cut off from each other.
+    fn one_way_ms(&self, from: u16, to: u16) -> Option<f64> {
+        let network = &self.scenario.network;
+        let same_region = self.scenario.region_of(from) == self.scenario.region_of(to);
+        match (from == to, same_region) {
+            (true, _) => Some(network.same_zone_ms),
+            (_, true) => Some(network.same_region_ms),
+            _ => (!self.is_region_cut).then_some(network.cross_region_ms),
+        }
+    }
+}
+
+/// Backends are numbered from 1 in lists.
+fn backend_index(backend: BackendId) -> usize {
+    backend as usize - 1
+}
