The beginning of a response is held no longer than responses usually take

Seen in a reading of the filter, forced by the test that comes with it: a backend that stops in the middle of a response whose head equals an earlier one was found out only when the whole hold was over, up to 2 s, before the 500 ms for a body that makes no headway even began. Cause: a part was held like a whole equal response, which waits for what may come behind it. A part waits for its own rest, so that it is held for the usual time (8 times the slowest recent response, 0.1 s at the least). The test gives 2 s without the change.

--- a/crates/proxy/src/upstream/repeat_filter/filtered_stream.rs
+++ b/crates/proxy/src/upstream/repeat_filter/filtered_stream.rs
@@ -22,7 +22,7 @@
     stream: TokioIo<TcpStream>,
     filter: Rc<RefCell<RepeatFilter>>,
     history: Rc<RepeatHistory>,
-    /// Ends the time for which bytes of a backend that is suspected are held.
+    /// Ends the time for which bytes are held.
     release_timer: Option<Pin<Box<Sleep>>>,
 }
 
--- a/crates/proxy/src/upstream/repeat_filter/hold.rs
+++ b/crates/proxy/src/upstream/repeat_filter/hold.rs
@@ -12,9 +12,20 @@
     pub(super) longest: Duration,
 }
 
+/// What is held.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum HeldBytes {
+    /// The beginning of what may be a copy.
+    Part,
+    /// A response that equals an earlier one.
+    Response,
+}
+
 /// A response that is held, or that was passed on before it was known to be no copy.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Hold {
+    /// What is held.
+    pub(super) bytes: HeldBytes,
     /// When it came.
     pub(super) began_at: Instant,
     /// When it is passed on: its client is to get it in time.
@@ -26,10 +37,15 @@
 impl Hold {
     /// Holds a response for the longest time; where that is more than half of what is left until it expires, for that
     /// half, but not for less than the usual time.
-    pub(super) fn begin(now: Instant, times: HoldTimes, expires_at: Option<Instant>) -> Self {
+    pub(super) fn begin(
+        bytes: HeldBytes,
+        now: Instant,
+        times: HoldTimes,
+        expires_at: Option<Instant>,
+    ) -> Self {
         let half_of_rest = expires_at.map(|expires_at| expires_at.saturating_duration_since(now) / 2);
         let release_after = half_of_rest.map_or(times.longest, |half| half.clamp(times.usual, times.longest));
-        Hold { began_at: now, release_at: now + release_after, verdict_at: now + times.longest }
+        Hold { bytes, began_at: now, release_at: now + release_after, verdict_at: now + times.longest }
     }
 
     /// Whether what was to come behind a copy would have come.
--- a/crates/proxy/src/upstream/repeat_filter/mod.rs
+++ b/crates/proxy/src/upstream/repeat_filter/mod.rs
@@ -23,7 +23,7 @@
 use crate::transport::MAX_HEAD_BYTES;
 use bytes::{Buf, BytesMut};
 use equal_contents::ConnectionNumber;
-use hold::Hold;
+use hold::{HeldBytes, Hold};
 use response_bytes::{
     common_prefix_length, contains_chunked, has_response_start_near, head_length, is_interim, is_served,
 };
@@ -171,8 +171,11 @@
 
     /// More of the present request is written: its response comes behind its last byte only.
     fn restart_hold(&mut self, history: &RepeatHistory, now: Instant) {
-        if !self.held.is_empty() && self.hold.take().is_some() {
-            self.hold(history, now);
+        if self.held.is_empty() {
+            return;
+        }
+        if let Some(hold) = self.hold.take() {
+            self.hold(hold.bytes, history, now);
         }
     }
 
@@ -211,7 +214,7 @@
                 return Ok(());
             }
             if self.remembered.iter().any(|copy| copy.content.may_start_with(&self.held)) {
-                self.hold(history, now);
+                self.hold(HeldBytes::Part, history, now);
                 return Ok(());
             }
             if is_interim(&self.held) {
@@ -224,7 +227,7 @@
                 continue;
             }
             if self.may_be_broken_copy()? {
-                self.hold(history, now);
+                self.hold(HeldBytes::Part, history, now);
                 return Ok(());
             }
             if history.repeats(now) && self.may_be_out_of_step {
@@ -251,20 +254,22 @@
             self.hold = None;
             self.pass_response();
         } else {
-            self.hold(history, now);
+            self.hold(HeldBytes::Response, history, now);
         }
         is_copy || is_answer
     }
 
-    /// Holds what has come until something comes behind it, and for a limited time.
-    fn hold(&mut self, history: &RepeatHistory, now: Instant) {
-        if self.hold.is_none() {
-            let mut times = history.hold_times(ResponseKind::of(&self.held));
-            if history.is_equal_known(&ResponseContent::of(&self.held)) {
-                times.longest = times.usual;
-            }
-            self.hold = Some(Hold::begin(now, times, self.response_expires_at));
+    /// Holds what has come until more comes, and for a limited time.
+    fn hold(&mut self, bytes: HeldBytes, history: &RepeatHistory, now: Instant) {
+        if self.hold.is_some_and(|hold| hold.bytes == bytes) {
+            return;
+        }
+        let mut times = history.hold_times(ResponseKind::of(&self.held));
+        let is_known_equal = || history.is_equal_known(&ResponseContent::of(&self.held));
+        if bytes == HeldBytes::Part || is_known_equal() {
+            times.longest = times.usual;
         }
+        self.hold = Some(Hold::begin(bytes, now, times, self.response_expires_at));
     }
 
     fn drop_copy(&mut self, index: usize, history: &RepeatHistory, now: Instant) {
--- a/crates/proxy/src/upstream/repeat_filter/tests.rs
+++ b/crates/proxy/src/upstream/repeat_filter/tests.rs
@@ -251,6 +251,21 @@
     assert_eq!(fixture.now - came_at, Duration::from_millis(400));
 }
 
+#[test]
+fn the_beginning_of_a_response_is_held_no_longer_than_responses_usually_take() {
+    let first = response(200, "first");
+    let other = response(200, "other");
+    for beginning in [&first[..30], &other[..other.len() - 1]] {
+        let mut fixture = Fixture::unknown_backend();
+        fixture.exchange(&first, false);
+        fixture.begin_request();
+        fixture.receive_held(beginning);
+        let came_at = fixture.now;
+        assert_eq!(fixture.release(), beginning);
+        assert_eq!(fixture.now - came_at, fixture.history.hold_times(ResponseKind::Served).usual);
+    }
+}
+
 #[test]
 fn what_is_held_once_its_backend_is_known_to_repeat_is_a_copy() {
     let mut fixture = Fixture::unknown_backend();
