An equal response is held for a quarter of a second, not for two

Cause: the hold was as long as a response may take at all. Traces asked for 1.86 times the slowest recent response and 102 ms at the most.

A response is now held for 8 times the slowest recent response, 0.25 s at the least where its client has the time, errors as well. Tried: to let the connection rest for 2 s behind a response that was passed on, which keeps one of these two; three older tests that count connections (connections_are_kept_..., connections_outlast_changes, connections_that_are_not_needed_...) failed with it, since each backend with equal responses then costs another connection.

--- a/crates/proxy/src/upstream/repeat_filter/mod.rs
+++ b/crates/proxy/src/upstream/repeat_filter/mod.rs
@@ -264,7 +264,7 @@
         if self.hold.is_some_and(|hold| hold.bytes == bytes) {
             return;
         }
-        let mut times = history.hold_times(ResponseKind::of(&self.held));
+        let mut times = history.hold_times();
         let is_known_equal = || history.is_equal_known(&ResponseContent::of(&self.held));
         if bytes == HeldBytes::Part || is_known_equal() {
             times.longest = times.usual;
