--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -6,6 +6,7 @@
 mod client;
 mod discovery;
 mod proxy;
+mod raw_peers;
 mod scripted_backend;
 mod sockets;
 
@@ -13,6 +14,7 @@
 pub use client::*;
 pub use discovery::*;
 pub use proxy::*;
+pub use raw_peers::*;
 pub use scripted_backend::*;
 pub use sockets::*;
 
--- /dev/null
+++ b/crates/proxy/tests/support/raw_peers.rs
@@ -0,0 +1,124 @@
+//! Peers that a test drives byte by byte, in the order that it forces.
+
+use super::*;
+
+/// One side of a connection, with what came on it and was not used yet.
+pub struct RawConnection {
+    pub stream: TcpStream,
+    received: Vec<u8>,
+}
+
+impl RawConnection {
+    pub async fn connect(addr: SocketAddr) -> Self {
+        RawConnection::new(connected(addr).await)
+    }
+
+    /// A client that takes little of what it does not read.
+    pub async fn connect_with_small_buffer(addr: SocketAddr) -> Self {
+        const RECEIVE_BUFFER_BYTES: u32 = 2048;
+        let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
+        socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES).expect("a size");
+        RawConnection::new(in_time(socket.connect(addr)).await.expect("it listens"))
+    }
+
+    pub fn new(stream: TcpStream) -> Self {
+        stream.set_nodelay(true).expect("open");
+        RawConnection { stream, received: Vec::new() }
+    }
+
+    pub async fn write(&mut self, bytes: impl AsRef<[u8]>) {
+        in_time(self.stream.write_all(bytes.as_ref())).await.expect("open");
+    }
+
+    /// The next head, in lower case; none where the connection ends before.
+    pub async fn read_head(&mut self) -> Option<String> {
+        loop {
+            if let Some(end) = self.received.windows(4).position(|window| window == b"\r\n\r\n") {
+                let head: Vec<u8> = self.received.drain(..end + 4).collect();
+                return Some(String::from_utf8(head).expect("text").to_ascii_lowercase());
+            }
+            self.receive().await?;
+        }
+    }
+
+    /// The next bytes; none where the connection ends before.
+    pub async fn read_bytes(&mut self, length: usize) -> Option<Vec<u8>> {
+        while self.received.len() < length {
+            self.receive().await?;
+        }
+        Some(self.received.drain(..length).collect())
+    }
+
+    /// The next message whose body has a length, if any: its head and its body.
+    pub async fn read_message(&mut self) -> Option<(String, String)> {
+        let head = self.read_head().await?;
+        let length = header(&head, "content-length").map_or(0, |length| length.parse().expect("a number"));
+        let body = self.read_bytes(length).await?;
+        Some((head, String::from_utf8(body).expect("text")))
+    }
+
+    /// The status and the body of the next answer.
+    pub async fn read_answer(&mut self) -> Option<(u16, String)> {
+        let (head, body) = self.read_message().await?;
+        Some((head.split(' ').nth(1)?.parse().expect("a status"), body))
+    }
+
+    /// The id and the body of the next request.
+    pub async fn read_request(&mut self) -> Option<(String, String)> {
+        let (head, body) = self.read_message().await?;
+        Some((header(&head, "req-id")?.to_string(), body))
+    }
+
+    /// What still comes until the other side ends or breaks the connection.
+    pub async fn read_to_close(&mut self) -> Vec<u8> {
+        while self.receive().await.is_some() {}
+        std::mem::take(&mut self.received)
+    }
+
+    async fn receive(&mut self) -> Option<()> {
+        let length = in_time(self.stream.read_buf(&mut self.received)).await.ok()?;
+        (length > 0).then_some(())
+    }
+}
+
+/// A header's value in a head in lower case.
+pub fn header<'a>(head: &'a str, name: &str) -> Option<&'a str> {
+    head.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(": "))
+}
+
+/// A backend whose connections a test drives.
+pub struct RawBackend {
+    pub addr: SocketAddr,
+    listener: TcpListener,
+}
+
+impl RawBackend {
+    pub async fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let addr = listener.local_addr().expect("bound");
+        RawBackend { addr, listener }
+    }
+
+    pub async fn accept(&self) -> RawConnection {
+        RawConnection::new(in_time(self.listener.accept()).await.expect("a connection").0)
+    }
+}
+
+/// Waits until the proxy has read all that a client has written, and has done what follows from it.
+pub async fn all_is_read(proxy: &Proxy, client: &RawConnection) {
+    let port = client.stream.local_addr().expect("bound").port();
+    let is_unread = |row: &Row| row.local == proxy.addr.port() && row.remote == port && row.unread > 0;
+    in_time(async {
+        while table().iter().any(is_unread) {
+            tokio::task::yield_now().await;
+        }
+    })
+    .await;
+    // By the time that others have had answers, what was read before them has had its effect.
+    const OTHERS: usize = 10;
+    for _ in 0..OTHERS {
+        let mut other = RawConnection::connect(proxy.addr).await;
+        other.write("GET /health/ready HTTP/1.1\r\nHost: o\r\n\r\n").await;
+        other.read_answer().await.expect("an answer");
+    }
+}
