A response before an upload's last byte does not serve it

Seen: a client's upload was answered 200 with the body of an earlier response of the same backend, while half of the upload was still to come.

Cause: an attempt took the first response on its connection for its own, also one that came before the request was written whole. The filter of copies does not catch it: without the mend the test fails on the present program.

Mend: a backend begins a request with its last byte, so that a 200 before that belongs to another request. The attempt ends as a reset, and its connection is closed. Other statuses are passed on as before: a backend may reject early.

--- a/crates/proxy/src/upstream/attempt.rs
+++ b/crates/proxy/src/upstream/attempt.rs
@@ -7,8 +7,8 @@
 use super::response::{PartialResponse, ResponseRead, ResponseStream, read_response};
 use crate::transport::{BodyContent, RequestPayload, SendGuard, StreamedBody, WeakSendGuard};
 use foldhitch_balancer::api::Outcome;
-use hyper::Response;
 use hyper::body::Incoming;
+use hyper::{Response, StatusCode};
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -138,6 +138,10 @@
     async fn receive(&self, mut connection: Connection, response: Response<Incoming>) -> AttemptOutcome {
         // The request may have run, and what is on this connection is of no use.
         let corrupt = AttemptOutcome::Unserved(Outcome::Reset);
+        // Backends begin a request with its last byte: what serves it before that belongs to another.
+        if response.status() == StatusCode::OK && !connection.progress.is_request_complete() {
+            return corrupt;
+        }
         let outcome = match read_response(response).await {
             None => return corrupt,
             Some(ResponseRead::Complete(outcome)) => outcome,
--- a/crates/proxy/tests/exchange_isolation.rs
+++ b/crates/proxy/tests/exchange_isolation.rs
@@ -57,6 +57,29 @@
     call(line, id).replace("Host: o\r\n", &format!("Host: o\r\n{headers}\r\n"))
 }
 
+fn upload_head(id: &str, length: usize) -> String {
+    call_with("POST /once", id, &format!("Content-Length: {length}"))
+}
+
+/// A copy of an earlier response comes while an upload is on its way: no backend has begun that request.
+#[tokio::test]
+async fn a_response_before_the_end_of_an_upload_does_not_serve_it() {
+    let s = Fixture::new(settings()).await;
+    // Given: a kept connection that carries the first half of an upload.
+    let (mut connection, first) = s.kept_connection().await;
+    let mut client = s.client().await;
+    client.write(upload_head("upload", STREAMED_BYTES)).await;
+    client.write("u".repeat(STREAMED_BYTES / 2)).await;
+    assert!(connection.read_head().await.expect("a request").contains("req-id: upload"));
+    // When: the response before comes once more, and then the rest of the upload.
+    connection.write(first).await;
+    let answer = client.read_answer().await.expect("an answer");
+    // Then: that is not the answer, and the upload never runs.
+    assert_ne!(answer.0, 200, "{answer:?} is that of another request");
+    connection.read_to_close().await;
+    s.next_is_served_on_a_new_connection().await;
+}
+
 /// The backend's answer to a request whose client has left, or whose time is up, is not the next request's.
 #[tokio::test]
 async fn the_response_behind_an_abandoned_request_answers_no_other() {
