--- a/crates/proxy/tests/exchange_isolation.rs
+++ b/crates/proxy/tests/exchange_isolation.rs
@@ -4,11 +4,22 @@
 mod support;
 
 use serde_json::Value;
+use std::sync::Arc;
+use std::time::Duration;
 use support::*;
 use tokio::io::AsyncWriteExt;
+use tokio::time::{Instant, sleep_until, timeout};
 
 /// Bodies longer than 64 KiB are streamed through.
 const STREAMED_BYTES: usize = 200_000;
+/// More than all that the system holds of a body that nobody reads.
+const ENDLESS_BYTES: usize = 30_000_000;
+/// So many bytes the proxy reads at once where it expects a head.
+const READ_BYTES: usize = 4096;
+/// So many requests at once are surely let through by a limit that has learned nothing yet.
+const AT_ONCE: usize = 7;
+/// Bad peers are owed an error or a close within this.
+const BAD_PEER_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// A backend that the test drives, and a proxy that knows no other.
 struct Fixture {
@@ -50,6 +61,19 @@
         connection.write(response(200, "", "next")).await;
         assert_eq!(client.read_answer().await, Some((200, "next".into())));
     }
+
+    /// A request in chunks behind an answer is served on its client's connection, unless that answer ended it.
+    async fn next_is_served_unless_closed(&self, client: &mut RawConnection, answer: &str) {
+        if header(answer, "connection") == Some("close") {
+            assert_eq!(client.read_to_close().await, b"");
+            return;
+        }
+        client.write(chunked_call("next", 4)).await;
+        let mut connection = self.backend.accept().await;
+        assert_eq!(connection.read_request().await, Some(("next".into(), "xxxx".into())));
+        connection.write(response(200, "", "next")).await;
+        assert_eq!(client.read_answer().await, Some((200, "next".into())));
+    }
 }
 
 /// A request with more headers.
@@ -61,6 +85,11 @@
     call_with("POST /once", id, &format!("Content-Length: {length}"))
 }
 
+fn chunked_call(id: &str, chunks: usize) -> String {
+    let head = call_with("POST /once", id, "Transfer-Encoding: chunked");
+    head + &"1\r\nx\r\n".repeat(chunks) + "0\r\n\r\n"
+}
+
 /// A copy of an earlier response comes while an upload is on its way: no backend has begun that request.
 #[tokio::test]
 async fn a_response_before_the_end_of_an_upload_does_not_serve_it() {
@@ -80,6 +109,185 @@
     s.next_is_served_on_a_new_connection().await;
 }
 
+/// What is left of an upload that was answered early is no part of the next head.
+#[tokio::test]
+async fn a_request_behind_an_upload_that_was_answered_early_is_served_unless_closed() {
+    let s = Fixture::new(settings()).await;
+    // Given: an upload that the backend answers before its last byte.
+    let mut client = s.client().await;
+    client.write(upload_head("upload", STREAMED_BYTES)).await;
+    client.write("u".repeat(STREAMED_BYTES / 2)).await;
+    let mut connection = s.backend.accept().await;
+    connection.read_head().await.expect("a request");
+    connection.write(response(404, "", "")).await;
+    let (answer, _) = client.read_message().await.expect("an answer");
+    assert!(answer.starts_with("http/1.1 502 "), "{answer}");
+    // When: its client sends the rest.
+    client.write("u".repeat(STREAMED_BYTES - STREAMED_BYTES / 2)).await;
+    // Then: what it sends next is served.
+    s.next_is_served_unless_closed(&mut client, &answer).await;
+}
+
+/// An upload that is rejected before any backend had some of it is read to its end: it would hold its connection for
+/// ever.
+#[tokio::test]
+async fn a_request_behind_an_upload_that_was_rejected_unsent_is_served_unless_closed() {
+    let mut settings = settings();
+    settings["caps"]["openCap"] = 1.into();
+    let s = Fixture::new(settings).await;
+    // Given: the one request that may be open.
+    let mut open = s.client().await;
+    open.write(call("GET /look", "open")).await;
+    let mut connection = s.backend.accept().await;
+    connection.read_request().await.expect("a request");
+    // When: an upload is rejected while it is written, and that one is answered.
+    let mut client = s.client().await;
+    client.write(upload_head("upload", ENDLESS_BYTES)).await;
+    client.write("u".repeat(ENDLESS_BYTES)).await;
+    let (answer, _) = client.read_message().await.expect("an answer");
+    assert!(answer.starts_with("http/1.1 503 "), "{answer}");
+    connection.write(response(200, "", "open")).await;
+    assert_eq!(open.read_answer().await, Some((200, "open".into())));
+    drop(connection);
+    // Then: what its client sends next is served.
+    s.next_is_served_unless_closed(&mut client, &answer).await;
+}
+
+/// The same where it waited for a backend in vain.
+#[tokio::test]
+async fn an_upload_that_waited_for_a_backend_in_vain_is_read_to_its_end() {
+    const MAX_QUEUE_WAIT_MS: f64 = 200.0;
+    let mut settings = settings();
+    for class in settings["classes"].as_array_mut().expect("a list") {
+        class["aim"] = MAX_QUEUE_WAIT_MS.into();
+    }
+    let discovery = Discovery::start(Vec::new()).await;
+    let proxy = Proxy::wait_until_applied(&discovery, settings).await;
+    let mut client = RawConnection::connect(proxy.addr).await;
+    client.write(upload_head("upload", ENDLESS_BYTES)).await;
+    client.write("u".repeat(ENDLESS_BYTES)).await;
+    assert_eq!(client.read_answer().await.expect("an answer").0, 503);
+}
+
+/// The body of a request that was rejected by its head, read behind that answer, is no part of the next head.
+#[tokio::test]
+async fn a_request_behind_a_body_that_was_not_read_is_served_unless_closed() {
+    let s = Fixture::new(settings()).await;
+    // Given: a request that is rejected by its head, before all of its body is read.
+    let mut client = s.client().await;
+    let head = call_with("POST /unknown", "rejected", &format!("Content-Length: {READ_BYTES}"));
+    client.write(head + &"{".repeat(READ_BYTES)).await;
+    let (answer, _) = client.read_message().await.expect("an answer");
+    assert!(answer.starts_with("http/1.1 404 "), "{answer}");
+    // When: its body has been passed over.
+    all_is_read(&s.proxy, &client).await;
+    // Then: what its client sends next is served.
+    s.next_is_served_unless_closed(&mut client, &answer).await;
+}
+
+/// Where places are short a client that rests gives way, unless it has just asked: its request may have been read in
+/// one, and be taken piece by piece.
+#[tokio::test]
+async fn a_request_in_chunks_that_comes_as_its_connection_is_to_give_way_is_served() {
+    const DESCRIPTORS: usize = 64;
+    const CHUNKS: usize = 500;
+    let script = Arc::new(BackendScript::default());
+    let backend = Backend::start("a", &script).await;
+    let discovery = Discovery::start(vec![backend.line("SERVING")]).await;
+    let mut config = discovery.config(settings());
+    config["limits"]["sockets"] = DESCRIPTORS.into();
+    let proxy = Proxy::start_as(&config, "exec \"$0\"").await;
+    discovery.wait_until_applied().await;
+    // Given: resting clients on all places.
+    let mut resting = Vec::new();
+    for n in 0..DESCRIPTORS / 4 {
+        let mut client = RawConnection::connect(proxy.addr).await;
+        client.write(call("GET /look", &n.to_string())).await;
+        assert_eq!(client.read_answer().await, Some((200, "a".into())));
+        resting.push(client);
+    }
+    let served = script.requests_at("a");
+    // When: as many others connect as those write that have rested longest, in one turn of the proxy.
+    proxy.pause().await;
+    let mut others = Vec::new();
+    for _ in 0..AT_ONCE {
+        others.push(RawConnection::connect(proxy.addr).await);
+    }
+    let late = &mut resting[..AT_ONCE];
+    for (n, client) in late.iter_mut().enumerate() {
+        client.write(chunked_call(&format!("late-{n}"), CHUNKS)).await;
+    }
+    proxy.resume_process().await;
+    // Then: each of their requests is served, once.
+    for (n, client) in late.iter_mut().enumerate() {
+        assert_eq!(client.read_answer().await, Some((200, "a".into())), "{n}");
+    }
+    assert_eq!(script.requests_at("a"), served + AT_ONCE);
+}
+
+/// A connection rests from the end of its streamed response, however long the client takes for that: the
+/// backend closes it by its own clock, and what is written to it from then on may have run.
+#[tokio::test]
+async fn a_connection_rests_from_the_end_of_its_streamed_response() {
+    const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
+    const MAX_WRITE_TIME: Duration = Duration::from_millis(20);
+    const SIZES: usize = 48;
+    const SIZE_STEP_BYTES: usize = 8 * 1024;
+    let mut settings = settings();
+    settings["caps"]["connIdle"] = (IDLE_TIMEOUT.as_millis() as u64).into();
+    let s = Fixture::new(settings).await;
+    // Given: clients that read nothing of ever shorter responses, until the proxy has passed on all of one. Most of the
+    // others the backend has written to their ends.
+    let mut exchanges: Vec<(RawConnection, RawConnection, bool)> = Vec::new();
+    for n in (0..SIZES).rev() {
+        let mut client = RawConnection::connect_with_small_buffer(s.proxy.addr).await;
+        client.write(call("GET /look", &n.to_string())).await;
+        let is_connection_used_again = async {
+            match exchanges.last() {
+                Some((_, connection, _)) => connection.stream.readable().await.expect("open"),
+                None => std::future::pending().await,
+            }
+        };
+        let mut connection = tokio::select! {
+            connection = s.backend.accept() => connection,
+            () = is_connection_used_again => break,
+        };
+        connection.read_request().await.expect("a request");
+        let text = response(200, "", &"y".repeat(STREAMED_BYTES / 2 + n * SIZE_STEP_BYTES));
+        let written = timeout(MAX_WRITE_TIME, connection.stream.write_all(&text)).await;
+        exchanges.push((client, connection, written.is_ok()));
+    }
+    exchanges.pop();
+    let last_ended_at = Instant::now();
+    exchanges.retain(|(_, _, is_written)| *is_written);
+    assert!(!exchanges.is_empty(), "no response has ended before its client took it");
+    // When: they read on shortly before the backend's time for a rest is over.
+    sleep_until(last_ended_at + IDLE_TIMEOUT * 9 / 10).await;
+    let mut resting = Vec::new();
+    for (mut client, connection, _) in exchanges {
+        client.read_message().await.expect("an answer");
+        resting.push(connection);
+    }
+    sleep_until(last_ended_at + IDLE_TIMEOUT).await;
+    // Then: the next request comes on none of these connections.
+    let mut client = s.client().await;
+    client.write(call("POST /once", "next")).await;
+    let mut connection = s.backend.accept().await;
+    assert_eq!(connection.read_request().await.expect("a request").0, "next");
+}
+
+/// Half a head that comes together with the request before it has the time of a head, and not that of a rest.
+#[tokio::test]
+async fn half_a_head_behind_a_request_is_not_waited_for() {
+    let s = Fixture::new(settings()).await;
+    let mut client = s.client().await;
+    let begun_at = Instant::now();
+    client.write("GET /health/ready HTTP/1.1\r\nHost: o\r\n\r\nGET /look HTTP/1.1\r\nHost:").await;
+    assert_eq!(client.read_answer().await.expect("an answer").0, 200);
+    client.read_to_close().await;
+    assert!(begun_at.elapsed() < BAD_PEER_TIMEOUT, "{:?}", begun_at.elapsed());
+}
+
 /// The backend's answer to a request whose client has left, or whose time is up, is not the next request's.
 #[tokio::test]
 async fn the_response_behind_an_abandoned_request_answers_no_other() {
