An equal response is held for longer where equal responses are rare

Callers saw: a backend that had answered in a few ms so far sends one response again and takes 300 ms, or 1 s, for the next one.

Cause: an equal response is held until something comes behind it, for 0.25 s or 8 times the slowest recent response. The response proper came later; the copy went on as the answer, and its connection was out of step from then on.

Ruled out before, and not repeated: a hold of 0.5 s or 2 s at each backend, with which a stop closed clients that waited behind two rightly equal responses, and a rest of 2 s behind a response that was passed on, which costs each backend with equal responses another connection.

Evidence on what tells them apart: the stand-ins of those tests answer alike from the first response on; the backend of the listed tests had given 20 responses, all unlike. So the time follows from what the backends were seen to give.

Change: a whole equal served response is held for 2 s, or half of what is left to its client if that is less, if its backend has given 8 distinct responses and the tier none that was rightly equal, or 1,000 distinct ones since. Rightly equal is what came on two connections of a backend, and what was passed on after it was held.

Why it works: behind a copy the response proper comes within that time and shows it for one, or the client has little time left; and fewer than one response in 1,000 is held for so long where equal ones are right. Left: with slow responses where equal ones are not rare it is as before; equal responses that come within the time of the first wait are held as long, once.

The unit tests' fixture gives a filter its tier's count.

--- a/crates/proxy/src/upstream/connection_pool.rs
+++ b/crates/proxy/src/upstream/connection_pool.rs
@@ -1,7 +1,7 @@
 //! The connections to all backends.
 
 use super::connection::Connection;
-use super::repeat_filter::RepeatHistory;
+use super::repeat_filter::{DistinctRun, RepeatHistory};
 use crate::transport::SendGuard;
 use foldhitch_balancer::api::Outcome;
 use std::cell::{Cell, RefCell};
@@ -61,6 +61,8 @@
     permits: Arc<Semaphore>,
     /// How many permits there are.
     size: Cell<usize>,
+    /// How often the tier's backends give equal responses.
+    distinct_run: Rc<DistinctRun>,
 }
 
 struct IdleConnection {
@@ -77,6 +79,7 @@
             idle: RefCell::default(),
             permits: Arc::new(Semaphore::new(limits.connections)),
             size: Cell::new(limits.connections),
+            distinct_run: Rc::default(),
         }
     }
 
@@ -117,7 +120,7 @@
         let number = self.next_endpoint.get();
         self.next_endpoint.set(number + 1);
         let draining_since = Cell::new(None);
-        let repeat_history = Rc::new(RepeatHistory::new(address));
+        let repeat_history = Rc::new(RepeatHistory::new(address, self.distinct_run.clone()));
         Endpoint { number, address, started_at_ms, draining_since, repeat_history }
     }
 
--- a/crates/proxy/src/upstream/repeat_filter/equal_contents.rs
+++ b/crates/proxy/src/upstream/repeat_filter/equal_contents.rs
@@ -28,25 +28,26 @@
         self.known.contains(&content)
     }
 
-    /// Different requests got this content.
-    pub(super) fn insert(&mut self, content: ContentHash) {
+    /// Different requests got this content. Tells whether that is new.
+    pub(super) fn insert(&mut self, content: ContentHash) -> bool {
         if self.known.contains(&content) {
-            return;
+            return false;
         }
         self.known.push_back(content);
         if self.known.len() > MAX_KNOWN {
             self.known.pop_front();
         }
+        true
     }
 
-    /// A response came on a connection.
-    pub(super) fn record(&mut self, content: ContentHash, connection: ConnectionNumber) {
-        if self.recent.iter().any(|(earlier, other)| *earlier == content && *other != connection) {
-            self.insert(content);
-        }
+    /// A response came on a connection. Tells whether it is now known that different requests got this content.
+    pub(super) fn record(&mut self, content: ContentHash, connection: ConnectionNumber) -> bool {
+        let is_equal = self.recent.iter().any(|(earlier, other)| *earlier == content && *other != connection);
+        let is_new = is_equal && self.insert(content);
         self.recent.push_back((content, connection));
         if self.recent.len() > MAX_RECENT {
             self.recent.pop_front();
         }
+        is_new
     }
 }
--- a/crates/proxy/src/upstream/repeat_filter/hold.rs
+++ b/crates/proxy/src/upstream/repeat_filter/hold.rs
@@ -12,6 +12,13 @@
     pub(super) longest: Duration,
 }
 
+impl HoldTimes {
+    /// For what is held no longer than usual.
+    pub(super) fn without_longest(self) -> Self {
+        HoldTimes { longest: self.usual, ..self }
+    }
+}
+
 /// What is held.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum HeldBytes {
--- a/crates/proxy/src/upstream/repeat_filter/mod.rs
+++ b/crates/proxy/src/upstream/repeat_filter/mod.rs
@@ -7,6 +7,7 @@
 //! All of a remembered response is a copy if the backend is known to repeat, or if something comes behind it. If nothing
 //! does for as long as the backend's responses take, it is the response, and the backend is known to give equal ones.
 
+mod distinct_run;
 mod equal_contents;
 mod filtered_stream;
 mod hold;
@@ -16,6 +17,7 @@
 #[cfg(test)]
 mod tests;
 
+pub(super) use distinct_run::DistinctRun;
 pub(super) use filtered_stream::FilteredStream;
 pub(super) use repeat_history::RepeatHistory;
 pub(super) use response_bytes::is_response_start;
@@ -264,11 +266,10 @@
         if self.hold.is_some_and(|hold| hold.bytes == bytes) {
             return;
         }
-        let mut times = history.hold_times();
-        let is_known_equal = || history.is_equal_known(&ResponseContent::of(&self.held));
-        if bytes == HeldBytes::Part || is_known_equal() {
-            times.longest = times.usual;
-        }
+        let times = match bytes {
+            HeldBytes::Part => history.hold_times().without_longest(),
+            HeldBytes::Response => history.hold_times_of(&ResponseContent::of(&self.held)),
+        };
         self.hold = Some(Hold::begin(bytes, now, times, self.response_expires_at));
     }
 
@@ -331,6 +332,7 @@
         let content = ResponseContent::of(&self.held);
         if self.is_remembered(&content) {
             self.held_for = now.duration_since(hold.began_at);
+            history.record_released(&content);
             if hold.is_verdict_due(now) {
                 history.record_equal(&content);
                 self.hold = None;
--- a/crates/proxy/src/upstream/repeat_filter/repeat_history.rs
+++ b/crates/proxy/src/upstream/repeat_filter/repeat_history.rs
@@ -1,12 +1,14 @@
 //! What is known of a backend that repeats its responses.
 
 use super::ResponseKind;
+use super::distinct_run::DistinctRun;
 use super::equal_contents::{ConnectionNumber, EqualContents};
 use super::hold::HoldTimes;
 use super::response_content::{ContentHash, ResponseContent};
 use crate::log::log;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -27,7 +29,9 @@
 /// One whose client has the time is held for so long: a response may take longer than all before.
 const LONG_HOLD_TIME: Duration = Duration::from_millis(250);
 /// Nothing is held for longer than this.
-const MAX_HOLD_TIME: Duration = Duration::from_secs(2);
+pub(super) const MAX_HOLD_TIME: Duration = Duration::from_secs(2);
+/// A backend gives few equal responses if so many of it were unlike all others.
+const MIN_DISTINCT_RESPONSES: u32 = 8;
 /// How long a response time counts as recent, at the least; twice that at the most.
 const RESPONSE_TIME_PERIOD: Duration = Duration::from_secs(10);
 
@@ -43,11 +47,15 @@
     next_connection: Cell<u64>,
     last_response: Cell<Option<ContentHash>>,
     gives_equal_responses: Cell<bool>,
+    /// Served responses that were unlike all before them.
+    distinct_count: Cell<u32>,
+    /// Those of all backends of the tier.
+    tier_run: Rc<DistinctRun>,
 }
 
 impl RepeatHistory {
-    /// Of a process that has sent nothing yet.
-    pub(in crate::upstream) fn new(address: SocketAddr) -> Self {
+    /// Of a process that has sent nothing yet, of a tier whose backends are much alike.
+    pub(in crate::upstream) fn new(address: SocketAddr, tier_run: Rc<DistinctRun>) -> Self {
         RepeatHistory {
             address,
             last_repeat_at: Cell::default(),
@@ -58,6 +66,8 @@
             next_connection: Cell::default(),
             last_response: Cell::default(),
             gives_equal_responses: Cell::default(),
+            distinct_count: Cell::default(),
+            tier_run,
         }
     }
 
@@ -118,7 +128,23 @@
 
     /// A response differed from those before it on its connection.
     pub(super) fn record_distinct(&self, content: &ResponseContent, connection: ConnectionNumber) {
-        self.equal_contents(content.kind()).borrow_mut().record(content.hash(), connection);
+        let kind = content.kind();
+        let is_newly_equal = self.equal_contents(kind).borrow_mut().record(content.hash(), connection);
+        if kind == ResponseKind::Error {
+            return;
+        }
+        self.distinct_count.set(self.distinct_count.get().saturating_add(1));
+        self.tier_run.record_distinct();
+        if is_newly_equal {
+            self.tier_run.record_equal();
+        }
+    }
+
+    /// An equal response of this content was passed on, since nothing came behind it for as long as it was held.
+    pub(super) fn record_released(&self, content: &ResponseContent) {
+        if content.kind() == ResponseKind::Served {
+            self.tier_run.record_equal();
+        }
     }
 
     /// Equal responses of this content were given to different requests.
@@ -151,6 +177,23 @@
         let usual = (self.response_times.get().value() * HOLD_FACTOR).clamp(MIN_HOLD_TIME, MAX_HOLD_TIME);
         HoldTimes { usual, longest: usual.max(LONG_HOLD_TIME) }
     }
+
+    /// How long one of this content is held, which equals an earlier one.
+    pub(super) fn hold_times_of(&self, content: &ResponseContent) -> HoldTimes {
+        let times = self.hold_times();
+        if self.is_equal_known(content) {
+            return times.without_longest();
+        }
+        if content.kind() == ResponseKind::Served && self.are_equals_rare() {
+            return HoldTimes { longest: MAX_HOLD_TIME, ..times };
+        }
+        times
+    }
+
+    /// Whether an equal response is a copy more likely than not.
+    fn are_equals_rare(&self) -> bool {
+        self.distinct_count.get() >= MIN_DISTINCT_RESPONSES && self.tier_run.are_equals_rare()
+    }
 }
 
 /// The longest of the recent times.
--- a/crates/proxy/src/upstream/repeat_filter/tests.rs
+++ b/crates/proxy/src/upstream/repeat_filter/tests.rs
@@ -2,6 +2,7 @@
 
 use super::*;
 use std::net::Ipv4Addr;
+use std::rc::Rc;
 use std::time::Duration;
 
 const BODY_LENGTH: usize = 16;
@@ -20,12 +21,20 @@
     filter: RepeatFilter,
     history: RepeatHistory,
     now: Instant,
+    /// Distinct responses that were given.
+    response_count: usize,
 }
 
 impl Fixture {
     fn unknown_backend() -> Self {
-        let history = RepeatHistory::new((Ipv4Addr::LOCALHOST, 1).into());
-        Fixture { filter: RepeatFilter::new(&history), history, now: Instant::now() }
+        Fixture::of_tier(Rc::default())
+    }
+
+    /// A backend of a tier, of which itself nothing is known.
+    fn of_tier(distinct_run: Rc<DistinctRun>) -> Self {
+        let history = RepeatHistory::new((Ipv4Addr::LOCALHOST, 1).into(), distinct_run);
+        let filter = RepeatFilter::new(&history);
+        Fixture { filter, history, now: Instant::now(), response_count: 0 }
     }
 
     fn repeating_backend() -> Self {
@@ -68,6 +77,20 @@
         self.filter.ready.split().to_vec()
     }
 
+    /// A backend that has given so many responses, each unlike all others.
+    fn with_distinct_responses(count: u32) -> Self {
+        let mut fixture = Fixture::unknown_backend();
+        fixture.give_distinct_responses(count);
+        fixture
+    }
+
+    fn give_distinct_responses(&mut self, count: u32) {
+        for _ in 0..count {
+            self.response_count += 1;
+            self.exchange(&response(200, &format!("distinct {}", self.response_count)), false);
+        }
+    }
+
     /// Another connection to the same backend.
     fn connect_again(&mut self) -> RepeatFilter {
         std::mem::replace(&mut self.filter, RepeatFilter::new(&self.history))
@@ -737,3 +760,76 @@
         assert_eq!(fixture.now - came_at, fixture.hold_time(), "cut at {cut}");
     }
 }
+
+/// Far more than a backend has to give before an equal response is unlikely.
+const MANY_RESPONSES: u32 = 20;
+
+/// Gives a response twice, rightly so, and tells how long the second is held.
+fn hold_time_of_equal(fixture: &mut Fixture, body: &str) -> Duration {
+    let equal = response(200, body);
+    fixture.exchange(&equal, false);
+    fixture.begin_request();
+    fixture.receive_held(&equal);
+    let came_at = fixture.now;
+    assert_eq!(fixture.release(), equal);
+    fixture.finish(false);
+    fixture.now - came_at
+}
+
+#[test]
+fn an_equal_response_among_many_distinct_ones_is_held_as_long_as_a_response_may_take() {
+    let mut fixture = Fixture::with_distinct_responses(MANY_RESPONSES);
+    assert_eq!(hold_time_of_equal(&mut fixture, "equal"), repeat_history::MAX_HOLD_TIME);
+}
+
+#[test]
+fn where_few_responses_came_an_equal_one_is_held_no_longer_than_usual() {
+    let mut fixture = Fixture::with_distinct_responses(1);
+    let usual = fixture.hold_time();
+    assert_eq!(hold_time_of_equal(&mut fixture, "equal"), usual);
+}
+
+#[test]
+fn an_equal_error_among_many_distinct_responses_is_held_no_longer_than_usual() {
+    let mut fixture = Fixture::with_distinct_responses(MANY_RESPONSES);
+    let error = response(503, "");
+    fixture.exchange(&error, true);
+    fixture.now += fixture.history.copy_window();
+    fixture.begin_request();
+    fixture.receive_held(&error);
+    let came_at = fixture.now;
+    assert_eq!(fixture.release(), error);
+    assert_eq!(fixture.now - came_at, fixture.hold_time());
+}
+
+#[test]
+fn a_tier_that_gives_equal_responses_pays_the_long_hold_once() {
+    let tier = Rc::<DistinctRun>::default();
+    let mut first = Fixture::of_tier(tier.clone());
+    first.give_distinct_responses(MANY_RESPONSES);
+    assert_eq!(hold_time_of_equal(&mut first, "equal"), repeat_history::MAX_HOLD_TIME);
+    let mut second = Fixture::of_tier(tier);
+    for fixture in [&mut first, &mut second] {
+        fixture.give_distinct_responses(MANY_RESPONSES);
+        let usual = fixture.hold_time();
+        assert_eq!(hold_time_of_equal(fixture, "another"), usual);
+    }
+}
+
+#[test]
+fn an_equal_response_of_two_connections_is_one_that_the_tier_gives() {
+    let mut fixture = Fixture::with_distinct_responses(MANY_RESPONSES);
+    fixture.exchange(&response(200, "equal"), false);
+    fixture.connect_again();
+    fixture.exchange(&response(200, "equal"), false);
+    let usual = fixture.hold_time();
+    assert_eq!(hold_time_of_equal(&mut fixture, "another"), usual);
+}
+
+#[test]
+fn a_tier_that_gave_an_equal_response_long_ago_gives_few() {
+    let mut fixture = Fixture::with_distinct_responses(MANY_RESPONSES);
+    hold_time_of_equal(&mut fixture, "equal");
+    fixture.give_distinct_responses(1000);
+    assert_eq!(hold_time_of_equal(&mut fixture, "another"), repeat_history::MAX_HOLD_TIME);
+}
--- a/crates/proxy/tests/first_copies.rs
+++ b/crates/proxy/tests/first_copies.rs
@@ -240,6 +240,32 @@
     a_late_response_is_waited_for(Duration::from_secs(1)).await;
 }
 
+/// A backend whose responses differ, and that then gives each of them to two requests: waiting for what may come behind
+/// one of them delays every other client.
+#[tokio::test]
+async fn a_backend_that_comes_to_give_equal_responses_delays_one_client_for_long() {
+    const DISTINCT: usize = 20;
+    const EQUAL_PAIRS: usize = 10;
+    /// Longer than a response is held at a backend that is known to give equal ones.
+    const LONG: Duration = Duration::from_millis(500);
+    let received = AtomicUsize::new(0);
+    let (_backend, _discovery, proxy) = scripted(move |_, _| {
+        let count = received.fetch_add(1, SeqCst);
+        let number = if count < DISTINCT { count } else { DISTINCT + (count - DISTINCT) / 2 };
+        vec![Step::Write(response(200, "", &number.to_string()))]
+    })
+    .await;
+    let mut client = proxy.client().await;
+    let mut times = Vec::new();
+    for _ in 0..DISTINCT + 2 * EQUAL_PAIRS {
+        let begun_at = Instant::now();
+        let (_, (status, _)) = client.call_with_id(request_with_deadline("once", DEADLINE)).await;
+        assert_eq!(status, 200);
+        times.push(begun_at.elapsed());
+    }
+    assert!(times.iter().filter(|&&time| time > LONG).count() <= 1, "{times:?}");
+}
+
 /// One client before a backend that sends its responses in chunks.
 async fn one_client_gets_its_own_in_chunks(delivery: CopyDelivery) {
     let fixture = Fixture::new(Deployment::default(), delivery, |count, id| Exchange {
