An upload belongs to its request alone, and its body is read on behind it

Callers saw: a client that writes a long body to its end before it reads, and is rejected while it writes (too many open requests, or no backend in time), never got to see its answer; it still waited to write after 30 s.

Cause: what is read of a streamed body is put into a channel for an attempt to take. The task that reads it held the whole StreamedUpload, for a note of its end, and with it the receiver of its own channel: where no attempt takes the frames it waited for itself, and a rejection ended the request, not the body.

Change: the body is the request's alone and is dropped with it; what the task and the dispatcher need beyond that is an UploadStatus. The channel then has no receiver, the task learns of it at once, and reads the rest, as it always did for a body that an attempt gave up, within the limits that bodies are held to.

New unit test in transport/tests.rs.

--- a/crates/proxy/src/dispatcher/request_table.rs
+++ b/crates/proxy/src/dispatcher/request_table.rs
@@ -123,7 +123,7 @@
     ) -> Event {
         let upload = self.request.upload();
         // What its client took to write the body is none of the backend's time.
-        let completed_at = upload.and_then(|upload| upload.completed_at());
+        let completed_at = upload.and_then(|upload| upload.status().completed_at());
         let latency = completed_at.map_or(latency, |completed_at| latency.min(completed_at.elapsed()));
         Event::AttemptFinished(AttemptResult {
             request,
--- a/crates/proxy/src/dispatcher/requests.rs
+++ b/crates/proxy/src/dispatcher/requests.rs
@@ -15,7 +15,7 @@
     pub async fn dispatch(self: &Rc<Self>, incoming: IncomingRequest) -> Answer {
         let timeout = self.timeout(&incoming);
         let answer_by = incoming.received_at + timeout;
-        let upload = incoming.request.upload().cloned();
+        let upload = incoming.request.upload().map(|upload| upload.status().clone());
         let mut arrival = RequestArrival {
             request: 0,
             key: incoming.ordering_key.as_deref().map_or(0, |key| hash(key).max(1)),
--- a/crates/proxy/src/downstream/connection.rs
+++ b/crates/proxy/src/downstream/connection.rs
@@ -16,7 +16,7 @@
 use crate::log::log;
 use crate::transport::{
     ArrivalProbe, ClientSocket, MAX_BODY_BYTES, MAX_HEAD_BYTES, MAX_HEADERS, ObservedStream, RequestPayload,
-    SendGuard, StreamedBody, StreamedUpload, UnreadProbe, prepare,
+    SendGuard, StreamedUpload, UnreadProbe, prepare,
 };
 use crate::upstream::{UpstreamRequest, printable_id};
 use bytes::Bytes;
@@ -369,19 +369,17 @@
             ReceivedBody::Partial { first, rest, deadline } => (first, rest, deadline),
         };
         let (frames, upload) = StreamedUpload::new(length, client_timeout.saturating_sub(RESPONSE_MARGIN));
-        let upload = Rc::new(upload);
-        let connection = self.state.clone();
-        let stream = UploadStream { body: rest, deadline, frames, upload: upload.clone(), connection };
+        let (status, connection) = (upload.status().clone(), self.state.clone());
+        let stream = UploadStream { body: rest, deadline, frames, status, connection };
         spawn_local(stream.run(first));
-        (RequestPayload::Streamed(upload), body_extension(length))
+        (RequestPayload::Streamed(Rc::new(upload)), body_extension(length))
     }
 
     /// Reads on a body that is not taken, where it is written still: the client would not get to see its answer.
     fn discard_body(&self, parsed: &ParsedHead, body: Incoming, deadline: BodyReadDeadline) {
-        let (frames, _) = StreamedBody::new(None);
-        let (_, upload) = StreamedUpload::new(None, parsed.client_timeout);
-        let (upload, connection) = (Rc::new(upload), self.state.clone());
-        let stream = UploadStream { body, deadline, frames, upload, connection };
+        let (frames, upload) = StreamedUpload::new(None, parsed.client_timeout);
+        let (status, connection) = (upload.status().clone(), self.state.clone());
+        let stream = UploadStream { body, deadline, frames, status, connection };
         spawn_local(stream.run(Bytes::new()));
     }
 }
--- a/crates/proxy/src/downstream/request_body.rs
+++ b/crates/proxy/src/downstream/request_body.rs
@@ -1,7 +1,7 @@
 //! Bodies of requests: how long they may take, buffered or streamed through.
 
 use super::connection_table::{ARRIVAL_TIMEOUT, ConnectionState, RequestIdGuard};
-use crate::transport::{FrameSender, MAX_BODY_BYTES, StreamedUpload};
+use crate::transport::{FrameSender, MAX_BODY_BYTES, UploadStatus};
 use crate::upstream::MAX_BUFFERED_BODY_BYTES;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
@@ -93,7 +93,7 @@
     pub(super) body: Incoming,
     pub(super) deadline: BodyReadDeadline,
     pub(super) frames: FrameSender,
-    pub(super) upload: Rc<StreamedUpload>,
+    pub(super) status: Rc<UploadStatus>,
     pub(super) connection: Rc<ConnectionState>,
 }
 
@@ -103,7 +103,7 @@
         // Meanwhile what is read is no new head, whose time would run out.
         self.connection.is_reading_body.set(true);
         let result = self.stream(first).await;
-        self.upload.finish(result);
+        self.status.finish(result);
         self.connection.progress.expect_message();
         self.connection.is_reading_body.set(false);
     }
--- a/crates/proxy/src/transport/body.rs
+++ b/crates/proxy/src/transport/body.rs
@@ -7,6 +7,7 @@
 use std::cell::RefCell;
 use std::io;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
@@ -123,25 +124,24 @@
     }
 }
 
-/// A request's body that is streamed through, so that only one attempt can have it.
+/// A request's body that is streamed through, so that only one attempt can have it. It belongs to its request: once
+/// that is over, whoever puts the frames is told that nobody takes them.
 pub struct StreamedUpload {
     body: RefCell<Option<StreamedBody>>,
-    /// How long its client waits after its last byte.
-    pub client_timeout: Duration,
-    /// Whether it has been read to its end, and when, or what was wrong with it.
-    result: watch::Sender<Option<Result<Instant, StatusCode>>>,
+    status: Rc<UploadStatus>,
 }
 
 impl StreamedUpload {
     /// An upload, and where its frames are put.
     pub fn new(length: Option<u64>, client_timeout: Duration) -> (FrameSender, Self) {
         let (frames, body) = StreamedBody::new(length);
-        let upload = StreamedUpload {
-            body: RefCell::new(Some(body)),
-            client_timeout,
-            result: watch::Sender::new(None),
-        };
-        (frames, upload)
+        let status = UploadStatus { client_timeout, result: watch::Sender::new(None) };
+        (frames, StreamedUpload { body: RefCell::new(Some(body)), status: Rc::new(status) })
+    }
+
+    /// How far it has come.
+    pub fn status(&self) -> &Rc<UploadStatus> {
+        &self.status
     }
 
     /// Takes the body for an attempt; none if another one has it.
@@ -158,7 +158,17 @@
     pub fn is_consumed(&self) -> bool {
         self.body.borrow().is_none()
     }
+}
+
+/// How far a streamed upload has come. It outlasts the request where its client still writes.
+pub struct UploadStatus {
+    /// How long its client waits after its last byte.
+    pub client_timeout: Duration,
+    /// Whether it has been read to its end, and when, or what was wrong with it.
+    result: watch::Sender<Option<Result<Instant, StatusCode>>>,
+}
 
+impl UploadStatus {
     /// It has come to its end, or something is wrong with it.
     pub fn finish(&self, result: Result<Instant, StatusCode>) {
         self.result.send_replace(Some(result));
--- a/crates/proxy/src/transport/mod.rs
+++ b/crates/proxy/src/transport/mod.rs
@@ -10,7 +10,7 @@
 mod tests;
 
 pub use arrival::{ArrivalProbe, stamp_arrivals};
-pub use body::{BodyContent, FrameSender, StreamedBody, StreamedUpload};
+pub use body::{BodyContent, FrameSender, StreamedBody, StreamedUpload, UploadStatus};
 pub use client_socket::{ClientLiveness, ClientSocket};
 pub use observed_stream::{ObservedStream, UnreadProbe};
 pub use progress::{SendGuard, StreamProgress, WeakSendGuard};
--- a/crates/proxy/src/transport/tests.rs
+++ b/crates/proxy/src/transport/tests.rs
@@ -195,3 +195,16 @@
     let probe = ArrivalProbe::new(bytes.near.clone(), bytes.sent_after);
     assert_eq!(probe.waiting_since(MAX_HEAD_BYTES), None);
 }
+
+/// Whoever reads the body of a request that is over waits for ever until its next piece is taken.
+#[tokio::test]
+async fn nobody_takes_the_frames_of_an_upload_whose_request_is_over() {
+    let (frames, upload) = StreamedUpload::new(None, Duration::ZERO);
+    let status = upload.status().clone();
+    frames.send(Some("first".into())).await.expect("space for one");
+    let (sent, ()) = tokio::join!(frames.send(Some("second".into())), async { drop(upload) });
+    assert!(sent.is_err());
+    // What becomes of the rest is still told.
+    status.finish(Err(hyper::StatusCode::PAYLOAD_TOO_LARGE));
+    assert_eq!(status.failure(), Some(hyper::StatusCode::PAYLOAD_TOO_LARGE));
+}
--- a/crates/proxy/src/upstream/attempt.rs
+++ b/crates/proxy/src/upstream/attempt.rs
@@ -65,7 +65,8 @@
         let completed_at = match &request.body {
             RequestPayload::Buffered(_) => None,
             RequestPayload::Streamed(upload) => {
-                upload.completed().await.map(|completed_at| completed_at + upload.client_timeout)
+                let status = upload.status();
+                status.completed().await.map(|completed_at| completed_at + status.client_timeout)
             }
         };
         // One that breaks off is no reason to wait for less.
@@ -95,7 +96,7 @@
             Err(outcome) => AttemptOutcome::Unserved(outcome),
         };
         // Whatever came of it, a client that did not send a complete body is at fault.
-        match self.request.upload().and_then(|upload| upload.failure()) {
+        match self.request.upload().and_then(|upload| upload.status().failure()) {
             Some(status) if !matches!(outcome, AttemptOutcome::Served(_)) => {
                 AttemptOutcome::InvalidRequest(status)
             }
