A head is read by itself where a body comes before it that is read after its answer

Callers saw: an upload is rejected, or answered early by its backend, before its last byte. Its client sends the rest and then a request in chunks: a 400, though nothing is wrong with it. So behind a request that is rejected by its head while its body is on its way. And a head with a length beside its coding, which is to be rejected, was let through where the rest of the body before looked like one in order.

Cause: the HTTP library drops a length beside `chunked` before it is seen, so the head is copied as it is read, and checked again. The copy began with the answer: what was left of the body went into it, and the head behind was not found there.

So that task can't begin the copy, which ruled out the first plan, to reset it there.

Change: the stream counts the body by the length that the head tells, reads no further than its end, and the copy begins behind it; the time of the next message, too. Where the end can't be counted (chunks, or a head that came with what was before it), an answer that comes before the end of a body that is streamed says `Connection: close`, and the rest is read as before.

Why it works: the first byte behind the body is known before it is read, whoever learns of the end when.

--- a/crates/proxy/src/downstream/connection.rs
+++ b/crates/proxy/src/downstream/connection.rs
@@ -6,6 +6,7 @@
 use super::request_body::{BodyReadDeadline, BufferedBody, UploadStream, body_extension, buffer_body};
 use super::request_parsing::{
     ParsedHead, Rejection, bad_request, check_framing, class_name, ordering_key, parse_head,
+    unread_body_bytes,
 };
 use super::response::{
     ClientResponse, answer_response, close_after, closing_response, empty_response, rejected_response,
@@ -35,7 +36,7 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
-use tokio::task::{spawn_local, yield_now};
+use tokio::task::yield_now;
 use tokio::time::{Instant, sleep};
 
 /// When the proxy drains, connections still idle are closed after this: clients go on sending new requests for up to
@@ -220,7 +221,7 @@
             }
             Ok((request, _guard)) => self.dispatch(request).await,
         };
-        if self.is_last_answer() {
+        if self.is_last_answer() || self.state.is_next_head_uncertain() {
             close_after(&mut response);
         }
         response
@@ -281,7 +282,8 @@
         times: RequestTimes,
     ) -> Result<(IncomingRequest, RequestIdGuard), Rejection> {
         let (head, body) = request.into_parts();
-        check_framing(&head, &self.state.progress.take_head())?;
+        let length = body.size_hint().exact();
+        self.take_framing(&head, length)?;
         let has_body = !body.is_end_stream();
         let settings = self.server.dispatcher.settings();
         let mut parsed = parse_head(&settings, &head, has_body)?;
@@ -289,7 +291,6 @@
         let guard = RequestIdGuard::new(&self.server.table, &parsed.id);
         let mut guard = guard.ok_or_else(|| Box::new(empty_response(StatusCode::CONFLICT)))?;
         let uri = head.uri.path_and_query().cloned().map(Uri::from).ok_or_else(bad_request)?;
-        let length = body.size_hint().exact();
         if length.is_some_and(|length| length > MAX_BODY_BYTES) {
             return Err(Box::new(closing_response(StatusCode::PAYLOAD_TOO_LARGE)));
         }
@@ -325,6 +326,14 @@
         Ok((incoming, guard))
     }
 
+    /// Checks how the body of this length, if that is known, is framed, and notes where the next head begins.
+    fn take_framing(&self, head: &Parts, length: Option<u64>) -> Result<(), Rejection> {
+        let progress = &self.state.progress;
+        let raw_head = progress.take_head();
+        progress.expect_body(unread_body_bytes(&raw_head, length));
+        check_framing(head, &raw_head)
+    }
+
     fn send_guard(&self) -> SendGuard {
         let liveness = self.state.liveness.clone();
         Rc::new(move || liveness.is_connected())
@@ -371,7 +380,7 @@
         let (frames, upload) = StreamedUpload::new(length, client_timeout.saturating_sub(RESPONSE_MARGIN));
         let (status, connection) = (upload.status().clone(), self.state.clone());
         let stream = UploadStream { body: rest, deadline, frames, status, connection };
-        spawn_local(stream.run(first));
+        stream.spawn(first);
         (RequestPayload::Streamed(Rc::new(upload)), body_extension(length))
     }
 
@@ -380,6 +389,6 @@
         let (frames, upload) = StreamedUpload::new(None, parsed.client_timeout);
         let (status, connection) = (upload.status().clone(), self.state.clone());
         let stream = UploadStream { body, deadline, frames, status, connection };
-        spawn_local(stream.run(Bytes::new()));
+        stream.spawn(Bytes::new());
     }
 }
--- a/crates/proxy/src/downstream/connection_table.rs
+++ b/crates/proxy/src/downstream/connection_table.rs
@@ -91,6 +91,12 @@
             && !self.is_close_requested.get()
     }
 
+    /// Whether a body is still being read whose end is seen only by the HTTP library: the head behind it could not be
+    /// told from it.
+    pub(super) fn is_next_head_uncertain(&self) -> bool {
+        self.is_reading_body.get() && !self.progress.is_body_end_known()
+    }
+
     /// Whether the connection may be asked to give way to another; not again if it was asked before.
     fn can_be_evicted(&self) -> bool {
         let is_leaving = self.is_last_answer.get() && self.phase.get() != RequestPhase::Closing;
--- a/crates/proxy/src/downstream/request_body.rs
+++ b/crates/proxy/src/downstream/request_body.rs
@@ -9,6 +9,7 @@
 use hyper::body::{Body, Incoming};
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::task::spawn_local;
 use tokio::time::{Instant, timeout};
 
 /// A body may be waited for as long as its head, at least for so long after it ...
@@ -98,13 +99,16 @@
 }
 
 impl UploadStream {
-    /// Streams the body, of which `first` was read before.
-    pub(super) async fn run(mut self, first: Bytes) {
+    /// Streams the body in a task of its own; `first` was read before.
+    pub(super) fn spawn(self, first: Bytes) {
         // Meanwhile what is read is no new head, whose time would run out.
         self.connection.is_reading_body.set(true);
+        spawn_local(self.run(first));
+    }
+
+    async fn run(mut self, first: Bytes) {
         let result = self.stream(first).await;
         self.status.finish(result);
-        self.connection.progress.expect_message();
         self.connection.is_reading_body.set(false);
     }
 
--- a/crates/proxy/src/downstream/request_parsing.rs
+++ b/crates/proxy/src/downstream/request_parsing.rs
@@ -116,6 +116,23 @@
     if is_valid { Ok(()) } else { Err(bad_request()) }
 }
 
+/// How many bytes of a body of this length, if that is known, were not read together with its head; none if that can't
+/// be told.
+pub(super) fn unread_body_bytes(raw_head: &[u8], length: Option<u64>) -> Option<u64> {
+    let length = length?;
+    if length == 0 {
+        return Some(0);
+    }
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    match httparse::Request::new(&mut headers).parse(raw_head) {
+        Ok(httparse::Status::Complete(head_length)) => {
+            let read = (raw_head.len() - head_length) as u64;
+            Some(length.saturating_sub(read))
+        }
+        Ok(httparse::Status::Partial) | Err(_) => None,
+    }
+}
+
 fn has_no_length(raw_head: &[u8]) -> bool {
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut request = httparse::Request::new(&mut headers);
--- a/crates/proxy/src/transport/observed_stream.rs
+++ b/crates/proxy/src/transport/observed_stream.rs
@@ -118,21 +118,70 @@
 }
 
 impl<S: Read + Unpin> ObservedStream<S> {
-    /// Reads, and keeps a copy of what belongs to a head.
-    fn read_head(
+    /// Reads no more than so many bytes, and shows them.
+    fn read_at_most(
         &mut self,
         context: &mut Context<'_>,
         mut buffer: ReadBufCursor<'_>,
-        head: &mut Vec<u8>,
+        most_bytes: usize,
+        observe: impl FnOnce(&[u8]),
     ) -> Poll<io::Result<()>> {
-        let mut space = [0; HEAD_READ_BYTES];
-        let length = buffer.remaining().min(HEAD_READ_BYTES);
-        let mut read = ReadBuf::new(&mut space[..length]);
+        let mut space = [MaybeUninit::uninit(); MAX_HEAD_BYTES];
+        let length = buffer.remaining().min(most_bytes).min(space.len());
+        let mut read = ReadBuf::uninit(&mut space[..length]);
         ready!(Pin::new(&mut self.stream).poll_read(context, read.unfilled()))?;
-        head.extend_from_slice(read.filled());
+        observe(read.filled());
         buffer.put_slice(read.filled());
         Poll::Ready(Ok(()))
     }
+
+    /// Reads, and keeps a copy of what belongs to a head.
+    fn poll_read_head(
+        &mut self,
+        context: &mut Context<'_>,
+        buffer: ReadBufCursor<'_>,
+        mut head: Vec<u8>,
+    ) -> Poll<io::Result<()>> {
+        let waiting_since = self.waiting_since(buffer.remaining().min(HEAD_READ_BYTES));
+        let read = self.read_at_most(context, buffer, HEAD_READ_BYTES, |bytes| head.extend_from_slice(bytes));
+        self.progress.read.head.replace(Some(head));
+        if read.is_ready() {
+            self.observe_read(waiting_since);
+        }
+        read
+    }
+
+    /// Reads no further than a body goes: the head behind it is read by itself.
+    fn poll_read_body(
+        &mut self,
+        context: &mut Context<'_>,
+        buffer: ReadBufCursor<'_>,
+        remaining: u64,
+    ) -> Poll<io::Result<()>> {
+        let most_bytes = usize::try_from(remaining).unwrap_or(usize::MAX);
+        let waiting_since = self.waiting_since(buffer.remaining().min(most_bytes));
+        let mut length = 0;
+        let read = self.read_at_most(context, buffer, most_bytes, |bytes| length = bytes.len());
+        if read.is_ready() {
+            self.observe_read(waiting_since);
+            self.progress.read.count_body(length);
+        }
+        read
+    }
+
+    /// Reads what is not looked at.
+    fn poll_read_other(
+        &mut self,
+        context: &mut Context<'_>,
+        buffer: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        let waiting_since = self.waiting_since(buffer.remaining());
+        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
+        if read.is_ready() {
+            self.observe_read(waiting_since);
+        }
+        read
+    }
 }
 
 impl<S: Read + Unpin> Read for ObservedStream<S> {
@@ -141,21 +190,15 @@
         context: &mut Context<'_>,
         buffer: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
+        let body_remaining = self.progress.read.body_remaining.get().unwrap_or_default();
+        if body_remaining > 0 {
+            return self.poll_read_body(context, buffer, body_remaining);
+        }
         let head = self.progress.read.head.take().filter(|head| head.len() < MAX_HEAD_BYTES);
-        let most_bytes = if head.is_some() { HEAD_READ_BYTES } else { usize::MAX };
-        let waiting_since = self.waiting_since(buffer.remaining().min(most_bytes));
-        let read = match head {
-            Some(mut head) => {
-                let read = self.read_head(context, buffer, &mut head);
-                self.progress.read.head.replace(Some(head));
-                read
-            }
-            None => Pin::new(&mut self.stream).poll_read(context, buffer),
-        };
-        if read.is_ready() {
-            self.observe_read(waiting_since);
+        match head {
+            Some(head) => self.poll_read_head(context, buffer, head),
+            None => self.poll_read_other(context, buffer),
         }
-        read
     }
 }
 
--- a/crates/proxy/src/transport/progress.rs
+++ b/crates/proxy/src/transport/progress.rs
@@ -24,6 +24,19 @@
     pub(super) last_byte_at: Cell<Option<Instant>>,
     /// A copy of the head that is being read, where one is kept.
     pub(super) head: RefCell<Option<Vec<u8>>>,
+    /// How many bytes of a body come before the next head, where that is known.
+    pub(super) body_remaining: Cell<Option<u64>>,
+}
+
+impl ReadProgress {
+    /// So many bytes of the body were read. Where a head is expected behind it, that is a new message.
+    pub(super) fn count_body(&self, bytes: usize) {
+        let remaining = self.body_remaining.get().map(|remaining| remaining.saturating_sub(bytes as u64));
+        self.body_remaining.set(remaining);
+        if remaining == Some(0) && self.head.borrow().is_some() {
+            self.first_byte_at.set(None);
+        }
+    }
 }
 
 /// What has been written.
@@ -42,7 +55,17 @@
 }
 
 impl StreamProgress {
-    /// From now on a head is expected, and a copy of it is kept.
+    /// So many bytes of a body come before the next head, if that is known.
+    pub fn expect_body(&self, remaining: Option<u64>) {
+        self.read.body_remaining.set(remaining);
+    }
+
+    /// Whether it is known where the present body ends, so that the head behind it can be seen alone.
+    pub fn is_body_end_known(&self) -> bool {
+        self.read.body_remaining.get().is_some()
+    }
+
+    /// A head is expected, from now on or behind the rest of a body, and a copy of it is kept.
     pub fn expect_head(&self) {
         self.read.head.replace(Some(Vec::new()));
     }
--- a/crates/proxy/src/transport/tests.rs
+++ b/crates/proxy/src/transport/tests.rs
@@ -4,8 +4,9 @@
 use super::*;
 use hyper::Request;
 use hyper::client::conn::http1::handshake;
-use hyper::rt::Write;
+use hyper::rt::{Read, Write};
 use hyper_util::rt::TokioIo;
+use std::future::poll_fn;
 use std::pin::Pin;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream, duplex};
 use tokio::task::{LocalSet, spawn_local};
@@ -208,3 +209,29 @@
     status.finish(Err(hyper::StatusCode::PAYLOAD_TOO_LARGE));
     assert_eq!(status.failure(), Some(hyper::StatusCode::PAYLOAD_TOO_LARGE));
 }
+
+/// The head behind a body is copied alone, also where both lie there at once.
+#[tokio::test]
+async fn a_read_goes_no_further_than_the_body_before_a_head() {
+    const BODY: &[u8] = b"the rest of a body";
+    const HEAD: &[u8] = b"GET /next HTTP/1.1\r\n\r\n";
+    let (near, mut far) = duplex(1024);
+    far.write_all(&[BODY, HEAD].concat()).await.expect("space");
+    let mut stream = ObservedStream::new(TokioIo::new(near));
+    let progress = stream.progress();
+    progress.expect_body(Some(BODY.len() as u64));
+    progress.expect_head();
+    assert_eq!(read(&mut stream).await, BODY);
+    assert_eq!(progress.first_byte_at(), None, "what comes next is a new message");
+    assert_eq!(read(&mut stream).await, HEAD);
+    assert!(progress.first_byte_at().is_some());
+    assert_eq!(progress.take_head(), HEAD);
+}
+
+/// What one read gives.
+async fn read(stream: &mut ObservedStream<TokioIo<DuplexStream>>) -> Vec<u8> {
+    let mut space = [0; 1024];
+    let mut buffer = hyper::rt::ReadBuf::new(&mut space);
+    poll_fn(|context| Pin::new(&mut *stream).poll_read(context, buffer.unfilled())).await.expect("open");
+    buffer.filled().to_vec()
+}
--- a/crates/proxy/tests/exchange_isolation.rs
+++ b/crates/proxy/tests/exchange_isolation.rs
@@ -128,6 +128,47 @@
     s.next_is_served_unless_closed(&mut client, &answer).await;
 }
 
+/// The same where the rest comes in chunks: only the HTTP library sees where it ends.
+#[tokio::test]
+async fn a_request_behind_an_upload_in_chunks_that_was_answered_early_is_served_unless_closed() {
+    let s = Fixture::new(settings()).await;
+    let chunk = format!("{:x}\r\n{}\r\n", STREAMED_BYTES / 2, "u".repeat(STREAMED_BYTES / 2));
+    // Given: an upload in chunks that the backend answers before its last byte.
+    let mut client = s.client().await;
+    client.write(call_with("POST /once", "upload", "Transfer-Encoding: chunked")).await;
+    client.write(&chunk).await;
+    let mut connection = s.backend.accept().await;
+    connection.read_head().await.expect("a request");
+    connection.write(response(404, "", "")).await;
+    let (answer, _) = client.read_message().await.expect("an answer");
+    assert!(answer.starts_with("http/1.1 502 "), "{answer}");
+    // When: its client sends the rest.
+    client.write(chunk + "0\r\n\r\n").await;
+    // Then: what it sends next is served.
+    s.next_is_served_unless_closed(&mut client, &answer).await;
+}
+
+/// A head with a length beside its coding is rejected, also where what was left of the body before it looks like a head
+/// in order.
+#[tokio::test]
+async fn the_rest_of_an_upload_is_not_checked_in_place_of_the_head_behind_it() {
+    let s = Fixture::new(settings()).await;
+    let rest = chunked_call("in-the-body", 0);
+    let behind = call_with("POST /once", "next", "Transfer-Encoding: chunked\r\nContent-Length: 5");
+    // Given: an upload that was answered early.
+    let mut client = s.client().await;
+    client.write(upload_head("upload", STREAMED_BYTES + rest.len())).await;
+    client.write("u".repeat(STREAMED_BYTES)).await;
+    let mut connection = s.backend.accept().await;
+    connection.read_head().await.expect("a request");
+    connection.write(response(404, "", "")).await;
+    assert_eq!(client.read_answer().await.expect("an answer").0, 502);
+    // When: its rest looks like a request in order, and the one behind it is none.
+    client.write(rest + &behind + "0\r\n\r\n").await;
+    // Then: that one is rejected.
+    assert_eq!(client.read_answer().await.expect("an answer").0, 400);
+}
+
 /// An upload that is rejected before any backend had some of it is read to its end: it would hold its connection for
 /// ever.
 #[tokio::test]
