The test of a rejected upload waits until its proxy has seen a close

What was wrong: the test's backend closes its connection, and the next request is written at once. Beside other tests that request went out on the connection that was just closed, was reset, and got a 502, as it must: it may have run. Right before the first byte the system is asked whether anything, or the end, lies on the connection; so the end was not there yet, though it was sent first.

Now the backend ends its side and reads until the proxy has closed its own, and nothing more may come on it.

--- a/crates/proxy/tests/exchange_isolation.rs
+++ b/crates/proxy/tests/exchange_isolation.rs
@@ -189,7 +189,9 @@
     assert!(answer.starts_with("http/1.1 503 "), "{answer}");
     connection.write(response(200, "", "open")).await;
     assert_eq!(open.read_answer().await, Some((200, "open".into())));
-    drop(connection);
+    // The proxy has seen the end of the backend's connection: a request that crosses it may have run.
+    connection.stream.shutdown().await.expect("open");
+    assert_eq!(connection.read_to_close().await, b"");
     // Then: what its client sends next is served.
     s.next_is_served_unless_closed(&mut client, &answer).await;
 }
