Test: a client whose upload in chunks is rejected unsent sees its answer and the end

The two mends before meet here: the body is read on behind its rejection, and its answer ends the connection, since the end of the chunks is not counted. The client writes 30 MB before it reads, gets the 503 that says `Connection: close`, and nothing more.

--- a/crates/proxy/tests/exchange_isolation.rs
+++ b/crates/proxy/tests/exchange_isolation.rs
@@ -212,6 +212,27 @@
     assert_eq!(client.read_answer().await.expect("an answer").0, 503);
 }
 
+/// The same in chunks, behind which its connection ends: its client is to see the answer all the same.
+#[tokio::test]
+async fn an_upload_in_chunks_that_waited_for_a_backend_in_vain_is_read_to_its_end() {
+    const MAX_QUEUE_WAIT_MS: f64 = 200.0;
+    const CHUNK_BYTES: usize = 1_000_000;
+    let mut settings = settings();
+    for class in settings["classes"].as_array_mut().expect("a list") {
+        class["aim"] = MAX_QUEUE_WAIT_MS.into();
+    }
+    let discovery = Discovery::start(Vec::new()).await;
+    let proxy = Proxy::wait_until_applied(&discovery, settings).await;
+    let mut client = RawConnection::connect(proxy.addr).await;
+    client.write(call_with("POST /once", "upload", "Transfer-Encoding: chunked")).await;
+    let chunk = format!("{CHUNK_BYTES:x}\r\n{}\r\n", "u".repeat(CHUNK_BYTES));
+    client.write(chunk.repeat(ENDLESS_BYTES / CHUNK_BYTES) + "0\r\n\r\n").await;
+    let (answer, _) = client.read_message().await.expect("an answer");
+    assert!(answer.starts_with("http/1.1 503 "), "{answer}");
+    assert_eq!(header(&answer, "connection"), Some("close"));
+    assert_eq!(client.read_to_close().await, b"");
+}
+
 /// The body of a request that was rejected by its head, read behind that answer, is no part of the next head.
 #[tokio::test]
 async fn a_request_behind_a_body_that_was_not_read_is_served_unless_closed() {
