A connection is closed as idle only once all that was read on it is taken

Cause: the HTTP library reads 4 KiB at once and takes 16 pieces of it in a turn. Before a close the proxy asks the system for unread bytes, and there are none: the rest lies in the library's buffer.

Change: the stream notes whether the last read found nothing, which is when the library has taken all it can. Only then is a connection closed as idle; otherwise its next answer is its last, as where the system still holds bytes. A client that stops in the middle of a body gives way as before.

--- a/crates/proxy/src/downstream/connection.rs
+++ b/crates/proxy/src/downstream/connection.rs
@@ -141,7 +141,8 @@
         });
         loop {
             // What has been read is looked at first, and what the system holds is asked for last: a request may have
-            // come in the same moment as the reason to close its connection.
+            // come in the same moment as the reason to close its connection. Of what it has read in one the HTTP library
+            // takes only some in a turn; it waits for more once it has taken all.
             tokio::select! {
                 biased;
                 _ = connection.as_mut() => return true,
@@ -152,7 +153,7 @@
                     if !state.can_be_closed() {
                         continue;
                     }
-                    if !self.socket.has_unread() {
+                    if state.progress.is_read_pending() && !self.socket.has_unread() {
                         self.reject_first_request();
                         return !state.was_answered.get() && !self.server.is_full();
                     }
--- a/crates/proxy/src/downstream/connection_table.rs
+++ b/crates/proxy/src/downstream/connection_table.rs
@@ -124,7 +124,8 @@
 
     /// Whether nothing of a request has come.
     pub(super) fn is_idle(&self) -> bool {
-        self.phase.get() == RequestPhase::Idle && !self.is_sending() && self.can_be_closed()
+        let has_taken_all = self.progress.is_read_pending();
+        self.phase.get() == RequestPhase::Idle && has_taken_all && !self.is_sending() && self.can_be_closed()
     }
 
     /// Whether something of its next request has come.
--- a/crates/proxy/src/transport/observed_stream.rs
+++ b/crates/proxy/src/transport/observed_stream.rs
@@ -169,6 +169,23 @@
         read
     }
 
+    /// Reads what comes next: a body, a head or else.
+    fn poll_read_message(
+        &mut self,
+        context: &mut Context<'_>,
+        buffer: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        let body_remaining = self.progress.read.body_remaining.get().unwrap_or_default();
+        if body_remaining > 0 {
+            return self.poll_read_body(context, buffer, body_remaining);
+        }
+        let head = self.progress.read.head.take().filter(|head| head.len() < MAX_HEAD_BYTES);
+        match head {
+            Some(head) => self.poll_read_head(context, buffer, head),
+            None => self.poll_read_other(context, buffer),
+        }
+    }
+
     /// Reads what is not looked at.
     fn poll_read_other(
         &mut self,
@@ -190,15 +207,9 @@
         context: &mut Context<'_>,
         buffer: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        let body_remaining = self.progress.read.body_remaining.get().unwrap_or_default();
-        if body_remaining > 0 {
-            return self.poll_read_body(context, buffer, body_remaining);
-        }
-        let head = self.progress.read.head.take().filter(|head| head.len() < MAX_HEAD_BYTES);
-        match head {
-            Some(head) => self.poll_read_head(context, buffer, head),
-            None => self.poll_read_other(context, buffer),
-        }
+        let read = self.poll_read_message(context, buffer);
+        self.progress.read.is_pending.set(read.is_pending());
+        read
     }
 }
 
--- a/crates/proxy/src/transport/progress.rs
+++ b/crates/proxy/src/transport/progress.rs
@@ -26,6 +26,8 @@
     pub(super) head: RefCell<Option<Vec<u8>>>,
     /// How many bytes of a body come before the next head, where that is known.
     pub(super) body_remaining: Cell<Option<u64>>,
+    /// The last read found nothing.
+    pub(super) is_pending: Cell<bool>,
 }
 
 impl ReadProgress {
@@ -85,6 +87,12 @@
         self.read.first_byte_at.get()
     }
 
+    /// Whether the HTTP library waits for more bytes. It asks for them only once it has taken what it can of those that
+    /// it has read.
+    pub fn is_read_pending(&self) -> bool {
+        self.read.is_pending.get()
+    }
+
     /// What comes from now on is a new message.
     pub fn expect_message(&self) {
         self.read.first_byte_at.set(None);
--- a/crates/proxy/tests/exchange_isolation.rs
+++ b/crates/proxy/tests/exchange_isolation.rs
@@ -289,6 +289,48 @@
     assert_eq!(script.requests_at("a"), served + AT_ONCE);
 }
 
+/// What was read in one is taken request by request: a connection that is to give way meanwhile ends with an answer that
+/// says so.
+#[tokio::test]
+async fn requests_read_together_as_their_connection_is_to_give_way_end_with_a_last_answer() {
+    const DESCRIPTORS: usize = 64;
+    const PIPELINED: usize = 80;
+    const HEALTH_CHECK: &str = "GET /health/ready HTTP/1.1\r\nHost: o\r\n\r\n";
+    let discovery = Discovery::start(Vec::new()).await;
+    let mut config = discovery.config(settings());
+    config["limits"]["sockets"] = DESCRIPTORS.into();
+    let proxy = Proxy::start_as(&config, "exec \"$0\"").await;
+    discovery.wait_until_applied().await;
+    // Given: resting clients on all places.
+    let mut resting = Vec::new();
+    for _ in 0..DESCRIPTORS / 4 {
+        let mut client = RawConnection::connect(proxy.addr).await;
+        client.write(HEALTH_CHECK).await;
+        client.read_answer().await.expect("an answer");
+        resting.push(client);
+    }
+    // When: as many others connect as those write that have rested longest, in one turn of the proxy.
+    proxy.pause().await;
+    let mut others = Vec::new();
+    for _ in 0..AT_ONCE {
+        others.push(RawConnection::connect(proxy.addr).await);
+    }
+    let late = &mut resting[..AT_ONCE];
+    for client in late.iter_mut() {
+        client.write(HEALTH_CHECK.repeat(PIPELINED)).await;
+    }
+    proxy.resume_process().await;
+    // Then: each of them has all its answers, or one that says that there will be no more.
+    for (n, client) in late.iter_mut().enumerate() {
+        let mut answers = Vec::new();
+        while let Some((head, _)) = client.read_message().await {
+            answers.push(head);
+        }
+        let is_last = answers.last().is_some_and(|head| header(head, "connection") == Some("close"));
+        assert!(is_last || answers.len() == PIPELINED, "client {n}: {} answers", answers.len());
+    }
+}
+
 /// A connection rests from the end of its streamed response, however long the client takes for that: the
 /// backend closes it by its own clock, and what is written to it from then on may have run.
 #[tokio::test]
