A connection that carried a response of which nothing is remembered is closed

Cause: such a response goes by the filter as it comes and nothing of it is remembered, so that its copy equals nothing and is passed on.

Change: the connection carries no further request, at any backend, and is not kept idle. So its copy finds nobody waiting, however late it comes. What is up to 80 KiB is compared as before, and keeps its connection.

--- a/crates/proxy/src/upstream/connection_pool.rs
+++ b/crates/proxy/src/upstream/connection_pool.rs
@@ -154,12 +154,13 @@
         Some(connections.remove(newest).connection)
     }
 
-    /// Keeps a connection for another request.
+    /// Keeps a connection for another request, if it can carry one.
     pub(super) fn keep_idle(&self, endpoint: &Endpoint, connection: Connection) {
-        if endpoint.is_draining() || connection.sender.is_closed() {
+        let now = Instant::now();
+        if endpoint.is_draining() || !connection.is_usable(now) {
             return;
         }
-        let idle = IdleConnection { connection, since: Instant::now() };
+        let idle = IdleConnection { connection, since: now };
         self.idle.borrow_mut().entry(endpoint.number).or_default().push(idle);
     }
 
--- a/crates/proxy/src/upstream/repeat_filter/mod.rs
+++ b/crates/proxy/src/upstream/repeat_filter/mod.rs
@@ -114,6 +114,8 @@
     /// A copy may have been passed on before the backend was known to repeat: each response since may belong to an
     /// earlier request.
     may_be_out_of_step: bool,
+    /// A response came of which nothing is remembered.
+    has_unknown_response: bool,
 }
 
 /// What came can't be trusted: a copy broke off, and where the next response begins is not certain; or it may belong to
@@ -136,6 +138,7 @@
             response_expires_at: None,
             ready: BytesMut::new(),
             may_be_out_of_step: false,
+            has_unknown_response: false,
         }
     }
 
@@ -371,6 +374,7 @@
     pub(super) fn finish_response(&mut self, is_error: bool, history: &RepeatHistory, now: Instant) {
         self.phase = Phase::Idle;
         let Some(content) = self.present.take_content() else {
+            self.has_unknown_response = true;
             self.hold = None;
             return;
         };
@@ -421,10 +425,11 @@
         self.remembered.iter().map(|response| response.content.kept_bytes()).sum()
     }
 
-    /// Whether the connection can carry no further request: a copy of a response that is too long to be remembered
-    /// could not be told from the next one.
+    /// Whether the connection can carry no further request: a copy of a response of which nothing is remembered could
+    /// not be told from the next one. Of a backend that is known to repeat all of it has to be remembered.
     pub(super) fn is_unusable(&self, history: &RepeatHistory, now: Instant) -> bool {
-        history.repeats(now) && (self.present.is_long() || self.may_be_out_of_step)
+        let is_untrusted = self.present.is_long() || self.may_be_out_of_step;
+        self.has_unknown_response || history.repeats(now) && is_untrusted
     }
 
     /// Whether the connection is not to be used yet.
--- a/crates/proxy/src/upstream/repeat_filter/response_content.rs
+++ b/crates/proxy/src/upstream/repeat_filter/response_content.rs
@@ -11,7 +11,7 @@
 /// Of longer ones so many bytes are kept, and a hash.
 const PREFIX_BYTES: usize = 512;
 /// Responses of more bytes than this are not compared.
-const MAX_COMPARED_BYTES: usize = MAX_HEAD_BYTES + MAX_BUFFERED_BODY_BYTES;
+pub(super) const MAX_COMPARED_BYTES: usize = MAX_HEAD_BYTES + MAX_BUFFERED_BODY_BYTES;
 
 /// Identifies the bytes of a response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/proxy/src/upstream/repeat_filter/tests.rs
+++ b/crates/proxy/src/upstream/repeat_filter/tests.rs
@@ -1,5 +1,6 @@
 //! Unit tests of the filter of copies: single cases, and a property over arbitrary cuts and orders.
 
+use super::response_content::MAX_COMPARED_BYTES;
 use super::*;
 use std::net::Ipv4Addr;
 use std::rc::Rc;
@@ -442,6 +443,17 @@
     assert!(Fixture::unknown_backend().exchange(&long, false));
 }
 
+#[test]
+fn behind_a_response_of_which_nothing_is_remembered_no_connection_is_used_again() {
+    let longest =
+        "x".repeat(MAX_COMPARED_BYTES - response(200, "").len() - MAX_COMPARED_BYTES.to_string().len());
+    assert!(Fixture::unknown_backend().exchange(&response(200, &longest), false));
+    let too_long = "x".repeat(MAX_COMPARED_BYTES);
+    let mut fixture = Fixture::unknown_backend();
+    assert!(!fixture.exchange(&response(200, &too_long), false));
+    assert!(!fixture.exchange(&response(200, "short"), false));
+}
+
 #[test]
 fn what_is_remembered_is_bounded() {
     let mut fixture = Fixture::repeating_backend();
--- a/crates/proxy/tests/first_copies.rs
+++ b/crates/proxy/tests/first_copies.rs
@@ -300,6 +300,11 @@
     format!("HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n10\r\n{id}\r\n0\r\n\r\n").into_bytes()
 }
 
+fn padded_chunked_response(id: &str, padding: &str) -> Vec<u8> {
+    let (head, length) = ("HTTP/1.1 200 X\r\nTransfer-Encoding: chunked", padding.len());
+    format!("{head}\r\n\r\n10\r\n{id}\r\n{length:x}\r\n{padding}\r\n0\r\n\r\n").into_bytes()
+}
+
 /// Clients that each send one request at a time, all at once, each on a connection of its own to one of two backends.
 struct BusyClients {
     fixture: Fixture,
@@ -663,6 +668,60 @@
     one_client_gets_its_own_of_length(100 * 1024).await;
 }
 
+/// As before, where only the last chunk says how long a response is.
+#[tokio::test]
+async fn the_first_copy_of_a_streamed_response_in_chunks_is_not_the_answer_to_the_next_request() {
+    const PADDING_BYTES: usize = 100 * 1024;
+    let padding = "x".repeat(PADDING_BYTES);
+    let fixture = Fixture::new(Deployment::default(), CopyDelivery::Whole, move |count, id| Exchange {
+        response: padded_chunked_response(id, &padding),
+        is_repeated: count >= 3,
+        is_held: count > 3,
+    })
+    .await;
+    let mut answers = fixture.call_in_a_row("once", 3 + CALLS, RESPONSE_DELAY).await;
+    for (id, (_, body)) in &mut answers {
+        assert_eq!(body.len(), id.len() + PADDING_BYTES, "it is broken");
+        body.truncate(id.len());
+    }
+    fixture.assert_each_got_its_own(answers);
+}
+
+/// A connection that is not used again holds a place of its backend's.
+#[tokio::test]
+async fn a_connection_is_closed_behind_a_response_too_long_to_be_compared() {
+    let backend = RawBackend::start().await;
+    let discovery = Discovery::start(vec![line("a", backend.addr, "SERVING")]).await;
+    let proxy = Proxy::wait_until_applied(&discovery, settings()).await;
+    let mut client = RawConnection::connect(proxy.addr).await;
+    client.write(call("GET /look", "long")).await;
+    let mut connection = backend.accept().await;
+    connection.read_request().await.expect("a request");
+    let body = "x".repeat(100 * 1024);
+    connection.write(response(200, "", &body)).await;
+    assert_eq!(client.read_answer().await, Some((200, body)));
+    assert_eq!(connection.read_to_close().await, b"");
+}
+
+/// Long responses of which all can be compared need no other connections.
+#[tokio::test]
+async fn responses_that_are_streamed_and_compared_come_on_one_connection() {
+    let padding = "x".repeat(70 * 1024);
+    let connections = Arc::new(AtomicUsize::new(0));
+    let made = connections.clone();
+    let (_backend, _discovery, proxy) = scripted(move |count, id| {
+        if count == 0 {
+            made.fetch_add(1, SeqCst);
+        }
+        vec![Step::Write(response(200, "", &format!("{id}{padding}")))]
+    })
+    .await;
+    for (id, (status, body)) in call_in_a_row(&proxy, "once", CALLS).await {
+        assert_eq!((status, body.trim_end_matches('x')), (200, id.as_str()));
+    }
+    assert_eq!(connections.load(SeqCst), 1);
+}
+
 /// A backend that gave some errors to different requests is one that gives anything to different requests.
 #[tokio::test]
 async fn the_first_copy_behind_different_errors_is_not_the_answer_to_the_next_request() {
