A client in the middle of its body is not idle and gives way last

Cause: who gives way is decided by the first byte of what is being sent. That is cleared once a head is complete, so that until more of the body comes the connection counts as idle, or as late.

Change: a connection whose body is being read counts as sending, as one in the middle of its head does: it gives way only if nothing can be accepted. Its body has a time of its own. The two tests of senders share their set-up.

--- a/crates/proxy/src/downstream/connection_table.rs
+++ b/crates/proxy/src/downstream/connection_table.rs
@@ -46,7 +46,7 @@
     Used,
     /// It came lately and has sent nothing: its request may be on its way.
     Arriving,
-    /// It sends a head, within the time for that.
+    /// It sends a head or a body, within the time for that.
     Sending,
 }
 
@@ -107,6 +107,10 @@
         if self.phase.get() == RequestPhase::Closing {
             return IdleKind::Closing;
         }
+        // Whoever reads the body ends it when its time is over.
+        if self.phase.get() == RequestPhase::ReadingBody {
+            return IdleKind::Sending;
+        }
         if let Some(first_byte_at) = self.progress.first_byte_at() {
             let is_in_time = first_byte_at.elapsed() < HEAD_TIMEOUT;
             return if is_in_time { IdleKind::Sending } else { IdleKind::Late };
@@ -128,9 +132,9 @@
         self.phase.get() == RequestPhase::Idle && has_taken_all && !self.is_sending() && self.can_be_closed()
     }
 
-    /// Whether something of its next request has come.
+    /// Whether something of its next request has come, or not all of the present one.
     fn is_sending(&self) -> bool {
-        self.progress.first_byte_at().is_some()
+        self.phase.get() == RequestPhase::ReadingBody || self.progress.first_byte_at().is_some()
     }
 
     /// Whether it has had the time that it may take.
@@ -146,7 +150,7 @@
         }
     }
 
-    /// Since when it has been idle; one that is sending a head has time for that first.
+    /// Since when it has been idle; one that is sending has time for that first.
     fn idle_since(&self) -> Instant {
         let grace = if self.is_sending() { HEAD_TIMEOUT } else { Duration::ZERO };
         self.since.get() + grace
--- a/crates/proxy/tests/newcomers.rs
+++ b/crates/proxy/tests/newcomers.rs
@@ -180,10 +180,13 @@
     newcomers_are_answered(Duration::from_millis(400)).await;
 }
 
-/// Guards against evicting a client that has sent a part of its head for any that comes.
-#[tokio::test]
-async fn a_client_in_the_middle_of_its_head_does_not_give_way_to_one_that_comes() {
-    const PLACES: usize = 16;
+/// Clients that the proxy has places for.
+const PLACES: usize = 16;
+/// The halves of a body.
+const BODY_BEGIN: &str = "bo";
+const BODY_REST: &str = "dy";
+
+async fn proxy_with_few_places() -> (Backend, Discovery, Proxy) {
     let script = Arc::new(BackendScript::default());
     let backend = Backend::start("a", &script).await;
     let discovery = Discovery::start(vec![backend.line("SERVING")]).await;
@@ -191,6 +194,20 @@
     config["limits"]["sockets"] = (2 * PLACES + 32).into();
     let proxy = Proxy::start_as(&config, "exec \"$0\"").await;
     discovery.wait_until_applied().await;
+    (backend, discovery, proxy)
+}
+
+/// A request up to the middle of its body.
+fn begin_upload() -> String {
+    let head = call("POST /once", &format!("{:016x}", fresh_id()));
+    let length = BODY_BEGIN.len() + BODY_REST.len();
+    head.replace("Host: o\r\n", &format!("Host: o\r\nContent-Length: {length}\r\n")) + BODY_BEGIN
+}
+
+/// Guards against evicting a client that has sent a part of its head for any that comes.
+#[tokio::test]
+async fn a_client_in_the_middle_of_its_head_does_not_give_way_to_one_that_comes() {
+    let (_backend, _discovery, proxy) = proxy_with_few_places().await;
     // Given: all places are taken by clients that have sent half of their heads.
     let mut senders = Vec::new();
     for _ in 0..PLACES {
@@ -211,6 +228,48 @@
     }
 }
 
+/// The same for its body: a client that was served before is not idle in the middle of it.
+#[tokio::test]
+async fn a_client_in_the_middle_of_its_body_does_not_give_way_to_one_that_comes() {
+    let (_backend, _discovery, proxy) = proxy_with_few_places().await;
+    // Given: all places are taken by clients that were served, and have sent half of the body of their next request.
+    let mut senders = Vec::new();
+    for _ in 0..PLACES {
+        let mut sender = RawConnection::connect(proxy.addr).await;
+        sender.write(call("GET /look", &format!("{:016x}", fresh_id()))).await;
+        assert_eq!(sender.read_answer().await.expect("an answer").0, 200);
+        sender.write(begin_upload()).await;
+        all_is_read(&proxy, &sender).await;
+        senders.push(sender);
+    }
+    // When: others come and are served, and the rest of the bodies after them.
+    for _ in 0..4 {
+        assert_eq!(proxy.call("look").await.0, 200);
+    }
+    // Then: all have their answers.
+    for sender in &mut senders {
+        sender.write(BODY_REST).await;
+        assert!(sender.read_answer().await.is_some(), "it was closed unanswered");
+    }
+}
+
+/// Guards against clients that stop in the middle of their bodies and keep all others out.
+#[tokio::test]
+async fn clients_that_stop_in_the_middle_of_their_bodies_keep_nobody_out() {
+    let (_backend, _discovery, proxy) = proxy_with_few_places().await;
+    // Given: more of them than there are places, those included whose clients are only rejected.
+    let mut stopped = Vec::new();
+    for _ in 0..4 * PLACES {
+        let mut client = RawConnection::connect(proxy.addr).await;
+        client.write(begin_upload()).await;
+        stopped.push(client);
+    }
+    // When: another comes. Then: it is served, long before their time is over.
+    let begun_at = Instant::now();
+    assert_eq!(proxy.call("look").await.0, 200);
+    assert!(begun_at.elapsed() < DEADLINE, "{:?}", begun_at.elapsed());
+}
+
 /// Memory that the proxy may use.
 const MEMORY_MB: usize = 32;
 /// So often a client of the crowd is shut out.
