The responses that a connection remembers are a type of their own

The remembered responses and what bytes are that diverge from them are in remembered_responses.rs now, with a typed Divergence in place of a Result<bool>; ResponseKind stands beside the content that has it, so that no file of the folder but the stream imports mod.rs.

--- a/crates/proxy/src/upstream/repeat_filter/mod.rs
+++ b/crates/proxy/src/upstream/repeat_filter/mod.rs
@@ -11,6 +11,7 @@
 mod equal_contents;
 mod filtered_stream;
 mod hold;
+mod remembered_responses;
 mod repeat_history;
 mod response_bytes;
 mod response_content;
@@ -26,34 +27,12 @@
 use bytes::{Buf, BytesMut};
 use equal_contents::ConnectionNumber;
 use hold::{HeldBytes, Hold};
-use response_bytes::{
-    common_prefix_length, contains_chunked, has_response_start_near, head_length, is_interim, is_served,
-};
-use response_content::{MAX_WHOLE_BYTES, PresentResponse, ResponseContent};
-use std::collections::VecDeque;
+use remembered_responses::{Divergence, RememberedResponse, RememberedResponses};
+use response_bytes::{head_length, is_interim};
+use response_content::{PresentResponse, ResponseContent};
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Most responses of a connection that are remembered: a slow copy may come behind later responses.
-const MAX_REMEMBERED_RESPONSES: usize = 64;
-/// Most bytes of them.
-const MAX_REMEMBERED_BYTES: usize = MAX_WHOLE_BYTES;
-
-/// What a response is.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum ResponseKind {
-    /// Its request was served.
-    Served,
-    /// Its request was not.
-    Error,
-}
-
-impl ResponseKind {
-    fn of(response: &[u8]) -> Self {
-        if is_served(response) { ResponseKind::Served } else { ResponseKind::Error }
-    }
-}
-
 /// How far the exchange on a connection has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Phase {
@@ -65,38 +44,11 @@
     Receiving,
 }
 
-/// A response whose copy has not come.
-struct RememberedResponse {
-    content: ResponseContent,
-    received_at: Instant,
-    /// Until when its connection is not used, if the next response may rightly equal it. Where the backend is known to
-    /// repeat it is forgotten then.
-    rests_until: Option<Instant>,
-    /// A copy of it came, by which the backend is known to repeat: another may come, or an equal response.
-    was_copied: bool,
-}
-
-impl RememberedResponse {
-    /// Whether its copy may still come.
-    fn is_awaited(&self, history: &RepeatHistory, now: Instant) -> bool {
-        match self.rests_until {
-            Some(until) if history.repeats(now) => now < until,
-            _ => now.duration_since(self.received_at) <= history.copy_window(),
-        }
-    }
-
-    /// Whether its connection has rested so long that no copy of it can come.
-    fn is_forgotten(&self, history: &RepeatHistory, now: Instant) -> bool {
-        history.repeats(now) && self.rests_until.is_some_and(|until| until <= now)
-    }
-}
-
 /// The filter of one connection.
 pub(super) struct RepeatFilter {
     connection: ConnectionNumber,
     phase: Phase,
-    /// The oldest first.
-    remembered: VecDeque<RememberedResponse>,
+    remembered: RememberedResponses,
     /// What was passed on of the present response.
     present: PresentResponse,
     /// What may be a copy.
@@ -129,7 +81,7 @@
         RepeatFilter {
             connection: history.connection_number(),
             phase: Phase::Idle,
-            remembered: VecDeque::new(),
+            remembered: RememberedResponses::default(),
             present: PresentResponse::new(),
             held: BytesMut::new(),
             hold: None,
@@ -161,12 +113,12 @@
         history.forget_old_delays(now);
         if self.hold.take().is_some_and(|hold| hold.is_verdict_due(now)) {
             // Nothing came behind a response that was passed on before that was known.
-            if let Some(last) = self.remembered.back() {
+            if let Some(last) = self.remembered.last() {
                 history.record_equal(&last.content);
             }
         }
         // Nothing came in all the time in which an earlier response would have come.
-        let is_copy_awaited = self.remembered.back().is_some_and(|last| last.is_awaited(history, now));
+        let is_copy_awaited = self.remembered.last().is_some_and(|last| last.is_awaited(history, now));
         self.may_be_out_of_step &= is_copy_awaited;
         self.phase = Phase::Awaiting;
         self.request_began_at = Some(now);
@@ -196,7 +148,7 @@
             return Ok(());
         }
         if self.held.is_empty() {
-            self.remembered.retain(|response| !response.is_forgotten(history, now));
+            self.remembered.forget_rested(history, now);
             self.record_response_time(history, now);
         }
         self.held.extend_from_slice(bytes);
@@ -212,13 +164,13 @@
     /// Drops copies from what is held, and passes on what is none.
     fn compare(&mut self, history: &RepeatHistory, now: Instant) -> Result<(), Untrusted> {
         while !self.held.is_empty() {
-            if let Some(index) = self.equal_response() {
+            if let Some(index) = self.remembered.position_at_start(&self.held) {
                 if self.take_equal(index, history, now) {
                     continue;
                 }
                 return Ok(());
             }
-            if self.remembered.iter().any(|copy| copy.content.may_start_with(&self.held)) {
+            if self.remembered.any_may_start_with(&self.held) {
                 self.hold(HeldBytes::Part, history, now);
                 return Ok(());
             }
@@ -231,9 +183,13 @@
                 self.hold = None;
                 continue;
             }
-            if self.may_be_broken_copy()? {
-                self.hold(HeldBytes::Part, history, now);
-                return Ok(());
+            match self.remembered.divergence(&self.held) {
+                Divergence::BrokenCopy => return Err(Untrusted),
+                Divergence::Unknown => {
+                    self.hold(HeldBytes::Part, history, now);
+                    return Ok(());
+                }
+                Divergence::OtherResponse => {}
             }
             if history.repeats(now) && self.may_be_out_of_step {
                 return Err(Untrusted);
@@ -246,7 +202,7 @@
 
     /// Takes a response that equals one that is remembered, as a copy or as the answer; false if that is not known yet.
     fn take_equal(&mut self, index: usize, history: &RepeatHistory, now: Instant) -> bool {
-        let remembered = &self.remembered[index];
+        let remembered = self.remembered.get(index);
         let is_followed = self.held.len() > remembered.content.length();
         let is_awaited = remembered.is_awaited(history, now);
         let is_known_equal = history.is_equal_known(&remembered.content);
@@ -277,7 +233,7 @@
     }
 
     fn drop_copy(&mut self, index: usize, history: &RepeatHistory, now: Instant) {
-        let remembered = &mut self.remembered[index];
+        let remembered = self.remembered.get_mut(index);
         let is_first = !history.repeats(now) && !remembered.was_copied;
         remembered.was_copied = true;
         let came_at = self.hold.take().map_or(now, |hold| hold.began_at);
@@ -288,26 +244,6 @@
         }
     }
 
-    /// Whether what is held begins like a response that is remembered, and more of it has to come before it is known
-    /// not to be a copy that broke off. An error if it is one.
-    fn may_be_broken_copy(&self) -> Result<bool, Untrusted> {
-        let mut needs_more = false;
-        for response in &self.remembered {
-            let Some(bytes) = response.content.whole() else { continue };
-            let Some(head) = head_length(bytes) else { continue };
-            let common = common_prefix_length(bytes, &self.held);
-            let has_equal_head = common >= head;
-            if common < bytes.len() && has_response_start_near(&self.held, common) {
-                return Err(Untrusted);
-            }
-            // With one head, and so one length, both are equally long.
-            let end = bytes.len();
-            let has_length = !contains_chunked(&bytes[..head]);
-            needs_more |= has_equal_head && has_length && self.held.len() < end;
-        }
-        Ok(needs_more)
-    }
-
     /// Until when bytes are held, where that ends by itself.
     fn held_until(&self, history: &RepeatHistory, now: Instant) -> Option<Instant> {
         let hold = self.hold.filter(|_| !self.held.is_empty())?;
@@ -333,7 +269,7 @@
         }
         // The rest of one that is not whole is its backend's to send.
         let content = ResponseContent::of(&self.held);
-        if self.is_remembered(&content) {
+        if self.remembered.contains(&content) {
             self.held_for = now.duration_since(hold.began_at);
             history.record_released(&content);
             if hold.is_verdict_due(now) {
@@ -344,15 +280,6 @@
         self.pass_response();
     }
 
-    /// The place of the response that what is held begins with.
-    fn equal_response(&self) -> Option<usize> {
-        self.remembered.iter().position(|earlier| earlier.content.is_start_of(&self.held))
-    }
-
-    fn is_remembered(&self, content: &ResponseContent) -> bool {
-        self.remembered.iter().any(|earlier| earlier.content.hash() == content.hash())
-    }
-
     /// What is held is no copy, and neither is the rest of its response.
     fn pass_response(&mut self) {
         let held = self.held.split();
@@ -378,14 +305,15 @@
             self.hold = None;
             return;
         };
-        let is_equal = self.is_remembered(&content);
+        let is_equal = self.remembered.contains(&content);
         self.may_be_out_of_step |= is_equal;
         if !is_equal {
             history.record_distinct(&content, self.connection);
             self.hold = None;
         }
         let rests_until = self.rest_behind(&content, is_error, history, now);
-        self.remember(RememberedResponse { content, received_at: now, rests_until, was_copied: false });
+        let was_copied = false;
+        self.remembered.remember(RememberedResponse { content, received_at: now, rests_until, was_copied });
     }
 
     /// Until when the connection is not used behind a response: a copy of it could be taken for the next one.
@@ -408,23 +336,6 @@
         observed_until.max(is_copy_awaited_until)
     }
 
-    fn remember(&mut self, response: RememberedResponse) {
-        self.remembered.push_back(response);
-        if self.remembered.len() > MAX_REMEMBERED_RESPONSES {
-            self.remembered.pop_front();
-        }
-        while self.remembered_bytes() > MAX_REMEMBERED_BYTES {
-            let was_shortened = self.remembered.iter_mut().any(|response| response.content.shorten());
-            if !was_shortened {
-                self.remembered.pop_front();
-            }
-        }
-    }
-
-    fn remembered_bytes(&self) -> usize {
-        self.remembered.iter().map(|response| response.content.kept_bytes()).sum()
-    }
-
     /// Whether the connection can carry no further request: a copy of a response of which nothing is remembered could
     /// not be told from the next one. Of a backend that is known to repeat all of it has to be remembered.
     pub(super) fn is_unusable(&self, history: &RepeatHistory, now: Instant) -> bool {
@@ -434,6 +345,6 @@
 
     /// Whether the connection is not to be used yet.
     pub(super) fn is_resting(&self, now: Instant) -> bool {
-        self.remembered.iter().any(|response| response.rests_until.is_some_and(|until| now < until))
+        self.remembered.is_resting(now)
     }
 }
--- a/crates/proxy/src/upstream/repeat_filter/repeat_history.rs
+++ b/crates/proxy/src/upstream/repeat_filter/repeat_history.rs
@@ -1,10 +1,9 @@
 //! What is known of a backend that repeats its responses.
 
-use super::ResponseKind;
 use super::distinct_run::DistinctRun;
 use super::equal_contents::{ConnectionNumber, EqualContents};
 use super::hold::HoldTimes;
-use super::response_content::{ContentHash, ResponseContent};
+use super::response_content::{ContentHash, ResponseContent, ResponseKind};
 use crate::log::log;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
--- a/crates/proxy/src/upstream/repeat_filter/response_content.rs
+++ b/crates/proxy/src/upstream/repeat_filter/response_content.rs
@@ -1,7 +1,6 @@
 //! What is kept of a response to recognize a copy of it.
 
-use super::ResponseKind;
-use super::response_bytes::{final_response, is_interim};
+use super::response_bytes::{final_response, is_interim, is_served};
 use crate::transport::MAX_HEAD_BYTES;
 use crate::upstream::MAX_BUFFERED_BODY_BYTES;
 use std::hash::{DefaultHasher, Hasher};
@@ -13,6 +12,21 @@
 /// Responses of more bytes than this are not compared.
 pub(super) const MAX_COMPARED_BYTES: usize = MAX_HEAD_BYTES + MAX_BUFFERED_BODY_BYTES;
 
+/// What a response is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum ResponseKind {
+    /// Its request was served.
+    Served,
+    /// Its request was not.
+    Error,
+}
+
+impl ResponseKind {
+    fn of(response: &[u8]) -> Self {
+        if is_served(response) { ResponseKind::Served } else { ResponseKind::Error }
+    }
+}
+
 /// Identifies the bytes of a response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct ContentHash(u64);
--- a/crates/proxy/src/upstream/repeat_filter/tests.rs
+++ b/crates/proxy/src/upstream/repeat_filter/tests.rs
@@ -1,7 +1,9 @@
 //! Unit tests of the filter of copies: single cases, and a property over arbitrary cuts and orders.
 
+use super::remembered_responses::{MAX_REMEMBERED_BYTES, MAX_REMEMBERED_RESPONSES};
 use super::response_content::MAX_COMPARED_BYTES;
 use super::*;
+use std::collections::VecDeque;
 use std::net::Ipv4Addr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -459,7 +461,7 @@
     let mut fixture = Fixture::repeating_backend();
     for number in 0..100 {
         fixture.exchange(&response(200, &format!("{number:03}{}", "x".repeat(3000))), false);
-        assert!(fixture.filter.remembered_bytes() <= MAX_REMEMBERED_BYTES);
+        assert!(fixture.filter.remembered.kept_bytes() <= MAX_REMEMBERED_BYTES);
         assert!(fixture.filter.remembered.len() <= MAX_REMEMBERED_RESPONSES);
     }
 }
