The probe for unread bytes is a file of its own

arrival.rs, client_socket.rs and observed_stream.rs imported each other in a circle over the trait UnreadProbe. It stands in unread_probe.rs now, and the circle is gone.

--- a/crates/proxy/src/transport/client_socket.rs
+++ b/crates/proxy/src/transport/client_socket.rs
@@ -1,6 +1,6 @@
 //! A client's socket, and whether the client is still connected.
 
-use super::observed_stream::UnreadProbe;
+use super::unread_probe::UnreadProbe;
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
--- a/crates/proxy/src/transport/mod.rs
+++ b/crates/proxy/src/transport/mod.rs
@@ -8,13 +8,15 @@
 mod request_body;
 #[cfg(test)]
 mod tests;
+mod unread_probe;
 
 pub use arrival::{ArrivalProbe, stamp_arrivals};
 pub use body::{BodyContent, FrameSender, StreamedBody, StreamedUpload, UploadStatus};
 pub use client_socket::{ClientLiveness, ClientSocket};
-pub use observed_stream::{ObservedStream, UnreadProbe};
+pub use observed_stream::ObservedStream;
 pub use progress::{SendGuard, StreamProgress, WeakSendGuard};
 pub use request_body::{RequestBody, RequestPayload};
+pub use unread_probe::UnreadProbe;
 
 use socket2::SockRef;
 use std::io;
--- a/crates/proxy/src/transport/observed_stream.rs
+++ b/crates/proxy/src/transport/observed_stream.rs
@@ -3,36 +3,20 @@
 
 use super::arrival::ArrivalProbe;
 use super::progress::StreamProgress;
+use super::unread_probe::UnreadProbe;
 use super::{MAX_HEAD_BYTES, WRITE_STALL_TIMEOUT};
 use hyper::rt::{Read, ReadBuf, ReadBufCursor, Write};
-use hyper_util::rt::TokioIo;
-use socket2::SockRef;
 use std::future::Future;
 use std::io;
 use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
-use tokio::net::TcpStream;
 use tokio::time::{Instant, Sleep, sleep};
 
 /// How much is read at once while a head is copied, in bytes.
 const HEAD_READ_BYTES: usize = 4096;
 
-/// A stream that can be asked whether something lies there to be read, or it was closed.
-pub trait UnreadProbe {
-    /// Whether it is so now, by the system's word.
-    fn has_unread(&self) -> bool;
-}
-
-impl UnreadProbe for TokioIo<TcpStream> {
-    fn has_unread(&self) -> bool {
-        // The reactor knows only what it was told when it last looked.
-        let peeked = SockRef::from(self.inner()).peek(&mut [MaybeUninit::uninit()]);
-        !matches!(peeked, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
-    }
-}
-
 /// A stream that observes what is read and written.
 pub struct ObservedStream<S> {
     stream: S,
--- a/crates/proxy/src/transport/tests.rs
+++ b/crates/proxy/src/transport/tests.rs
@@ -1,6 +1,5 @@
 //! Unit tests of the transport.
 
-use super::observed_stream::UnreadProbe;
 use super::*;
 use hyper::Request;
 use hyper::client::conn::http1::handshake;
