Log: why a request is refused, what discovery does, which backends are ready

Now each refusal has the policy's reason (Action::Reject and Action::Fail carry it; it decides nothing), an outage is told again after 1, 2, 4 s and so on with the list that stays in force, each list tells how many backends are ready, SIGHUP and the address that is followed have lines, and a request that the proxy itself timed out is not told as 'client disconnected' any more. The admin API answers GET /v1/discovery with the list's version and age and the failed polls.

Two new tests of the admin API and the log.

--- a/crates/balancer/src/api/action.rs
+++ b/crates/balancer/src/api/action.rs
@@ -1,6 +1,40 @@
 //! What an instance decides.
 
 use super::{AttemptNumber, BackendId, RequestId, TimerToken};
+use std::fmt;
+
+/// Why a request is not served, for the log.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum UnservedReason {
+    /// No class of the settings is the request's.
+    UnknownClass,
+    /// No backend takes requests.
+    NoReadyBackend,
+    /// The concurrency limit is reached, and as many requests are queued.
+    QueueFull,
+    /// It was queued for as long as it may be.
+    QueueTimeout,
+    /// It was behind others of its ordering key for as long as it may be.
+    KeyQueueTimeout,
+    /// Too little of its client's time is left to begin.
+    DeadlineTooClose,
+    /// Its attempts ended unserved, and no further one is allowed or in time.
+    AttemptsFailed,
+}
+
+impl fmt::Display for UnservedReason {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            UnservedReason::UnknownClass => "unknown class",
+            UnservedReason::NoReadyBackend => "no ready backend",
+            UnservedReason::QueueFull => "queue full",
+            UnservedReason::QueueTimeout => "queue timeout",
+            UnservedReason::KeyQueueTimeout => "queue timeout behind its key",
+            UnservedReason::DeadlineTooClose => "deadline too close",
+            UnservedReason::AttemptsFailed => "attempts failed",
+        })
+    }
+}
 
 /// A decision; the proxy carries them out in order.
 #[derive(Debug, Clone, PartialEq)]
@@ -20,11 +54,15 @@
         request: RequestId,
         /// How long the client should stay away; 0 is no advice.
         retry_after_ms: f64,
+        /// Why it is not served.
+        reason: UnservedReason,
     },
     /// Final answer: failed, the request may have run.
     Fail {
         /// The request.
         request: RequestId,
+        /// Why it is not served.
+        reason: UnservedReason,
     },
     /// Cancel one attempt.
     Cancel {
--- a/crates/balancer/src/policy/admission.rs
+++ b/crates/balancer/src/policy/admission.rs
@@ -1,7 +1,7 @@
 //! Admission: slices of the concurrency limit by priority weight, their queues, and the tenants' quotas.
 
 use super::Policy;
-use crate::api::{Class, RequestId};
+use crate::api::{Class, RequestId, UnservedReason};
 use crate::collections::{ByQuota, Quota, nearest_level, shared_levels};
 
 const SAME_WEIGHT: f64 = 1e-9; // weights no further apart share a slice
@@ -87,7 +87,7 @@
                 let Some(id) = self.slices.queue_mut(slice).pop_front() else { break };
                 let request = self.requests.get(&id);
                 if request.is_none_or(|request| self.now >= request.queue_deadline) {
-                    self.reject_or_fail(id);
+                    self.reject_or_fail(id, UnservedReason::QueueTimeout);
                 } else if !is_admitted || !self.send(id) {
                     self.slices.queue_mut(slice).push_back(id);
                 }
--- a/crates/balancer/src/policy/request_lifecycle.rs
+++ b/crates/balancer/src/policy/request_lifecycle.rs
@@ -8,7 +8,8 @@
     pub fn on_request(&mut self, arrival: &RequestArrival) {
         let id = arrival.request;
         let Some(class) = self.classes.slot_of(arrival.class) else {
-            return self.actions.push(Action::Fail { request: id });
+            let reason = UnservedReason::UnknownClass;
+            return self.actions.push(Action::Fail { request: id, reason });
         };
         self.earn_retry();
         let mut request = self.admit(class, arrival);
@@ -32,8 +33,10 @@
         self.limit.is_used |= !is_patient;
         // A client's last attempt may have less time left than the periodic run takes to come: never queued.
         let is_queue_full = self.slices.queued() as f64 >= self.limit.total();
-        if !waits_for_key && is_queue_full || last_start <= self.now {
-            self.reject_or_fail(id);
+        if last_start <= self.now {
+            self.reject_or_fail(id, UnservedReason::DeadlineTooClose);
+        } else if !waits_for_key && is_queue_full {
+            self.reject_or_fail(id, UnservedReason::QueueFull);
         } else if !waits_for_key {
             self.enqueue(id);
         }
@@ -141,13 +144,14 @@
         if never_ran && self.now < request.queue_deadline && self.has_attempt_left(request) {
             self.enqueue(id);
         } else {
-            self.reject_or_fail(id);
+            self.reject_or_fail(id, UnservedReason::AttemptsFailed);
         }
     }
 
     /// Gives the final answer: rejected where a retry by the client is harmless, failed otherwise.
-    pub fn reject_or_fail(&mut self, id: RequestId) {
+    pub fn reject_or_fail(&mut self, id: RequestId, reason: UnservedReason) {
         let Some(request) = self.requests.get(&id) else { return };
+        let reason = if self.subset.ring().is_empty() { UnservedReason::NoReadyBackend } else { reason };
         let class = &self.classes[request.class];
         let is_repeatable = match class.idempotency {
             Idempotency::Idempotent => true,
@@ -156,9 +160,9 @@
         };
         let action = if is_repeatable || request.possibly_executed_attempt().is_none() {
             let retry_after_ms = self.retry_after(class.latency_objective_ms);
-            Action::Reject { request: id, retry_after_ms }
+            Action::Reject { request: id, retry_after_ms, reason }
         } else {
-            Action::Fail { request: id }
+            Action::Fail { request: id, reason }
         };
         self.actions.push(action);
         self.complete(id);
@@ -191,7 +195,9 @@
     pub fn run_key_queues(&mut self) {
         let is_overdue = |id: &RequestId| self.requests.get(id).is_some_and(|r| self.now >= r.queue_deadline);
         let overdue: Vec<RequestId> = self.key_queues.waiting().filter(is_overdue).collect();
-        overdue.into_iter().for_each(|id| self.reject_or_fail(id));
+        for id in overdue {
+            self.reject_or_fail(id, UnservedReason::KeyQueueTimeout);
+        }
         self.key_queues.keys().into_iter().for_each(|key| self.dispatch_key(key));
     }
 }
--- a/crates/balancer/tests/support/fleet.rs
+++ b/crates/balancer/tests/support/fleet.rs
@@ -378,7 +378,7 @@
                 Action::Send { request, backend, expires_at_ms } => {
                     self.send(instance_index, request, backend, expires_at_ms)
                 }
-                Action::Reject { request, .. } | Action::Fail { request } => {
+                Action::Reject { request, .. } | Action::Fail { request, .. } => {
                     self.refused += 1;
                     self.instance_count[instance_index].open.remove(&request);
                 }
--- a/crates/balancer/tests/support/harness.rs
+++ b/crates/balancer/tests/support/harness.rs
@@ -159,7 +159,7 @@
                     self.sent(request, backend, expires_at_ms)
                 }
                 Action::Reject { request, .. } => self.refused(request),
-                Action::Fail { request } => self.close(request, "failed"),
+                Action::Fail { request, .. } => self.close(request, "failed"),
                 Action::SetTimer { delay_ms, token } => {
                     assert!(delay_ms.is_finite() && delay_ms > 0.0, "timers lie ahead");
                     self.timers.push((self.now + delay_ms, token));
--- a/crates/discovery-client/src/follower.rs
+++ b/crates/discovery-client/src/follower.rs
@@ -21,6 +21,9 @@
 /// Least time between two polls without a change: a watch goes on if polled within 200 ms.
 const MIN_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
+/// An outage is to be logged after so long, and each time it has lasted twice as long.
+const FIRST_OUTAGE_REPORT: Duration = Duration::from_secs(1);
+
 /// Whoever follows discovery is notified of what it answers.
 pub trait EndpointObserver {
     /// Whether some backend takes requests by the list that is held.
@@ -33,6 +36,10 @@
     fn on_warning(&self, warning: &DiscoveryError);
     /// A poll was answered after others had failed.
     fn on_recovery(&self, outage: PollOutage);
+    /// A poll was answered with a list that can be used.
+    fn on_poll_answered(&self) {}
+    /// A poll failed, and so did those before it.
+    fn on_outage(&self, _outage: PollOutage, _error: &DiscoveryError) {}
 }
 
 /// Polls that failed in a row.
@@ -40,8 +47,10 @@
 pub struct PollOutage {
     /// How many.
     pub failed_polls: u32,
-    /// From the first failure to the answer.
+    /// From the first failure until now.
     pub duration: Duration,
+    /// Whether the outage has lasted for so long that it is to be logged again.
+    pub is_report_due: bool,
 }
 
 /// Where a list comes from.
@@ -111,6 +120,31 @@
     failed_polls: u32,
     /// The kind of the last failure.
     last_failure: Discriminant<DiscoveryError>,
+    /// How long it lasts when it is to be logged next.
+    next_report_after: Duration,
+}
+
+impl CurrentOutage {
+    fn new(error: &DiscoveryError) -> Self {
+        CurrentOutage {
+            since: Instant::now(),
+            failed_polls: 0,
+            last_failure: discriminant(error),
+            next_report_after: FIRST_OUTAGE_REPORT,
+        }
+    }
+
+    /// Counts a poll that failed.
+    fn count(&mut self, error: &DiscoveryError) -> PollOutage {
+        self.failed_polls += 1;
+        self.last_failure = discriminant(error);
+        let duration = self.since.elapsed();
+        let is_report_due = duration >= self.next_report_after;
+        while self.next_report_after <= duration {
+            self.next_report_after *= 2;
+        }
+        PollOutage { failed_polls: self.failed_polls, duration, is_report_due }
+    }
 }
 
 struct Follower<O> {
@@ -180,6 +214,7 @@
         let is_repeated = self.version.replace(version) == Some(version);
         self.gate.on_answer();
         self.report_recovery();
+        self.observer.on_poll_answered();
         let is_older = version < self.newest_version.get();
         if is_older && self.has_started_anew(polled_at) {
             self.restart_versions(version);
@@ -228,20 +263,18 @@
 
     fn report_recovery(&mut self) {
         let Some(outage) = self.outage.take() else { return };
-        let duration = outage.since.elapsed();
-        self.observer.on_recovery(PollOutage { failed_polls: outage.failed_polls, duration });
+        let CurrentOutage { since, failed_polls, .. } = outage;
+        let outage = PollOutage { failed_polls, duration: since.elapsed(), is_report_due: true };
+        self.observer.on_recovery(outage);
     }
 
     fn note_failure(&mut self, error: &DiscoveryError) {
-        let failure = discriminant(error);
-        let (since, failed_polls) = match self.outage {
-            Some(outage) => (outage.since, outage.failed_polls),
-            None => (Instant::now(), 0),
-        };
-        if self.outage.is_none_or(|outage| outage.last_failure != failure) {
+        let is_new_kind = self.outage.is_none_or(|outage| outage.last_failure != discriminant(error));
+        if is_new_kind {
             self.observer.on_warning(error);
         }
-        self.outage = Some(CurrentOutage { since, failed_polls: failed_polls + 1, last_failure: failure });
+        let outage = self.outage.get_or_insert_with(|| CurrentOutage::new(error)).count(error);
+        self.observer.on_outage(outage, error);
     }
 
     fn on_failure(&mut self, error: &DiscoveryError) {
--- a/crates/proxy/src/admin/mod.rs
+++ b/crates/proxy/src/admin/mod.rs
@@ -150,6 +150,7 @@
         match route {
             Route::Ready => self.ready(),
             Route::Settings => self.settings(),
+            Route::Discovery => json_response(self.dispatcher.discovery_json()),
             Route::SetSuspended { backend, is_suspended } => self.set_suspended(backend, is_suspended),
             Route::SetDraining { is_draining } => {
                 let what = if is_draining { "drain" } else { "activate" };
@@ -171,12 +172,7 @@
         self.apply_markers();
         let processes = self.process_group.versions().unwrap_or_default();
         let version = self.dispatcher.settings_version();
-        let Ok(status) = self.reload_status.to_json(version, &processes) else {
-            return text_response(StatusCode::INTERNAL_SERVER_ERROR, "the status can't be written");
-        };
-        let mut response = text_response(StatusCode::OK, &status);
-        response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-        response
+        json_response(self.reload_status.to_json(version, &processes))
     }
 
     fn set_suspended(&self, backend: Option<String>, is_suspended: bool) -> AdminResponse {
@@ -218,6 +214,15 @@
     response
 }
 
+fn json_response(status: Result<String, serde_json::Error>) -> AdminResponse {
+    let Ok(status) = status else {
+        return text_response(StatusCode::INTERNAL_SERVER_ERROR, "the status can't be written");
+    };
+    let mut response = text_response(StatusCode::OK, &status);
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response
+}
+
 fn text_response(status: StatusCode, text: &str) -> AdminResponse {
     let mut response = Response::new(Full::from(format!("{text}\n")));
     *response.status_mut() = status;
--- a/crates/proxy/src/admin/routes.rs
+++ b/crates/proxy/src/admin/routes.rs
@@ -10,6 +10,8 @@
     Ready,
     /// Which settings are in force.
     Settings,
+    /// What is known of discovery and its endpoint list.
+    Discovery,
     /// Suspend a backend, or resume it.
     SetSuspended {
         /// Its name; none if the path holds no text.
@@ -37,6 +39,7 @@
         let (allowed, route) = match parts[..] {
             ["v1", "readyz"] => (Method::GET, Route::Ready),
             ["v1", "settings"] => (Method::GET, Route::Settings),
+            ["v1", "discovery"] => (Method::GET, Route::Discovery),
             ["v1", "backends", id, "suspend"] => (Method::POST, set_suspended(id, true)),
             ["v1", "backends", id, "resume"] => (Method::POST, set_suspended(id, false)),
             ["v1", "proxy", "drain"] => (Method::POST, Route::SetDraining { is_draining: true }),
--- a/crates/proxy/src/config/reload.rs
+++ b/crates/proxy/src/config/reload.rs
@@ -93,6 +93,7 @@
     /// Reads the file and puts it in force; returns the address of discovery, where its watch is to begin anew. Of a
     /// file that can't be put in force nothing is, and the one before holds.
     pub fn reload(&self) -> Option<SocketAddr> {
+        log!("SIGHUP: the file that RELAY_CONFIG names is read again");
         match super::reload().and_then(|config| self.apply(config)) {
             Ok(discovery) => discovery,
             Err(error) => {
--- a/crates/proxy/src/dispatcher/actions.rs
+++ b/crates/proxy/src/dispatcher/actions.rs
@@ -6,7 +6,7 @@
 use super::{Dispatcher, State};
 use crate::log::log;
 use crate::upstream::{Attempt, AttemptOutcome, FinishedAttempt, printable_id};
-use foldhitch_balancer::api::{Action, BackendId, Event, Outcome, RequestId, TimerToken};
+use foldhitch_balancer::api::{Action, BackendId, Event, Outcome, RequestId, TimerToken, UnservedReason};
 use std::fmt::Write;
 use std::rc::Rc;
 use std::time::Duration;
@@ -41,13 +41,13 @@
             Action::Send { request, backend, expires_at_ms } => {
                 self.send(state, request, backend, expires_at_ms);
             }
-            Action::Reject { request, retry_after_ms } => {
+            Action::Reject { request, retry_after_ms, reason } => {
                 let retry_after = Some(duration_from_ms(retry_after_ms)).filter(|delay| !delay.is_zero());
-                state.log_request(request, "rejected");
+                state.log_unserved(request, "rejected", Some(reason));
                 state.requests.answer(request, Answer::Rejected { retry_after });
             }
-            Action::Fail { request } => {
-                state.log_request(request, "failed");
+            Action::Fail { request, reason } => {
+                state.log_unserved(request, "failed", Some(reason));
                 state.requests.answer(request, Answer::Failed);
             }
             Action::Cancel { request, attempt } => state.requests.cancel(request, attempt),
@@ -164,11 +164,19 @@
 
     /// A line for a request that is about to end unserved, so that it can be followed by its id.
     pub(super) fn log_request(&self, request: RequestId, what: &str) {
+        self.log_unserved(request, what, None);
+    }
+
+    /// The same, with the balancer's reason.
+    fn log_unserved(&self, request: RequestId, what: &str, reason: Option<UnservedReason>) {
         let Some(entry) = self.requests.get(request).filter(|entry| entry.is_pending()) else { return };
         let class = &entry.settings.site.class_names[usize::from(entry.class)];
         let id = printable_id(&entry.request.id);
         let age = entry.received_at.elapsed().as_millis();
         let mut line = format!("{id} {class} {what} after {age} ms");
+        if let Some(reason) = reason {
+            let _ = write!(line, " ({reason})");
+        }
         for attempt in &entry.attempts {
             let name = self.endpoints.name(attempt.backend).unwrap_or("?");
             let (state, latency) = match &attempt.state {
--- a/crates/proxy/src/dispatcher/endpoint_table.rs
+++ b/crates/proxy/src/dispatcher/endpoint_table.rs
@@ -152,8 +152,17 @@
 
     /// Whether some backend takes requests.
     pub(super) fn has_ready(&self) -> bool {
-        let mut endpoints = self.endpoints.values().filter_map(|entry| entry.endpoint.as_ref());
-        endpoints.any(|endpoint| !endpoint.is_draining())
+        self.ready().next().is_some()
+    }
+
+    /// How many backends take requests.
+    pub(super) fn ready_count(&self) -> usize {
+        self.ready().count()
+    }
+
+    fn ready(&self) -> impl Iterator<Item = &Rc<Endpoint>> {
+        let endpoints = self.endpoints.values().filter_map(|entry| entry.endpoint.as_ref());
+        endpoints.filter(|endpoint| !endpoint.is_draining())
     }
 
     /// The suspended backends.
--- a/crates/proxy/src/dispatcher/endpoints.rs
+++ b/crates/proxy/src/dispatcher/endpoints.rs
@@ -1,19 +1,73 @@
-//! The way of an endpoint list through the dispatcher.
+//! The way of an endpoint list through the dispatcher, and what is known of discovery.
 
 use super::Dispatcher;
+use super::clock::milliseconds;
 use crate::log::log;
 use foldhitch_balancer::api::{EndpointInfo, EndpointListKind, Event};
 use foldhitch_discovery_client::{
     DiscoveryError, EndpointListUpdate, EndpointObserver, EndpointRecord, ListOrigin, PollOutage,
 };
+use serde::Serialize;
+use std::cell::Cell;
+use std::net::SocketAddr;
 use std::rc::Rc;
+use tokio::time::Instant;
+
+/// What is known of discovery.
+#[derive(Default)]
+pub(super) struct DiscoveryStatus {
+    /// Where it is polled.
+    address: Cell<Option<SocketAddr>>,
+    /// The version of the list in force, which is logged once however often discovery sends it.
+    list_version: Cell<Option<u64>>,
+    /// When that list was first had.
+    list_changed_at: Cell<Option<Instant>>,
+    /// When a poll was answered last.
+    answered_at: Cell<Option<Instant>>,
+    /// Polls that have failed since.
+    failed_polls: Cell<u32>,
+}
+
+/// The status as the admin API answers with it.
+#[derive(Debug, Serialize)]
+struct StatusAnswer {
+    address: Option<SocketAddr>,
+    list_version: Option<u64>,
+    list_age_ms: Option<f64>,
+    last_answer_ms_ago: Option<f64>,
+    failed_polls: u32,
+}
+
+impl DiscoveryStatus {
+    fn answer(&self) -> StatusAnswer {
+        let age = |at: &Cell<Option<Instant>>| at.get().map(|at| milliseconds(at.elapsed()).round());
+        StatusAnswer {
+            address: self.address.get(),
+            list_version: self.list_version.get(),
+            list_age_ms: age(&self.list_changed_at),
+            last_answer_ms_ago: age(&self.answered_at),
+            failed_polls: self.failed_polls.get(),
+        }
+    }
+}
 
 impl Dispatcher {
+    /// Notes where discovery is polled from now on.
+    pub fn follow_discovery_at(&self, address: SocketAddr) {
+        self.discovery.address.set(Some(address));
+        log!("discovery: following {address}");
+    }
+
+    /// What is known of discovery, as JSON.
+    pub fn discovery_json(&self) -> Result<String, serde_json::Error> {
+        serde_json::to_string(&self.discovery.answer())
+    }
+
     /// Takes an endpoint list, or changes to it.
     pub fn update_endpoints(self: &Rc<Self>, update: EndpointListUpdate) {
+        let endpoints = self.resolve_endpoints(update.kind, &update.endpoints, update.is_older);
         self.log_endpoint_list(&update);
-        let EndpointListUpdate { kind, endpoints, is_older, .. } = update;
-        let endpoints = self.resolve_endpoints(kind, &endpoints, is_older);
+        let kind = update.kind;
         self.handle(Event::EndpointList { kind, endpoints });
         self.forget_gone_endpoints();
     }
@@ -22,9 +76,10 @@
     fn log_endpoint_list(&self, update: &EndpointListUpdate) {
         let is_sent = update.origin != ListOrigin::Configuration;
         let version = Some(update.version).filter(|_| is_sent);
-        if is_sent && self.logged_list_version.replace(version) == version {
+        if is_sent && self.discovery.list_version.replace(version) == version {
             return;
         }
+        self.discovery.list_changed_at.set(Some(Instant::now()));
         let origin = match update.origin {
             ListOrigin::Configuration => "the configuration",
             ListOrigin::Poll => "a poll",
@@ -34,7 +89,10 @@
         let age = if update.is_older { ", older than one had before" } else { "" };
         let version = update.version;
         let count = update.endpoints.len();
-        log!("endpoint list {version} in force: {extent} {count} endpoints, from {origin}{age}");
+        let ready = self.state.borrow().endpoints.ready_count();
+        log!(
+            "endpoint list {version} in force: {extent} {count} endpoints, from {origin}{age}; {ready} ready"
+        );
     }
 
     fn resolve_endpoints(
@@ -83,12 +141,29 @@
         self.handle(Event::EndpointList { kind: EndpointListKind::Failed, endpoints: Vec::new() });
     }
 
+    fn on_poll_answered(&self) {
+        self.discovery.answered_at.set(Some(Instant::now()));
+        self.discovery.failed_polls.set(0);
+    }
+
+    fn on_outage(&self, outage: PollOutage, error: &DiscoveryError) {
+        self.discovery.failed_polls.set(outage.failed_polls);
+        if !outage.is_report_due {
+            return;
+        }
+        let PollOutage { failed_polls, duration, .. } = outage;
+        let list = self.discovery.list_version.get();
+        let list = list.map_or("no list of its".to_string(), |version| format!("endpoint list {version}"));
+        let duration = duration.as_millis();
+        log!("discovery: {failed_polls} polls failed in {duration} ms, last: {error}; {list} stays in force");
+    }
+
     fn on_warning(&self, warning: &DiscoveryError) {
         log!("discovery: {warning}");
     }
 
     fn on_recovery(&self, outage: PollOutage) {
-        let PollOutage { failed_polls, duration } = outage;
+        let PollOutage { failed_polls, duration, .. } = outage;
         log!("discovery: answers again, after {failed_polls} failed polls in {} ms", duration.as_millis());
     }
 }
--- a/crates/proxy/src/dispatcher/mod.rs
+++ b/crates/proxy/src/dispatcher/mod.rs
@@ -19,6 +19,7 @@
 use crate::upstream::ConnectionPool;
 use clock::Clock;
 use endpoint_table::EndpointTable;
+use endpoints::DiscoveryStatus;
 use foldhitch_balancer::Balancer;
 use foldhitch_balancer::api::{Action, Event, SettingsError, SettingsUpdate};
 use foldhitch_balancer::settings_format::{ResolvedSettings, SiteSettings};
@@ -51,8 +52,8 @@
     clock: Clock,
     /// The settings in force: they change in the same turn as the balancer's.
     settings: RefCell<Rc<ResolvedSettings>>,
-    /// Version of the endpoint list that was logged last.
-    logged_list_version: Cell<Option<u64>>,
+    /// What is known of discovery.
+    discovery: DiscoveryStatus,
     /// Whether the endpoint list is to be polled.
     poll_wanted: watch::Sender<bool>,
     /// Whether clients are sent elsewhere.
@@ -85,7 +86,7 @@
             pool,
             clock: Clock::new(),
             settings: RefCell::new(Rc::new(settings)),
-            logged_list_version: Cell::new(None),
+            discovery: DiscoveryStatus::default(),
             poll_wanted,
             draining: watch::Sender::new(false),
             process_count: watch::Sender::new(1),
--- a/crates/proxy/src/dispatcher/requests.rs
+++ b/crates/proxy/src/dispatcher/requests.rs
@@ -4,7 +4,10 @@
 use super::messages::{Answer, IncomingRequest};
 use super::request_table::{RequestEntry, ResponseSlot};
 use super::{Dispatcher, RESPONSE_MARGIN, TIMEOUT_MARGIN};
+use crate::log::log;
+use crate::upstream::printable_id;
 use foldhitch_balancer::api::{Event, RequestArrival, RequestId};
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::oneshot;
@@ -27,7 +30,7 @@
         let Some((request, answer)) = self.admit(incoming) else {
             return Answer::Rejected { retry_after: None };
         };
-        let _client = ClientGuard { dispatcher: self.clone(), request };
+        let client = ClientGuard { dispatcher: self.clone(), request, is_timed_out: Cell::new(false) };
         arrival.request = request;
         self.handle(Event::RequestArrived(arrival));
         if let Some(upload) = upload {
@@ -44,7 +47,10 @@
             // None comes to a client that has disconnected; its connection, which is about to notice, ends this.
             Ok(answer) = answer => answer,
             // The balancer answers in time; this guards against a late loop and against its silence.
-            () = sleep_until(answer_by - TIMEOUT_MARGIN.min(timeout)) => Answer::TimedOut,
+            () = sleep_until(answer_by - TIMEOUT_MARGIN.min(timeout)) => {
+                client.is_timed_out.set(true);
+                Answer::TimedOut
+            }
         }
     }
 
@@ -62,6 +68,7 @@
         let state = &mut *self.state.borrow_mut();
         let settings = self.settings();
         if state.requests.len() >= settings.site.max_open_requests {
+            log!("{} rejected after 0 ms (too many open requests)", printable_id(&incoming.request.id));
             return None;
         }
         let (client, answer) = oneshot::channel();
@@ -106,13 +113,16 @@
 struct ClientGuard {
     dispatcher: Rc<Dispatcher>,
     request: RequestId,
+    /// Whether it was answered as timed out, which the balancer takes for a disconnect.
+    is_timed_out: Cell<bool>,
 }
 
 impl ClientGuard {
     /// Whether an answer was pending, which is not any more.
     fn complete(&self) -> bool {
         let state = &mut *self.dispatcher.state.borrow_mut();
-        state.log_request(self.request, "client disconnected");
+        let end = if self.is_timed_out.get() { "timed out" } else { "client disconnected" };
+        state.log_request(self.request, end);
         let Some(entry) = state.requests.get_mut(self.request) else { return false };
         let was_pending = entry.is_pending();
         entry.complete();
--- a/crates/proxy/src/startup.rs
+++ b/crates/proxy/src/startup.rs
@@ -158,6 +158,7 @@
     poll_requests: &watch::Receiver<bool>,
 ) -> JoinHandle<()> {
     let settings = dispatcher.settings();
+    dispatcher.follow_discovery_at(address);
     let options = FollowOptions {
         address,
         mode: settings.balancer.discovery_mode,
--- a/crates/proxy/tests/admin.rs
+++ b/crates/proxy/tests/admin.rs
@@ -241,3 +241,34 @@
     let left = std::fs::read_dir(other.folder.join("heathroad")).expect("readable").count();
     assert!(left <= 2, "{left} files");
 }
+
+/// Whoever is on call sees which list is in force and that discovery does not answer.
+#[tokio::test]
+async fn the_admin_api_shows_the_endpoint_list_in_force_and_an_outage_of_discovery() {
+    let s = fixture().await;
+    let status = s.proxy.admin_json("/v1/discovery").await;
+    assert_eq!((&status["list_version"], &status["failed_polls"]), (&1.into(), &0.into()), "{status}");
+    s.discovery.set(DiscoveryBehavior::Refusing).await;
+    let failed_polls = async || s.proxy.admin_json("/v1/discovery").await["failed_polls"].clone();
+    in_time(async { while failed_polls().await.as_u64() < Some(3) {} }).await;
+    let status = s.proxy.admin_json("/v1/discovery").await;
+    assert_eq!(status["list_version"], 1, "{status}");
+    assert!(status["last_answer_ms_ago"].as_f64() > Some(0.0), "{status}");
+    s.discovery.set(DiscoveryBehavior::Up).await;
+    in_time(async { while failed_polls().await != 0 {} }).await;
+}
+
+#[tokio::test]
+async fn a_rejected_request_is_logged_with_the_reason() {
+    let mut s = fixture().await;
+    s.discovery.publish(vec![s.a.line("DRAINING"), s.b.line("DRAINING")]).await;
+    assert_eq!(s.proxy.call("look").await.0, 503);
+    let log = s.proxy.log.as_mut().expect("it is read");
+    loop {
+        let line = in_time(log.next_line()).await.expect("readable").expect("it goes on");
+        if line.contains("look rejected after ") {
+            assert!(line.ends_with(" ms (no ready backend)"), "{line}");
+            return;
+        }
+    }
+}
--- a/crates/scale-test/src/simulated/fleet/proxy_requests.rs
+++ b/crates/scale-test/src/simulated/fleet/proxy_requests.rs
@@ -37,10 +37,10 @@
                 Action::Send { request, backend, expires_at_ms } => {
                     self.send_attempt(instance, request, backend, expires_at_ms)
                 }
-                Action::Reject { request, retry_after_ms } => {
+                Action::Reject { request, retry_after_ms, .. } => {
                     self.complete(request, RequestOutcome::Rejected { retry_after_ms })
                 }
-                Action::Fail { request } => self.complete(request, RequestOutcome::Failed),
+                Action::Fail { request, .. } => self.complete(request, RequestOutcome::Failed),
                 Action::Cancel { request, attempt } => {
                     let (attempt, outcome) = (usize::from(attempt), Outcome::Cancelled);
                     self.event_queue
--- a/crates/scale-test/src/simulated/metrics.rs
+++ b/crates/scale-test/src/simulated/metrics.rs
@@ -89,8 +89,8 @@
             Action::Send { request, backend, expires_at_ms } => {
                 [1, request, backend.into(), expires_at_ms.to_bits()]
             }
-            Action::Reject { request, retry_after_ms } => [2, request, 0, retry_after_ms.to_bits()],
-            Action::Fail { request } => [3, request, 0, 0],
+            Action::Reject { request, retry_after_ms, .. } => [2, request, 0, retry_after_ms.to_bits()],
+            Action::Fail { request, .. } => [3, request, 0, 0],
             Action::Cancel { request, attempt } => [4, request, attempt.into(), 0],
             Action::SetTimer { delay_ms, token } => [5, token.0, 0, delay_ms.to_bits()],
             Action::CloseIdleConnections { backend } => [6, backend.into(), 0, 0],
--- a/crates/scale-test/src/soak/rules.rs
+++ b/crates/scale-test/src/soak/rules.rs
@@ -425,13 +425,15 @@
 }
 
 /// Parts of the log lines that on-call staff know.
-const KNOWN_LINES: [&str; 26] = [
+const KNOWN_LINES: [&str; 28] = [
     "admin API at ",
     "listening on ",
     "endpoint list ",
     "discovery: ",
     "processes of this proxy: ",
     "configuration applied",
+    "SIGHUP: ",
+    " timed out after",
     "configuration rejected: ",
     "stopping, ",
     "no space for clients",
--- a/crates/simulator-adapter/src/wire/reply.rs
+++ b/crates/simulator-adapter/src/wire/reply.rs
@@ -50,12 +50,12 @@
                 self.bytes.extend(backend.to_le_bytes());
                 self.bytes.extend(expires_at_ms.to_le_bytes());
             }
-            Action::Reject { request, retry_after_ms } => {
+            Action::Reject { request, retry_after_ms, .. } => {
                 self.begin(code::REJECT, instance);
                 self.bytes.extend(request.to_le_bytes());
                 self.bytes.extend(retry_after_ms.to_le_bytes());
             }
-            Action::Fail { request } => {
+            Action::Fail { request, .. } => {
                 self.begin(code::FAIL, instance);
                 self.bytes.extend(request.to_le_bytes());
             }
