--- a/crates/discovery-client/tests/slow_answers.rs
+++ b/crates/discovery-client/tests/slow_answers.rs
@@ -97,3 +97,41 @@
         }
     }
 }
+
+/// Guards against a list that is never had from discovery that takes longer for it than polls are apart.
+#[tokio::test(start_paused = true)]
+async fn the_list_is_taken_however_long_discovery_takes_for_it() {
+    for_each_case(&[4_000, 10_000, 30_000], async |is_polled, drain_deadline, delay| {
+        let (listener, address) = listening().await;
+        let calls = late_agent(listener, delay, |_| AgentBehavior::List(7, true, 2));
+        let settings = settings(is_polled, POLL_WITHIN_MS);
+        let harness = DiscoveryHarness::follow(address, settings, 1, drain_deadline, false);
+        came(&calls, 1).await;
+        let term = delay.head + delay.body + NOTIFIED_WITHIN;
+        let notified = tokio::time::timeout(term, harness.notified_of(2)).await;
+        let case = format!("polled {is_polled}, drain deadline {drain_deadline:?}, {delay:?}");
+        assert!(notified.is_ok(), "{case}: no list after {} calls", calls.borrow().len());
+    })
+    .await;
+}
+
+/// Guards against the same behind an outage in which the first calls were lost.
+#[tokio::test(start_paused = true)]
+async fn the_list_is_taken_from_slow_discovery_though_it_lost_the_calls_of_an_outage() {
+    const LOST_CALLS: usize = 30;
+    for_each_case(&[2_000, 4_000], async |is_polled, drain_deadline, delay| {
+        let (listener, address) = listening().await;
+        let calls = late_agent(listener, delay, |n| match n {
+            0..LOST_CALLS => AgentBehavior::Hang,
+            _ => AgentBehavior::List(7, true, 2),
+        });
+        let settings = settings(is_polled, POLL_WITHIN_MS);
+        let harness = DiscoveryHarness::follow(address, settings, 1, drain_deadline, false);
+        came(&calls, LOST_CALLS + 1).await;
+        let term = delay.head + delay.body + NOTIFIED_WITHIN;
+        let notified = tokio::time::timeout(term, harness.notified_of(2)).await;
+        let case = format!("polled {is_polled}, drain deadline {drain_deadline:?}, {delay:?}");
+        assert!(notified.is_ok(), "{case}: no list after {} calls", calls.borrow().len());
+    })
+    .await;
+}
--- /dev/null
+++ b/crates/proxy/tests/support/failing_calls.c
@@ -0,0 +1,49 @@
+/* Preloaded into the proxy: lets system calls fail as a file says that a test writes, one line "CALL ERRNO". */
+#define _GNU_SOURCE
+#include <dlfcn.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* The error that a call is to fail with; 0 for none. */
+static int error_of(const char *call) {
+    const char *path = getenv("FAILING_CALLS");
+    FILE *file = path ? fopen(path, "r") : NULL;
+    char name[32];
+    int error = 0;
+    int found = 0;
+    if (file == NULL) {
+        return 0;
+    }
+    while (!found && fscanf(file, "%31s %d", name, &error) == 2) {
+        found = strcmp(name, call) == 0;
+    }
+    fclose(file);
+    return found ? error : 0;
+}
+
+static int is_configuration(const char *path) {
+    const char *configuration = getenv("RELAY_CONFIG");
+    return configuration != NULL && strcmp(path, configuration) == 0;
+}
+
+/* Opens the file of the configuration, or fails. */
+int open64(const char *path, int flags, ...) {
+    static int (*next)(const char *, int, ...);
+    va_list arguments;
+    va_start(arguments, flags);
+    mode_t mode = va_arg(arguments, mode_t);
+    va_end(arguments);
+    int error = is_configuration(path) ? error_of("open") : 0;
+    if (error != 0) {
+        errno = error;
+        return -1;
+    }
+    if (next == NULL) {
+        next = (int (*)(const char *, int, ...))dlsym(RTLD_NEXT, "open64");
+    }
+    return next(path, flags, mode);
+}
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -5,6 +5,7 @@
 mod backend;
 mod client;
 mod discovery;
+mod failing_calls;
 mod proxy;
 mod raw_peers;
 mod scripted_backend;
@@ -13,6 +14,7 @@
 pub use backend::*;
 pub use client::*;
 pub use discovery::*;
+pub use failing_calls::*;
 pub use proxy::*;
 pub use raw_peers::*;
 pub use scripted_backend::*;
--- a/crates/proxy/tests/support/proxy.rs
+++ b/crates/proxy/tests/support/proxy.rs
@@ -145,6 +145,11 @@
         self.signal("-HUP", says).await;
     }
 
+    /// Sends SIGHUP whatever the file holds, and waits until the log has a line that says what came of it.
+    pub async fn reload_as_it_is(&mut self, says: &str) {
+        self.signal("-HUP", says).await;
+    }
+
     /// Replaces the configuration, sends SIGHUP, and gives the log's next line about configurations.
     pub async fn reload_line(&mut self, config: &str) -> String {
         std::fs::write(&self.config, config).expect("the folder for tests takes a file");
