A configuration that can't be read at its signal is read until it can be

Cause: config/reload.rs took any failure to read the file for a verdict on what it says. follow_reloads (startup.rs) read it once a SIGHUP; a file that was half written, missing, or whose open failed for a moment (ENFILE, EMFILE, EIO) was rejected, the old address of discovery stayed, and nothing ever read the file again. The signal's obligation was dropped with the first failure.

Fix: ConfigError::may_pass tells failures of reading from verdicts; after one the file is read again, 50 ms later and then up to 1 s apart, until it can be put in force, is rejected for what it says, or another signal begins anew.

--- a/crates/proxy/src/config/error.rs
+++ b/crates/proxy/src/config/error.rs
@@ -63,3 +63,15 @@
         key: &'static str,
     },
 }
+
+impl ConfigError {
+    /// Whether the file could not be read or is not whole, which may pass by itself. It says nothing then about what the
+    /// file is to hold.
+    pub fn may_pass(&self) -> bool {
+        match self {
+            ConfigError::Unreadable { .. } => true,
+            ConfigError::InvalidKey(source) => source.inner().is_eof() || source.inner().is_syntax(),
+            _ => false,
+        }
+    }
+}
--- a/crates/proxy/src/config/mod.rs
+++ b/crates/proxy/src/config/mod.rs
@@ -2,8 +2,10 @@
 
 mod error;
 pub mod reload;
+mod retry;
 
 pub use error::ConfigError;
+pub use retry::ReadRetry;
 
 use foldhitch_balancer::settings_format::{self, ResolvedSettings, SiteSettings};
 use foldhitch_discovery_client::DiscoveryResponse;
--- a/crates/proxy/src/config/reload.rs
+++ b/crates/proxy/src/config/reload.rs
@@ -67,6 +67,19 @@
     }
 }
 
+/// What became of a configuration that was read again.
+pub enum ReloadOutcome {
+    /// It is in force.
+    Applied {
+        /// The address of discovery, where its watch is to begin anew.
+        discovery: Option<SocketAddr>,
+    },
+    /// It can't be put in force.
+    Rejected,
+    /// It could not be read or was not whole, and is still to be put in force.
+    TryAgain,
+}
+
 /// Reads the configuration again.
 pub struct Reloader {
     dispatcher: Rc<Dispatcher>,
@@ -75,6 +88,8 @@
     /// What only a start can change, as it was then.
     fixed: FixedConfig,
     discovery: Cell<SocketAddr>,
+    /// Why the file was rejected, as logged last since the last signal.
+    logged_reason: RefCell<Option<String>>,
 }
 
 impl Reloader {
@@ -87,24 +102,37 @@
     ) -> Result<Self, ConfigError> {
         dispatcher.configure(config.settings.clone(), config.version, config.content_hash())?;
         let (fixed, discovery) = (config.fixed(), Cell::new(config.discovery));
-        Ok(Reloader { dispatcher, pool, status, fixed, discovery })
+        Ok(Reloader { dispatcher, pool, status, fixed, discovery, logged_reason: RefCell::default() })
     }
 
-    /// Reads the file and puts it in force; returns the address of discovery, where its watch is to begin anew. Of a
-    /// file that can't be put in force nothing is, and the one before holds.
-    pub fn reload(&self) -> Option<SocketAddr> {
-        log!("SIGHUP: the file that RELAY_CONFIG names is read again");
+    /// Reads the file and puts it in force. Of a file that can't be put in force nothing is, and the one before holds.
+    pub fn reload(&self) -> ReloadOutcome {
         match super::reload().and_then(|config| self.apply(config)) {
-            Ok(discovery) => discovery,
+            Ok(discovery) => ReloadOutcome::Applied { discovery },
             Err(error) => {
-                log!("configuration rejected: {error}");
-                let rejection = Rejection { rejected_at_ms: unix_ms(), reason: error.to_string() };
-                self.status.last_rejection.replace(Some(rejection));
-                None
+                self.reject(&error);
+                if error.may_pass() { ReloadOutcome::TryAgain } else { ReloadOutcome::Rejected }
             }
         }
     }
 
+    /// Notes why the file was not put in force, and logs it unless it is what the last read since the signal met.
+    fn reject(&self, error: &ConfigError) {
+        let reason = error.to_string();
+        let logged = self.logged_reason.replace(Some(reason.clone()));
+        if logged.as_ref() != Some(&reason) {
+            let what_follows = if error.may_pass() { "; it is read again until it is whole" } else { "" };
+            log!("configuration rejected: {reason}{what_follows}");
+        }
+        self.status.last_rejection.replace(Some(Rejection { rejected_at_ms: unix_ms(), reason }));
+    }
+
+    /// Notes that a signal asks for the file.
+    pub fn on_signal(&self) {
+        self.logged_reason.take();
+        log!("SIGHUP: the file that RELAY_CONFIG names is read again");
+    }
+
     fn apply(&self, config: Config) -> Result<Option<SocketAddr>, ConfigError> {
         self.fixed.check_unchanged(&config.fixed())?;
         let old = self.dispatcher.settings();
--- a/crates/proxy/src/startup.rs
+++ b/crates/proxy/src/startup.rs
@@ -1,8 +1,8 @@
 //! The start, as named steps: dispatcher, admin API, discovery, listener.
 
 use crate::admin::AdminServer;
-use crate::config::Config;
-use crate::config::reload::{ReloadStatus, Reloader};
+use crate::config::reload::{ReloadOutcome, ReloadStatus, Reloader};
+use crate::config::{Config, ReadRetry};
 use crate::dispatcher::{Dispatcher, duration_from_ms};
 use crate::downstream::{self, ListenerPhase, Server};
 use crate::error::ProxyError;
@@ -170,11 +170,29 @@
 }
 
 /// Reads the configuration again on every SIGHUP, also while the program stops: the old address of discovery is about
-/// to fall silent.
+/// to fall silent. A file that could not be read is read until it can be, or until the next signal.
 async fn follow_reloads(mut reload: Signal, reloader: Reloader, mut discovery: DiscoveryTask) {
-    while reload.recv().await.is_some() {
-        if let Some(address) = reloader.reload() {
-            discovery.restart(address);
+    let mut retry = ReadRetry::none();
+    loop {
+        tokio::select! {
+            signal = reload.recv() => {
+                if signal.is_none() {
+                    return;
+                }
+                reloader.on_signal();
+                retry = ReadRetry::none();
+            }
+            () = retry.due() => {}
+        }
+        match reloader.reload() {
+            ReloadOutcome::Applied { discovery: address } => {
+                retry = ReadRetry::none();
+                if let Some(address) = address {
+                    discovery.restart(address);
+                }
+            }
+            ReloadOutcome::Rejected => retry = ReadRetry::none(),
+            ReloadOutcome::TryAgain => retry.schedule(),
         }
     }
 }
--- a/crates/proxy/tests/reload_faults.rs
+++ b/crates/proxy/tests/reload_faults.rs
@@ -94,3 +94,22 @@
     std::fs::write(&fixture.proxy.config, fixture.config.to_string()).expect("it is written");
     fixture.check_drain_is_kept(signalled_at, "missing").await;
 }
+
+/// Guards against a log that is flooded by a file that stays broken.
+#[tokio::test]
+async fn a_file_that_stays_broken_is_logged_once() {
+    const STAYS_BROKEN: Duration = Duration::from_secs(2);
+    let mut fixture = fixture().await;
+    let text = fixture.config.to_string();
+    fixture.proxy.reload(&text[..text.len() / 2], "configuration rejected").await;
+    sleep(STAYS_BROKEN).await;
+    std::fs::write(&fixture.proxy.config, &text).expect("it is written");
+    let log = fixture.proxy.log.as_mut().expect("it is read");
+    loop {
+        let line = in_time(log.next_line()).await.expect("readable").expect("it goes on");
+        assert!(!line.contains("configuration rejected"), "{line}");
+        if line.contains("configuration applied") {
+            return;
+        }
+    }
+}
