A list that names nobody is believed unless the next one says otherwise

Callers saw every request go on to draining backends for as long as the proxy ran, where a whole tier had drained while discovery was away and its whole list left out what drains.

Cause: discovery-client/src/endpoint_list.rs dropped each whole list without entries as discovery's fault, however often it came and whatever its version (validate, DiscoveryError::EmptyList).

--- a/crates/discovery-client/src/endpoint_list.rs
+++ b/crates/discovery-client/src/endpoint_list.rs
@@ -67,13 +67,14 @@
         self.version
     }
 
-    /// Checks that it can be the answer to a poll after version `asked`. A list that names nobody while backends
-    /// serve is discovery's fault, and so is one older than what it was asked for: then the whole list is polled,
-    /// and that one holds, for discovery may have started anew.
-    pub(crate) fn validate(self, asked: Option<u64>, has_endpoints: bool) -> Result<Self, DiscoveryError> {
-        if self.is_complete && self.hosts.is_empty() && has_endpoints {
-            return Err(DiscoveryError::EmptyList);
-        }
+    /// Whether it is the whole list and names nobody.
+    pub(crate) fn names_nobody(&self) -> bool {
+        self.is_complete && self.hosts.is_empty()
+    }
+
+    /// Checks that it can be the answer to a poll after version `asked`. One older than what it was asked for is
+    /// discovery's fault: then the whole list is polled, and that one holds, for discovery may have started anew.
+    pub(crate) fn validate(self, asked: Option<u64>) -> Result<Self, DiscoveryError> {
         match asked {
             Some(asked) if self.version < asked => {
                 Err(DiscoveryError::StaleVersion { got: self.version, asked })
--- a/crates/discovery-client/src/error.rs
+++ b/crates/discovery-client/src/error.rs
@@ -42,9 +42,15 @@
     /// The answer holds no list.
     #[error("list: {0}")]
     List(#[source] serde_json::Error),
-    /// A list that names nobody while backends serve.
+    /// A list that names nobody while backends serve, and is older than one that was had before.
     #[error("a list that names nobody, the last one stays in use")]
     EmptyList,
+    /// A list that names nobody while backends serve; it holds unless the next one is another.
+    #[error("version {version} names nobody, the list is polled again at once")]
+    UnconfirmedEmptyList {
+        /// Its version.
+        version: u64,
+    },
     /// A list older than the one that the poll named.
     #[error("version {got} after {asked}, the last list stays in use")]
     StaleVersion {
--- a/crates/discovery-client/src/follower.rs
+++ b/crates/discovery-client/src/follower.rs
@@ -107,6 +107,7 @@
         version: None,
         outage: None,
         older_since: None,
+        unconfirmed: None,
     };
     while let Some(event) = follower.next_event().await {
         follower.on_event(event);
@@ -162,6 +163,15 @@
     outage: Option<CurrentOutage>,
     /// Since when lists are older than one that was had before.
     older_since: Option<Instant>,
+    /// A list that names nobody, until the next poll has ended.
+    unconfirmed: Option<ReceivedList>,
+}
+
+/// A list as it was received.
+struct ReceivedList {
+    response: DiscoveryResponse,
+    kind: PollKind,
+    polled_at: Instant,
 }
 
 impl<O: EndpointObserver> Follower<O> {
@@ -193,23 +203,68 @@
     fn on_event(&mut self, event: PollEvent) {
         match event {
             PollEvent::Answered(poll) => self.on_answer(poll),
-            PollEvent::Failed(error) => self.on_failure(&error),
+            PollEvent::Failed(error) => {
+                self.believe_unconfirmed();
+                self.on_failure(&error);
+            }
         }
     }
 
     fn on_answer(&mut self, poll: AnsweredPoll) {
         let AnsweredPoll { answer, kind, polled_at } = poll;
         self.connection = answer.connection;
-        match answer.response.validate(kind.version(), self.observer.has_ready_endpoint()) {
-            Ok(response) => self.on_response(response, kind, polled_at),
+        match self.check(answer.response, kind) {
+            Ok(response) => self.confirm_or_apply(ReceivedList { response, kind, polled_at }),
             Err(error) => {
+                self.believe_unconfirmed();
                 self.version = None;
                 self.on_failure(&error);
             }
         }
     }
 
-    fn on_response(&mut self, response: DiscoveryResponse, kind: PollKind, polled_at: Instant) {
+    /// A list that names nobody while backends serve, and is older than one had before, is discovery's fault.
+    fn check(
+        &self,
+        response: DiscoveryResponse,
+        kind: PollKind,
+    ) -> Result<DiscoveryResponse, DiscoveryError> {
+        let is_older = response.version() < self.newest_version.get();
+        if is_older && response.names_nobody() && self.observer.has_ready_endpoint() {
+            return Err(DiscoveryError::EmptyList);
+        }
+        response.validate(kind.version())
+    }
+
+    /// Applies a list, but for one that names nobody while backends serve. What a list doesn't name is gone, and a tier
+    /// may drain altogether; discovery that has just started may have no list yet. So the list is polled once more, at
+    /// once: what comes of that decides.
+    fn confirm_or_apply(&mut self, list: ReceivedList) {
+        match self.unconfirmed.take() {
+            None if list.response.names_nobody() && self.observer.has_ready_endpoint() => {
+                let version = list.response.version();
+                self.observer.on_warning(&DiscoveryError::UnconfirmedEmptyList { version });
+                self.version = None;
+                self.gate.on_answer();
+                self.unconfirmed = Some(list);
+            }
+            Some(unconfirmed) if list.response.version() < unconfirmed.response.version() => {
+                self.apply(unconfirmed);
+                self.apply(list);
+            }
+            _ => self.apply(list),
+        }
+    }
+
+    /// No other list has come: the one that names nobody holds.
+    fn believe_unconfirmed(&mut self) {
+        if let Some(list) = self.unconfirmed.take() {
+            self.apply(list);
+        }
+    }
+
+    fn apply(&mut self, list: ReceivedList) {
+        let ReceivedList { response, kind, polled_at } = list;
         let version = response.version();
         let is_repeated = self.version.replace(version) == Some(version);
         self.gate.on_answer();
