An answer of discovery is awaited for a minute beside newer polls, not for 3 s

Callers saw new work at draining backends for as long as discovery took more than 3 s for an answer, whole or in pieces.

Cause: polls.rs ended an overdue poll 3 s after its wait (WatchTimeouts::overdue_answer). Discovery that was always slower was never heard, however many polls it answered in the end.

Fix: an overdue poll is awaited for a minute, the longest that discovery may let a call wait. Four at the most are, as before: where a fifth becomes overdue, the one whose neighbours are closest by age is ended, so that their ages grow about as powers of two. The oldest is answered first by discovery that is always as slow; the younger ones are heard where the oldest call was lost in an outage (the second test). Silence is noticed as early as before, and no poll is made that was not made before; the test that bounds waiting calls to five is unchanged.

--- a/crates/discovery-client/src/lib.rs
+++ b/crates/discovery-client/src/lib.rs
@@ -5,6 +5,7 @@
 mod endpoint_list;
 mod error;
 mod follower;
+mod overdue_polls;
 mod poll_gate;
 mod polls;
 mod timeouts;
--- a/crates/discovery-client/src/polls.rs
+++ b/crates/discovery-client/src/polls.rs
@@ -2,6 +2,7 @@
 
 use crate::client::{Connection, Poll, PollAnswer, PollKind, PollProgress};
 use crate::error::DiscoveryError;
+use crate::overdue_polls::{OverduePoll, OverduePolls};
 use crate::timeouts::WatchTimeouts;
 use std::future::pending;
 use std::net::SocketAddr;
@@ -49,8 +50,7 @@
     timeouts: WatchTimeouts,
     tasks: JoinSet<EndedPoll>,
     current: Option<CurrentPoll>,
-    /// When the last poll that became overdue and was not ended had begun.
-    last_overdue_poll_at: Option<Instant>,
+    overdue: OverduePolls,
     next_number: u64,
 }
 
@@ -61,7 +61,7 @@
             timeouts,
             tasks: JoinSet::new(),
             current: None,
-            last_overdue_poll_at: None,
+            overdue: OverduePolls::default(),
             next_number: 0,
         }
     }
@@ -122,18 +122,14 @@
     /// The current poll is overdue. Those that go on began some time apart, so that there are few.
     fn keep_overdue(&mut self) {
         let Some(current) = self.current.take() else { return };
-        let spacing = self.timeouts.overdue_poll_spacing;
-        if self.last_overdue_poll_at.is_some_and(|at| current.polled_at < at + spacing) {
-            current.task.abort();
-        } else {
-            self.last_overdue_poll_at = Some(current.polled_at);
-        }
+        let poll = OverduePoll { polled_at: current.polled_at, task: current.task };
+        self.overdue.keep(poll, self.timeouts.overdue_poll_spacing);
     }
 
     fn end_all(&mut self) {
         self.tasks = JoinSet::new();
         self.current = None;
-        self.last_overdue_poll_at = None;
+        self.overdue.clear();
     }
 }
 
--- a/crates/discovery-client/src/timeouts.rs
+++ b/crates/discovery-client/src/timeouts.rs
@@ -6,6 +6,9 @@
 /// [`NOTIFICATION_DEADLINE_MS`] in whole milliseconds.
 const NOTIFICATION_DEADLINE: u64 = NOTIFICATION_DEADLINE_MS as u64;
 
+/// An answer that is so late will not come: no call may wait for longer at discovery.
+const LOST_ANSWER: Duration = Duration::from_secs(60);
+
 /// How long is waited.
 ///
 /// What discovery has to tell once it is back after a silence counts as notified at once, so that a whole round of
@@ -23,7 +26,7 @@
     /// An answer that is later than its wait by this is overdue, and so is the rest of one that stops for so long:
     /// another poll is made beside it.
     pub(crate) answer: Duration,
-    /// An answer that is later than its wait by this is not awaited any more.
+    /// An answer that is later than its wait by this is not awaited any more: its call must have been lost.
     pub(crate) overdue_answer: Duration,
     /// Of the polls that are overdue those that go on began so far apart.
     pub(crate) overdue_poll_spacing: Duration,
@@ -41,7 +44,7 @@
             watch: watch.clamp(Duration::from_millis(200), Duration::from_millis(NOTIFICATION_DEADLINE / 6)),
             answer: answer
                 .clamp(Duration::from_millis(50), Duration::from_millis(NOTIFICATION_DEADLINE / 12)),
-            overdue_answer: Duration::from_millis(NOTIFICATION_DEADLINE / 2),
+            overdue_answer: LOST_ANSWER,
             overdue_poll_spacing: Duration::from_millis(NOTIFICATION_DEADLINE / 6),
             pause: pause.clamp(Duration::from_millis(5), Duration::from_millis(250)),
         }
