An old list that comes late is not taken for a discovery that has started anew

Where discovery takes more than 3 s and answers a list older than one that was had, a backend that had been told to drain could be brought back by the first such list.

Cause: follower.rs counted the time for which lists have been older from when the poll was made. One answer that was 4 s late was more than MAX_OLDER_LISTS by itself.

Evidence: the new test, red before (drain deadline 100 ms, head 4 s late).

--- a/crates/discovery-client/src/follower.rs
+++ b/crates/discovery-client/src/follower.rs
@@ -291,7 +291,10 @@
 
     /// Whether lists have been older for so long that discovery must have started anew.
     fn has_started_anew(&mut self, polled_at: Instant) -> bool {
-        self.older_since.get_or_insert(polled_at).elapsed() > MAX_OLDER_LISTS
+        // How late an answer is says nothing about how long lists have been older.
+        let earliest = Instant::now().checked_sub(self.timeouts.answer).unwrap_or(polled_at);
+        let heard_since = polled_at.max(earliest);
+        self.older_since.get_or_insert(heard_since).elapsed() > MAX_OLDER_LISTS
     }
 
     /// Discovery counts its versions anew: its whole list, which is polled next, holds as it is.
--- a/crates/discovery-client/tests/slow_answers.rs
+++ b/crates/discovery-client/tests/slow_answers.rs
@@ -135,3 +135,22 @@
     })
     .await;
 }
+
+/// Guards against drained backends that an old list brings back since it came late.
+#[tokio::test(start_paused = true)]
+async fn an_older_list_that_comes_late_is_not_taken_for_a_new_discovery() {
+    for_each_case(&[1_000, 4_000, 10_000], async |is_polled, drain_deadline, delay| {
+        let (listener, address) = listening().await;
+        late_agent(listener, delay, |n| match n {
+            0 => AgentBehavior::List(7, true, 1),
+            _ => AgentBehavior::List(6, true, 2),
+        });
+        let settings = settings(is_polled, POLL_WITHIN_MS);
+        let harness = DiscoveryHarness::follow(address, settings, 1, drain_deadline, true);
+        harness.notified_of(2).await;
+        let case = format!("polled {is_polled}, drain deadline {drain_deadline:?}, {delay:?}");
+        let first_older = harness.notified.borrow().iter().position(|(_, entries)| *entries == 2);
+        assert!(harness.are_older.borrow()[first_older.expect("it was notified")], "{case}");
+    })
+    .await;
+}
--- a/crates/discovery-client/tests/support/mod.rs
+++ b/crates/discovery-client/tests/support/mod.rs
@@ -128,6 +128,8 @@
     start: Instant,
     /// When lists came, and with how many entries.
     pub notified: RefCell<Vec<(Instant, usize)>>,
+    /// Whether each of them was older than one had before.
+    pub are_older: RefCell<Vec<bool>>,
 }
 
 impl DiscoveryHarness {
@@ -143,7 +145,8 @@
         let balancer = RefCell::new(Balancer::new(settings, seed).expect("settings are sound"));
         let (watching, wanted) = watch::channel(false);
         let (start, notified) = (Instant::now(), RefCell::default());
-        let harness = Rc::new(DiscoveryHarness { balancer, watching, ready, start, notified });
+        let are_older = RefCell::default();
+        let harness = Rc::new(DiscoveryHarness { balancer, watching, ready, start, notified, are_older });
         harness.tell(Event::EndpointList { kind: EndpointListKind::Cached, endpoints: vec![] });
         let newest = Rc::<Cell<u64>>::default();
         let timeouts = WatchTimeouts::new(drain_deadline);
@@ -189,9 +192,10 @@
         self.ready
     }
     fn on_endpoint_list(self: &Rc<Self>, update: EndpointListUpdate) {
-        let EndpointListUpdate { kind, endpoints, .. } = update;
+        let EndpointListUpdate { kind, endpoints, is_older, .. } = update;
         assert!(!endpoints.is_empty() || kind == EndpointListKind::Full);
         self.notified.borrow_mut().push((Instant::now(), endpoints.len()));
+        self.are_older.borrow_mut().push(is_older);
         self.tell(Event::EndpointList { kind, endpoints: vec![] });
     }
     fn on_poll_failed(self: &Rc<Self>) {
