A start tries again what fails for a moment: reading its configuration, binding its addresses

A process whose open of the configuration or bind of an address failed for a moment ended with an error, and was missing until something started it again.

Cause: main.rs and startup.rs made each call once. Evidence: two tests with a preloaded library, red before (the process ended): open with ENFILE, EIO and ENOENT, bind with EADDRINUSE, ENOBUFS and ENOMEM. The tests' support starts a program in two steps, so that a test can act before it listens; its checks are those of before.

--- a/crates/proxy/src/config/mod.rs
+++ b/crates/proxy/src/config/mod.rs
@@ -2,10 +2,8 @@
 
 mod error;
 pub mod reload;
-mod retry;
 
 pub use error::ConfigError;
-pub use retry::ReadRetry;
 
 use foldhitch_balancer::settings_format::{self, ResolvedSettings, SiteSettings};
 use foldhitch_discovery_client::DiscoveryResponse;
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -9,14 +9,13 @@
 mod log;
 mod process_group;
 mod resource_limits;
+mod retry;
 mod shutdown;
 mod startup;
 mod transport;
 mod upstream;
 
-use config::Config;
 use error::ProxyError;
-use foldhitch_discovery_client::DiscoveryResponse;
 use log::log;
 use std::process::ExitCode;
 use tokio::runtime::Builder;
@@ -34,12 +33,12 @@
 }
 
 fn run_to_end() -> Result<(), ProxyError> {
-    let (config, known_endpoints) = config::load()?;
     let runtime = Builder::new_current_thread().enable_all().build().map_err(ProxyError::Runtime)?;
-    LocalSet::new().block_on(&runtime, run(config, known_endpoints))
+    LocalSet::new().block_on(&runtime, run())
 }
 
-async fn run(config: Config, known_endpoints: Option<DiscoveryResponse>) -> Result<(), ProxyError> {
+async fn run() -> Result<(), ProxyError> {
+    let (config, known_endpoints) = startup::load_config().await?;
     let mut terminate = wait_for_signal("SIGTERM", SignalKind::terminate())?;
     let reload = wait_for_signal("SIGHUP", SignalKind::hangup())?;
     let Some(proxy) = startup::start(config, known_endpoints, &mut terminate, reload).await? else {
--- a/crates/proxy/src/startup.rs
+++ b/crates/proxy/src/startup.rs
@@ -2,13 +2,14 @@
 
 use crate::admin::AdminServer;
 use crate::config::reload::{ReloadOutcome, ReloadStatus, Reloader};
-use crate::config::{Config, ReadRetry};
+use crate::config::{self, Config, ConfigError};
 use crate::dispatcher::{Dispatcher, duration_from_ms};
 use crate::downstream::{self, ListenerPhase, Server};
 use crate::error::ProxyError;
 use crate::log::log;
 use crate::process_group::{self, ProcessGroup};
 use crate::resource_limits::ResourceLimits;
+use crate::retry::{Retry, retry_for};
 use crate::upstream::{ConnectionPool, PoolLimits};
 use foldhitch_balancer::api::EndpointListKind;
 use foldhitch_discovery_client::{
@@ -32,6 +33,9 @@
 /// How often idle connections are looked through for old ones, and backends for those that are gone.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// A failure that may pass delays a start for so long.
+const START_RETRY_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// A proxy that has started.
 pub struct RunningProxy {
     /// The only owner of the balancer.
@@ -44,6 +48,12 @@
     pub serving: JoinHandle<()>,
 }
 
+/// Reads the configuration, and the endpoint list that it brings. A file that can't be read is read again for a while.
+pub async fn load_config() -> Result<(Config, Option<DiscoveryResponse>), ConfigError> {
+    let on_failure = |error: &ConfigError| log!("{error}; it is read again until it is whole");
+    retry_for(START_RETRY_TIMEOUT, config::load, ConfigError::may_pass, on_failure).await
+}
+
 /// Starts everything; nothing if the proxy was told to stop before it could serve.
 pub async fn start(
     config: Config,
@@ -67,11 +77,8 @@
     if !wait_until_ready_beside_others(&dispatcher, terminate).await {
         return Ok(None);
     }
-    let listener = listen(config.listen, admin.is_some()).map_err(|source| ProxyError::Listen {
-        what: "listen",
-        address: config.listen,
-        source,
-    })?;
+    let listener = listen("listen", config.listen, admin.is_some()).await?;
+    log!("listening on {}", local_address("listen", &listener, config.listen)?);
     spawn_local(maintain(dispatcher.clone(), pool.clone()));
     let (phase, phase_changes) = watch::channel(ListenerPhase::Accepting);
     let server = Rc::new(Server::new(dispatcher.clone(), limits.client_limits(sharing_count(&dispatcher))));
@@ -111,10 +118,8 @@
     dispatcher: &Rc<Dispatcher>,
     reload_status: Rc<ReloadStatus>,
 ) -> Result<Rc<AdminServer>, ProxyError> {
-    let error = |source| ProxyError::Listen { what: "management", address, source };
-    let listener = TcpListener::bind(address).await.map_err(error)?;
-    let bound = listener.local_addr().map_err(error)?;
-    log!("admin API at {bound}");
+    let listener = listen("management", address, false).await?;
+    log!("admin API at {}", local_address("management", &listener, address)?);
     let process_group = ProcessGroup::new(env::var_os("TMPDIR").map(Into::into));
     let server = AdminServer::new(dispatcher.clone(), process_group, reload_status);
     spawn_local(server.clone().serve(listener));
@@ -172,7 +177,7 @@
 /// Reads the configuration again on every SIGHUP, also while the program stops: the old address of discovery is about
 /// to fall silent. A file that could not be read is read until it can be, or until the next signal.
 async fn follow_reloads(mut reload: Signal, reloader: Reloader, mut discovery: DiscoveryTask) {
-    let mut retry = ReadRetry::none();
+    let mut retry = Retry::none();
     loop {
         tokio::select! {
             signal = reload.recv() => {
@@ -180,18 +185,18 @@
                     return;
                 }
                 reloader.on_signal();
-                retry = ReadRetry::none();
+                retry = Retry::none();
             }
             () = retry.due() => {}
         }
         match reloader.reload() {
             ReloadOutcome::Applied { discovery: address } => {
-                retry = ReadRetry::none();
+                retry = Retry::none();
                 if let Some(address) = address {
                     discovery.restart(address);
                 }
             }
-            ReloadOutcome::Rejected => retry = ReadRetry::none(),
+            ReloadOutcome::Rejected => retry = Retry::none(),
             ReloadOutcome::TryAgain => retry.schedule(),
         }
     }
@@ -210,18 +215,31 @@
     true
 }
 
-/// Listens for clients; where another process of this proxy may do so too, beside it.
-fn listen(address: SocketAddr, is_shared: bool) -> io::Result<TcpListener> {
+/// Listens at an address. What the system refuses for a moment, as while a process before still holds the address, is
+/// tried again for a while.
+async fn listen(what: &'static str, address: SocketAddr, is_shared: bool) -> Result<TcpListener, ProxyError> {
+    let on_failure = |error: &io::Error| log!("{what}: {address}: {error}; it is bound again for a while");
+    let listener = retry_for(START_RETRY_TIMEOUT, || bind(address, is_shared), |_| true, on_failure).await;
+    listener.map_err(|source| ProxyError::Listen { what, address, source })
+}
+
+fn local_address(
+    what: &'static str,
+    listener: &TcpListener,
+    address: SocketAddr,
+) -> Result<SocketAddr, ProxyError> {
+    listener.local_addr().map_err(|source| ProxyError::Listen { what, address, source })
+}
+
+/// Binds an address; where another process of this proxy may do so too, beside it.
+fn bind(address: SocketAddr, is_shared: bool) -> io::Result<TcpListener> {
     let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
     socket.set_reuseaddr(true)?;
     if is_shared {
         socket.set_reuseport(true)?;
     }
     socket.bind(address)?;
-    let listener = socket.listen(LISTEN_BACKLOG)?;
-    let bound = listener.local_addr()?;
-    log!("listening on {bound}");
-    Ok(listener)
+    socket.listen(LISTEN_BACKLOG)
 }
 
 /// Closes old idle connections and forgets backends that are gone, for ever.
--- a/crates/proxy/tests/support/failing_calls.c
+++ b/crates/proxy/tests/support/failing_calls.c
@@ -7,6 +7,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 /* The error that a call is to fail with; 0 for none. */
 static int error_of(const char *call) {
@@ -47,3 +48,17 @@
     }
     return next(path, flags, mode);
 }
+
+/* Binds a socket, or fails. */
+int bind(int socket, const struct sockaddr *address, socklen_t length) {
+    static int (*next)(int, const struct sockaddr *, socklen_t);
+    int error = error_of("bind");
+    if (error != 0) {
+        errno = error;
+        return -1;
+    }
+    if (next == NULL) {
+        next = (int (*)(int, const struct sockaddr *, socklen_t))dlsym(RTLD_NEXT, "bind");
+    }
+    return next(socket, address, length);
+}
--- a/crates/proxy/tests/support/proxy.rs
+++ b/crates/proxy/tests/support/proxy.rs
@@ -47,49 +47,13 @@
 
     /// Starts the program by a shell command in which it is `$0`.
     pub async fn start_as(config: &Value, command: &str) -> Self {
-        let path = write_config(&config.to_string());
-        let folder = path.with_extension("tmp");
-        // One of an earlier test run may be left.
-        let _ = std::fs::remove_dir_all(&folder);
-        std::fs::create_dir_all(&folder).expect("the folder for tests takes a folder");
-        Proxy::start_in(config, command, path, folder).await
+        StartingProxy::spawn(config, command).listening().await
     }
 
     /// Starts a second process of a proxy: the same folder for temporary files, other addresses as told.
     pub async fn start_beside(&self, config: &Value) -> Self {
         let path = write_config(&config.to_string());
-        Proxy::start_in(config, "exec \"$0\"", path, self.folder.clone()).await
-    }
-
-    async fn start_in(
-        config: &Value,
-        command: &str,
-        path: std::path::PathBuf,
-        folder: std::path::PathBuf,
-    ) -> Self {
-        let mut child = Command::new("/bin/sh")
-            .args(["-c", command, env!("CARGO_BIN_EXE_foldhitch-proxy")])
-            .env_remove("RELAY_LISTEN")
-            // As in service: at the start the variable names the address too.
-            .env("RELAY_DISCOVERY", config["discovery"].as_str().expect("text"))
-            .env("RELAY_CONFIG", &path)
-            .env("TMPDIR", &folder)
-            .stderr(Stdio::piped())
-            .kill_on_drop(true)
-            .spawn()
-            .expect("it starts");
-        let mut log = BufReader::new(child.stderr.take().expect("piped")).lines();
-        let mut admin = None;
-        let addr = loop {
-            let line = in_time(log.next_line()).await.expect("readable").expect("it goes on");
-            if let Some((_, addr)) = line.split_once("admin API at ") {
-                admin = Some(addr.parse().expect("an address"));
-            }
-            if let Some((_, addr)) = line.split_once("listening on ") {
-                break addr.parse().expect("an address");
-            }
-        };
-        Proxy { addr, admin, folder, config: path, child, log: Some(log) }
+        StartingProxy::spawn_in(config, "exec \"$0\"", path, self.folder.clone()).listening().await
     }
 
     /// The proxy, once it holds discovery's list.
@@ -100,9 +64,7 @@
     }
 
     async fn kill(&self, signal: &str) {
-        let id = self.child.id().expect("it runs").to_string();
-        let sent = in_time(Command::new("kill").args([signal, &id]).status()).await;
-        assert!(sent.expect("kill runs").success());
+        kill(&self.child, signal).await;
     }
 
     /// Stops the program where it is until it is let go on: what happens meanwhile it finds all at once.
@@ -211,3 +173,77 @@
         self.client().await.call(class).await
     }
 }
+
+/// The program before it listens.
+pub struct StartingProxy {
+    folder: std::path::PathBuf,
+    config: std::path::PathBuf,
+    child: Child,
+    log: tokio::io::Lines<BufReader<ChildStderr>>,
+}
+
+impl StartingProxy {
+    /// Starts the program by a shell command in which it is `$0`.
+    pub fn spawn(config: &Value, command: &str) -> Self {
+        let path = write_config(&config.to_string());
+        let folder = path.with_extension("tmp");
+        // One of an earlier test run may be left.
+        let _ = std::fs::remove_dir_all(&folder);
+        std::fs::create_dir_all(&folder).expect("the folder for tests takes a folder");
+        StartingProxy::spawn_in(config, command, path, folder)
+    }
+
+    fn spawn_in(config: &Value, command: &str, path: std::path::PathBuf, folder: std::path::PathBuf) -> Self {
+        let mut child = Command::new("/bin/sh")
+            .args(["-c", command, env!("CARGO_BIN_EXE_foldhitch-proxy")])
+            .env_remove("RELAY_LISTEN")
+            // As in service: at the start the variable names the address too.
+            .env("RELAY_DISCOVERY", config["discovery"].as_str().expect("text"))
+            .env("RELAY_CONFIG", &path)
+            .env("TMPDIR", &folder)
+            .stderr(Stdio::piped())
+            .kill_on_drop(true)
+            .spawn()
+            .expect("it starts");
+        let log = BufReader::new(child.stderr.take().expect("piped")).lines();
+        StartingProxy { folder, config: path, child, log }
+    }
+
+    /// Waits until the log has such a line, as it must before the program listens.
+    pub async fn logged(&mut self, says: &str) {
+        loop {
+            let line = in_time(self.log.next_line()).await.expect("readable").expect("it goes on");
+            assert!(!line.contains("listening on "), "{says}: {line}");
+            if line.contains(says) {
+                return;
+            }
+        }
+    }
+
+    /// Sends a signal.
+    pub async fn kill(&self, signal: &str) {
+        kill(&self.child, signal).await;
+    }
+
+    /// The proxy, once it listens.
+    pub async fn listening(self) -> Proxy {
+        let StartingProxy { folder, config, child, mut log } = self;
+        let mut admin = None;
+        let addr = loop {
+            let line = in_time(log.next_line()).await.expect("readable").expect("it goes on");
+            if let Some((_, addr)) = line.split_once("admin API at ") {
+                admin = Some(addr.parse().expect("an address"));
+            }
+            if let Some((_, addr)) = line.split_once("listening on ") {
+                break addr.parse().expect("an address");
+            }
+        };
+        Proxy { addr, admin, folder, config, child, log: Some(log) }
+    }
+}
+
+async fn kill(child: &Child, signal: &str) {
+    let id = child.id().expect("it runs").to_string();
+    let sent = in_time(Command::new("kill").args([signal, &id]).status()).await;
+    assert!(sent.expect("kill runs").success());
+}
--- a/crates/scale-test/src/soak/rules.rs
+++ b/crates/scale-test/src/soak/rules.rs
@@ -425,7 +425,7 @@
 }
 
 /// Parts of the log lines that on-call staff know.
-const KNOWN_LINES: [&str; 28] = [
+const KNOWN_LINES: [&str; 30] = [
     "admin API at ",
     "listening on ",
     "endpoint list ",
@@ -433,6 +433,8 @@
     "processes of this proxy: ",
     "configuration applied",
     "SIGHUP: ",
+    "it is read again until it is whole",
+    "it is bound again for a while",
     " timed out after",
     "configuration rejected: ",
     "stopping, ",
