A signal during the start neither ends the process nor is lost

A SIGHUP that came while the configuration was being read ended the process, since the signals were waited for only afterwards; in a series of signals around a restart that is a crash.

Cause: main.rs installed both signals behind the read of the configuration. Left: the few milliseconds of the process before main, which no program can cover.

--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -38,9 +38,13 @@
 }
 
 async fn run() -> Result<(), ProxyError> {
-    let (config, known_endpoints) = startup::load_config().await?;
+    // Before all else: an earlier signal would end the process.
     let mut terminate = wait_for_signal("SIGTERM", SignalKind::terminate())?;
     let reload = wait_for_signal("SIGHUP", SignalKind::hangup())?;
+    let (config, known_endpoints) = tokio::select! {
+        loaded = startup::load_config() => loaded?,
+        _ = terminate.recv() => return Ok(()),
+    };
     let Some(proxy) = startup::start(config, known_endpoints, &mut terminate, reload).await? else {
         return Ok(());
     };
--- a/crates/proxy/tests/start_faults.rs
+++ b/crates/proxy/tests/start_faults.rs
@@ -48,3 +48,18 @@
         assert_eq!(proxy.call("look").await, (200, "a".into()), "{error}");
     }
 }
+
+/// Guards against a new configuration's signal that ends a process which has just begun to start.
+#[tokio::test]
+async fn a_hangup_during_the_start_does_not_end_the_process() {
+    let (_script, _a, discovery, config) = fixture().await;
+    let calls = FailingCalls::none();
+    calls.fail("open", Errno::EIO);
+    let mut starting = StartingProxy::spawn(&config, &calls.command());
+    starting.logged("read again").await;
+    starting.kill("-HUP").await;
+    calls.succeed();
+    let proxy = starting.listening().await;
+    discovery.wait_until_applied().await;
+    assert_eq!(proxy.call("look").await, (200, "a".into()));
+}
