A drain is kept though the rest of its entry can't be used

An entry that says DRAINING and has no address, one that is none, an unknown zone or another figure that can't be read was passed over whole, and requests went on to its backend, for as long as no other entry came.

Cause: discovery-client/src/endpoint_list.rs read all of an entry or nothing, and dispatcher/endpoint_table.rs passed over entries of unknown zones whatever they say. Fix: of an entry that takes no new requests the name and the state are enough.

--- a/crates/discovery-client/src/endpoint_list.rs
+++ b/crates/discovery-client/src/endpoint_list.rs
@@ -21,7 +21,7 @@
     /// The backend's name.
     #[serde(rename = "host")]
     pub name: String,
-    /// Its address; one that is gone needs none.
+    /// Its address; one that takes no new requests needs none.
     #[serde(rename = "dial")]
     pub address: Option<SocketAddr>,
     /// Its zone.
@@ -110,11 +110,39 @@
     }
 }
 
+/// What has to be known of an endpoint that takes no new requests.
+#[derive(Deserialize)]
+struct Withdrawal {
+    #[serde(rename = "host")]
+    name: String,
+    health: HealthState,
+}
+
+impl Withdrawal {
+    /// The record of an endpoint that takes no new requests, though nothing else of it can be read.
+    fn from_json(value: &serde_json::Value) -> Option<EndpointRecord> {
+        let Withdrawal { name, health } = Self::deserialize(value).ok()?;
+        let is_withdrawn = health != HealthState::Serving;
+        is_withdrawn.then_some(EndpointRecord {
+            name,
+            address: None,
+            zone: String::new(),
+            cell: 0,
+            health,
+            weight: 0.0,
+            started_at_ms: 0.0,
+        })
+    }
+}
+
 impl EndpointRecord {
     fn from_json(value: &serde_json::Value) -> Result<Self, EndpointError> {
-        let endpoint = Self::deserialize(value)
-            .map_err(|source| EndpointError::Unreadable { value: value.to_string(), source })?;
-        if endpoint.address.is_none() && endpoint.health != HealthState::Deleted {
+        let endpoint = match Self::deserialize(value) {
+            Ok(endpoint) => endpoint,
+            Err(source) => Withdrawal::from_json(value)
+                .ok_or_else(|| EndpointError::Unreadable { value: value.to_string(), source })?,
+        };
+        if endpoint.address.is_none() && endpoint.health == HealthState::Serving {
             return Err(EndpointError::MissingAddress { name: endpoint.name });
         }
         Ok(endpoint)
--- a/crates/discovery-client/src/error.rs
+++ b/crates/discovery-client/src/error.rs
@@ -88,7 +88,7 @@
         /// What is wrong with it.
         source: serde_json::Error,
     },
-    /// It takes requests or drains, and has no address.
+    /// It takes requests, and has no address.
     #[error("{name}: no address")]
     MissingAddress {
         /// Its name.
--- a/crates/proxy/src/dispatcher/endpoint_table.rs
+++ b/crates/proxy/src/dispatcher/endpoint_table.rs
@@ -207,15 +207,14 @@
     ) -> Result<EndpointInfo, UnknownZone> {
         let pool = self.pool.clone();
         let (backend, endpoint) = self.find_or_add(&record.name);
-        let is_deleted = record.health == HealthState::Deleted;
-        endpoint.is_listed = !is_deleted;
-        let Some(zone) = zone_names.iter().position(|zone| *zone == record.zone) else {
-            if is_deleted {
-                return Ok(EndpointInfo { backend, phase: Phase::Gone, ..EndpointInfo::default() });
-            }
-            return Err(UnknownZone { name: record.name.clone(), zone: record.zone.clone() });
-        };
+        endpoint.is_listed = record.health != HealthState::Deleted;
         let phase = endpoint.phase(record, is_older);
+        let zone = match zone_names.iter().position(|zone| *zone == record.zone) {
+            Some(zone) => zone,
+            // Nothing is sent to it, so that its zone doesn't matter.
+            None if phase != Phase::Ready => 0,
+            None => return Err(UnknownZone { name: record.name.clone(), zone: record.zone.clone() }),
+        };
         endpoint.update(record, phase, &pool);
         Ok(EndpointInfo {
             backend,
--- a/crates/proxy/tests/drained_tier.rs
+++ b/crates/proxy/tests/drained_tier.rs
@@ -1,4 +1,4 @@
-//! A tier whose backends all drain: discovery's whole list, which leaves out what drains, names nobody then.
+//! Drains that a list tells in its own ways: of a whole tier, which names nobody then, and by entries that lack the rest.
 
 mod support;
 
@@ -73,6 +73,8 @@
 enum DiscoveryAnswer {
     /// Answers a whole list of these backends.
     Whole(u64, Vec<Value>),
+    /// Answers these changes.
+    Changes(u64, Vec<Value>),
     /// Ends the connection without an answer.
     Close,
 }
@@ -97,16 +99,16 @@
                     received.clear();
                     let mut number = 0;
                     calls.send_modify(|calls| (number, *calls) = (*calls, *calls + 1));
-                    match answers.get(number).cloned() {
-                        Some(DiscoveryAnswer::Whole(version, hosts)) => {
-                            let list = json!({"seq": version, "whole": true, "hosts": hosts}).to_string();
-                            let length = list.len();
-                            let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{list}");
-                            let _ = stream.write_all(answer.as_bytes()).await;
-                        }
+                    let (is_whole, version, hosts) = match answers.get(number).cloned() {
+                        Some(DiscoveryAnswer::Whole(version, hosts)) => (true, version, hosts),
+                        Some(DiscoveryAnswer::Changes(version, hosts)) => (false, version, hosts),
                         Some(DiscoveryAnswer::Close) => return,
-                        None => {}
-                    }
+                        None => continue,
+                    };
+                    let list = json!({"seq": version, "whole": is_whole, "hosts": hosts}).to_string();
+                    let length = list.len();
+                    let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{list}");
+                    let _ = stream.write_all(answer.as_bytes()).await;
                 }
             });
         }
@@ -177,3 +179,35 @@
         assert_eq!(proxy.call("look").await, (200, "a".into()));
     }
 }
+
+/// Guards against new work at a draining backend whose entry lacks what only a serving one needs.
+#[tokio::test]
+async fn a_drain_is_kept_though_the_rest_of_its_entry_cannot_be_used() {
+    let script = Arc::new(BackendScript::default());
+    let (a, b) = (Backend::start("a", &script).await, Backend::start("b", &script).await);
+    let with = |key: &str, value: Value| {
+        let mut entry = a.line("DRAINING");
+        entry[key] = value;
+        entry
+    };
+    let entries = [
+        json!({"host": "a", "health": "DRAINING"}),
+        json!({"host": "a", "health": "DELETED"}),
+        with("dial", "nowhere".into()),
+        with("dial", Value::Null),
+        with("site", "a zone that the settings don't name".into()),
+        with("born_ms", "long ago".into()),
+        with("block", 70_000.into()),
+        with("share", Value::Null),
+    ];
+    for entry in entries {
+        let proxy = proxy_after(vec![
+            DiscoveryAnswer::Whole(1, vec![a.line("SERVING"), b.line("SERVING")]),
+            DiscoveryAnswer::Changes(2, vec![entry.clone()]),
+        ])
+        .await;
+        for _ in 0..10 {
+            assert_eq!(proxy.call("look").await, (200, "b".into()), "{entry}");
+        }
+    }
+}
