Soak: configurations that are half written at their signal, and a rule that they are in force in time

Half of the seeds write a new configuration in place, half of it before the signal and the rest 20 ms to 1.5 s later; a new rule asks that each is in force, or a later one, 4 s after its signal. The rule has a unit test.

--- a/crates/scale-test/src/soak/plan.rs
+++ b/crates/scale-test/src/soak/plan.rs
@@ -235,6 +235,9 @@
     pub event: SoakEvent,
 }
 
+/// Tells the random numbers of torn reloads from the others of a seed.
+const TORN_RELOAD_STREAM: u64 = 0x746f_726e;
+
 /// What a seed plays.
 #[derive(Debug, Clone, Serialize)]
 pub struct SoakPlan {
@@ -258,6 +261,8 @@
     pub stop_at: Duration,
     /// How.
     pub stop: StopPlan,
+    /// A configuration is half written at its signal, and whole so long after.
+    pub torn_reload: Option<Duration>,
 }
 
 fn millis(random: &mut StdRng, from: u64, to: u64) -> Duration {
@@ -391,10 +396,17 @@
             events,
             stop_at,
             stop,
+            torn_reload: draw_torn_reload(seed),
         }
     }
 }
 
+/// From random numbers of its own, so that all else of a seed stays what it was.
+fn draw_torn_reload(seed: u64) -> Option<Duration> {
+    let random = &mut StdRng::seed_from_u64(seed ^ TORN_RELOAD_STREAM);
+    random.random_bool(0.5).then(|| millis(random, 20, 1500))
+}
+
 fn draw_crowd(random: &mut StdRng, settings: &SoakSettings, stop_at: Duration) -> Option<CrowdPlan> {
     if !random.random_bool(0.35) {
         return None;
@@ -477,6 +489,9 @@
         for scheduled in &self.events {
             writeln!(formatter, "{:>8.3} s  {:?}", scheduled.at.as_secs_f64(), scheduled.event)?;
         }
+        if let Some(whole_after) = self.torn_reload {
+            writeln!(formatter, "configurations are half written at their signal for {whole_after:?}")?;
+        }
         write!(formatter, "{:>8.3} s  stop {:?}", self.stop_at.as_secs_f64(), self.stop)
     }
 }
--- a/crates/scale-test/src/soak/play.rs
+++ b/crates/scale-test/src/soak/play.rs
@@ -262,7 +262,10 @@
     async fn reload(&self, process: &ProxyProcess, count: u32, gap: Duration) -> anyhow::Result<()> {
         sleep(LEAST_AGE_FOR_RELOAD).await;
         for _ in 0..count {
-            self.instance.reload(process).await?;
+            match self.plan.torn_reload {
+                Some(whole_after) => self.instance.reload_torn(process, whole_after).await?,
+                None => self.instance.reload(process).await?,
+            }
             sleep(gap).await;
         }
         Ok(())
--- a/crates/scale-test/src/soak/process.rs
+++ b/crates/scale-test/src/soak/process.rs
@@ -1,7 +1,7 @@
 //! Processes of the real program: start, signals, log, admin API, what they hold.
 
 use super::plan::{SoakSettings, play_address};
-use super::record::{AdminCall, ProcessRecord, Recorder, UsageSample};
+use super::record::{AdminCall, ProcessRecord, Recorder, ReloadRecord, UsageSample};
 use anyhow::{Context, anyhow};
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
@@ -123,10 +123,27 @@
         let path = process.config_path.with_extension("new");
         std::fs::write(&path, self.next_config(process.admin).to_string())?;
         std::fs::rename(&path, &process.config_path)?;
-        process.signal(Signal::HUP);
+        self.signal_reload(process);
+        Ok(())
+    }
+
+    /// The same with a file that is half written when the signal comes, and whole so long after.
+    pub async fn reload_torn(&self, process: &ProxyProcess, whole_after: Duration) -> anyhow::Result<()> {
+        let text = self.next_config(process.admin).to_string();
+        std::fs::write(&process.config_path, &text[..text.len() / 2])?;
+        self.signal_reload(process);
+        sleep(whole_after).await;
+        std::fs::write(&process.config_path, text)?;
         Ok(())
     }
 
+    fn signal_reload(&self, process: &ProxyProcess) {
+        let version = self.config_version.load(Relaxed);
+        let reload = ReloadRecord { process: process.number, version, at: self.recorder.now() };
+        self.recorder.records().reloads.push(reload);
+        process.signal(Signal::HUP);
+    }
+
     /// Calls the admin API of a process; whether it said yes.
     pub async fn call_admin(&self, process: &ProxyProcess, method: &str, path: &str) -> bool {
         let at = self.recorder.now();
--- a/crates/scale-test/src/soak/record.rs
+++ b/crates/scale-test/src/soak/record.rs
@@ -147,6 +147,17 @@
     pub at: Duration,
 }
 
+/// A configuration was replaced, and its signal sent.
+#[derive(Debug, Clone, Copy, Serialize)]
+pub struct ReloadRecord {
+    /// Place of the process.
+    pub process: usize,
+    /// The version of the configuration.
+    pub version: u64,
+    /// When the signal was sent.
+    pub at: Duration,
+}
+
 /// An answer that discovery has written completely.
 #[derive(Debug, Clone, Copy, Serialize)]
 pub struct ListAnswer {
@@ -223,6 +234,8 @@
     pub list_changes: Vec<ListChange>,
     /// What discovery answered, in order of time.
     pub list_answers: Vec<ListAnswer>,
+    /// Configurations that were replaced.
+    pub reloads: Vec<ReloadRecord>,
     /// When discovery did not answer as it should, in order of time.
     pub discovery_outages: Vec<DiscoveryOutage>,
     /// What the processes held.
--- a/crates/scale-test/src/soak/rules.rs
+++ b/crates/scale-test/src/soak/rules.rs
@@ -20,6 +20,8 @@
 const IMPROPER_LIMIT: Duration = Duration::from_secs(3);
 /// A change of the list is in force so long after discovery had it and could be reached.
 const LIST_LIMIT: Duration = Duration::from_secs(6);
+/// What a new configuration brings counts as notified so long after its signal.
+const CONFIGURATION_LIMIT: Duration = Duration::from_secs(4);
 /// A process is ready within this.
 const READY_LIMIT: Duration = Duration::from_secs(10);
 /// The admin API answers within this.
@@ -50,6 +52,8 @@
     SlowStart,
     /// A change of the list is in force in time.
     ListInForce,
+    /// A new configuration is in force in time.
+    ConfigurationInForce,
     /// A client that sends nothing proper gets an error or a close.
     ImproperClient,
     /// A process is ready in time.
@@ -99,6 +103,7 @@
     violations.extend(records.attempts.iter().filter_map(|attempt| checker.drain(attempt)));
     violations.extend(records.cold_starts.iter().filter_map(|start| checker.slow_start(start)));
     violations.extend(checker.list_in_force());
+    violations.extend(records.reloads.iter().find_map(|reload| checker.configuration_in_force(reload)));
     violations.extend(records.improper.iter().filter_map(improper_client));
     violations.extend(records.processes.iter().flat_map(process));
     violations.extend(records.usage.iter().find_map(|sample| checker.limits(sample)));
@@ -369,6 +374,25 @@
         None
     }
 
+    /// A process has a new configuration in force, or a later one, in time, if it lives for so long.
+    fn configuration_in_force(&self, reload: &ReloadRecord) -> Option<Violation> {
+        let process = self.records.processes.get(reload.process)?;
+        let latest = reload.at + CONFIGURATION_LIMIT + SOCKET_SLACK;
+        let ends_at = process.terminated_at.or(process.ended_at);
+        if ends_at.is_some_and(|ends_at| ends_at < latest) {
+            return None;
+        }
+        let is_applied = |(at, line): &(Duration, String)| {
+            *at <= latest && configuration_version(line).is_some_and(|version| version >= reload.version)
+        };
+        if process.log.iter().any(is_applied) {
+            return None;
+        }
+        let (version, at) = (reload.version, reload.at);
+        let detail = format!("version {version} is not in force {CONFIGURATION_LIMIT:?} after {at:?}");
+        Some(Violation { rule: Rule::ConfigurationInForce, request: None, detail })
+    }
+
     fn limits(&self, sample: &UsageSample) -> Option<Violation> {
         let is_within = sample.descriptors <= self.settings.max_descriptors
             && sample.memory <= self.settings.memory_bytes;
@@ -385,6 +409,13 @@
     version.parse().ok()
 }
 
+/// The version of the configuration that a line of the log says was put in force, if it says one.
+fn configuration_version(line: &str) -> Option<u64> {
+    let (_, rest) = line.split_once("configuration applied, version ")?;
+    let (version, _) = rest.split_once(',')?;
+    version.parse().ok()
+}
+
 fn improper_client(client: &ImproperRecord) -> Option<Violation> {
     let latest = client.connected_at + IMPROPER_LIMIT + SOCKET_SLACK;
     let detail = match client.ended_at {
--- a/crates/scale-test/tests/soak_rules.rs
+++ b/crates/scale-test/tests/soak_rules.rs
@@ -224,6 +224,17 @@
     assert_bites(Rule::ListInForce, &held_at(ms(7050)), &held_at(ms(7051)));
 }
 
+#[test]
+fn a_new_configuration_is_in_force_in_time() {
+    let applied_at = |at| {
+        let line = "foldhitch-proxy: configuration applied, version 3, discovery at 127.0.0.1:9";
+        let log = vec![(at, line.to_string())];
+        let reload = ReloadRecord { process: 0, version: 3, at: ms(1000) };
+        Records { reloads: vec![reload], ..with_process(ProcessRecord { log, ..process() }) }
+    };
+    assert_bites(Rule::ConfigurationInForce, &applied_at(ms(5050)), &applied_at(ms(5051)));
+}
+
 #[test]
 fn an_improper_client_gets_an_error_or_a_close() {
     let ended = |ended_at| {
