--- a/crates/scale-test/src/soak/plan.rs
+++ b/crates/scale-test/src/soak/plan.rs
@@ -261,7 +261,7 @@
     pub stop_at: Duration,
     /// How.
     pub stop: StopPlan,
-    /// A configuration is half written at its signal, and whole so long after.
+    /// The last configuration of a row is half written at its signal, and whole so long after.
     pub torn_reload: Option<Duration>,
 }
 
