What could not be read is read again at most 250 ms later

Seen in the soak: with up to 1 s between two reads a file that is whole only for a while may be missed. A read takes well under a millisecond, so that four of them a second cost nothing.

--- a/crates/proxy/src/retry.rs
+++ b/crates/proxy/src/retry.rs
@@ -7,7 +7,7 @@
 /// After the first failure; twice as long after each further one.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// The longest time between two tries.
-const MAX_RETRY_DELAY: Duration = Duration::from_secs(1);
+const MAX_RETRY_DELAY: Duration = Duration::from_millis(250);
 
 /// The next try of something that has failed, if one is due.
 pub struct Retry {
