--- a/crates/discovery-client/src/follower.rs
+++ b/crates/discovery-client/src/follower.rs
@@ -3,12 +3,12 @@
 use crate::client::{Connection, PollKind};
 use crate::endpoint_list::{DiscoveryResponse, EndpointRecord, ReadEndpoints};
 use crate::error::DiscoveryError;
+use crate::outage::{CurrentOutage, PollOutage};
 use crate::poll_gate::PollGate;
 use crate::polls::{AnsweredPoll, PollEvent, Polls};
 use crate::timeouts::WatchTimeouts;
 use foldhitch_balancer::api::{DiscoveryMode, EndpointListKind};
 use std::cell::Cell;
-use std::mem::{Discriminant, discriminant};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -21,9 +21,6 @@
 /// Least time between two polls without a change: a watch goes on if polled within 200 ms.
 const MIN_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
-/// An outage is to be logged after so long, and each time it has lasted twice as long.
-const FIRST_OUTAGE_REPORT: Duration = Duration::from_secs(1);
-
 /// Whoever follows discovery is notified of what it answers.
 pub trait EndpointObserver {
     /// Whether some backend takes requests by the list that is held.
@@ -42,17 +39,6 @@
     fn on_outage(&self, _outage: PollOutage, _error: &DiscoveryError) {}
 }
 
-/// Polls that failed in a row.
-#[derive(Debug, Clone, Copy)]
-pub struct PollOutage {
-    /// How many.
-    pub failed_polls: u32,
-    /// From the first failure until now.
-    pub duration: Duration,
-    /// Whether the outage has lasted for so long that it is to be logged again.
-    pub is_report_due: bool,
-}
-
 /// Where a list comes from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ListOrigin {
@@ -114,40 +100,6 @@
     }
 }
 
-/// Polls that fail.
-#[derive(Clone, Copy)]
-struct CurrentOutage {
-    since: Instant,
-    failed_polls: u32,
-    /// The kind of the last failure.
-    last_failure: Discriminant<DiscoveryError>,
-    /// How long it lasts when it is to be logged next.
-    next_report_after: Duration,
-}
-
-impl CurrentOutage {
-    fn new(error: &DiscoveryError) -> Self {
-        CurrentOutage {
-            since: Instant::now(),
-            failed_polls: 0,
-            last_failure: discriminant(error),
-            next_report_after: FIRST_OUTAGE_REPORT,
-        }
-    }
-
-    /// Counts a poll that failed.
-    fn count(&mut self, error: &DiscoveryError) -> PollOutage {
-        self.failed_polls += 1;
-        self.last_failure = discriminant(error);
-        let duration = self.since.elapsed();
-        let is_report_due = duration >= self.next_report_after;
-        while self.next_report_after <= duration {
-            self.next_report_after *= 2;
-        }
-        PollOutage { failed_polls: self.failed_polls, duration, is_report_due }
-    }
-}
-
 struct Follower<O> {
     observer: Rc<O>,
     mode: DiscoveryMode,
@@ -321,13 +273,11 @@
 
     fn report_recovery(&mut self) {
         let Some(outage) = self.outage.take() else { return };
-        let CurrentOutage { since, failed_polls, .. } = outage;
-        let outage = PollOutage { failed_polls, duration: since.elapsed(), is_report_due: true };
-        self.observer.on_recovery(outage);
+        self.observer.on_recovery(outage.ended());
     }
 
     fn note_failure(&mut self, error: &DiscoveryError) {
-        let is_new_kind = self.outage.is_none_or(|outage| outage.last_failure != discriminant(error));
+        let is_new_kind = self.outage.is_none_or(|outage| outage.is_of_another_kind(error));
         if is_new_kind {
             self.observer.on_warning(error);
         }
--- a/crates/discovery-client/src/lib.rs
+++ b/crates/discovery-client/src/lib.rs
@@ -5,6 +5,7 @@
 mod endpoint_list;
 mod error;
 mod follower;
+mod outage;
 mod overdue_polls;
 mod poll_gate;
 mod polls;
@@ -12,5 +13,6 @@
 
 pub use endpoint_list::{DiscoveryResponse, EndpointRecord, HealthState, ReadEndpoints};
 pub use error::{DiscoveryError, EndpointError};
-pub use follower::{EndpointListUpdate, EndpointObserver, FollowOptions, ListOrigin, PollOutage, follow};
+pub use follower::{EndpointListUpdate, EndpointObserver, FollowOptions, ListOrigin, follow};
+pub use outage::PollOutage;
 pub use timeouts::WatchTimeouts;
--- /dev/null
+++ b/crates/proxy/src/discovery_task.rs
@@ -0,0 +1,86 @@
+//! Follows discovery, and follows it elsewhere when a new configuration says so.
+
+use crate::config::reload::{ReloadOutcome, Reloader};
+use crate::dispatcher::{Dispatcher, duration_from_ms};
+use crate::retry::Retry;
+use foldhitch_discovery_client::{FollowOptions, WatchTimeouts, follow};
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::signal::unix::Signal;
+use tokio::sync::watch;
+use tokio::task::{JoinHandle, spawn_local};
+
+/// The task that follows discovery, which begins anew when its address changes.
+pub struct DiscoveryTask {
+    dispatcher: Rc<Dispatcher>,
+    newest_version: Rc<Cell<u64>>,
+    poll_requests: watch::Receiver<bool>,
+    task: JoinHandle<()>,
+}
+
+impl DiscoveryTask {
+    /// Begins to follow discovery at an address.
+    pub fn start(
+        dispatcher: Rc<Dispatcher>,
+        address: SocketAddr,
+        poll_requests: watch::Receiver<bool>,
+    ) -> Self {
+        let newest_version = Rc::<Cell<u64>>::default();
+        let task = spawn_follow(&dispatcher, address, &newest_version, &poll_requests);
+        DiscoveryTask { dispatcher, newest_version, poll_requests, task }
+    }
+
+    /// Follows another address. The old watch ends at once, with its connection and its version: the new address is
+    /// polled for the whole list.
+    fn restart(&mut self, address: SocketAddr) {
+        self.task.abort();
+        self.task = spawn_follow(&self.dispatcher, address, &self.newest_version, &self.poll_requests);
+    }
+}
+
+fn spawn_follow(
+    dispatcher: &Rc<Dispatcher>,
+    address: SocketAddr,
+    newest_version: &Rc<Cell<u64>>,
+    poll_requests: &watch::Receiver<bool>,
+) -> JoinHandle<()> {
+    let settings = dispatcher.settings();
+    dispatcher.follow_discovery_at(address);
+    let options = FollowOptions {
+        address,
+        mode: settings.balancer.discovery_mode,
+        timeouts: WatchTimeouts::new(duration_from_ms(settings.site.drain_deadline_ms)),
+        newest_version: newest_version.clone(),
+        poll_wanted: poll_requests.clone(),
+    };
+    spawn_local(follow(dispatcher.clone(), options))
+}
+
+/// Reads the configuration again on every SIGHUP, also while the program stops: the old address of discovery is about
+/// to fall silent. A file that could not be read is read until it can be, or until the next signal.
+pub async fn follow_reloads(mut reload: Signal, reloader: Reloader, mut discovery: DiscoveryTask) {
+    let mut retry = Retry::none();
+    loop {
+        tokio::select! {
+            signal = reload.recv() => {
+                if signal.is_none() {
+                    return;
+                }
+                reloader.on_signal();
+                retry = Retry::none();
+            }
+            () = retry.due() => {}
+        }
+        match reloader.reload() {
+            ReloadOutcome::Applied { discovery: address } => {
+                retry = Retry::none();
+                if let Some(address) = address {
+                    discovery.restart(address);
+                }
+            }
+            ReloadOutcome::Rejected => retry = Retry::none(),
+            ReloadOutcome::TryAgain => retry.schedule(),
+        }
+    }
+}
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -3,6 +3,7 @@
 
 mod admin;
 mod config;
+mod discovery_task;
 mod dispatcher;
 mod downstream;
 mod error;
