A configuration that is none ends a start at once and with one line, as before

Cause: the retry at a start took a file that is not whole JSON for one that may become whole, as a reload does. At a start there is no earlier configuration to go on with, and whoever starts the program is to see its error. Fix: only a file that can't be read is read again there. The test is unchanged and passes; start_faults.rs and reload_faults.rs pass.

--- a/crates/proxy/src/config/error.rs
+++ b/crates/proxy/src/config/error.rs
@@ -69,9 +69,13 @@
     /// file is to hold.
     pub fn may_pass(&self) -> bool {
         match self {
-            ConfigError::Unreadable { .. } => true,
             ConfigError::InvalidKey(source) => source.inner().is_eof() || source.inner().is_syntax(),
-            _ => false,
+            _ => self.is_unreadable(),
         }
     }
+
+    /// Whether the file could not be read.
+    pub fn is_unreadable(&self) -> bool {
+        matches!(self, ConfigError::Unreadable { .. })
+    }
 }
--- a/crates/proxy/src/startup.rs
+++ b/crates/proxy/src/startup.rs
@@ -47,10 +47,11 @@
     pub serving: JoinHandle<()>,
 }
 
-/// Reads the configuration, and the endpoint list that it brings. A file that can't be read is read again for a while.
+/// Reads the configuration, and the endpoint list that it brings. A file that can't be read is read again for a while;
+/// one that is no configuration ends the start at once.
 pub async fn load_config() -> Result<(Config, Option<DiscoveryResponse>), ConfigError> {
-    let on_failure = |error: &ConfigError| log!("{error}; it is read again until it is whole");
-    retry_for(START_RETRY_TIMEOUT, config::load, ConfigError::may_pass, on_failure).await
+    let on_failure = |error: &ConfigError| log!("{error}; it is read again for a while");
+    retry_for(START_RETRY_TIMEOUT, config::load, ConfigError::is_unreadable, on_failure).await
 }
 
 /// Starts everything; nothing if the proxy was told to stop before it could serve.
--- a/crates/scale-test/src/soak/rules.rs
+++ b/crates/scale-test/src/soak/rules.rs
@@ -464,7 +464,7 @@
     "processes of this proxy: ",
     "configuration applied",
     "SIGHUP: ",
-    "it is read again until it is whole",
+    "it is read again for a while",
     "it is bound again for a while",
     " timed out after",
     "configuration rejected: ",
