--- a/crates/proxy/src/transport/mod.rs
+++ b/crates/proxy/src/transport/mod.rs
@@ -9,14 +9,16 @@
 #[cfg(test)]
 mod tests;
 mod unread_probe;
+mod upload;
 
 pub use arrival::{ArrivalProbe, enable_receive_timestamps};
-pub use body::{BodyContent, FrameSender, StreamedBody, StreamedUpload, UploadStatus};
+pub use body::{BodyContent, FrameSender, StreamedBody};
 pub use client_socket::{ClientLiveness, ClientSocket};
 pub use observed_stream::ObservedStream;
 pub use progress::{SendGuard, StreamProgress, WeakSendGuard};
 pub use request_body::{RequestBody, RequestPayload};
 pub use unread_probe::UnreadProbe;
+pub use upload::{StreamedUpload, UploadStatus};
 
 use socket2::SockRef;
 use std::io;
--- a/crates/proxy/src/transport/request_body.rs
+++ b/crates/proxy/src/transport/request_body.rs
@@ -1,7 +1,8 @@
 //! The body of a request as it is written to a backend.
 
-use super::body::{BodyContent, StreamedUpload};
+use super::body::BodyContent;
 use super::progress::StreamProgress;
+use super::upload::StreamedUpload;
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 use std::io;
