Send no repeat after the window in which backends drop duplicates

Cause: the window was checked when the repeat was decided on, and not when it was written. In between lie the wait for a permit and the connect, each up to connectTimeout; Action::Send carried no window, and the send guard didn't ask for it.

Change: Action::Send names the time by which the first byte must be written, if an earlier attempt may have run and the class is deduplicated. The send guard refuses the request after it, on idle and new connections alike, and a connect that is not done by then is given up.

--- a/crates/balancer/src/api/action.rs
+++ b/crates/balancer/src/api/action.rs
@@ -47,6 +47,9 @@
         backend: BackendId,
         /// Time at which the attempt is abandoned.
         expires_at_ms: f64,
+        /// Time at which the first byte must have been written, if an earlier attempt may have run and
+        /// backends drop duplicates only for a limited time.
+        send_by_ms: Option<f64>,
     },
     /// Give the final answer that the request was rejected. A retry by the client is harmless.
     Reject {
--- a/crates/balancer/src/lib.rs
+++ b/crates/balancer/src/lib.rs
@@ -78,6 +78,7 @@
 //!   request, and no later than at its `expires_at_ms`.
 //! - Report [`api::Event::BodyReceived`] when a streamed body is complete, and [`api::Event::BodyStalled`] each
 //!   time that the earliest end of a body that is not read becomes known or later.
+//! - Write the first byte of an attempt before its `send_by_ms`, if it has one, or report it as not sent.
 //! - End an attempt that is reported as timed out or cancelled, and notify its backend, so that the work
 //!   stops there.
 //! - Replace settings between two events, through [`Balancer::configure`]; names and other values that
--- a/crates/balancer/src/policy/request_lifecycle.rs
+++ b/crates/balancer/src/policy/request_lifecycle.rs
@@ -72,6 +72,7 @@
     /// Sends the next attempt if a backend can take it; returns whether it was sent.
     pub fn send(&mut self, id: RequestId) -> bool {
         let Some(selected) = self.select_backend(id) else { return false };
+        let send_by_ms = self.requests.get(&id).and_then(|request| self.deduplicated_until_ms(request));
         let Some(request) = self.requests.get_mut(&id) else { return false };
         let Some(backend) = self.backends.get_mut(&selected) else { return false };
         // The budget has no effect once the backend is warm.
@@ -83,6 +84,7 @@
             request: id,
             backend: selected,
             expires_at_ms: request.deadline_ms,
+            send_by_ms,
         });
         if !request.is_body_streamed {
             self.begin_call(id);
--- a/crates/balancer/src/policy/retry.rs
+++ b/crates/balancer/src/policy/retry.rs
@@ -38,12 +38,27 @@
 
     /// Returns whether the idempotency of the class allows another attempt to run.
     fn may_run_again(&self, request: &Request) -> bool {
-        let Some(first) = request.possibly_executed_attempt() else { return true };
-        let last_safe_send_ms = |window_ms: f64| first.sent_at_ms + window_ms - self.settings.tick_ms;
+        if request.possibly_executed_attempt().is_none() {
+            return true;
+        }
         match self.classes[request.class].idempotency {
             Idempotency::Idempotent => true,
-            Idempotency::Deduplicated { window_ms, .. } => self.now_ms < last_safe_send_ms(window_ms),
+            Idempotency::Deduplicated { .. } => {
+                self.deduplicated_until_ms(request).is_some_and(|until_ms| self.now_ms < until_ms)
+            }
             Idempotency::NonIdempotent => false,
         }
     }
+
+    /// Returns the time until which backends certainly drop a duplicate of a request that may have run, or
+    /// `None` if the request has not run or its class is not deduplicated.
+    pub fn deduplicated_until_ms(&self, request: &Request) -> Option<f64> {
+        let first = request.possibly_executed_attempt()?;
+        match self.classes[request.class].idempotency {
+            Idempotency::Deduplicated { window_ms, .. } => {
+                Some(first.sent_at_ms + window_ms - self.settings.tick_ms)
+            }
+            Idempotency::Idempotent | Idempotency::NonIdempotent => None,
+        }
+    }
 }
--- a/crates/balancer/tests/support/fleet.rs
+++ b/crates/balancer/tests/support/fleet.rs
@@ -428,7 +428,7 @@
         balancer.handle(self.now_ms, event, &mut actions);
         for action in actions {
             match action {
-                Action::Send { request, backend, expires_at_ms } => {
+                Action::Send { request, backend, expires_at_ms, .. } => {
                     self.send_attempt(instance_index, request, backend, expires_at_ms)
                 }
                 Action::Reject { request, .. } | Action::Fail { request, .. } => {
--- a/crates/balancer/tests/support/harness.rs
+++ b/crates/balancer/tests/support/harness.rs
@@ -183,8 +183,8 @@
     fn apply_actions(&mut self, actions: Vec<Action>) {
         for action in actions {
             match action {
-                Action::Send { request, backend, expires_at_ms } => {
-                    self.record_attempt(request, backend, expires_at_ms)
+                Action::Send { request, backend, expires_at_ms, send_by_ms } => {
+                    self.record_attempt(request, backend, expires_at_ms, send_by_ms)
                 }
                 Action::Reject { request, .. } => self.record_rejection(request),
                 Action::Fail { request, .. } => self.record_end(request, "failed"),
@@ -222,7 +222,13 @@
         }
     }
 
-    fn record_attempt(&mut self, request: RequestId, backend: BackendId, expires_at_ms: f64) {
+    fn record_attempt(
+        &mut self,
+        request: RequestId,
+        backend: BackendId,
+        expires_at_ms: f64,
+        send_by_ms: Option<f64>,
+    ) {
         self.assert_ordering_key_is_free(request);
         let endpoint = self.known_endpoints.get(&backend).expect("the endpoint list has named the backend");
         assert_eq!(endpoint.phase, Phase::Ready, "sent to a draining or removed backend");
@@ -250,6 +256,10 @@
                         self.now_ms < ran.sent_at_ms + window_ms,
                         "retried after the deduplication window"
                     );
+                    assert!(
+                        send_by_ms.is_some_and(|send_by_ms| send_by_ms < ran.sent_at_ms + window_ms),
+                        "a retry may be sent after the deduplication window"
+                    );
                     let (first_zone, first_cell) =
                         first_location.expect("the endpoint list has named the backend");
                     assert!(
--- a/crates/proxy/src/dispatcher/actions.rs
+++ b/crates/proxy/src/dispatcher/actions.rs
@@ -5,7 +5,7 @@
 use super::request_table::{AttemptRecord, AttemptState, InFlightAttempt, RequestEntry};
 use super::{Dispatcher, State};
 use crate::log::log;
-use crate::upstream::{Attempt, AttemptOutcome, FinishedAttempt, printable_id};
+use crate::upstream::{Attempt, AttemptOutcome, AttemptTimes, FinishedAttempt, printable_id};
 use foldhitch_balancer::api::{Action, BackendId, Event, Outcome, RequestId, TimerToken, UnservedReason};
 use std::fmt::Write;
 use std::rc::Rc;
@@ -38,8 +38,12 @@
 
     fn carry_out_action(self: &Rc<Self>, state: &mut State, action: Action) {
         match action {
-            Action::Send { request, backend, expires_at_ms } => {
-                self.send(state, request, backend, expires_at_ms);
+            Action::Send { request, backend, expires_at_ms, send_by_ms } => {
+                let times = AttemptTimes {
+                    expires_at: self.clock.instant_at(expires_at_ms),
+                    send_by: send_by_ms.map(|send_by_ms| self.clock.instant_at(send_by_ms)),
+                };
+                self.send(state, request, backend, times);
             }
             Action::Reject { request, retry_after_ms, reason } => {
                 let retry_after = Some(duration_from_ms(retry_after_ms)).filter(|delay| !delay.is_zero());
@@ -80,7 +84,7 @@
         });
     }
 
-    fn send(self: &Rc<Self>, state: &mut State, request: RequestId, backend: BackendId, expires_at_ms: f64) {
+    fn send(self: &Rc<Self>, state: &mut State, request: RequestId, backend: BackendId, times: AttemptTimes) {
         let Some(entry) = state.requests.get_mut(request) else { return };
         let number = entry.attempts.len();
         let max_attempts = self.settings().balancer.capabilities.max_attempts as usize;
@@ -95,13 +99,8 @@
         let (cancel, cancelled) = oneshot::channel();
         let in_flight = InFlightAttempt { sent_at: Instant::now(), cancel: Some(cancel) };
         entry.attempts.push(AttemptRecord { backend, state: AttemptState::InFlight(in_flight) });
-        let attempt = Attempt {
-            request: entry.request.clone(),
-            endpoint: endpoint.clone(),
-            expires_at: self.clock.instant_at(expires_at_ms),
-            client,
-            cancelled,
-        };
+        let attempt =
+            Attempt { request: entry.request.clone(), endpoint: endpoint.clone(), times, client, cancelled };
         let dispatcher = self.clone();
         tokio::task::spawn_local(async move {
             let finished = attempt.run(dispatcher.pool.clone()).await;
--- a/crates/proxy/src/upstream/attempt.rs
+++ b/crates/proxy/src/upstream/attempt.rs
@@ -14,7 +14,16 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::oneshot;
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, sleep_until, timeout_at};
+
+/// The time limits of an attempt.
+#[derive(Clone, Copy)]
+pub struct AttemptTimes {
+    /// When it is abandoned.
+    pub expires_at: Instant,
+    /// When its first byte must have been written, if that is limited.
+    pub send_by: Option<Instant>,
+}
 
 /// One attempt of a request.
 pub struct Attempt {
@@ -22,8 +31,8 @@
     pub request: Rc<UpstreamRequest>,
     /// The backend process that it is sent to.
     pub endpoint: Rc<Endpoint>,
-    /// When it is abandoned.
-    pub expires_at: Instant,
+    /// Its time limits.
+    pub times: AttemptTimes,
     /// Reports whether the client still waits for the final answer.
     pub client: WeakSendGuard,
     /// Cancels the attempt.
@@ -34,13 +43,13 @@
     /// Runs the attempt and returns how it ended. The connection of an abandoned attempt is closed. This
     /// tells the backend that the response is no longer wanted, so that it stops the work and frees the slot.
     pub async fn run(self, pool: Rc<ConnectionPool>) -> FinishedAttempt {
-        let Attempt { request, endpoint, expires_at, client, cancelled } = self;
-        let guard = send_guard(&pool, &endpoint, client);
+        let Attempt { request, endpoint, times, client, cancelled } = self;
+        let guard = send_guard(&pool, &endpoint, client, times.send_by);
         let exchange = Exchange {
             pool,
             request: request.clone(),
             endpoint,
-            expires_at,
+            times,
             guard,
             held_for: Cell::default(),
             progress: RefCell::default(),
@@ -48,7 +57,7 @@
         let outcome = tokio::select! {
             biased;
             outcome = exchange.run() => outcome,
-            () = expired(&request, expires_at) => AttemptOutcome::Unserved(exchange.outcome_at_expiry()),
+            () = expired(&request, times.expires_at) => AttemptOutcome::Unserved(exchange.outcome_at_expiry()),
             Ok(()) = cancelled => AttemptOutcome::Unserved(Outcome::Cancelled),
         };
         FinishedAttempt { outcome, held_for: exchange.held_for.get() }
@@ -56,15 +65,22 @@
 }
 
 /// Returns the check that is made right before a request is sent. While an attempt waits for a connection,
-/// its request may complete, its client may disconnect unnoticed, or the backend may begin to drain. Half the
-/// drain deadline leaves time for a delayed event loop and a slow write.
-fn send_guard(pool: &ConnectionPool, endpoint: &Rc<Endpoint>, client: WeakSendGuard) -> SendGuard {
+/// its request may complete, its client may disconnect unnoticed, the backend may begin to drain, or backends
+/// may forget that the request ran. Half the drain deadline leaves time for a delayed event loop and a slow
+/// write.
+fn send_guard(
+    pool: &ConnectionPool,
+    endpoint: &Rc<Endpoint>,
+    client: WeakSendGuard,
+    send_by: Option<Instant>,
+) -> SendGuard {
     let drain_deadline = pool.drain_deadline();
     let endpoint = endpoint.clone();
     Rc::new(move || {
         let is_wanted = client.upgrade().is_some_and(|is_connected| is_connected());
+        let is_in_time = send_by.is_none_or(|send_by| Instant::now() < send_by);
         let draining_since = endpoint.draining_since.get();
-        is_wanted && draining_since.is_none_or(|since| since.elapsed() <= drain_deadline / 2)
+        is_wanted && is_in_time && draining_since.is_none_or(|since| since.elapsed() <= drain_deadline / 2)
     })
 }
 
@@ -90,7 +106,7 @@
     pool: Rc<ConnectionPool>,
     request: Rc<UpstreamRequest>,
     endpoint: Rc<Endpoint>,
-    expires_at: Instant,
+    times: AttemptTimes,
     guard: SendGuard,
     /// How long this proxy held back the response.
     held_for: Cell<Duration>,
@@ -120,12 +136,12 @@
             let is_reused = idle.is_some();
             let mut connection = match idle {
                 Some(connection) => connection,
-                None => self.pool.connect(&self.endpoint, &self.guard).await?,
+                None => self.connect().await?,
             };
             self.progress.replace(Some(connection.progress.clone()));
             connection.progress.guard_next_request(self.guard.clone());
-            connection.expect_response_until(self.expires_at);
-            let message = self.request.build_message(&connection.progress, self.expires_at);
+            connection.expect_response_until(self.times.expires_at);
+            let message = self.request.build_message(&connection.progress, self.times.expires_at);
             let message = message.ok_or(Outcome::NotSent)?;
             if let Ok(response) = connection.sender.send_request(message).await {
                 self.held_for.set(connection.held_for());
@@ -158,6 +174,15 @@
         }
     }
 
+    /// Opens a connection, unless that takes so long that the request could not be sent any more.
+    async fn connect(&self) -> Result<Connection, Outcome> {
+        let connect = self.pool.connect(&self.endpoint, &self.guard);
+        match self.times.send_by {
+            Some(send_by) => timeout_at(send_by, connect).await.unwrap_or(Err(Outcome::NotSent)),
+            None => connect.await,
+        }
+    }
+
     /// Reads the response as far as it is buffered, and streams the rest of a long one.
     async fn receive(&self, mut connection: Connection, response: Response<Incoming>) -> AttemptOutcome {
         // The request may have run, and the connection can't be used again.
--- a/crates/proxy/src/upstream/mod.rs
+++ b/crates/proxy/src/upstream/mod.rs
@@ -10,7 +10,7 @@
 #[cfg(test)]
 mod tests;
 
-pub use attempt::Attempt;
+pub use attempt::{Attempt, AttemptTimes};
 pub use attempt_outcome::{AttemptOutcome, FinishedAttempt};
 pub use connection_pool::{ConnectionPool, Endpoint, PoolLimits};
 pub use request::{UpstreamRequest, printable_id};
--- a/crates/proxy/src/upstream/tests.rs
+++ b/crates/proxy/src/upstream/tests.rs
@@ -1,6 +1,6 @@
 //! Unit tests of attempts and the connection pool.
 
-use super::{Attempt, ConnectionPool, PoolLimits, UpstreamRequest};
+use super::{Attempt, AttemptTimes, ConnectionPool, Endpoint, PoolLimits, UpstreamRequest};
 use crate::transport::{ClientSocket, RequestPayload, SendGuard};
 use bytes::Bytes;
 use foldhitch_balancer::api::Outcome;
@@ -27,26 +27,50 @@
     }
 }
 
+/// The time limit of an attempt that is not to expire.
+const LONG_TIME: Duration = Duration::from_secs(20);
+
+/// A pool with a single permit.
+fn single_connection_pool() -> Rc<ConnectionPool> {
+    let idle_timeout = Duration::from_secs(60);
+    Rc::new(ConnectionPool::new(PoolLimits {
+        connections: 1,
+        connect_timeout: LONG_TIME,
+        idle_timeout,
+        drain_deadline: LONG_TIME,
+    }))
+}
+
+/// Returns an attempt and the sender that cancels it.
+fn new_attempt(
+    endpoint: &Rc<Endpoint>,
+    client: &SendGuard,
+    send_by: Option<Instant>,
+) -> (Attempt, oneshot::Sender<()>) {
+    let (cancel, cancelled) = oneshot::channel();
+    let attempt = Attempt {
+        request: Rc::new(get_request()),
+        endpoint: endpoint.clone(),
+        times: AttemptTimes { expires_at: Instant::now() + LONG_TIME, send_by },
+        client: Rc::downgrade(client),
+        cancelled,
+    };
+    (attempt, cancel)
+}
+
 /// With a single permit: an idle connection is evicted for a new one, and an abandoned attempt releases its
 /// permit at once.
 #[tokio::test]
 async fn connect_waits_for_a_permit() {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("free port");
     let address = listener.local_addr().expect("bound socket");
-    let (connect_timeout, idle_timeout) = (Duration::from_secs(20), Duration::from_secs(60));
-    let limits =
-        PoolLimits { connections: 1, connect_timeout, idle_timeout, drain_deadline: connect_timeout };
-    let pool = Rc::new(ConnectionPool::new(limits));
+    let pool = single_connection_pool();
     let tasks = LocalSet::new();
     tasks
         .run_until(async {
             let endpoint = Rc::new(pool.create_endpoint(address, 0.0));
-            let (cancel, cancelled) = oneshot::channel();
-            let expires_at = Instant::now() + connect_timeout;
-            let (request, endpoint) = (Rc::new(get_request()), endpoint.clone());
             let guard: SendGuard = Rc::new(|| true);
-            let client = Rc::downgrade(&guard);
-            let attempt = Attempt { request, endpoint: endpoint.clone(), expires_at, client, cancelled };
+            let (attempt, cancel) = new_attempt(&endpoint, &guard, None);
             let ended = spawn_local(attempt.run(pool.clone()));
             let (mut backend, _) = listener.accept().await.expect("accept");
             assert_ne!(backend.read(&mut [0; 1024]).await.expect("open connection"), 0);
@@ -69,18 +93,11 @@
     let address = listener.local_addr().expect("bound socket");
     let clients = TcpListener::bind("127.0.0.1:0").await.expect("free port");
     let client_address = clients.local_addr().expect("bound socket");
-    let (connect_timeout, idle_timeout) = (Duration::from_secs(20), Duration::from_secs(60));
     let tasks = LocalSet::new();
     tasks
         .run_until(async {
             for is_idle in [true, false] {
-                let limits = PoolLimits {
-                    connections: 1,
-                    connect_timeout,
-                    idle_timeout,
-                    drain_deadline: connect_timeout,
-                };
-                let pool = Rc::new(ConnectionPool::new(limits));
+                let pool = single_connection_pool();
                 let endpoint = Rc::new(pool.create_endpoint(address, 0.0));
                 let guard: SendGuard = Rc::new(|| true);
                 let connection = pool.connect(&endpoint, &guard).await.expect("connect");
@@ -94,10 +111,7 @@
                 let near = ClientSocket::new(clients.accept().await.expect("accept").0);
                 let liveness = near.liveness();
                 let is_connected: SendGuard = Rc::new(move || liveness.is_connected());
-                let (client, expires_at) = (Rc::downgrade(&is_connected), Instant::now() + connect_timeout);
-                let (_cancel, cancelled) = oneshot::channel();
-                let (request, endpoint) = (Rc::new(get_request()), endpoint.clone());
-                let attempt = Attempt { request, endpoint: endpoint.clone(), expires_at, client, cancelled };
+                let (attempt, _cancel) = new_attempt(&endpoint, &is_connected, None);
                 let ended = spawn_local(attempt.run(pool.clone()));
                 if !is_idle {
                     // The attempt waits for the permit.
@@ -120,3 +134,39 @@
         })
         .await;
 }
+
+/// Guards against an attempt that is sent after its latest time, over an idle connection or once it has waited
+/// for a permit.
+#[tokio::test]
+async fn request_is_not_sent_after_its_latest_time() {
+    const PERMIT_WAIT: Duration = Duration::from_millis(50);
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("free port");
+    let address = listener.local_addr().expect("bound socket");
+    let tasks = LocalSet::new();
+    tasks
+        .run_until(async {
+            for is_idle in [true, false] {
+                let pool = single_connection_pool();
+                let endpoint = Rc::new(pool.create_endpoint(address, 0.0));
+                let guard: SendGuard = Rc::new(|| true);
+                let connection = pool.connect(&endpoint, &guard).await.expect("connect");
+                let (mut backend, _) = listener.accept().await.expect("accept");
+                // In use by an attempt, or idle.
+                let mut held = Some(connection);
+                if is_idle {
+                    pool.keep_idle(&endpoint, held.take().expect("connection in use"));
+                }
+                let send_by = Instant::now() + if is_idle { Duration::ZERO } else { PERMIT_WAIT };
+                let (attempt, _cancel) = new_attempt(&endpoint, &guard, Some(send_by));
+
+                let outcome = attempt.run(pool.clone()).await.outcome.outcome();
+
+                assert_eq!(outcome, Outcome::NotSent, "idle connection: {is_idle}");
+                drop(held);
+                pool.close_idle(&endpoint);
+                let read = backend.read(&mut [0; 1024]).await.expect("clean close");
+                assert_eq!(read, 0, "idle connection: {is_idle}");
+            }
+        })
+        .await;
+}
--- a/crates/scale-test/src/simulated/fleet/proxy_requests.rs
+++ b/crates/scale-test/src/simulated/fleet/proxy_requests.rs
@@ -30,7 +30,7 @@
         for action in actions.drain(..) {
             self.metrics.record_decision(instance, self.now_ms, &action);
             match action {
-                Action::Send { request, backend, expires_at_ms } => {
+                Action::Send { request, backend, expires_at_ms, .. } => {
                     self.send_attempt(instance, request, backend, expires_at_ms)
                 }
                 Action::Reject { request, retry_after_ms, .. } => {
--- a/crates/scale-test/src/simulated/metrics.rs
+++ b/crates/scale-test/src/simulated/metrics.rs
@@ -91,7 +91,7 @@
     /// Adds a decision to the hash, which is FNV-1a over words of 64 bits.
     pub fn record_decision(&mut self, instance: usize, now_ms: f64, action: &Action) {
         let words: [u64; 4] = match *action {
-            Action::Send { request, backend, expires_at_ms } => {
+            Action::Send { request, backend, expires_at_ms, .. } => {
                 [1, request, backend.into(), expires_at_ms.to_bits()]
             }
             Action::Reject { request, retry_after_ms, .. } => [2, request, 0, retry_after_ms.to_bits()],
--- a/crates/simulator-adapter/src/wire/reply.rs
+++ b/crates/simulator-adapter/src/wire/reply.rs
@@ -44,7 +44,8 @@
     /// Appends an action of an instance.
     pub fn push_action(&mut self, instance: u16, action: &Action) {
         match action {
-            Action::Send { request, backend, expires_at_ms } => {
+            // The simulator sends an attempt at once.
+            Action::Send { request, backend, expires_at_ms, send_by_ms: _ } => {
                 self.push_record_header(code::SEND, instance);
                 self.bytes.extend(request.to_le_bytes());
                 self.bytes.extend(backend.to_le_bytes());
