--- a/crates/balancer/src/policy/request_lifecycle.rs
+++ b/crates/balancer/src/policy/request_lifecycle.rs
@@ -121,6 +121,7 @@
     pub fn on_body_received(&mut self, id: RequestId, deadline_ms: f64) {
         let Some(request) = self.requests.get_mut(&id) else { return };
         request.deadline_ms = deadline_ms;
+        request.stalled_deadline_ms = None;
         if std::mem::take(&mut request.is_body_streamed) {
             self.begin_call(id);
         }
