--- a/crates/proxy/src/downstream/connection.rs
+++ b/crates/proxy/src/downstream/connection.rs
@@ -1,26 +1,23 @@
 //! A client connection: serves its requests in order, and closes it.
 
+use super::body_reception::RequestTimes;
 use super::connection_table::{
     ConnectionGuard, ConnectionState, InFlightGuard, RequestIdGuard, RequestPhase, ResponseGuard,
 };
-use super::request_body::{BodyReadDeadline, BufferedBody, UploadStream, body_extension, buffer_body};
 use super::request_parsing::{
-    ParsedHead, Rejection, bad_request, check_framing, class_name, ordering_key, parse_head,
-    unread_body_bytes,
+    Rejection, bad_request, check_framing, ordering_key, parse_head, unread_body_bytes,
 };
 use super::response::{
     ClientResponse, answer_response, close_after, closing_response, empty_response, rejected_response,
     rejected_response_bytes,
 };
 use super::server::{ListenerPhase, Server};
-use crate::dispatcher::{Answer, IncomingRequest, RESPONSE_MARGIN};
-use crate::log::log;
+use crate::dispatcher::{Answer, IncomingRequest};
 use crate::transport::{
-    ArrivalProbe, BodyArrival, ClientSocket, FrameSender, MAX_BODY_BYTES, MAX_HEAD_BYTES, MAX_HEADERS,
-    ObservedStream, RequestPayload, SendGuard, StreamedUpload, UnreadProbe, configure_socket,
+    ArrivalProbe, ClientSocket, MAX_BODY_BYTES, MAX_HEAD_BYTES, MAX_HEADERS, ObservedStream, SendGuard,
+    UnreadProbe, configure_socket,
 };
-use crate::upstream::{UpstreamRequest, printable_id};
-use bytes::Bytes;
+use crate::upstream::UpstreamRequest;
 use hyper::body::{Body, Incoming};
 use hyper::header::HOST;
 use hyper::http::request::Parts;
@@ -48,28 +45,13 @@
 
 /// An accepted connection, as its requests see it.
 pub(super) struct ClientConnection {
-    server: Rc<Server>,
+    pub(super) server: Rc<Server>,
     socket: ClientSocket,
-    state: Rc<ConnectionState>,
+    pub(super) state: Rc<ConnectionState>,
     /// Whether it was accepted over the connection limit: it is closed after its next answer.
     is_over_limit: Cell<bool>,
 }
 
-/// When a request started, and when its head was received.
-#[derive(Clone, Copy)]
-struct RequestTimes {
-    started_at: Instant,
-    received_at: Instant,
-}
-
-/// What was read of a request body before the request is dispatched.
-enum ReceivedBody {
-    /// The whole body.
-    Complete(Bytes),
-    /// The beginning of a body that is too long to be buffered.
-    Partial { first: Bytes, rest: Incoming, deadline: BodyReadDeadline },
-}
-
 /// An accepted connection that is registered in the connection table.
 pub(super) struct AcceptedConnection {
     connection: ClientConnection,
@@ -352,76 +334,4 @@
         let liveness = self.state.liveness.clone();
         Rc::new(move || liveness.is_connected())
     }
-
-    /// Reads a body up to the limit of buffered bodies.
-    async fn read_body(
-        &self,
-        head: &Parts,
-        parsed: &ParsedHead,
-        mut body: Incoming,
-        times: RequestTimes,
-        guard: &mut RequestIdGuard,
-    ) -> Result<ReceivedBody, Rejection> {
-        let mut deadline = BodyReadDeadline::new(times.started_at);
-        let limit = self.server.limits.get().max_body_bytes;
-        match buffer_body(&mut body, &mut deadline, guard, limit).await {
-            Ok(BufferedBody::Complete(data)) => Ok(ReceivedBody::Complete(data)),
-            Ok(BufferedBody::Partial(first)) => Ok(ReceivedBody::Partial { first, rest: body, deadline }),
-            Err(StatusCode::SERVICE_UNAVAILABLE) => {
-                self.discard_body(parsed, body, deadline, times);
-                Err(Box::new(rejected_response(self.server.retry_after())))
-            }
-            Err(status) => {
-                let (id, class) = (printable_id(&parsed.id), class_name(head));
-                log!("{id} {class} aborted by its client, {status}");
-                Err(Box::new(closing_response(status)))
-            }
-        }
-    }
-
-    /// Returns the payload to send to the backend, and how much longer than the client timeout sending it may
-    /// take. A body that is too long to be buffered is streamed.
-    fn request_payload(
-        &self,
-        body: ReceivedBody,
-        length: Option<u64>,
-        parsed: &ParsedHead,
-        times: RequestTimes,
-    ) -> (RequestPayload, Duration) {
-        let (first, rest, deadline) = match body {
-            ReceivedBody::Complete(data) => return (RequestPayload::Buffered(data), Duration::ZERO),
-            ReceivedBody::Partial { first, rest, deadline } => (first, rest, deadline),
-        };
-        let client_timeout = parsed.client_timeout.saturating_sub(RESPONSE_MARGIN);
-        let (frames, upload) = StreamedUpload::new(length, client_timeout);
-        self.upload_stream(rest, deadline, frames, &upload, times).spawn(first);
-        (RequestPayload::Streamed(Rc::new(upload)), body_extension(length))
-    }
-
-    /// Reads and discards the rest of a rejected body. A client that is still writing would otherwise not see
-    /// its answer.
-    fn discard_body(
-        &self,
-        parsed: &ParsedHead,
-        body: Incoming,
-        deadline: BodyReadDeadline,
-        times: RequestTimes,
-    ) {
-        let (frames, upload) = StreamedUpload::new(None, parsed.client_timeout);
-        self.upload_stream(body, deadline, frames, &upload, times).spawn(Bytes::new());
-    }
-
-    fn upload_stream(
-        &self,
-        body: Incoming,
-        deadline: BodyReadDeadline,
-        frames: FrameSender,
-        upload: &StreamedUpload,
-        times: RequestTimes,
-    ) -> UploadStream {
-        let connection = self.state.clone();
-        let arrival =
-            BodyArrival::new(connection.liveness.clone(), connection.progress.clone(), times.received_at);
-        UploadStream { body, deadline, frames, status: upload.status().clone(), arrival, connection }
-    }
 }
--- a/crates/proxy/src/upstream/tests.rs
+++ b/crates/proxy/src/upstream/tests.rs
@@ -1,5 +1,6 @@
 //! Unit tests of attempts and the connection pool.
 
+use super::connection::Connection;
 use super::{Attempt, AttemptTimes, ConnectionPool, Endpoint, PoolLimits, UpstreamRequest};
 use crate::transport::{ClientSocket, RequestPayload, SendGuard};
 use bytes::Bytes;
@@ -41,6 +42,30 @@
     }))
 }
 
+/// The only connection that a pool may have, in use by an attempt (`held`) or idle.
+struct OnlyConnection {
+    pool: Rc<ConnectionPool>,
+    endpoint: Rc<Endpoint>,
+    backend: TcpStream,
+    held: Option<Connection>,
+}
+
+impl OnlyConnection {
+    async fn open(listener: &TcpListener, is_idle: bool) -> Self {
+        let address = listener.local_addr().expect("bound socket");
+        let pool = single_connection_pool();
+        let endpoint = Rc::new(pool.create_endpoint(address, 0.0));
+        let guard: SendGuard = Rc::new(|| true);
+        let connection = pool.connect(&endpoint, &guard).await.expect("connect");
+        let (backend, _) = listener.accept().await.expect("accept");
+        let mut held = Some(connection);
+        if is_idle {
+            pool.keep_idle(&endpoint, held.take().expect("connection in use"));
+        }
+        OnlyConnection { pool, endpoint, backend, held }
+    }
+}
+
 /// Returns an attempt and the sender that cancels it.
 fn new_attempt(
     endpoint: &Rc<Endpoint>,
@@ -90,23 +115,14 @@
 #[tokio::test]
 async fn request_of_a_disconnected_client_is_not_sent() {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("free port");
-    let address = listener.local_addr().expect("bound socket");
     let clients = TcpListener::bind("127.0.0.1:0").await.expect("free port");
     let client_address = clients.local_addr().expect("bound socket");
     let tasks = LocalSet::new();
     tasks
         .run_until(async {
             for is_idle in [true, false] {
-                let pool = single_connection_pool();
-                let endpoint = Rc::new(pool.create_endpoint(address, 0.0));
-                let guard: SendGuard = Rc::new(|| true);
-                let connection = pool.connect(&endpoint, &guard).await.expect("connect");
-                let (mut backend, _) = listener.accept().await.expect("accept");
-                // In use by an attempt, or idle.
-                let mut held = Some(connection);
-                if is_idle {
-                    pool.keep_idle(&endpoint, held.take().expect("connection in use"));
-                }
+                let OnlyConnection { pool, endpoint, mut backend, held } =
+                    OnlyConnection::open(&listener, is_idle).await;
                 let far = TcpStream::connect(client_address).await.expect("connect");
                 let near = ClientSocket::new(clients.accept().await.expect("accept").0);
                 let liveness = near.liveness();
@@ -141,21 +157,13 @@
 async fn request_is_not_sent_after_its_latest_time() {
     const PERMIT_WAIT: Duration = Duration::from_millis(50);
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("free port");
-    let address = listener.local_addr().expect("bound socket");
     let tasks = LocalSet::new();
     tasks
         .run_until(async {
             for is_idle in [true, false] {
-                let pool = single_connection_pool();
-                let endpoint = Rc::new(pool.create_endpoint(address, 0.0));
+                let OnlyConnection { pool, endpoint, mut backend, held } =
+                    OnlyConnection::open(&listener, is_idle).await;
                 let guard: SendGuard = Rc::new(|| true);
-                let connection = pool.connect(&endpoint, &guard).await.expect("connect");
-                let (mut backend, _) = listener.accept().await.expect("accept");
-                // In use by an attempt, or idle.
-                let mut held = Some(connection);
-                if is_idle {
-                    pool.keep_idle(&endpoint, held.take().expect("connection in use"));
-                }
                 let send_by = Instant::now() + if is_idle { Duration::ZERO } else { PERMIT_WAIT };
                 let (attempt, _cancel) = new_attempt(&endpoint, &guard, Some(send_by));
 
