Count bytes that waited during a stall from their arrival, not from their read

A stalled upload's time began anew with it, so that its answer could come later than its client's time by the length of the stall.

Change: a read counts as one that waited only if no unread byte was seen since the last one that found none.

--- a/crates/proxy/src/transport/body_arrival.rs
+++ b/crates/proxy/src/transport/body_arrival.rs
@@ -48,6 +48,9 @@
         // Bytes behind the body belong to the next request.
         let unread_bytes = body_remaining.map_or(unread_bytes, |remaining| unread_bytes.min(remaining));
         let arrived_bytes = read.byte_count.get() + unread_bytes;
+        if unread_bytes > 0 {
+            read.is_drained.set(false);
+        }
         if arrived_bytes > self.last_observation.arrived_bytes {
             self.earliest_end = self.earliest_end.max(self.last_observation.at);
         }
--- a/crates/proxy/src/transport/observed_stream.rs
+++ b/crates/proxy/src/transport/observed_stream.rs
@@ -84,7 +84,7 @@
         let arrived_at = arrival_time.unwrap_or(now);
         read.last_byte_at.set(Some(arrived_at));
         read.byte_count.set(read.byte_count.get() + byte_count as u64);
-        if read.is_pending.get() || read.waited_at.get().is_none() {
+        if read.is_drained.replace(false) || read.waited_at.get().is_none() {
             read.waited_at.set(Some(arrived_at));
         }
         if read.first_byte_at.get().is_none() {
@@ -211,6 +211,9 @@
     ) -> Poll<io::Result<()>> {
         let read = self.poll_read_message(context, buffer);
         self.progress.read.is_pending.set(read.is_pending());
+        if read.is_pending() {
+            self.progress.read.is_drained.set(true);
+        }
         read
     }
 }
--- a/crates/proxy/src/transport/progress.rs
+++ b/crates/proxy/src/transport/progress.rs
@@ -31,6 +31,8 @@
     pub(super) is_pending: Cell<bool>,
     /// The number of bytes read on the connection.
     pub(super) byte_count: Cell<u64>,
+    /// Whether nothing has arrived since the last read, as far as is known.
+    pub(super) is_drained: Cell<bool>,
     /// When the bytes arrived that a read last waited for. All that was read since arrived no earlier.
     pub(super) waited_at: Cell<Option<Instant>>,
 }
--- a/crates/proxy/src/transport/tests.rs
+++ b/crates/proxy/src/transport/tests.rs
@@ -1,8 +1,8 @@
 //! Unit tests of the transport.
 
 use super::{
-    ArrivalProbe, ClientSocket, MAX_HEAD_BYTES, ObservedStream, RequestBody, RequestPayload, StreamedUpload,
-    UnreadProbe, UploadProgress, WRITE_STALL_TIMEOUT, enable_receive_timestamps,
+    ArrivalProbe, BodyArrival, ClientSocket, MAX_HEAD_BYTES, ObservedStream, RequestBody, RequestPayload,
+    StreamedUpload, UnreadProbe, UploadProgress, WRITE_STALL_TIMEOUT, enable_receive_timestamps,
 };
 use hyper::Request;
 use hyper::client::conn::http1::handshake;
@@ -12,6 +12,7 @@
 use std::future::poll_fn;
 use std::io;
 use std::pin::Pin;
+use std::task::Poll;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream, duplex};
 use tokio::net::TcpStream;
@@ -247,7 +248,7 @@
 }
 
 /// Returns the bytes of one read.
-async fn read(stream: &mut ObservedStream<TokioIo<DuplexStream>>) -> Vec<u8> {
+async fn read<S: Read + Unpin>(stream: &mut ObservedStream<S>) -> Vec<u8> {
     let mut space = [0; 1024];
     let mut buffer = hyper::rt::ReadBuf::new(&mut space);
     poll_fn(|context| Pin::new(&mut *stream).poll_read(context, buffer.unfilled()))
@@ -255,3 +256,67 @@
         .expect("open connection");
     buffer.filled().to_vec()
 }
+
+/// A client's connection from which everything was read before an unread byte of a body arrived.
+struct UnreadBody {
+    near: ClientSocket,
+    far: TcpStream,
+    stream: ObservedStream<ClientSocket>,
+    arrival: BodyArrival,
+}
+
+impl UnreadBody {
+    async fn open() -> Self {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("free port");
+        let mut far =
+            TcpStream::connect(listener.local_addr().expect("bound socket")).await.expect("connect");
+        let near = ClientSocket::new(listener.accept().await.expect("accept").0);
+        let mut stream = ObservedStream::for_client(near.clone(), None);
+        far.write_all(b"a").await.expect("open connection");
+        assert_eq!(read(&mut stream).await, b"a");
+        assert!(is_read_pending(&mut stream).await, "everything was read");
+        far.write_all(b"b").await.expect("open connection");
+        while !near.has_unread() {
+            tokio::task::yield_now().await;
+        }
+        let arrival = BodyArrival::new(near.liveness(), stream.progress(), Instant::now());
+        UnreadBody { near, far, stream, arrival }
+    }
+}
+
+/// Returns whether a read has nothing to return.
+async fn is_read_pending(stream: &mut ObservedStream<ClientSocket>) -> bool {
+    let mut space = [0; 1];
+    let mut buffer = hyper::rt::ReadBuf::new(&mut space);
+    poll_fn(|context| Poll::Ready(Pin::new(&mut *stream).poll_read(context, buffer.unfilled()).is_pending()))
+        .await
+}
+
+/// Guards against a client's time that begins anew when bytes are read that had waited during a stall.
+#[tokio::test]
+async fn bytes_that_waited_do_not_count_from_their_read() {
+    let mut body = UnreadBody::open().await;
+    body.arrival.earliest_end();
+    let observed_at = Instant::now();
+    sleep(WAIT_TIME).await;
+
+    assert_eq!(read(&mut body.stream).await, b"b");
+
+    assert!(body.arrival.earliest_end() <= observed_at);
+}
+
+/// Guards against a client's time that is over although its body is still arriving.
+#[tokio::test]
+async fn newly_arrived_bytes_move_the_earliest_end_of_a_body() {
+    let mut body = UnreadBody::open().await;
+    let observed_after = Instant::now();
+    body.arrival.earliest_end();
+    sleep(WAIT_TIME).await;
+
+    body.far.write_all(b"c").await.expect("open connection");
+    while body.near.liveness().unread_bytes() != Some(2) {
+        tokio::task::yield_now().await;
+    }
+
+    assert!(body.arrival.earliest_end() >= observed_after);
+}
