--- a/crates/proxy/tests/client_disconnect.rs
+++ b/crates/proxy/tests/client_disconnect.rs
@@ -185,3 +185,34 @@
     assert_eq!(fixture.proxy.call("look").await.0, 200);
     assert_eq!(fixture.script.seen.borrow().len(), 2, "the first request, and that of the other client");
 }
+
+/// Guards against requests that are sent long after their client has closed its connection behind more of them
+/// than the kernel's buffers take, which hides the close.
+#[tokio::test]
+async fn requests_behind_a_full_receive_buffer_are_not_sent_after_a_close() {
+    const REQUEST_COUNT: usize = 20_000;
+    const BLOCKED_AFTER: Duration = Duration::from_millis(300);
+    let fixture = fixture().await;
+    let release = Arc::new(Notify::new());
+    fixture.script.enqueue([BackendBehavior::Hold(release.clone())]);
+    let requests: String =
+        (0..REQUEST_COUNT).map(|number| request_head("POST /once", &format!("many-{number}"))).collect();
+    // Given: a client that has written as many requests as the buffers take, and has closed.
+    let mut client = connect_tcp(fixture.proxy.addr).await;
+    let mut rest = requests.as_bytes();
+    while !rest.is_empty() {
+        let Ok(written) = tokio::time::timeout(BLOCKED_AFTER, client.write(rest)).await else { break };
+        rest = &rest[written.expect("open")..];
+    }
+    fixture.script.wait_for_requests(1).await;
+    let _client = disconnect(client, Disconnect::Shutdown).expect("open");
+    tokio::time::sleep(BLOCKED_AFTER).await;
+
+    // When: its first request is answered.
+    release.notify_one();
+    check_health_on_new_connections(&fixture.proxy, 10).await;
+    tokio::time::sleep(BLOCKED_AFTER).await;
+
+    // Then: none of the others is sent.
+    assert_eq!(fixture.script.seen.borrow().len(), 1);
+}
--- a/crates/proxy/tests/support/backend.rs
+++ b/crates/proxy/tests/support/backend.rs
@@ -39,6 +39,11 @@
         self.behaviors.lock().expect("not poisoned").extend(behaviors);
     }
 
+    /// Removes the behaviors that no request has used.
+    pub fn clear_behaviors(&self) {
+        self.behaviors.lock().expect("not poisoned").clear();
+    }
+
     /// Waits until at least `n` requests have been received.
     pub async fn wait_for_requests(&self, n: usize) {
         in_time(self.seen.subscribe().wait_for(|s| s.len() >= n)).await.expect("open");
--- a/crates/proxy/tests/support/discovery.rs
+++ b/crates/proxy/tests/support/discovery.rs
@@ -2,6 +2,11 @@
 
 use super::*;
 
+/// The least memory that a deployment states, in MB.
+pub const SMALLEST_MEMORY_MB: usize = 32;
+/// The highest descriptor limit that a deployment states.
+pub const MOST_DESCRIPTORS: usize = 1024;
+
 /// The behavior of the discovery agent.
 #[derive(Clone, Copy, PartialEq)]
 pub enum DiscoveryBehavior {
@@ -127,6 +132,16 @@
                "settings": settings})
     }
 
+    /// Returns the configuration of a proxy with the least memory and the most descriptors that a deployment
+    /// states, and with an admin API.
+    pub fn smallest_config(&self, settings: Value) -> Value {
+        let mut config = self.config(settings);
+        config["management"] = "127.0.0.1:0".into();
+        config["limits"]["memory_mb"] = SMALLEST_MEMORY_MB.into();
+        config["limits"]["sockets"] = MOST_DESCRIPTORS.into();
+        config
+    }
+
     /// Waits until the proxy holds the current list.
     pub async fn wait_until_applied(&self) {
         let now = self.list.borrow().0;
--- a/crates/proxy/tests/support/proxy.rs
+++ b/crates/proxy/tests/support/proxy.rs
@@ -158,10 +158,36 @@
 
     /// Returns the resident memory of the process, in MiB.
     pub fn resident_mb(&self) -> usize {
+        self.status_kb("VmRSS:") / 1024
+    }
+
+    /// Returns the highest resident memory of the process so far, in KiB.
+    pub fn peak_resident_kb(&self) -> usize {
+        self.status_kb("VmHWM:")
+    }
+
+    /// Returns a figure of the process's status, in KiB.
+    fn status_kb(&self, name: &str) -> usize {
         let path = format!("/proc/{}/status", self.child.id().expect("a running process"));
         let text = std::fs::read_to_string(path).expect("a status");
-        let line = text.lines().find_map(|l| l.strip_prefix("VmRSS:")).expect("a VmRSS line");
-        line.split_whitespace().next().expect("a figure").parse::<usize>().expect("a number") / 1024
+        let line = text.lines().find_map(|line| line.strip_prefix(name)).expect("a line of this name");
+        line.split_whitespace().next().expect("a figure").parse().expect("a number")
+    }
+
+    /// Starts the program with the least memory and the most descriptors, and waits until it holds the agent's
+    /// current list. Its log is read and discarded.
+    pub async fn start_smallest(discovery: &Discovery, settings: Value) -> Self {
+        let config = discovery.smallest_config(settings);
+        let mut proxy = Proxy::start_with_command(&config, "exec \"$0\"").await;
+        discovery.wait_until_applied().await;
+        proxy.discard_log();
+        proxy
+    }
+
+    /// Reads and discards the log, so that the program can always write it.
+    pub fn discard_log(&mut self) {
+        let mut log = self.log.take().expect("an open log");
+        tokio::spawn(async move { while let Ok(Some(_)) = log.next_line().await {} });
     }
 
     /// Returns the directory that lists the open descriptors of the process.
--- a/crates/proxy/tests/support/raw_peers.rs
+++ b/crates/proxy/tests/support/raw_peers.rs
@@ -74,6 +74,14 @@
         Some((header(&head, "req-id")?.to_string(), body))
     }
 
+    /// Returns the bytes that have arrived, at least one, or `None` at the end of the connection.
+    pub async fn read_available(&mut self) -> Option<Vec<u8>> {
+        if self.received.is_empty() {
+            self.receive().await?;
+        }
+        Some(std::mem::take(&mut self.received))
+    }
+
     /// Returns all further bytes until the peer closes or resets the connection.
     pub async fn read_to_close(&mut self) -> Vec<u8> {
         while self.receive().await.is_some() {}
--- a/crates/proxy/tests/upload_deadlines.rs
+++ b/crates/proxy/tests/upload_deadlines.rs
@@ -245,3 +245,26 @@
 
     assert_eq!(client.connection.read_answer().await, Some((200, "1".to_string())));
 }
+
+/// Guards against an upload whose time starts anew with each byte that arrives late from its client's machine.
+#[tokio::test]
+async fn upload_that_its_client_has_written_to_its_end_is_answered_in_time() {
+    const CLIENT_TIMEOUT: Duration = Duration::from_millis(1500);
+    const PIECE_BYTES: usize = 1024;
+    const PIECE_INTERVAL: Duration = Duration::from_millis(2);
+    let backend = RawBackend::start().await;
+    let (proxy, _discovery) = proxy_for(backend.addr).await;
+    let mut client = UploadClient::connect(&proxy).await;
+    tokio::spawn(async move {
+        let mut connection = backend.accept().await;
+        while connection.read_bytes(PIECE_BYTES).await.is_some() {
+            sleep(PIECE_INTERVAL).await;
+        }
+    });
+
+    client.connection.write(upload_head("1", WINDOW_BODY_BYTES, CLIENT_TIMEOUT)).await;
+    client.connection.write(vec![b'x'; WINDOW_BODY_BYTES]).await;
+    let written_at = Instant::now();
+
+    client.expect_rejection_in_time(written_at, CLIENT_TIMEOUT).await;
+}
