Forward responses that a backend writes slowly instead of cutting them off

Cause: a response is buffered up to 64 KiB before anything of it is forwarded, and a pause of 0.5 s meanwhile counted as a truncated response. For chunked responses and those that end with their connection nobody knows whether they are longer than that; for a request that can't be repeated the cut saves nothing. Nor did anything forward a response of which 64 KiB take longer than the client's time.

Change: Action::Send says how the response is buffered, decided in policy/response_buffering.rs. The log names the backend of an unusable response.

--- a/crates/balancer/src/api/action.rs
+++ b/crates/balancer/src/api/action.rs
@@ -36,6 +36,21 @@
     }
 }
 
+/// How long a served response is buffered that could be streamed instead. Another attempt can replace a
+/// response only while nothing of it was forwarded.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ResponseBuffering {
+    /// Time at which a response that is not complete yet, and whose length is unknown, is forwarded as it
+    /// arrives.
+    pub forward_by_ms: f64,
+    /// How long the body of an error may pause before the attempt fails.
+    pub max_error_pause_ms: f64,
+    /// How long a served response of a known length may pause. Its length may exceed what the backend sends.
+    pub max_served_pause_ms: f64,
+    /// How long a served response of an unknown length may pause while it is buffered.
+    pub max_open_ended_pause_ms: f64,
+}
+
 /// A decision. The proxy carries out the actions in order.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Action {
@@ -50,6 +65,8 @@
         /// Time at which the first byte must have been written, if an earlier attempt may have run and
         /// backends drop duplicates only for a limited time.
         send_by_ms: Option<f64>,
+        /// How its response is buffered.
+        buffering: ResponseBuffering,
     },
     /// Give the final answer that the request was rejected. A retry by the client is harmless.
     Reject {
--- a/crates/balancer/src/api/mod.rs
+++ b/crates/balancer/src/api/mod.rs
@@ -9,7 +9,7 @@
 mod event;
 mod settings;
 
-pub use action::{Action, UnservedReason};
+pub use action::{Action, ResponseBuffering, UnservedReason};
 pub use error::SettingsError;
 pub use event::{AttemptResult, EndpointInfo, EndpointListKind, Event, Outcome, Phase, RequestArrival};
 pub use settings::{
--- a/crates/balancer/src/policy/mod.rs
+++ b/crates/balancer/src/policy/mod.rs
@@ -8,6 +8,7 @@
 mod outlier_detection;
 mod reconfigure;
 mod request_lifecycle;
+mod response_buffering;
 mod retry;
 mod selection;
 mod slow_start;
--- a/crates/balancer/src/policy/request_lifecycle.rs
+++ b/crates/balancer/src/policy/request_lifecycle.rs
@@ -64,6 +64,7 @@
             charged_tenant,
             max_attempts: self.settings.capabilities.max_attempts,
             deadline_ms: arrival.deadline_ms,
+            forward_response_by_ms: self.forward_response_by_ms(class, arrival.deadline_ms),
             is_body_streamed: arrival.is_body_streamed,
             ..Request::default()
         }
@@ -72,7 +73,9 @@
     /// Sends the next attempt if a backend can take it; returns whether it was sent.
     pub fn send(&mut self, id: RequestId) -> bool {
         let Some(selected) = self.select_backend(id) else { return false };
-        let send_by_ms = self.requests.get(&id).and_then(|request| self.deduplicated_until_ms(request));
+        let Some(request) = self.requests.get(&id) else { return false };
+        let send_by_ms = self.deduplicated_until_ms(request);
+        let buffering = self.response_buffering(request);
         let Some(request) = self.requests.get_mut(&id) else { return false };
         let Some(backend) = self.backends.get_mut(&selected) else { return false };
         // The budget has no effect once the backend is warm.
@@ -85,6 +88,7 @@
             backend: selected,
             expires_at_ms: request.deadline_ms,
             send_by_ms,
+            buffering,
         });
         if !request.is_body_streamed {
             self.begin_call(id);
--- a/crates/balancer/tests/support/harness.rs
+++ b/crates/balancer/tests/support/harness.rs
@@ -183,7 +183,8 @@
     fn apply_actions(&mut self, actions: Vec<Action>) {
         for action in actions {
             match action {
-                Action::Send { request, backend, expires_at_ms, send_by_ms } => {
+                Action::Send { request, backend, expires_at_ms, send_by_ms, buffering } => {
+                    assert!(buffering.forward_by_ms <= expires_at_ms, "a response is forwarded in time");
                     self.record_attempt(request, backend, expires_at_ms, send_by_ms)
                 }
                 Action::Reject { request, .. } => self.record_rejection(request),
--- a/crates/proxy/src/upstream/attempt.rs
+++ b/crates/proxy/src/upstream/attempt.rs
@@ -3,8 +3,9 @@
 use super::attempt_outcome::{AttemptOutcome, FinishedAttempt};
 use super::connection::{Connection, IdleCheck};
 use super::connection_pool::{ConnectionPool, Endpoint};
-use super::request::UpstreamRequest;
-use super::response::{PartialResponse, ResponseRead, ResponseStream, read_response};
+use super::request::{UpstreamRequest, printable_id};
+use super::response::{BufferingTimes, PartialResponse, ResponseRead, ResponseStream, read_response};
+use crate::log::log;
 use crate::transport::{BodyContent, SendGuard, StreamProgress, StreamedBody, WeakSendGuard};
 use foldhitch_balancer::api::Outcome;
 use hyper::body::Incoming;
@@ -23,6 +24,8 @@
     pub expires_at: Instant,
     /// When its first byte must have been written, if that is limited.
     pub send_by: Option<Instant>,
+    /// How long its response is buffered.
+    pub buffering: BufferingTimes,
 }
 
 /// One attempt of a request.
@@ -192,8 +195,11 @@
         if response.status() == StatusCode::OK && !connection.progress.is_request_complete() {
             return corrupt;
         }
-        let outcome = match read_response(response).await {
-            None => return corrupt,
+        let outcome = match read_response(response, self.times.buffering).await {
+            None => {
+                self.log_unusable_response();
+                return corrupt;
+            }
             Some(ResponseRead::Complete(outcome)) => outcome,
             Some(ResponseRead::Partial(partial, body)) => return self.stream(connection, partial, body),
         };
@@ -209,6 +215,11 @@
         outcome
     }
 
+    fn log_unusable_response(&self) {
+        let id = printable_id(&self.request.id);
+        log!("{id}: response of the backend at {} is incomplete or invalid", self.endpoint.address);
+    }
+
     fn stream(&self, connection: Connection, partial: PartialResponse, body: Incoming) -> AttemptOutcome {
         if !matches!(partial.outcome, AttemptOutcome::Served(_)) {
             // Only served responses are forwarded, so the rest of the body is not read.
--- a/crates/proxy/src/upstream/mod.rs
+++ b/crates/proxy/src/upstream/mod.rs
@@ -14,6 +14,7 @@
 pub use attempt_outcome::{AttemptOutcome, FinishedAttempt};
 pub use connection_pool::{ConnectionPool, Endpoint, PoolLimits};
 pub use request::{UpstreamRequest, printable_id};
+pub use response::BufferingTimes;
 
 /// The maximum size of a buffered body, in bytes. Longer bodies are streamed.
 pub const MAX_BUFFERED_BODY_BYTES: usize = 64 * 1024;
--- a/crates/proxy/src/upstream/response.rs
+++ b/crates/proxy/src/upstream/response.rs
@@ -13,10 +13,20 @@
 use hyper::{Response, StatusCode, header};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout, timeout_at};
 
-/// A buffered body that makes no progress for this long fails: its declared length is taken to be wrong.
-const BUFFERED_BODY_STALL_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long a response is buffered.
+#[derive(Debug, Clone, Copy)]
+pub struct BufferingTimes {
+    /// When a served response of an unknown length is forwarded as it arrives.
+    pub forward_by: Instant,
+    /// How long the body of an error may pause before the attempt fails.
+    pub max_error_pause: Duration,
+    /// How long a served response of a known length may pause.
+    pub max_served_pause: Duration,
+    /// How long a served response of an unknown length may pause while it is buffered.
+    pub max_open_ended_pause: Duration,
+}
 
 /// How far a response was read.
 pub(super) enum ResponseRead {
@@ -33,32 +43,76 @@
     data: Bytes,
 }
 
-/// Reads a response as far as it is buffered. Returns `None` if the response is corrupt.
-pub(super) async fn read_response(response: Response<Incoming>) -> Option<ResponseRead> {
+/// Reads a response as far as it is buffered. Returns `None` if the response is corrupt. A truncated response
+/// does not count as a response: the request may have run.
+pub(super) async fn read_response(
+    response: Response<Incoming>,
+    times: BufferingTimes,
+) -> Option<ResponseRead> {
     let (head, mut body) = response.into_parts();
     let length = body.size_hint().exact();
     if !is_framing_valid(&head, length) {
         return None;
     }
-    let mut data = BytesMut::new();
-    let mut is_long = length.is_some_and(|length| length > MAX_BUFFERED_BODY_BYTES as u64);
-    while !is_long {
-        // A truncated response does not count as a response: the request may have run.
-        let frame = timeout(BUFFERED_BODY_STALL_TIMEOUT, body.frame()).await.ok()?;
-        let Some(frame) = frame else { break };
+    let buffered = match length {
+        Some(length) if length > MAX_BUFFERED_BODY_BYTES as u64 => Buffered::partial(),
+        _ if head.status != StatusCode::OK => buffer_body(&mut body, times.max_error_pause).await?,
+        Some(_) => buffer_body(&mut body, times.max_served_pause).await?,
+        None => buffer_until(&mut body, times.forward_by, times.max_open_ended_pause).await?,
+    };
+    let data = buffered.data.freeze();
+    let outcome = outcome(&head, &data);
+    Some(if buffered.is_complete {
+        ResponseRead::Complete(outcome)
+    } else {
+        ResponseRead::Partial(PartialResponse { outcome, length, data }, body)
+    })
+}
+
+/// The part of a body that was buffered.
+struct Buffered {
+    data: BytesMut,
+    is_complete: bool,
+}
+
+impl Buffered {
+    /// The part of a body of which nothing was read.
+    fn partial() -> Self {
+        Buffered { data: BytesMut::new(), is_complete: false }
+    }
+
+    /// Reads the next frame. Returns whether there may be more to buffer, or `None` if the body is truncated.
+    async fn read_frame(&mut self, body: &mut Incoming) -> Option<bool> {
+        let Some(frame) = body.frame().await else {
+            self.is_complete = true;
+            return Some(false);
+        };
         // Trailers are ignored.
         if let Ok(more) = frame.ok()?.into_data() {
-            data.extend_from_slice(&more);
-            is_long = data.len() > MAX_BUFFERED_BODY_BYTES;
+            self.data.extend_from_slice(&more);
+        }
+        Some(self.data.len() <= MAX_BUFFERED_BODY_BYTES)
+    }
+}
+
+/// Buffers a body to its end or to the maximum size. Returns `None` if it is truncated or pauses for longer
+/// than `max_pause`.
+async fn buffer_body(body: &mut Incoming, max_pause: Duration) -> Option<Buffered> {
+    let mut buffered = Buffered::partial();
+    while timeout(max_pause, buffered.read_frame(body)).await.ok()?? {}
+    Some(buffered)
+}
+
+/// Buffers a body like [`buffer_body`], but not beyond `forward_by`. No frame is lost by that.
+async fn buffer_until(body: &mut Incoming, forward_by: Instant, max_pause: Duration) -> Option<Buffered> {
+    let mut buffered = Buffered::partial();
+    loop {
+        let read = timeout(max_pause, buffered.read_frame(body));
+        let Ok(read) = timeout_at(forward_by, read).await else { return Some(buffered) };
+        if !read.ok()?? {
+            return Some(buffered);
         }
     }
-    let data = data.freeze();
-    let outcome = outcome(&head, &data);
-    Some(if is_long {
-        ResponseRead::Partial(PartialResponse { outcome, length, data }, body)
-    } else {
-        ResponseRead::Complete(outcome)
-    })
 }
 
 /// Returns whether the framing of a response is unambiguous. It may have either one length or one transfer
--- a/crates/proxy/src/upstream/tests.rs
+++ b/crates/proxy/src/upstream/tests.rs
@@ -1,7 +1,7 @@
 //! Unit tests of attempts and the connection pool.
 
 use super::connection::Connection;
-use super::{Attempt, AttemptTimes, ConnectionPool, Endpoint, PoolLimits, UpstreamRequest};
+use super::{Attempt, AttemptTimes, BufferingTimes, ConnectionPool, Endpoint, PoolLimits, UpstreamRequest};
 use crate::transport::{ClientSocket, RequestPayload, SendGuard};
 use bytes::Bytes;
 use foldhitch_balancer::api::Outcome;
@@ -76,7 +76,16 @@
     let attempt = Attempt {
         request: Rc::new(get_request()),
         endpoint: endpoint.clone(),
-        times: AttemptTimes { expires_at: Instant::now() + LONG_TIME, send_by },
+        times: AttemptTimes {
+            expires_at: Instant::now() + LONG_TIME,
+            send_by,
+            buffering: BufferingTimes {
+                forward_by: Instant::now() + LONG_TIME,
+                max_error_pause: LONG_TIME,
+                max_served_pause: LONG_TIME,
+                max_open_ended_pause: LONG_TIME,
+            },
+        },
         client: Rc::downgrade(client),
         cancelled,
     };
--- a/crates/simulator-adapter/src/wire/reply.rs
+++ b/crates/simulator-adapter/src/wire/reply.rs
@@ -45,7 +45,7 @@
     pub fn push_action(&mut self, instance: u16, action: &Action) {
         match action {
             // The simulator sends an attempt at once.
-            Action::Send { request, backend, expires_at_ms, send_by_ms: _ } => {
+            Action::Send { request, backend, expires_at_ms, .. } => {
                 self.push_record_header(code::SEND, instance);
                 self.bytes.extend(request.to_le_bytes());
                 self.bytes.extend(backend.to_le_bytes());
