Hold the memory limit with crowds that write or read slowly

Causes, each shown by a test: bodies were reserved by their length, but kept in buffers twice as long and in the HTTP library's read buffers; responses that are buffered, held as possible copies, or remembered were not counted at all; a body that is forwarded kept up to 125 to 205 KB for each slow reader, in frames that each keep a read buffer; connections were limited by descriptors only.

Change: MemoryBudget and its reservations count request bodies, responses that are buffered or held, and remembered responses. A response without memory is streamed; one that can't be held fails its attempt; one that can't be recorded ends its connection; remembered ones beyond their budget close the oldest idle connection. Bodies are copied into blocks of 4 KiB, forwarded frames into buffers of their own size, and the next frame waits until the last one was accepted by the kernel. Reads are as small as the memory for each descriptor asks for. Connections are limited by 48 KiB of memory each as well: 341 clients and as many backends with 32 MB, a third of 1,024 descriptors.

--- a/crates/proxy/src/dispatcher/tests.rs
+++ b/crates/proxy/src/dispatcher/tests.rs
@@ -2,8 +2,9 @@
 
 use super::request_table::{AttemptRecord, AttemptState, RequestEntry, ResponseSlot};
 use super::{Dispatcher, duration_from_ms, previous_indices};
+use crate::transport::MAX_READ_BYTES;
 use crate::transport::RequestPayload;
-use crate::upstream::{ConnectionPool, PoolLimits, UpstreamRequest};
+use crate::upstream::{ConnectionPool, PoolLimits, ResponseMemory, UpstreamRequest};
 use foldhitch_balancer::api::{EndpointListKind, Outcome};
 use foldhitch_balancer::settings_format::ResolvedSettings;
 use foldhitch_discovery_client::{EndpointListUpdate, EndpointRecord, HealthState, ListOrigin};
@@ -48,8 +49,14 @@
 
 fn dispatcher() -> Rc<Dispatcher> {
     let limit = Duration::from_secs(1);
-    let limits =
-        PoolLimits { connections: 4, connect_timeout: limit, idle_timeout: limit, drain_deadline: limit };
+    let limits = PoolLimits {
+        memory: ResponseMemory { buffered_bytes: usize::MAX, remembered_bytes: usize::MAX },
+        read_bytes: MAX_READ_BYTES,
+        connections: 4,
+        connect_timeout: limit,
+        idle_timeout: limit,
+        drain_deadline: limit,
+    };
     let (poll_wanted, _) = watch::channel(false);
     Dispatcher::new(settings(), 1, Rc::new(ConnectionPool::new(limits)), poll_wanted).expect("good settings")
 }
--- a/crates/proxy/src/downstream/body_reception.rs
+++ b/crates/proxy/src/downstream/body_reception.rs
@@ -8,7 +8,7 @@
 use super::upload_stream::UploadStream;
 use crate::dispatcher::RESPONSE_MARGIN;
 use crate::log::log;
-use crate::transport::{BodyArrival, FrameSender, RequestPayload, StreamedUpload};
+use crate::transport::{BodyArrival, BodyBlocks, FrameSender, RequestPayload, StreamedUpload};
 use crate::upstream::printable_id;
 use bytes::Bytes;
 use hyper::StatusCode;
@@ -30,7 +30,7 @@
     /// The whole body.
     Complete(Bytes),
     /// The beginning of a body that is too long to be buffered.
-    Partial { first: Bytes, rest: Incoming, deadline: BodyReadDeadline },
+    Partial { first: BodyBlocks, rest: Incoming, deadline: BodyReadDeadline },
 }
 
 impl ClientConnection {
@@ -44,8 +44,7 @@
         guard: &mut RequestIdGuard,
     ) -> Result<ReceivedBody, Rejection> {
         let mut deadline = BodyReadDeadline::new(times.started_at);
-        let limit = self.server.limits.get().max_body_bytes;
-        match buffer_body(&mut body, &mut deadline, guard, limit).await {
+        match buffer_body(&mut body, &mut deadline, guard).await {
             Ok(BufferedBody::Complete(data)) => Ok(ReceivedBody::Complete(data)),
             Ok(BufferedBody::Partial(first)) => Ok(ReceivedBody::Partial { first, rest: body, deadline }),
             Err(StatusCode::SERVICE_UNAVAILABLE) => {
@@ -89,7 +88,7 @@
         times: RequestTimes,
     ) {
         let (frames, upload) = StreamedUpload::new(None, parsed.client_timeout);
-        self.upload_stream(body, deadline, frames, &upload, times).spawn(Bytes::new());
+        self.upload_stream(body, deadline, frames, &upload, times).spawn(BodyBlocks::default());
     }
 
     fn upload_stream(
--- a/crates/proxy/src/downstream/connection.rs
+++ b/crates/proxy/src/downstream/connection.rs
@@ -72,7 +72,8 @@
         let is_prepared = configure_socket(&stream).is_ok();
         let socket = ClientSocket::new(stream);
         let arrival_probe = waiting_since.map(|earliest| ArrivalProbe::new(socket.clone(), earliest));
-        let stream = ObservedStream::for_client(socket.clone(), arrival_probe);
+        let stream =
+            ObservedStream::for_client(socket.clone(), server.limits.get().read_bytes, arrival_probe);
         let guard = ConnectionGuard::new(&server.table, stream.progress(), socket.liveness());
         let state = guard.state.clone();
         state.progress.expect_head();
--- a/crates/proxy/src/downstream/connection_table.rs
+++ b/crates/proxy/src/downstream/connection_table.rs
@@ -1,5 +1,6 @@
 //! The table of client connections: the state of each, and which of them to evict for another.
 
+use crate::memory::{MemoryBudget, MemoryReservation};
 use crate::transport::{ClientLiveness, StreamProgress};
 use hyper::header::HeaderValue;
 use std::cell::{Cell, RefCell};
@@ -172,7 +173,6 @@
 }
 
 /// The client connections, and the resources that their requests hold.
-#[derive(Default)]
 pub struct ConnectionTable {
     connections: RefCell<BTreeMap<u64, Rc<ConnectionState>>>,
     next_connection_id: Cell<u64>,
@@ -180,11 +180,27 @@
     request_ids: RefCell<HashSet<HeaderValue>>,
     /// The number of requests whose answer is pending.
     in_flight: Cell<usize>,
-    /// The number of bytes reserved for bodies of open requests.
-    buffered_bytes: Cell<usize>,
+    /// The memory for bodies of open requests.
+    body_memory: Rc<MemoryBudget>,
 }
 
 impl ConnectionTable {
+    /// Creates an empty table. Bodies of open requests may reserve up to `max_body_bytes`.
+    pub(super) fn new(max_body_bytes: usize) -> Self {
+        ConnectionTable {
+            connections: RefCell::default(),
+            next_connection_id: Cell::default(),
+            request_ids: RefCell::default(),
+            in_flight: Cell::default(),
+            body_memory: MemoryBudget::new(max_body_bytes),
+        }
+    }
+
+    /// Changes the number of bytes that bodies of open requests may reserve.
+    pub(super) fn set_max_body_bytes(&self, max_body_bytes: usize) {
+        self.body_memory.set_limit(max_body_bytes);
+    }
+
     /// Returns the number of connections.
     pub(super) fn len(&self) -> usize {
         self.connections.borrow().len()
@@ -297,12 +313,12 @@
     }
 }
 
-/// The id of an open request and the bytes reserved for its body. Both are released when the guard is
+/// The id of an open request and the memory reserved for its body. Both are released when the guard is
 /// dropped.
 pub(super) struct RequestIdGuard {
     table: Rc<ConnectionTable>,
     id: HeaderValue,
-    bytes: usize,
+    pub(super) body_memory: MemoryReservation,
 }
 
 impl RequestIdGuard {
@@ -311,26 +327,14 @@
         if !table.request_ids.borrow_mut().insert(id.clone()) {
             return None;
         }
-        Some(RequestIdGuard { table: table.clone(), id: id.clone(), bytes: 0 })
-    }
-
-    /// Reserves more bytes for the body. Returns `false` if the reservations of all requests would exceed
-    /// `limit`.
-    pub(super) fn reserve(&mut self, bytes: usize, limit: usize) -> bool {
-        let total = self.table.buffered_bytes.get() + bytes;
-        if total > limit {
-            return false;
-        }
-        self.table.buffered_bytes.set(total);
-        self.bytes += bytes;
-        true
+        let body_memory = table.body_memory.reservation();
+        Some(RequestIdGuard { table: table.clone(), id: id.clone(), body_memory })
     }
 }
 
 impl Drop for RequestIdGuard {
     fn drop(&mut self) {
         self.table.request_ids.borrow_mut().remove(&self.id);
-        self.table.buffered_bytes.set(self.table.buffered_bytes.get() - self.bytes);
     }
 }
 
--- a/crates/proxy/src/downstream/request_body.rs
+++ b/crates/proxy/src/downstream/request_body.rs
@@ -1,9 +1,9 @@
 //! Reads request bodies within a deadline, and buffers short ones.
 
 use super::connection_table::{REQUEST_READ_TIMEOUT, RequestIdGuard};
-use crate::transport::MAX_BODY_BYTES;
+use crate::transport::{BodyBlocks, MAX_BODY_BYTES};
 use crate::upstream::MAX_BUFFERED_BODY_BYTES;
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::StatusCode;
 use hyper::body::{Body, Incoming};
@@ -61,7 +61,7 @@
     /// The whole body.
     Complete(Bytes),
     /// The beginning of a body that is too long to be buffered.
-    Partial(Bytes),
+    Partial(BodyBlocks),
 }
 
 /// Reads a body up to [`MAX_BUFFERED_BODY_BYTES`]. For a longer body, which is streamed, that much of the
@@ -70,23 +70,22 @@
     body: &mut Incoming,
     deadline: &mut BodyReadDeadline,
     guard: &mut RequestIdGuard,
-    max_buffered_bytes: usize,
 ) -> Result<BufferedBody, StatusCode> {
-    let mut data = BytesMut::new();
+    let mut data = BodyBlocks::default();
     let mut exceeds_buffer = body.size_hint().lower() > MAX_BUFFERED_BODY_BYTES as u64;
     while !exceeds_buffer {
         let Some(more) = deadline.next_data(body).await? else { break };
-        if !guard.reserve(more.len(), max_buffered_bytes) {
+        if !guard.body_memory.try_grow(more.len()) {
             return Err(StatusCode::SERVICE_UNAVAILABLE);
         }
-        data.extend_from_slice(&more);
+        data.push(&more);
         exceeds_buffer = data.len() > MAX_BUFFERED_BODY_BYTES;
     }
     if !exceeds_buffer {
-        return Ok(BufferedBody::Complete(data.freeze()));
+        return Ok(BufferedBody::Complete(data.into_bytes()));
     }
-    if !guard.reserve(MAX_BUFFERED_BODY_BYTES.saturating_sub(data.len()), max_buffered_bytes) {
+    if !guard.body_memory.try_grow(MAX_BUFFERED_BODY_BYTES.saturating_sub(data.len())) {
         return Err(StatusCode::SERVICE_UNAVAILABLE);
     }
-    Ok(BufferedBody::Partial(data.freeze()))
+    Ok(BufferedBody::Partial(data))
 }
--- a/crates/proxy/src/downstream/response.rs
+++ b/crates/proxy/src/downstream/response.rs
@@ -9,7 +9,7 @@
 use hyper::{Method, Response, StatusCode};
 use std::io;
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 /// A response to a client.
@@ -45,6 +45,9 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        if let Some(ResponseGuard(connection)) = &self.guard {
+            ready!(connection.progress.poll_sent(context));
+        }
         Pin::new(&mut self.content).poll_frame(context)
     }
 
--- a/crates/proxy/src/downstream/upload_stream.rs
+++ b/crates/proxy/src/downstream/upload_stream.rs
@@ -2,7 +2,9 @@
 
 use super::connection_table::ConnectionState;
 use super::request_body::BodyReadDeadline;
-use crate::transport::{BodyArrival, FrameSender, MAX_BODY_BYTES, UploadProgress, UploadStatus};
+use crate::transport::{
+    BodyArrival, BodyBlocks, FrameSender, MAX_BODY_BYTES, UploadProgress, UploadStatus, copy_frame,
+};
 use bytes::Bytes;
 use hyper::StatusCode;
 use hyper::body::Incoming;
@@ -28,14 +30,14 @@
 
 impl UploadStream {
     /// Streams the body in a task of its own. `first` is the part that was read before.
-    pub(super) fn spawn(self, first: Bytes) {
+    pub(super) fn spawn(self, first: BodyBlocks) {
         // Keeps the bytes read meanwhile from counting as a new head, whose time limit would close the
         // connection.
         self.connection.is_reading_body.set(true);
         spawn_local(self.run(first));
     }
 
-    async fn run(mut self, first: Bytes) {
+    async fn run(mut self, first: BodyBlocks) {
         let progress = match self.stream(first).await {
             Ok(()) => {
                 let last_byte_at = self.arrival.earliest_end();
@@ -47,26 +49,25 @@
         self.connection.is_reading_body.set(false);
     }
 
-    async fn stream(&mut self, first: Bytes) -> Result<(), StatusCode> {
-        let mut data = Some(first);
-        let mut length = 0;
+    async fn stream(&mut self, first: BodyBlocks) -> Result<(), StatusCode> {
+        let mut length = first.len() as u64;
         let mut is_wanted = true;
+        for piece in first.into_pieces() {
+            is_wanted = is_wanted && self.forward(Some(piece)).await;
+        }
         loop {
+            // Without bytes to read, the last one is certainly still to come.
+            self.status.set_progress(UploadProgress::Arriving);
+            let data = self.deadline.next_data(&mut self.body).await?;
             length += data.as_ref().map_or(0, Bytes::len) as u64;
             if length > MAX_BODY_BYTES {
                 return Err(StatusCode::PAYLOAD_TOO_LARGE);
             }
             let is_end = data.is_none();
-            let is_empty = data.as_ref().is_some_and(Bytes::is_empty);
-            if is_wanted && !is_empty {
-                is_wanted = self.forward(data).await;
-            }
+            is_wanted = is_wanted && self.forward(data.map(copy_frame)).await;
             if is_end {
                 return Ok(());
             }
-            // Without bytes to read, the last one is certainly still to come.
-            self.status.set_progress(UploadProgress::Arriving);
-            data = self.deadline.next_data(&mut self.body).await?;
         }
     }
 
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -8,6 +8,7 @@
 mod downstream;
 mod error;
 mod log;
+mod memory;
 mod process_group;
 mod resource_limits;
 mod retry;
--- a/crates/proxy/src/resource_limits.rs
+++ b/crates/proxy/src/resource_limits.rs
@@ -3,6 +3,8 @@
 use crate::admin;
 use crate::config::Config;
 use crate::downstream::{ClientLimits, MAX_REJECTING_CONNECTIONS};
+use crate::transport::MAX_READ_BYTES;
+use crate::upstream::ResponseMemory;
 
 /// Descriptors that are not connections of clients or backends: standard streams, the listener, the reactor,
 /// signals, and discovery.
@@ -18,6 +20,18 @@
 /// and the program.
 const BODY_MEMORY_DIVISOR: usize = 4;
 
+/// The memory that a connection may need beside the budgets for bodies and responses, in bytes.
+const CONNECTION_MEMORY_BYTES: usize = 48 * 1024;
+/// Responses that are being buffered, or held because they may be copies, may use this fraction (1/n) of the memory.
+const RESPONSE_MEMORY_DIVISOR: usize = 8;
+/// Responses that are remembered to recognize their copies may use this fraction (1/n) of the memory.
+const REMEMBERED_MEMORY_DIVISOR: usize = 16;
+/// The bytes that are read from a connection at once are at most this fraction (1/n) of its share of the memory:
+/// a body that is forwarded is held in several such pieces.
+const READ_MEMORY_DIVISOR: usize = 8;
+/// The minimum number of bytes that are read from a connection at once.
+const MIN_READ_BYTES: usize = 2048;
+
 /// The resource limits of a proxy over all its processes.
 #[derive(Debug, Clone, Copy)]
 pub struct ResourceLimits {
@@ -49,9 +63,24 @@
             max_connections: self.connections(processes) - self.upstream_connections(processes),
             max_rejecting_connections: self.rejecting_connections(processes),
             max_body_bytes: self.memory_bytes / BODY_MEMORY_DIVISOR / processes,
+            read_bytes: self.read_bytes(),
+        }
+    }
+
+    /// Returns the memory limits for the responses of backends in one of `processes` processes.
+    pub fn response_memory(&self, processes: usize) -> ResponseMemory {
+        ResponseMemory {
+            buffered_bytes: self.memory_bytes / RESPONSE_MEMORY_DIVISOR / processes,
+            remembered_bytes: self.memory_bytes / REMEMBERED_MEMORY_DIVISOR / processes,
         }
     }
 
+    /// Returns the maximum number of bytes that are read from a connection at once.
+    pub fn read_bytes(&self) -> usize {
+        let share = self.memory_bytes / self.max_descriptors;
+        (share / READ_MEMORY_DIVISOR).clamp(MIN_READ_BYTES, MAX_READ_BYTES)
+    }
+
     /// Returns the number of descriptors for connections of one of `processes` processes.
     fn connection_descriptors(&self, processes: usize) -> usize {
         (self.max_descriptors / processes).saturating_sub(self.reserved_descriptors)
@@ -64,6 +93,8 @@
 
     fn connections(&self, processes: usize) -> usize {
         let descriptors = self.connection_descriptors(processes);
-        descriptors.saturating_sub(self.rejecting_connections(processes)).max(MIN_CONNECTIONS)
+        let descriptors = descriptors.saturating_sub(self.rejecting_connections(processes));
+        let within_memory = self.memory_bytes / CONNECTION_MEMORY_BYTES / processes;
+        descriptors.min(within_memory).max(MIN_CONNECTIONS)
     }
 }
--- a/crates/proxy/src/startup.rs
+++ b/crates/proxy/src/startup.rs
@@ -96,6 +96,8 @@
     let site = &config.settings.site;
     PoolLimits {
         connections: limits.upstream_connections(1),
+        memory: limits.response_memory(1),
+        read_bytes: limits.read_bytes(),
         connect_timeout: duration_from_ms(site.connect_timeout_ms),
         idle_timeout: duration_from_ms(site.connection_idle_ms),
         drain_deadline: duration_from_ms(site.drain_deadline_ms),
@@ -204,6 +206,7 @@
     loop {
         let count = *sharing_count.borrow_and_update() as usize;
         server.resize(limits.client_limits(count));
+        pool.set_memory(limits.response_memory(count));
         while !pool.resize(limits.upstream_connections(count)) {
             sleep(process_group::POLL_INTERVAL).await;
         }
--- a/crates/proxy/src/transport/body.rs
+++ b/crates/proxy/src/transport/body.rs
@@ -20,6 +20,11 @@
 /// Dropping the sender before that end aborts the body.
 pub type FrameSender = mpsc::Sender<Option<Bytes>>;
 
+/// Returns a copy of a frame. The original keeps the whole read buffer of the HTTP library allocated.
+pub fn copy_frame(frame: Bytes) -> Bytes {
+    Bytes::copy_from_slice(&frame)
+}
+
 impl StreamedBody {
     /// Creates a body of `length` bytes, or of unknown length, together with the sender of its frames.
     pub fn new(length: Option<u64>) -> (FrameSender, StreamedBody) {
--- a/crates/proxy/src/transport/mod.rs
+++ b/crates/proxy/src/transport/mod.rs
@@ -3,6 +3,7 @@
 mod arrival;
 mod body;
 mod body_arrival;
+mod body_blocks;
 mod client_socket;
 mod observed_stream;
 mod progress;
@@ -13,8 +14,9 @@
 mod upload;
 
 pub use arrival::{ArrivalProbe, enable_receive_timestamps};
-pub use body::{BodyContent, FrameSender, StreamedBody};
+pub use body::{BodyContent, FrameSender, StreamedBody, copy_frame};
 pub use body_arrival::BodyArrival;
+pub use body_blocks::BodyBlocks;
 pub use client_socket::{ClientLiveness, ClientSocket};
 pub use observed_stream::ObservedStream;
 pub use progress::{SendGuard, StreamProgress, WeakSendGuard};
@@ -34,6 +36,8 @@
 /// The maximum size of a message head, in bytes. The HTTP library's buffer for heads and bodies grows to this
 /// size.
 pub const MAX_HEAD_BYTES: usize = 16 * 1024;
+/// The maximum number of bytes that are read from a connection at once.
+pub const MAX_READ_BYTES: usize = MAX_HEAD_BYTES;
 /// The maximum number of header lines in a message head.
 pub const MAX_HEADERS: usize = 64;
 /// The send buffer size that is set on each socket, in bytes. The kernel reports a socket as writable again
--- a/crates/proxy/src/transport/observed_stream.rs
+++ b/crates/proxy/src/transport/observed_stream.rs
@@ -4,7 +4,7 @@
 use super::arrival::ArrivalProbe;
 use super::progress::StreamProgress;
 use super::unread_probe::UnreadProbe;
-use super::{MAX_HEAD_BYTES, WRITE_STALL_TIMEOUT};
+use super::{MAX_HEAD_BYTES, MAX_READ_BYTES, WRITE_STALL_TIMEOUT};
 use hyper::rt::{Read, ReadBuf, ReadBufCursor, Write};
 use std::future::Future;
 use std::io;
@@ -24,21 +24,21 @@
     stall_timer: Option<Pin<Box<Sleep>>>,
     /// Set as long as there may be unread bytes that arrived before the connection was served.
     arrival_probe: Option<ArrivalProbe>,
-    /// Whether all bytes read are counted. This takes a copy of those that are not inspected.
-    counts_reads: bool,
+    /// The maximum number of bytes per read.
+    read_bytes: usize,
 }
 
 impl<S> ObservedStream<S> {
-    /// Wraps a stream.
-    pub fn new(stream: S) -> Self {
+    /// Wraps a stream of which at most `read_bytes` bytes are read at once.
+    pub fn new(stream: S, read_bytes: usize) -> Self {
         let progress = Rc::default();
-        ObservedStream { stream, progress, stall_timer: None, arrival_probe: None, counts_reads: false }
+        ObservedStream { stream, progress, stall_timer: None, arrival_probe: None, read_bytes }
     }
 
     /// Wraps the stream of a client's new connection, on which bytes may have waited to be read. Those bytes
     /// count from their arrival.
-    pub fn for_client(stream: S, arrival_probe: Option<ArrivalProbe>) -> Self {
-        ObservedStream { arrival_probe, counts_reads: true, ..ObservedStream::new(stream) }
+    pub fn for_client(stream: S, read_bytes: usize, arrival_probe: Option<ArrivalProbe>) -> Self {
+        ObservedStream { arrival_probe, ..ObservedStream::new(stream, read_bytes) }
     }
 
     /// Returns the recorded progress.
@@ -119,8 +119,8 @@
         most_bytes: usize,
         observe: impl FnOnce(&[u8]),
     ) -> Poll<io::Result<()>> {
-        let mut storage = [MaybeUninit::uninit(); MAX_HEAD_BYTES];
-        let length = buffer.remaining().min(most_bytes).min(storage.len());
+        let mut storage = [MaybeUninit::uninit(); MAX_READ_BYTES];
+        let length = buffer.remaining().min(most_bytes).min(self.read_bytes).min(storage.len());
         let mut read = ReadBuf::uninit(&mut storage[..length]);
         ready!(Pin::new(&mut self.stream).poll_read(context, read.unfilled()))?;
         observe(read.filled());
@@ -135,7 +135,7 @@
         buffer: ReadBufCursor<'_>,
         mut head: Vec<u8>,
     ) -> Poll<io::Result<()>> {
-        let arrival_time = self.arrival_time(buffer.remaining().min(HEAD_READ_BYTES));
+        let arrival_time = self.arrival_time(buffer.remaining().min(HEAD_READ_BYTES).min(self.read_bytes));
         let mut length = 0;
         let read = self.read_at_most(context, buffer, HEAD_READ_BYTES, |bytes| {
             length = bytes.len();
@@ -156,7 +156,7 @@
         remaining: u64,
     ) -> Poll<io::Result<()>> {
         let most_bytes = usize::try_from(remaining).unwrap_or(usize::MAX);
-        let arrival_time = self.arrival_time(buffer.remaining().min(most_bytes));
+        let arrival_time = self.arrival_time(buffer.remaining().min(most_bytes).min(self.read_bytes));
         let mut length = 0;
         let read = self.read_at_most(context, buffer, most_bytes, |bytes| length = bytes.len());
         if read.is_ready() {
@@ -189,13 +189,9 @@
         context: &mut Context<'_>,
         buffer: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        let arrival_time = self.arrival_time(buffer.remaining());
+        let arrival_time = self.arrival_time(buffer.remaining().min(self.read_bytes));
         let mut length = 0;
-        let read = if self.counts_reads {
-            self.read_at_most(context, buffer, usize::MAX, |bytes| length = bytes.len())
-        } else {
-            Pin::new(&mut self.stream).poll_read(context, buffer)
-        };
+        let read = self.read_at_most(context, buffer, usize::MAX, |bytes| length = bytes.len());
         if read.is_ready() {
             self.observe_read(arrival_time, length);
         }
@@ -249,6 +245,9 @@
             write.is_flushed.set(true);
         }
         write.has_unsent.set(false);
+        if let Some(waker) = write.sent_waker.take() {
+            waker.wake();
+        }
         Pin::new(&mut self.stream).poll_flush(context)
     }
 
--- a/crates/proxy/src/transport/progress.rs
+++ b/crates/proxy/src/transport/progress.rs
@@ -2,7 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::rc::{Rc, Weak};
-use std::task::Waker;
+use std::task::{Context, Poll, Waker};
 use tokio::time::Instant;
 
 /// Returns whether a request that is about to be sent is still allowed and wanted.
@@ -58,6 +58,8 @@
     pub(super) is_body_taken: Cell<bool>,
     pub(super) is_flushed: Cell<bool>,
     pub(super) has_unsent: Cell<bool>,
+    /// The task that waits until the kernel has accepted all bytes.
+    pub(super) sent_waker: RefCell<Option<Waker>>,
     /// Called right before the first byte of a request.
     pub(super) guard: RefCell<Option<SendGuard>>,
     /// The task that waits for the first byte of the request to be written.
@@ -112,6 +114,16 @@
         self.write.has_unsent.get()
     }
 
+    /// Returns `Ready` once the kernel has accepted all bytes. A body that waits for this before its next frame
+    /// leaves no more than one frame in the HTTP library's write buffer.
+    pub fn poll_sent(&self, context: &Context<'_>) -> Poll<()> {
+        if !self.has_unsent() {
+            return Poll::Ready(());
+        }
+        self.write.sent_waker.replace(Some(context.waker().clone()));
+        Poll::Pending
+    }
+
     /// Sets the guard that must allow the next request right before it is sent.
     pub fn guard_next_request(&self, guard: SendGuard) {
         self.write.guard.replace(Some(guard));
--- a/crates/proxy/src/transport/request_body.rs
+++ b/crates/proxy/src/transport/request_body.rs
@@ -72,6 +72,9 @@
             write.first_byte_waker.replace(Some(context.waker().clone()));
             return Poll::Pending;
         }
+        if this.upload.is_some() {
+            ready!(this.progress.poll_sent(context));
+        }
         let Some(content) = &mut this.content else { return Poll::Ready(None) };
         let frame = ready!(Pin::new(&mut *content).poll_frame(context));
         write.is_body_taken.set(frame.is_none() || content.is_end_stream());
--- a/crates/proxy/src/transport/tests.rs
+++ b/crates/proxy/src/transport/tests.rs
@@ -1,8 +1,9 @@
 //! Unit tests of the transport.
 
 use super::{
-    ArrivalProbe, BodyArrival, ClientSocket, MAX_HEAD_BYTES, ObservedStream, RequestBody, RequestPayload,
-    StreamedUpload, UnreadProbe, UploadProgress, WRITE_STALL_TIMEOUT, enable_receive_timestamps,
+    ArrivalProbe, BodyArrival, ClientSocket, MAX_HEAD_BYTES, MAX_READ_BYTES, ObservedStream, RequestBody,
+    RequestPayload, StreamedUpload, UnreadProbe, UploadProgress, WRITE_STALL_TIMEOUT,
+    enable_receive_timestamps,
 };
 use hyper::Request;
 use hyper::client::conn::http1::handshake;
@@ -31,7 +32,7 @@
     let (near, mut far) = duplex(1024);
     LocalSet::new()
         .run_until(async {
-            let stream = ObservedStream::new(TokioIo::new(near));
+            let stream = ObservedStream::new(TokioIo::new(near), MAX_READ_BYTES);
             let progress = stream.progress();
             let (mut sender, connection) = handshake(stream).await.expect("handshake");
             spawn_local(async move {
@@ -74,7 +75,7 @@
     // The far end stays open and reads nothing, so only the timeout ends the write.
     assert!(!completes_before_close(60_000, async |_| sleep(WRITE_STALL_TIMEOUT * 2).await).await);
     let (near, _far) = duplex(8);
-    let mut stream = ObservedStream::new(TokioIo::new(near));
+    let mut stream = ObservedStream::new(TokioIo::new(near), MAX_READ_BYTES);
     let write = std::future::poll_fn(|context| Pin::new(&mut stream).poll_write(context, &[0; 8]));
     assert_eq!(write.await.expect("buffer space"), 8);
     let write = std::future::poll_fn(|context| Pin::new(&mut stream).poll_write(context, &[0; 8]));
@@ -125,7 +126,7 @@
     let address = listener.local_addr().expect("bound socket");
     let near = TcpStream::connect(address).await.expect("connect");
     let (mut far, _) = listener.accept().await.expect("accept");
-    let mut stream = ObservedStream::new(TokioIo::new(near));
+    let mut stream = ObservedStream::new(TokioIo::new(near), MAX_READ_BYTES);
     let progress = stream.progress();
     let mut write = async |is_new_request: bool| {
         if is_new_request {
@@ -236,7 +237,7 @@
     const HEAD: &[u8] = b"GET /next HTTP/1.1\r\n\r\n";
     let (near, mut far) = duplex(1024);
     far.write_all(&[BODY, HEAD].concat()).await.expect("buffer space");
-    let mut stream = ObservedStream::new(TokioIo::new(near));
+    let mut stream = ObservedStream::new(TokioIo::new(near), MAX_READ_BYTES);
     let progress = stream.progress();
     progress.expect_body(Some(BODY.len() as u64));
     progress.expect_head();
@@ -271,7 +272,7 @@
         let mut far =
             TcpStream::connect(listener.local_addr().expect("bound socket")).await.expect("connect");
         let near = ClientSocket::new(listener.accept().await.expect("accept").0);
-        let mut stream = ObservedStream::for_client(near.clone(), None);
+        let mut stream = ObservedStream::for_client(near.clone(), MAX_READ_BYTES, None);
         far.write_all(b"a").await.expect("open connection");
         assert_eq!(read(&mut stream).await, b"a");
         assert!(is_read_pending(&mut stream).await, "everything was read");
--- a/crates/proxy/src/upstream/attempt.rs
+++ b/crates/proxy/src/upstream/attempt.rs
@@ -195,14 +195,15 @@
         if response.status() == StatusCode::OK && !connection.progress.is_request_complete() {
             return corrupt;
         }
-        let outcome = match read_response(response, self.times.buffering).await {
-            None => {
-                self.log_unusable_response();
-                return corrupt;
-            }
-            Some(ResponseRead::Complete(outcome)) => outcome,
-            Some(ResponseRead::Partial(partial, body)) => return self.stream(connection, partial, body),
-        };
+        let outcome =
+            match read_response(response, self.times.buffering, self.pool.buffered().reservation()).await {
+                None => {
+                    self.log_unusable_response();
+                    return corrupt;
+                }
+                Some(ResponseRead::Complete(outcome)) => outcome,
+                Some(ResponseRead::Partial(partial, body)) => return self.stream(connection, partial, body),
+            };
         match connection.check_idle().await {
             IdleCheck::ResponseCorrupt => return corrupt,
             IdleCheck::NotReusable => {}
--- a/crates/proxy/src/upstream/connection.rs
+++ b/crates/proxy/src/upstream/connection.rs
@@ -48,12 +48,14 @@
     pub(super) async fn new(
         stream: TcpStream,
         permit: OwnedSemaphorePermit,
+        filter: RepeatFilter,
         repeat_history: Rc<RepeatHistory>,
+        read_bytes: usize,
     ) -> Result<Self, Outcome> {
         configure_socket(&stream).map_err(|_| Outcome::ConnectFailed)?;
-        let filter = Rc::new(RefCell::new(RepeatFilter::new(&repeat_history)));
+        let filter = Rc::new(RefCell::new(filter));
         let stream = FilteredStream::new(stream, filter.clone(), repeat_history.clone());
-        let stream = ObservedStream::new(stream);
+        let stream = ObservedStream::new(stream, read_bytes);
         let progress = stream.progress();
         let mut builder = Builder::new();
         builder.max_buf_size(MAX_HEAD_BYTES).max_headers(MAX_HEADERS);
--- a/crates/proxy/src/upstream/connection_pool.rs
+++ b/crates/proxy/src/upstream/connection_pool.rs
@@ -1,7 +1,8 @@
 //! The pool of connections to all backends.
 
 use super::connection::Connection;
-use super::repeat_filter::{DistinctRun, RepeatHistory};
+use super::repeat_filter::{DistinctRun, FilterMemory, RepeatFilter, RepeatHistory};
+use crate::memory::MemoryBudget;
 use crate::transport::SendGuard;
 use foldhitch_balancer::api::Outcome;
 use std::cell::{Cell, RefCell};
@@ -39,9 +40,22 @@
     }
 }
 
+/// The memory limits for the responses of backends.
+#[derive(Debug, Clone, Copy)]
+pub struct ResponseMemory {
+    /// The maximum number of bytes of responses that are being buffered. A response beyond it is streamed.
+    pub buffered_bytes: usize,
+    /// The number of bytes of remembered responses above which idle connections are closed.
+    pub remembered_bytes: usize,
+}
+
 /// The limits of the pool.
 #[derive(Clone, Copy)]
 pub struct PoolLimits {
+    /// The initial memory limits.
+    pub memory: ResponseMemory,
+    /// The maximum number of bytes that are read from a connection at once.
+    pub read_bytes: usize,
     /// The initial maximum number of connections.
     pub connections: usize,
     /// How long a connect may take before it fails.
@@ -63,6 +77,10 @@
     permit_count: Cell<usize>,
     /// How often the tier's backends send equal responses to different requests.
     distinct_run: Rc<DistinctRun>,
+    /// The memory of responses that are being buffered.
+    buffered: Rc<MemoryBudget>,
+    /// The memory of the responses that connections remember.
+    remembered: Rc<MemoryBudget>,
 }
 
 struct IdleConnection {
@@ -80,6 +98,8 @@
             permits: Arc::new(Semaphore::new(limits.connections)),
             permit_count: Cell::new(limits.connections),
             distinct_run: Rc::default(),
+            buffered: MemoryBudget::new(limits.memory.buffered_bytes),
+            remembered: MemoryBudget::new(limits.memory.remembered_bytes),
         }
     }
 
@@ -104,6 +124,17 @@
         removed == surplus
     }
 
+    /// Changes the memory limits.
+    pub fn set_memory(&self, memory: ResponseMemory) {
+        self.buffered.set_limit(memory.buffered_bytes);
+        self.remembered.set_limit(memory.remembered_bytes);
+    }
+
+    /// Returns the memory of responses that are being buffered.
+    pub(super) fn buffered(&self) -> &Rc<MemoryBudget> {
+        &self.buffered
+    }
+
     /// Changes the timeouts. The number of connections is changed by [`resize`](Self::resize).
     pub fn set_timeouts(&self, connect_timeout: Duration, idle_timeout: Duration, drain_deadline: Duration) {
         let limits = self.limits.get();
@@ -164,6 +195,10 @@
         if endpoint.is_draining() || !connection.is_usable(now) {
             return;
         }
+        if self.remembered.is_exceeded() {
+            // Its memory is released a moment later.
+            self.evict_oldest_idle();
+        }
         let idle = IdleConnection { connection, idle_since: now };
         self.idle.borrow_mut().entry(endpoint.number).or_default().push(idle);
     }
@@ -216,7 +251,14 @@
             Ok(Err(error)) if is_out_of_descriptors(&error) => return Err(Outcome::NotSent),
             Ok(Err(_)) | Err(_) => return Err(Outcome::ConnectFailed),
         };
-        Connection::new(stream, permit, endpoint.repeat_history.clone()).await
+        let memory = FilterMemory {
+            held: self.buffered.reservation(),
+            current: self.buffered.reservation(),
+            remembered: self.remembered.reservation(),
+        };
+        let filter = RepeatFilter::new(&endpoint.repeat_history, memory);
+        let read_bytes = self.limits.get().read_bytes;
+        Connection::new(stream, permit, filter, endpoint.repeat_history.clone(), read_bytes).await
     }
 }
 
--- a/crates/proxy/src/upstream/mod.rs
+++ b/crates/proxy/src/upstream/mod.rs
@@ -12,7 +12,7 @@
 
 pub use attempt::{Attempt, AttemptTimes};
 pub use attempt_outcome::{AttemptOutcome, FinishedAttempt};
-pub use connection_pool::{ConnectionPool, Endpoint, PoolLimits};
+pub use connection_pool::{ConnectionPool, Endpoint, PoolLimits, ResponseMemory};
 pub use request::{UpstreamRequest, printable_id};
 pub use response::BufferingTimes;
 
--- a/crates/proxy/src/upstream/repeat_filter/filtered_stream.rs
+++ b/crates/proxy/src/upstream/repeat_filter/filtered_stream.rs
@@ -2,7 +2,6 @@
 
 use super::{AmbiguousResponse, RepeatFilter, RepeatHistory};
 use crate::transport::UnreadProbe;
-use bytes::Buf;
 use hyper::rt::{Read, ReadBuf, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
 use std::cell::RefCell;
@@ -61,15 +60,6 @@
         self.filter.borrow_mut().release_held(&self.history, Instant::now());
         Poll::Ready(())
     }
-
-    /// Copies bytes that can be forwarded into a buffer. Returns `false` if there are none.
-    fn fill_buffer(&self, buffer: &mut ReadBufCursor<'_>) -> bool {
-        let ready = &mut self.filter.borrow_mut().ready;
-        let length = ready.len().min(buffer.remaining());
-        buffer.put_slice(&ready[..length]);
-        ready.advance(length);
-        length > 0
-    }
 }
 
 impl UnreadProbe for FilteredStream {
@@ -89,7 +79,7 @@
             return Pin::new(&mut self.stream).poll_read(context, buffer);
         }
         loop {
-            if self.fill_buffer(&mut buffer) {
+            if self.filter.borrow_mut().fill_buffer(&mut buffer) {
                 return Poll::Ready(Ok(()));
             }
             let mut storage = [0; READ_BYTES];
--- a/crates/proxy/src/upstream/repeat_filter/mod.rs
+++ b/crates/proxy/src/upstream/repeat_filter/mod.rs
@@ -25,10 +25,12 @@
 pub(super) use repeat_history::RepeatHistory;
 pub(super) use response_bytes::is_response_start;
 
+use crate::memory::MemoryReservation;
 use crate::transport::MAX_HEAD_BYTES;
 use bytes::{Buf, BytesMut};
 use equal_contents::ConnectionNumber;
 use hold::{HeldKind, Hold};
+use hyper::rt::ReadBufCursor;
 use remembered_responses::{Divergence, RememberedResponse, RememberedResponses};
 use response_bytes::{head_length, is_interim};
 use response_content::{CurrentResponse, ResponseContent};
@@ -46,6 +48,16 @@
     Receiving,
 }
 
+/// The memory of a filter.
+pub(super) struct FilterMemory {
+    /// For bytes that may be a copy.
+    pub(super) held: MemoryReservation,
+    /// For the response that is being forwarded.
+    pub(super) current: MemoryReservation,
+    /// For remembered responses.
+    pub(super) remembered: MemoryReservation,
+}
+
 /// The filter of one connection.
 pub(super) struct RepeatFilter {
     connection: ConnectionNumber,
@@ -53,8 +65,12 @@
     remembered: RememberedResponses,
     /// The part of the current response that was forwarded.
     current: CurrentResponse,
+    /// The memory for what is kept of it.
+    current_memory: MemoryReservation,
     /// Bytes that may be a copy.
     held: BytesMut,
+    /// The memory for them.
+    held_memory: MemoryReservation,
     /// How long the bytes are held. Remains set after they were forwarded without knowing that they were not
     /// a copy.
     hold: Option<Hold>,
@@ -79,14 +95,17 @@
 pub(super) struct AmbiguousResponse;
 
 impl RepeatFilter {
-    /// Creates the filter of a new connection to the backend with this history.
-    pub(super) fn new(history: &RepeatHistory) -> Self {
+    /// Creates the filter of a new connection to the backend with this history. Its bytes are
+    /// reserved in `memory`.
+    pub(super) fn new(history: &RepeatHistory, memory: FilterMemory) -> Self {
         RepeatFilter {
             connection: history.connection_number(),
             phase: Phase::Idle,
-            remembered: RememberedResponses::default(),
+            remembered: RememberedResponses::new(memory.remembered),
             current: CurrentResponse::new(),
             held: BytesMut::new(),
+            held_memory: memory.held,
+            current_memory: memory.current,
             hold: None,
             held_for: Duration::ZERO,
             request_began_at: None,
@@ -160,8 +179,33 @@
             self.remembered.forget_expired(history, now);
             self.record_response_time(history, now);
         }
+        // Without memory to hold a copy, it can't be told from the response.
+        if !self.held_memory.try_grow(bytes.len()) {
+            return Err(AmbiguousResponse);
+        }
         self.held.extend_from_slice(bytes);
-        self.filter_held(history, now)
+        let filtered = self.filter_held(history, now);
+        self.release_unused_memory();
+        filtered
+    }
+
+    /// Releases the memory of bytes that are no longer held.
+    fn release_unused_memory(&mut self) {
+        self.held_memory.resize(self.held.len());
+        if self.held.is_empty() {
+            self.held = BytesMut::new();
+        }
+    }
+
+    /// Takes bytes that can be forwarded, at most as many as the buffer has space for.
+    fn fill_buffer(&mut self, buffer: &mut ReadBufCursor<'_>) -> bool {
+        let length = self.ready.len().min(buffer.remaining());
+        buffer.put_slice(&self.ready[..length]);
+        self.ready.advance(length);
+        if self.ready.is_empty() {
+            self.ready = BytesMut::new();
+        }
+        length > 0
     }
 
     fn record_response_time(&self, history: &RepeatHistory, now: Instant) {
@@ -291,6 +335,7 @@
             }
         }
         self.forward_response();
+        self.release_unused_memory();
     }
 
     /// Forwards the held bytes. They are not a copy, and neither is the rest of their response.
@@ -302,7 +347,15 @@
 
     fn forward(&mut self, bytes: &[u8]) {
         self.ready.extend_from_slice(bytes);
+        let kept_before = self.current.kept_bytes();
         self.current.record(bytes);
+        let has_memory = self.current_memory.try_grow(self.current.kept_bytes().saturating_sub(kept_before));
+        if !has_memory {
+            self.current.stop_recording();
+        }
+        if self.current.kept_bytes() == 0 {
+            self.current_memory.resize(0);
+        }
     }
 
     /// Returns whether the rest of the current response may bypass the filter.
@@ -313,6 +366,7 @@
     /// Records that the current response was read completely on a connection that may be reused.
     pub(super) fn finish_response(&mut self, is_error: bool, history: &RepeatHistory, now: Instant) {
         self.phase = Phase::Idle;
+        self.current_memory.resize(0);
         let Some(content) = self.current.take_content() else {
             self.has_unremembered_response = true;
             self.hold = None;
--- a/crates/proxy/src/upstream/repeat_filter/remembered_responses.rs
+++ b/crates/proxy/src/upstream/repeat_filter/remembered_responses.rs
@@ -3,6 +3,7 @@
 use super::repeat_history::RepeatHistory;
 use super::response_bytes::{common_prefix_length, has_response_start_near, head_length, is_chunked};
 use super::response_content::{MAX_FULLY_KEPT_BYTES, ResponseContent};
+use crate::memory::MemoryReservation;
 use std::collections::VecDeque;
 use tokio::time::Instant;
 
@@ -51,13 +52,18 @@
 }
 
 /// The remembered responses of a connection.
-#[derive(Default)]
 pub(super) struct RememberedResponses {
     /// Oldest first.
     responses: VecDeque<RememberedResponse>,
+    memory: MemoryReservation,
 }
 
 impl RememberedResponses {
+    /// Remembers nothing yet.
+    pub(super) fn new(memory: MemoryReservation) -> Self {
+        RememberedResponses { responses: VecDeque::new(), memory }
+    }
+
     /// Remembers a response. Beyond the limits, less is kept of earlier responses.
     pub(super) fn remember(&mut self, response: RememberedResponse) {
         self.responses.push_back(response);
@@ -70,6 +76,8 @@
                 self.responses.pop_front();
             }
         }
+        let records_bytes = self.responses.len() * size_of::<RememberedResponse>();
+        self.memory.resize(self.kept_bytes() + records_bytes);
     }
 
     /// Forgets responses of which no copy can arrive any more.
--- a/crates/proxy/src/upstream/repeat_filter/response_content.rs
+++ b/crates/proxy/src/upstream/repeat_filter/response_content.rs
@@ -119,6 +119,7 @@
     pub(super) fn record(&mut self, bytes: &[u8]) {
         self.length += bytes.len();
         if self.is_too_long_to_compare() {
+            self.prefix = Vec::new();
             return;
         }
         self.hasher.write(bytes);
@@ -126,6 +127,17 @@
         self.prefix.extend_from_slice(&bytes[..bytes.len().min(missing)]);
     }
 
+    /// Returns how many bytes of the response are kept.
+    pub(super) fn kept_bytes(&self) -> usize {
+        self.prefix.len()
+    }
+
+    /// Keeps nothing of the response, like of one that is too long.
+    pub(super) fn stop_recording(&mut self) {
+        self.length = self.length.max(MAX_COMPARED_BYTES + 1);
+        self.prefix = Vec::new();
+    }
+
     /// Returns whether the response is too long to be kept in full.
     pub(super) fn is_too_long_to_keep(&self) -> bool {
         self.length > MAX_FULLY_KEPT_BYTES
--- a/crates/proxy/src/upstream/repeat_filter/tests.rs
+++ b/crates/proxy/src/upstream/repeat_filter/tests.rs
@@ -3,13 +3,23 @@
 use super::remembered_responses::{MAX_REMEMBERED_BYTES, MAX_REMEMBERED_RESPONSES};
 use super::response_bytes::head_length;
 use super::response_content::{MAX_COMPARED_BYTES, ResponseContent};
-use super::{AmbiguousResponse, DistinctRun, RepeatFilter, RepeatHistory, repeat_history};
+use super::{AmbiguousResponse, DistinctRun, FilterMemory, RepeatFilter, RepeatHistory, repeat_history};
+use crate::memory::MemoryBudget;
 use std::collections::VecDeque;
 use std::net::Ipv4Addr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
 
+fn unlimited_memory() -> FilterMemory {
+    let budget = MemoryBudget::new(usize::MAX);
+    FilterMemory {
+        held: budget.reservation(),
+        current: budget.reservation(),
+        remembered: budget.reservation(),
+    }
+}
+
 const BODY_LENGTH: usize = 16;
 
 fn response(status: u16, body: &str) -> Vec<u8> {
@@ -38,7 +48,7 @@
     /// Creates the fixture of a new backend of a tier.
     fn of_tier(distinct_run: Rc<DistinctRun>) -> Self {
         let history = RepeatHistory::new((Ipv4Addr::LOCALHOST, 1).into(), distinct_run);
-        let filter = RepeatFilter::new(&history);
+        let filter = RepeatFilter::new(&history, unlimited_memory());
         Fixture { filter, history, now: Instant::now(), response_count: 0 }
     }
 
@@ -98,7 +108,7 @@
 
     /// Replaces the connection by another one to the same backend.
     fn reconnect(&mut self) -> RepeatFilter {
-        std::mem::replace(&mut self.filter, RepeatFilter::new(&self.history))
+        std::mem::replace(&mut self.filter, RepeatFilter::new(&self.history, unlimited_memory()))
     }
 
     /// Finishes the response. Returns whether the connection can be used again.
--- a/crates/proxy/src/upstream/response.rs
+++ b/crates/proxy/src/upstream/response.rs
@@ -4,8 +4,11 @@
 use super::attempt_outcome::AttemptOutcome;
 use super::connection::{Connection, IdleCheck};
 use super::connection_pool::{ConnectionPool, Endpoint};
-use crate::transport::{BodyContent, FrameSender, MAX_BODY_BYTES, WRITE_STALL_TIMEOUT};
-use bytes::{Bytes, BytesMut};
+use crate::memory::MemoryReservation;
+use crate::transport::{
+    BodyBlocks, BodyContent, FrameSender, MAX_BODY_BYTES, WRITE_STALL_TIMEOUT, copy_frame,
+};
+use bytes::Bytes;
 use foldhitch_balancer::api::Outcome;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
@@ -40,45 +43,68 @@
 pub(super) struct PartialResponse {
     pub(super) outcome: AttemptOutcome,
     pub(super) length: Option<u64>,
-    data: Bytes,
+    buffered: BufferedResponse,
 }
 
-/// Reads a response as far as it is buffered. Returns `None` if the response is corrupt. A truncated response
-/// does not count as a response: the request may have run.
+/// Reads a response as far as it is buffered and `memory` can be reserved for it. Returns `None` if the response
+/// is corrupt. A truncated response does not count as a response: the request may have run.
 pub(super) async fn read_response(
     response: Response<Incoming>,
     times: BufferingTimes,
+    memory: MemoryReservation,
 ) -> Option<ResponseRead> {
     let (head, mut body) = response.into_parts();
     let length = body.size_hint().exact();
     if !is_framing_valid(&head, length) {
         return None;
     }
-    let buffered = match length {
-        Some(length) if length > MAX_BUFFERED_BODY_BYTES as u64 => Buffered::partial(),
-        _ if head.status != StatusCode::OK => buffer_body(&mut body, times.max_error_pause).await?,
-        Some(_) => buffer_body(&mut body, times.max_served_pause).await?,
-        None => buffer_until(&mut body, times.forward_by, times.max_open_ended_pause).await?,
-    };
-    let data = buffered.data.freeze();
-    let outcome = outcome(&head, &data);
+    let mut buffered = BufferedResponse::new(head.status, memory);
+    match length {
+        Some(length) if length > MAX_BUFFERED_BODY_BYTES as u64 => {}
+        _ if head.status != StatusCode::OK => buffered.read(&mut body, times.max_error_pause).await?,
+        Some(_) => buffered.read(&mut body, times.max_served_pause).await?,
+        None => buffered.read_until(&mut body, times.forward_by, times.max_open_ended_pause).await?,
+    }
     Some(if buffered.is_complete {
-        ResponseRead::Complete(outcome)
+        ResponseRead::Complete(outcome(&head, buffered.data.into_bytes()))
     } else {
-        ResponseRead::Partial(PartialResponse { outcome, length, data }, body)
+        let outcome = outcome(&head, Bytes::new());
+        ResponseRead::Partial(PartialResponse { outcome, length, buffered }, body)
     })
 }
 
-/// The part of a body that was buffered.
-struct Buffered {
-    data: BytesMut,
+/// The part of a response's body that was buffered.
+pub(super) struct BufferedResponse {
+    is_served: bool,
+    data: BodyBlocks,
+    memory: MemoryReservation,
     is_complete: bool,
 }
 
-impl Buffered {
-    /// The part of a body of which nothing was read.
-    fn partial() -> Self {
-        Buffered { data: BytesMut::new(), is_complete: false }
+impl BufferedResponse {
+    fn new(status: StatusCode, memory: MemoryReservation) -> Self {
+        let is_served = status == StatusCode::OK;
+        BufferedResponse { is_served, data: BodyBlocks::default(), memory, is_complete: false }
+    }
+
+    /// Reads the body to its end, to the maximum size, or as far as memory can be reserved. Returns `None` if
+    /// it is truncated or pauses for longer than `max_pause`.
+    async fn read(&mut self, body: &mut Incoming, max_pause: Duration) -> Option<()> {
+        while timeout(max_pause, self.read_frame(body)).await.ok()?? {}
+        Some(())
+    }
+
+    /// Reads the body like [`read`](Self::read), but not beyond `forward_by`. No frame is lost by that.
+    async fn read_until(
+        &mut self,
+        body: &mut Incoming,
+        forward_by: Instant,
+        max_pause: Duration,
+    ) -> Option<()> {
+        match timeout_at(forward_by, self.read(body, max_pause)).await {
+            Ok(read) => read,
+            Err(_) => Some(()),
+        }
     }
 
     /// Reads the next frame. Returns whether there may be more to buffer, or `None` if the body is truncated.
@@ -88,30 +114,13 @@
             return Some(false);
         };
         // Trailers are ignored.
-        if let Ok(more) = frame.ok()?.into_data() {
-            self.data.extend_from_slice(&more);
-        }
-        Some(self.data.len() <= MAX_BUFFERED_BODY_BYTES)
-    }
-}
-
-/// Buffers a body to its end or to the maximum size. Returns `None` if it is truncated or pauses for longer
-/// than `max_pause`.
-async fn buffer_body(body: &mut Incoming, max_pause: Duration) -> Option<Buffered> {
-    let mut buffered = Buffered::partial();
-    while timeout(max_pause, buffered.read_frame(body)).await.ok()?? {}
-    Some(buffered)
-}
-
-/// Buffers a body like [`buffer_body`], but not beyond `forward_by`. No frame is lost by that.
-async fn buffer_until(body: &mut Incoming, forward_by: Instant, max_pause: Duration) -> Option<Buffered> {
-    let mut buffered = Buffered::partial();
-    loop {
-        let read = timeout(max_pause, buffered.read_frame(body));
-        let Ok(read) = timeout_at(forward_by, read).await else { return Some(buffered) };
-        if !read.ok()?? {
-            return Some(buffered);
+        let more = frame.ok()?.into_data().unwrap_or_default();
+        // Of other responses only the head is used.
+        if !self.is_served {
+            return Some(true);
         }
+        self.data.push(&more);
+        Some(self.memory.try_grow(more.len()) && self.data.len() <= MAX_BUFFERED_BODY_BYTES)
     }
 }
 
@@ -126,10 +135,10 @@
 }
 
 /// Determines the outcome of an attempt from its response.
-fn outcome(head: &Parts, data: &Bytes) -> AttemptOutcome {
+fn outcome(head: &Parts, data: Bytes) -> AttemptOutcome {
     let is_declined = head.headers.get("srv-declined").is_some_and(|value| value == "1");
     match head.status {
-        StatusCode::OK => AttemptOutcome::Served(BodyContent::buffered(data.clone())),
+        StatusCode::OK => AttemptOutcome::Served(BodyContent::buffered(data)),
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if is_declined => {
             AttemptOutcome::Unserved(Outcome::Full)
         }
@@ -164,19 +173,26 @@
     }
 
     async fn stream(&mut self, partial: PartialResponse) -> Result<IdleCheck, Aborted> {
-        let mut data = partial.data;
         let mut remaining = partial.length;
+        let BufferedResponse { data, memory, .. } = partial.buffered;
+        for piece in data.into_pieces() {
+            remaining = remaining.map(|remaining| remaining.saturating_sub(piece.len() as u64));
+            if remaining == Some(0) {
+                // The last data is held back until its end has been verified.
+                return self.finish(piece).await;
+            }
+            self.send(piece).await?;
+        }
+        drop(memory);
         loop {
+            let Some(data) = self.next_data(remaining.is_some()).await? else {
+                return self.finish(Bytes::new()).await;
+            };
             remaining = remaining.map(|remaining| remaining.saturating_sub(data.len() as u64));
             if remaining == Some(0) {
-                // The last data is held back until its end has been verified.
                 return self.finish(data).await;
             }
-            self.send(data).await?;
-            data = match self.next_data(remaining.is_some()).await? {
-                Some(data) => data,
-                None => return self.finish(Bytes::new()).await,
-            };
+            self.send(copy_frame(data)).await?;
         }
     }
 
--- a/crates/proxy/src/upstream/tests.rs
+++ b/crates/proxy/src/upstream/tests.rs
@@ -1,8 +1,11 @@
 //! Unit tests of attempts and the connection pool.
 
 use super::connection::Connection;
-use super::{Attempt, AttemptTimes, BufferingTimes, ConnectionPool, Endpoint, PoolLimits, UpstreamRequest};
-use crate::transport::{ClientSocket, RequestPayload, SendGuard};
+use super::{
+    Attempt, AttemptTimes, BufferingTimes, ConnectionPool, Endpoint, PoolLimits, ResponseMemory,
+    UpstreamRequest,
+};
+use crate::transport::{ClientSocket, MAX_READ_BYTES, RequestPayload, SendGuard};
 use bytes::Bytes;
 use foldhitch_balancer::api::Outcome;
 use hyper::header::HeaderValue;
@@ -35,6 +38,8 @@
 fn single_connection_pool() -> Rc<ConnectionPool> {
     let idle_timeout = Duration::from_secs(60);
     Rc::new(ConnectionPool::new(PoolLimits {
+        memory: ResponseMemory { buffered_bytes: usize::MAX, remembered_bytes: usize::MAX },
+        read_bytes: MAX_READ_BYTES,
         connections: 1,
         connect_timeout: LONG_TIME,
         idle_timeout,
