Give other clients a turn between the requests of one that does not pause

Cause: the HTTP library takes 16 requests that are there in one poll and asks for the next poll at once; the task set polls 61 tasks before it looks for events. So one client got up to 976 answers for each step of another's request.

Change: where no read was pending since the last request, the request waits for the rest of the turn of the event loop.

--- a/crates/proxy/src/downstream/connection.rs
+++ b/crates/proxy/src/downstream/connection.rs
@@ -192,6 +192,10 @@
 
     async fn respond(&self, request: Request<Incoming>) -> ClientResponse {
         let guard = ResponseGuard(self.state.clone());
+        if !self.state.progress.take_has_waited() && self.state.was_answered.get() {
+            // A client that sends without a pause must not delay others: they get a turn for each request.
+            yield_now().await;
+        }
         let mut response = self.answer(request).await;
         response.body_mut().hold_guard(guard);
         response
--- a/crates/proxy/src/transport/observed_stream.rs
+++ b/crates/proxy/src/transport/observed_stream.rs
@@ -209,6 +209,7 @@
         self.progress.read.is_pending.set(read.is_pending());
         if read.is_pending() {
             self.progress.read.is_drained.set(true);
+            self.progress.read.has_waited.set(true);
         }
         read
     }
--- a/crates/proxy/src/transport/progress.rs
+++ b/crates/proxy/src/transport/progress.rs
@@ -29,6 +29,8 @@
     pub(super) body_remaining: Cell<Option<u64>>,
     /// Whether the last read was pending.
     pub(super) is_pending: Cell<bool>,
+    /// Whether a read was pending since the last request.
+    pub(super) has_waited: Cell<bool>,
     /// The number of bytes read on the connection.
     pub(super) byte_count: Cell<u64>,
     /// Whether nothing has arrived since the last read, as far as is known.
@@ -104,6 +106,11 @@
         self.read.is_pending.get()
     }
 
+    /// Returns whether a read was pending since the last call. Otherwise the peer sends without a pause.
+    pub fn take_has_waited(&self) -> bool {
+        self.read.has_waited.take()
+    }
+
     /// Starts a new message with the next byte.
     pub fn expect_message(&self) {
         self.read.first_byte_at.set(None);
