Send no request behind so much unread input that it hides a close

Cause: a half close is known from the kernel's word that the input has ended. The kernel gets that word only if its receive buffer has space for all bytes before it; behind more pipelined requests than that the client counted as connected until they were read.

Change: behind a request with more than 16 KiB unread, its answer is the connection's last. An attempt that begins later than 50 ms after the receipt of such a request is not sent. Bytes of the request's own body don't count.

--- a/crates/proxy/src/downstream/connection.rs
+++ b/crates/proxy/src/downstream/connection.rs
@@ -1,6 +1,6 @@
 //! A client connection: serves its requests in order, and closes it.
 
-use super::body_reception::RequestTimes;
+use super::body_reception::{ReceivedBody, RequestTimes};
 use super::connection_table::{
     ConnectionGuard, ConnectionState, InFlightGuard, RequestIdGuard, RequestPhase, ResponseGuard,
 };
@@ -14,8 +14,8 @@
 use super::server::{ListenerPhase, Server};
 use crate::dispatcher::{Answer, IncomingRequest};
 use crate::transport::{
-    ArrivalProbe, ClientSocket, MAX_BODY_BYTES, MAX_HEAD_BYTES, MAX_HEADERS, ObservedStream, SendGuard,
-    UnreadProbe, configure_socket,
+    ArrivalProbe, ClientLiveness, ClientSocket, MAX_BODY_BYTES, MAX_HEAD_BYTES, MAX_HEADERS, ObservedStream,
+    SendGuard, UnreadProbe, configure_socket,
 };
 use crate::upstream::UpstreamRequest;
 use hyper::body::{Body, Incoming};
@@ -43,6 +43,14 @@
 /// served yet. A burst of requests that are not worth serving must leave room for the other clients.
 const MAX_UNSERVED_FRACTION: f64 = 0.75;
 
+/// The number of unread bytes behind a request above which its client may have disconnected unnoticed: the
+/// kernel receives the end of the input only if it has space for the bytes before. Clients send one request at
+/// a time.
+const MAX_PIPELINED_BYTES: u64 = 16 * 1024;
+
+/// The time after the receipt of a request for which a disconnect may be unnoticed.
+const DISCONNECT_GRACE: Duration = Duration::from_millis(50);
+
 /// An accepted connection, as its requests see it.
 pub(super) struct ClientConnection {
     pub(super) server: Rc<Server>,
@@ -214,7 +222,13 @@
                 self.server.statistics.record_rejected();
                 rejected_response(self.server.retry_after())
             }
-            Ok((request, _guard)) => self.dispatch(request).await,
+            Ok((request, _guard)) => {
+                let response = self.dispatch(request).await;
+                if self.may_hide_disconnect() {
+                    self.state.closes_after_answer.set(true);
+                }
+                response
+            }
         };
         if self.should_close_after_answer() || self.state.is_next_head_uncertain() {
             close_after(&mut response);
@@ -302,6 +316,7 @@
             parsed.class = current.class;
             parsed.tenant = current.tenant;
         }
+        let is_streamed = matches!(body, ReceivedBody::Partial { .. });
         let (payload, extension) = self.request_payload(body, length, &parsed, times);
         let request = UpstreamRequest {
             host: head.headers.get(HOST).cloned(),
@@ -313,13 +328,14 @@
         };
         // A request's deadline counts from its last byte.
         let last_byte_at = self.state.progress.last_byte_at();
+        let received_at = last_byte_at.map_or(times.received_at, |at| at.max(times.received_at));
         let incoming = IncomingRequest {
             request,
             class: parsed.class,
             tenant: parsed.tenant,
             ordering_key: ordering_key(&head),
-            is_client_connected: self.send_guard(),
-            received_at: last_byte_at.map_or(times.received_at, |at| at.max(times.received_at)),
+            is_client_connected: self.send_guard(received_at, is_streamed),
+            received_at,
             client_timeout: parsed.client_timeout,
             body_extension: extension,
         };
@@ -335,8 +351,23 @@
         check_framing(head, &raw_head)
     }
 
-    fn send_guard(&self) -> SendGuard {
+    /// Returns the check of whether the client of a request is still connected.
+    fn send_guard(&self, received_at: Instant, is_streamed: bool) -> SendGuard {
         let liveness = self.state.liveness.clone();
-        Rc::new(move || liveness.is_connected())
+        Rc::new(move || {
+            let may_hide_disconnect = !is_streamed && has_many_unread(&liveness);
+            let was_just_connected = received_at.elapsed() < DISCONNECT_GRACE;
+            liveness.is_connected() && (was_just_connected || !may_hide_disconnect)
+        })
     }
+
+    /// Returns whether so much lies unread behind the current request that the client may have disconnected
+    /// unnoticed. The requests in it must not be sent.
+    fn may_hide_disconnect(&self) -> bool {
+        !self.state.is_reading_body.get() && has_many_unread(&self.state.liveness)
+    }
+}
+
+fn has_many_unread(liveness: &ClientLiveness) -> bool {
+    liveness.unread_bytes().is_some_and(|unread_bytes| unread_bytes > MAX_PIPELINED_BYTES)
 }
--- a/crates/proxy/src/transport/client_socket.rs
+++ b/crates/proxy/src/transport/client_socket.rs
@@ -118,7 +118,7 @@
 
     /// Returns how many bytes have arrived that are not read. Returns `None` if that is unknown, or if the
     /// client or the socket is closed.
-    pub(super) fn unread_bytes(&self) -> Option<u64> {
+    pub fn unread_bytes(&self) -> Option<u64> {
         let socket = self.0.upgrade()?;
         let unread_bytes = ioctl_fionread(socket.borrow().inner()).ok()?;
         let is_contradicted = unread_bytes == 0 && socket.borrow().has_unread();
