Send no request again whose id must not run twice

Cause: an id was known only as long as its request was open, and only to its own process.

Change: the ids of requests that can't be repeated are claimed as they arrive, in a table of the 16,384 most recent ones of a process, and given back when the request was rejected or never dispatched. Where there is an admin API, a process writes its table to a file in $TMPDIR/foldhitch-request-ids and reads those of up to two others; it writes before it reads, so that one of two sees the other. A new process waits for two polls before it listens, in which the others find its file. What comes again gets 409, as an open id did.

--- a/crates/proxy/src/downstream/connection.rs
+++ b/crates/proxy/src/downstream/connection.rs
@@ -18,6 +18,7 @@
     SendGuard, UnreadProbe, configure_socket,
 };
 use crate::upstream::UpstreamRequest;
+use foldhitch_balancer::api::Idempotency;
 use hyper::body::{Body, Incoming};
 use hyper::header::HOST;
 use hyper::http::request::Parts;
@@ -222,8 +223,8 @@
                 self.server.statistics.record_rejected();
                 rejected_response(self.server.retry_after())
             }
-            Ok((request, _guard)) => {
-                let response = self.dispatch(request).await;
+            Ok((request, guard)) => {
+                let response = self.dispatch(request, guard).await;
                 if self.may_hide_disconnect() {
                     self.state.closes_after_answer.set(true);
                 }
@@ -254,10 +255,13 @@
         if self.should_close_after_answer() { closing_response(status) } else { empty_response(status) }
     }
 
-    async fn dispatch(&self, request: IncomingRequest) -> ClientResponse {
+    async fn dispatch(&self, request: IncomingRequest, mut guard: RequestIdGuard) -> ClientResponse {
         self.state.phase.set(RequestPhase::InFlight);
         let _in_flight = InFlightGuard::new(&self.server.table);
+        guard.keep_claim(true);
         let answer = self.server.dispatcher.dispatch(request).await;
+        // A rejected request has not run, and its client may send it again.
+        guard.keep_claim(!matches!(answer, Answer::Rejected { .. }));
         if matches!(answer, Answer::Served(_)) {
             self.state.was_served.set(true);
             if self.is_over_limit.get() && self.server.can_keep_served() {
@@ -302,7 +306,12 @@
         // A second open request with the same id could not be distinguished from a repeat of the first, so it
         // is rejected.
         let guard = RequestIdGuard::new(&self.server.table, &parsed.id);
-        let mut guard = guard.ok_or_else(|| Box::new(empty_response(StatusCode::CONFLICT)))?;
+        let conflict = || Box::new(empty_response(StatusCode::CONFLICT));
+        let mut guard = guard.ok_or_else(conflict)?;
+        let idempotency = settings.balancer.classes[usize::from(parsed.class)].idempotency;
+        if idempotency == Idempotency::NonIdempotent {
+            guard.claim(&self.server.request_ids).ok_or_else(conflict)?;
+        }
         let uri = head.uri.path_and_query().cloned().map(Uri::from).ok_or_else(bad_request)?;
         if length.is_some_and(|length| length > MAX_BODY_BYTES) {
             return Err(Box::new(closing_response(StatusCode::PAYLOAD_TOO_LARGE)));
--- a/crates/proxy/src/downstream/connection_table.rs
+++ b/crates/proxy/src/downstream/connection_table.rs
@@ -1,6 +1,7 @@
 //! The table of client connections: the state of each, and which of them to evict for another.
 
 use crate::memory::{MemoryBudget, MemoryReservation};
+use crate::process_group::RequestIds;
 use crate::transport::{ClientLiveness, StreamProgress};
 use hyper::header::HeaderValue;
 use std::cell::{Cell, RefCell};
@@ -319,6 +320,8 @@
     table: Rc<ConnectionTable>,
     id: HeaderValue,
     pub(super) body_memory: MemoryReservation,
+    /// The claim of the id, if the request must not run twice.
+    claim: Option<RequestIdClaim>,
 }
 
 impl RequestIdGuard {
@@ -328,7 +331,22 @@
             return None;
         }
         let body_memory = table.body_memory.reservation();
-        Some(RequestIdGuard { table: table.clone(), id: id.clone(), body_memory })
+        Some(RequestIdGuard { table: table.clone(), id: id.clone(), body_memory, claim: None })
+    }
+}
+
+impl RequestIdGuard {
+    /// Claims the id for a request that must not run twice. Returns `None` if that is not possible.
+    pub(super) fn claim(&mut self, request_ids: &Rc<RequestIds>) -> Option<()> {
+        self.claim = Some(RequestIdClaim::new(request_ids, &self.id)?);
+        Some(())
+    }
+
+    /// Sets whether the id must not be used again after the request.
+    pub(super) fn keep_claim(&mut self, is_kept: bool) {
+        if let Some(claim) = &mut self.claim {
+            claim.keep(is_kept);
+        }
     }
 }
 
@@ -338,6 +356,39 @@
     }
 }
 
+/// The claim of the id of a request that must not run twice. Without [`keep`](Self::keep) the id may be used
+/// again once the claim is dropped.
+struct RequestIdClaim {
+    request_ids: Rc<RequestIds>,
+    id: HeaderValue,
+    is_kept: bool,
+}
+
+impl RequestIdClaim {
+    /// Claims an id. Returns `None` if a request with this id was or may have been sent.
+    fn new(request_ids: &Rc<RequestIds>, id: &HeaderValue) -> Option<Self> {
+        let is_claimed = request_ids.claim(id.as_bytes());
+        is_claimed.then(|| RequestIdClaim {
+            request_ids: request_ids.clone(),
+            id: id.clone(),
+            is_kept: false,
+        })
+    }
+
+    /// Sets whether the id must not be used again, because its request may be sent.
+    fn keep(&mut self, is_kept: bool) {
+        self.is_kept = is_kept;
+    }
+}
+
+impl Drop for RequestIdClaim {
+    fn drop(&mut self) {
+        if !self.is_kept {
+            self.request_ids.release(self.id.as_bytes());
+        }
+    }
+}
+
 /// Counts a request as in flight until it is dropped.
 pub(super) struct InFlightGuard<'a>(&'a ConnectionTable);
 
--- a/crates/proxy/src/downstream/server.rs
+++ b/crates/proxy/src/downstream/server.rs
@@ -3,6 +3,7 @@
 use super::accept_statistics::AcceptStatistics;
 use super::connection_table::{ConnectionTable, EvictionPurpose};
 use crate::dispatcher::{Dispatcher, duration_from_ms};
+use crate::process_group::RequestIds;
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -51,17 +52,20 @@
     /// The open connections.
     pub(super) table: Rc<ConnectionTable>,
     pub(super) statistics: AcceptStatistics,
+    /// The ids of requests that must not run twice.
+    pub(super) request_ids: Rc<RequestIds>,
 }
 
 impl Server {
     /// Creates a server without connections.
-    pub fn new(dispatcher: Rc<Dispatcher>, limits: ClientLimits) -> Self {
+    pub fn new(dispatcher: Rc<Dispatcher>, limits: ClientLimits, request_ids: Rc<RequestIds>) -> Self {
         Server {
             dispatcher,
             limits: Cell::new(limits),
             is_handed_over: Cell::new(false),
             table: Rc::new(ConnectionTable::new(limits.max_body_bytes)),
             statistics: AcceptStatistics::default(),
+            request_ids,
         }
     }
 
--- a/crates/proxy/src/process_group/mod.rs
+++ b/crates/proxy/src/process_group/mod.rs
@@ -4,9 +4,12 @@
 
 mod names;
 mod process_file;
+mod request_ids;
 #[cfg(test)]
 mod tests;
 
+pub use request_ids::RequestIds;
+
 use names::FileName;
 use process_file::{ProcessFile, check_alive};
 use std::cell::OnceCell;
--- a/crates/proxy/src/process_group/names.rs
+++ b/crates/proxy/src/process_group/names.rs
@@ -15,6 +15,9 @@
 /// Prefix of a process's file before it is locked.
 const NEW_PREFIX: &str = "new-";
 
+/// The name of the folder with the request ids of each process, below the one for temporary files.
+pub(super) const REQUEST_IDS_FOLDER: &str = "foldhitch-request-ids";
+
 /// The meaning of a file name in the shared folder.
 #[derive(Debug, PartialEq, Eq)]
 pub(super) enum FileName {
--- a/crates/proxy/src/resource_limits.rs
+++ b/crates/proxy/src/resource_limits.rs
@@ -9,8 +9,9 @@
 /// Descriptors that are not connections of clients or backends: standard streams, the listener, the reactor,
 /// signals, and discovery.
 const RESERVED_DESCRIPTORS: usize = 16;
-/// Further descriptors for an admin API: its connections, its listener, and the folder of the marker files.
-const ADMIN_DESCRIPTORS: usize = admin::MAX_CONNECTIONS + 4;
+/// Further descriptors for an admin API: its connections, its listener, the folder of the marker files,
+/// and the file of request ids.
+const ADMIN_DESCRIPTORS: usize = admin::MAX_CONNECTIONS + 5;
 /// The minimum number of connections of a process, even if there are too few descriptors.
 const MIN_CONNECTIONS: usize = 4;
 /// Connections over the limit, which are accepted only to be rejected, get at most this fraction (1/n) of the
--- a/crates/proxy/src/startup.rs
+++ b/crates/proxy/src/startup.rs
@@ -8,7 +8,7 @@
 use crate::downstream::{self, ListenerPhase, Server};
 use crate::error::ProxyError;
 use crate::log::log;
-use crate::process_group::{self, ProcessGroup};
+use crate::process_group::{self, ProcessGroup, RequestIds};
 use crate::resource_limits::ResourceLimits;
 use crate::retry::retry_for;
 use crate::upstream::{ConnectionPool, PoolLimits};
@@ -19,6 +19,7 @@
 use std::env;
 use std::io;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket};
@@ -70,8 +71,9 @@
     let reload_status = Rc::new(ReloadStatus::new());
     let reloader = Reloader::new(&config, dispatcher.clone(), pool.clone(), reload_status.clone())?;
     apply_known_endpoints(&dispatcher, known_endpoints);
+    let request_ids = Rc::new(request_ids(&config));
     let admin = match config.admin {
-        Some(address) => Some(start_admin(address, &dispatcher, reload_status).await?),
+        Some(address) => Some(start_admin(address, &dispatcher, reload_status, request_ids.clone()).await?),
         None => None,
     };
     let discovery = DiscoveryTask::start(dispatcher.clone(), config.discovery, poll_requests);
@@ -83,7 +85,11 @@
     log!("listening on {}", local_address("listen", &listener, config.listen)?);
     spawn_local(maintain(dispatcher.clone(), pool.clone()));
     let (phase, phase_changes) = watch::channel(ListenerPhase::Accepting);
-    let server = Rc::new(Server::new(dispatcher.clone(), limits.client_limits(sharing_count(&dispatcher))));
+    let server = Rc::new(Server::new(
+        dispatcher.clone(),
+        limits.client_limits(sharing_count(&dispatcher)),
+        request_ids,
+    ));
     let serving = spawn_local(downstream::serve(server.clone(), listener, phase_changes));
     spawn_local(share_limits(dispatcher.sharing_count(), limits, server, pool));
     if let Some(admin) = &admin {
@@ -117,15 +123,31 @@
     dispatcher.update_endpoints(EndpointListUpdate { kind, origin, version, endpoints, is_older: false });
 }
 
+fn temporary_folder() -> Option<PathBuf> {
+    env::var_os("TMPDIR").map(Into::into)
+}
+
+/// Returns the table of request ids. Only a proxy with an admin API is served by several processes.
+fn request_ids(config: &Config) -> RequestIds {
+    let Some(folder) = temporary_folder().filter(|_| config.admin.is_some()) else {
+        return RequestIds::private();
+    };
+    RequestIds::shared(&folder).unwrap_or_else(|error| {
+        log!("request ids: cannot be shared with other processes: {error}");
+        RequestIds::private()
+    })
+}
+
 /// Starts the admin API and the task that applies the marker files that other processes create.
 async fn start_admin(
     address: SocketAddr,
     dispatcher: &Rc<Dispatcher>,
     reload_status: Rc<ReloadStatus>,
+    request_ids: Rc<RequestIds>,
 ) -> Result<Rc<AdminServer>, ProxyError> {
     let listener = listen("management", address, false).await?;
     log!("admin API at {}", local_address("management", &listener, address)?);
-    let process_group = ProcessGroup::new(env::var_os("TMPDIR").map(Into::into));
+    let process_group = ProcessGroup::new(temporary_folder());
     let server = AdminServer::new(dispatcher.clone(), process_group, reload_status);
     spawn_local(server.clone().serve(listener));
     let follower = server.clone();
@@ -133,6 +155,7 @@
         loop {
             sleep(process_group::POLL_INTERVAL).await;
             follower.apply_markers();
+            request_ids.find_other_processes();
         }
     });
     Ok(server)
@@ -148,6 +171,10 @@
             () = sleep(process_group::POLL_INTERVAL) => {}
         }
     }
+    if *process_count.borrow_and_update() > 1 {
+        // The others find the request ids of this process meanwhile.
+        sleep(2 * process_group::POLL_INTERVAL).await;
+    }
     true
 }
 
