Downstream: bodies are received without the connection's module, which imports it

BodyReception has the server and the connection's state, so that connection.rs and body_reception.rs no longer import each other.

--- a/crates/proxy/src/downstream/body_reception.rs
+++ b/crates/proxy/src/downstream/body_reception.rs
@@ -1,10 +1,10 @@
 //! Receives the bodies of a connection's requests: buffers short ones, and streams or discards the others.
 
-use super::connection::ClientConnection;
-use super::connection_table::RequestIdGuard;
+use super::connection_table::{ConnectionState, RequestIdGuard};
 use super::request_body::{BodyReadDeadline, BufferedBody, body_extension, buffer_body};
 use super::request_parsing::{ParsedHead, Rejection, class_name};
 use super::response::{closing_response, rejected_response};
+use super::server::Server;
 use super::upload_stream::UploadStream;
 use crate::dispatcher::RESPONSE_MARGIN;
 use crate::log::log;
@@ -33,7 +33,13 @@
     Partial { first: BodyBlocks, rest: Incoming, deadline: BodyReadDeadline },
 }
 
-impl ClientConnection {
+/// Receives the bodies of one connection.
+pub(super) struct BodyReception<'a> {
+    pub(super) server: &'a Server,
+    pub(super) connection: &'a Rc<ConnectionState>,
+}
+
+impl BodyReception<'_> {
     /// Reads a body up to the limit of buffered bodies.
     pub(super) async fn read_body(
         &self,
@@ -99,7 +105,7 @@
         upload: &StreamedUpload,
         times: RequestTimes,
     ) -> UploadStream {
-        let connection = self.state.clone();
+        let connection = self.connection.clone();
         let arrival =
             BodyArrival::new(connection.liveness.clone(), connection.progress.clone(), times.received_at);
         UploadStream { body, deadline, frames, status: upload.status().clone(), arrival, connection }
--- a/crates/proxy/src/downstream/connection.rs
+++ b/crates/proxy/src/downstream/connection.rs
@@ -1,6 +1,6 @@
 //! A client connection: serves its requests in order, and closes it.
 
-use super::body_reception::{ReceivedBody, RequestTimes};
+use super::body_reception::{BodyReception, ReceivedBody, RequestTimes};
 use super::connection_table::{
     ConnectionGuard, ConnectionState, InFlightGuard, RequestIdGuard, RequestPhase, ResponseGuard,
 };
@@ -316,7 +316,8 @@
         if length.is_some_and(|length| length > MAX_BODY_BYTES) {
             return Err(Box::new(closing_response(StatusCode::PAYLOAD_TOO_LARGE)));
         }
-        let body = self.read_body(&head, &parsed, body, times, &mut guard).await?;
+        let reception = BodyReception { server: &self.server, connection: &self.state };
+        let body = reception.read_body(&head, &parsed, body, times, &mut guard).await?;
         // The settings may have changed while the body was read: the request is accepted under those now in
         // force, or rejected.
         let settings_in_force = self.server.dispatcher.settings();
@@ -326,7 +327,7 @@
             parsed.tenant = current.tenant;
         }
         let is_streamed = matches!(body, ReceivedBody::Partial { .. });
-        let (payload, extension) = self.request_payload(body, length, &parsed, times);
+        let (payload, extension) = reception.request_payload(body, length, &parsed, times);
         let request = UpstreamRequest {
             host: head.headers.get(HOST).cloned(),
             method: head.method.clone(),
