--- a/crates/proxy/src/transport/client_socket.rs
+++ b/crates/proxy/src/transport/client_socket.rs
@@ -21,10 +21,6 @@
 const LINGERING_CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
 /// The maximum number of bytes that are discarded during a lingering close.
 const MAX_LINGERING_CLOSE_BYTES: u64 = 1 << 20;
-/// The kernel accepts more while the unread bytes are less than this fraction, 3/8, of its receive buffer. It
-/// offers at most half of the buffer to the client.
-const RECEIVE_SPACE_FACTOR: u64 = 3;
-const RECEIVE_SPACE_DIVISOR: u64 = 8;
 /// How often the end of the input is polled for while unread bytes precede it.
 const DISCONNECT_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -130,16 +126,6 @@
     }
 }
 
-impl ClientLiveness {
-    /// Returns whether the kernel certainly accepts more from the client beside these unread bytes. Without
-    /// space, bytes that the client has written wait on its machine.
-    pub(super) fn has_receive_space(&self, unread_bytes: u64) -> bool {
-        let Some(socket) = self.0.upgrade() else { return false };
-        let buffer_bytes = SockRef::from(socket.borrow().inner()).recv_buffer_size().unwrap_or_default();
-        unread_bytes * RECEIVE_SPACE_DIVISOR < buffer_bytes as u64 * RECEIVE_SPACE_FACTOR
-    }
-}
-
 impl UnreadProbe for ClientSocket {
     fn has_unread(&self) -> bool {
         self.0.borrow().has_unread()
