--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -13,6 +13,7 @@
 mod raw_peers;
 mod scripted_backend;
 mod sockets;
+mod strict_client;
 
 pub use backend::*;
 pub use client::*;
@@ -22,6 +23,7 @@
 pub use raw_peers::*;
 pub use scripted_backend::*;
 pub use sockets::*;
+pub use strict_client::*;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, combinators::BoxBody};
--- a/crates/proxy/tests/support/scripted_backend.rs
+++ b/crates/proxy/tests/support/scripted_backend.rs
@@ -16,6 +16,8 @@
     Write(Vec<u8>),
     Pause(Duration),
     Close,
+    /// Closes the connection so that the peer gets a reset.
+    Reset,
 }
 
 /// A backend that serves its connections with a handler.
@@ -85,6 +87,12 @@
     pub async fn write(&mut self, bytes: &[u8]) {
         let _ = self.stream.write_all(bytes).await;
     }
+
+    /// Closes the connection so that the peer gets a reset.
+    pub fn reset(self) {
+        let socket = socket2::SockRef::from(&self.stream);
+        socket.set_linger(Some(Duration::ZERO)).expect("a linger time");
+    }
 }
 
 /// Serves a connection by a script.
@@ -99,6 +107,7 @@
                 Step::Write(bytes) => connection.write(&bytes).await,
                 Step::Pause(pause) => sleep(pause).await,
                 Step::Close => return,
+                Step::Reset => return connection.reset(),
             }
         }
         count += 1;
