--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -13,6 +13,7 @@
 mod raw_peers;
 mod scripted_backend;
 mod sockets;
+mod staged_backend;
 mod strict_client;
 
 pub use backend::*;
@@ -23,6 +24,7 @@
 pub use raw_peers::*;
 pub use scripted_backend::*;
 pub use sockets::*;
+pub use staged_backend::*;
 pub use strict_client::*;
 
 use bytes::Bytes;
--- a/crates/proxy/tests/support/strict_client.rs
+++ b/crates/proxy/tests/support/strict_client.rs
@@ -5,6 +5,8 @@
 
 /// The end of a chunked body without trailers.
 const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
+/// How long a client tries to write more than its request.
+const SEND_AHEAD_TIME: Duration = Duration::from_millis(50);
 
 /// How a request ended for its client.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -39,6 +41,17 @@
     pub ended_after: Duration,
 }
 
+impl Exchange {
+    /// Describes the exchange without the body of its response.
+    pub fn summary(&self) -> String {
+        let ending = match &self.ending {
+            Ending::Answered { status, body } => format!("{status} with {} bytes", body.len()),
+            other => format!("{other:?}"),
+        };
+        format!("{ending} after {:?}, first byte after {:?}", self.ended_after, self.first_byte_after)
+    }
+}
+
 /// A request of a strict client.
 #[derive(Clone)]
 pub struct StrictRequest {
@@ -78,6 +91,8 @@
     received: Vec<u8>,
     sent_at: Instant,
     first_byte_after: Option<Duration>,
+    /// Whether it sends more than one request at a time, and so may get more than one response.
+    sends_ahead: bool,
 }
 
 impl StrictClient {
@@ -88,7 +103,13 @@
 
     /// Uses a connection on which nothing was received yet.
     pub fn on(connection: RawConnection) -> Self {
-        StrictClient { connection, received: Vec::new(), sent_at: Instant::now(), first_byte_after: None }
+        StrictClient {
+            connection,
+            received: Vec::new(),
+            sent_at: Instant::now(),
+            first_byte_after: None,
+            sends_ahead: false,
+        }
     }
 
     /// Writes a complete request.
@@ -104,6 +125,13 @@
         self.first_byte_after = None;
     }
 
+    /// Writes bytes behind the current request, before its response.
+    pub async fn send_ahead(&mut self, bytes: &[u8]) {
+        self.sends_ahead = true;
+        // The proxy may stop reading.
+        let _ = timeout(SEND_AHEAD_TIME, self.connection.stream.write_all(bytes)).await;
+    }
+
     /// Waits until `count` bytes were received.
     pub async fn receive_at_least(&mut self, count: usize) {
         while self.received.len() < count {
@@ -115,7 +143,8 @@
     /// Waits for the end of the request, `wait` from its last byte at the longest.
     pub async fn finish(&mut self, wait: Duration) -> Exchange {
         let ending = loop {
-            if let Some(ending) = complete_response(&self.received) {
+            if let Some((ending, unexpected_bytes)) = complete_response(&self.received) {
+                assert!(unexpected_bytes == 0 || self.sends_ahead, "bytes behind a response");
                 break ending;
             }
             match timeout_at(self.sent_at + wait, self.connection.read_available()).await {
@@ -161,18 +190,18 @@
     Some(SplitResponse { status, body_end, rest: &received[end..] })
 }
 
-/// Returns the response if it is complete before its connection ends.
-fn complete_response(received: &[u8]) -> Option<Ending> {
+/// Returns the response if it is complete before its connection ends, and the number of bytes behind it.
+fn complete_response(received: &[u8]) -> Option<(Ending, usize)> {
     let response = split_response(received)?;
-    let body = match response.body_end {
+    let (body, rest) = match response.body_end {
         BodyEnd::Length(length) => {
-            assert!(response.rest.len() <= length, "bytes behind a response");
-            (response.rest.len() == length).then(|| response.rest.to_vec())
+            let (body, rest) = response.rest.split_at_checked(length)?;
+            (body.to_vec(), rest)
         }
-        BodyEnd::Chunked => dechunk(response.rest),
-        BodyEnd::Connection => None,
+        BodyEnd::Chunked => dechunk(response.rest)?,
+        BodyEnd::Connection => return None,
     };
-    Some(Ending::Answered { status: response.status, body: body? })
+    Some((Ending::Answered { status: response.status, body }, rest.len()))
 }
 
 /// Returns what the bytes before the end of a connection are.
@@ -185,13 +214,12 @@
     }
 }
 
-/// Returns the data of a complete chunked body.
-fn dechunk(mut rest: &[u8]) -> Option<Vec<u8>> {
+/// Returns the data of a complete chunked body, and the bytes behind it.
+fn dechunk(mut rest: &[u8]) -> Option<(Vec<u8>, &[u8])> {
     let mut data = Vec::new();
     loop {
-        if rest.starts_with(LAST_CHUNK) {
-            assert_eq!(rest.len(), LAST_CHUNK.len(), "bytes behind a response");
-            return Some(data);
+        if let Some(rest) = rest.strip_prefix(LAST_CHUNK) {
+            return Some((data, rest));
         }
         let line_end = rest.windows(2).position(|window| window == b"\r\n")?;
         let size = std::str::from_utf8(&rest[..line_end]).expect("a chunk size");
