--- a/crates/proxy/src/log.rs
+++ b/crates/proxy/src/log.rs
@@ -3,7 +3,8 @@
 
 use libc::O_NONBLOCK;
 use std::cell::Cell;
-use std::fmt::Arguments;
+use std::error::Error;
+use std::fmt::{self, Arguments, Display, Formatter};
 use std::fs::{File, OpenOptions};
 use std::io::{Write, stderr};
 use std::os::unix::fs::OpenOptionsExt;
@@ -27,6 +28,21 @@
 }
 pub(crate) use log;
 
+/// Shows an error together with its sources.
+pub struct WithSources<'a>(pub &'a dyn Error);
+
+impl Display for WithSources<'_> {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}", self.0)?;
+        let mut source = self.0.source();
+        while let Some(error) = source {
+            write!(formatter, ": {error}")?;
+            source = error.source();
+        }
+        Ok(())
+    }
+}
+
 /// Writes a line in a single write, truncated to [`MAX_LINE_BYTES`].
 pub fn write(line: Arguments<'_>) {
     let lost = LOST.get();
--- a/crates/proxy/src/upstream/attempt.rs
+++ b/crates/proxy/src/upstream/attempt.rs
@@ -5,8 +5,9 @@
 use super::connection_pool::{ConnectionPool, Endpoint};
 use super::request::{UpstreamRequest, printable_id};
 use super::response::{BufferingTimes, PartialResponse, ResponseRead, read_response};
+use super::response_fault::ResponseFault;
 use super::response_stream::ResponseStream;
-use crate::log::log;
+use crate::log::{WithSources, log};
 use crate::transport::{BodyContent, SendGuard, StreamProgress, StreamedBody, WeakSendGuard};
 use foldhitch_balancer::api::Outcome;
 use hyper::body::Incoming;
@@ -147,10 +148,13 @@
             connection.expect_response_until(self.times.expires_at);
             let message = self.request.build_message(&connection.progress, self.times.expires_at);
             let message = message.ok_or(Outcome::NotSent)?;
-            if let Ok(response) = connection.sender.send_request(message).await {
-                self.held_for.set(connection.held_for());
-                return Ok((connection, response));
-            }
+            let error = match connection.sender.send_request(message).await {
+                Ok(response) => {
+                    self.held_for.set(connection.held_for());
+                    return Ok((connection, response));
+                }
+                Err(error) => error,
+            };
             let is_request_started = connection.progress.is_request_started();
             if !is_request_started && !(self.guard)() {
                 return Err(Outcome::NotSent);
@@ -158,6 +162,9 @@
             // An idle connection turned out to be closed, or to have unread bytes that cannot be the
             // response. Nothing of the request was written, so it is sent over another connection.
             if is_request_started || !is_reused {
+                let id = printable_id(&self.request.id);
+                let error = WithSources(&error);
+                log!("{id}: no response of the backend at {}: {error}", self.endpoint.address);
                 // The stream's progress shows whether the backend can have received the complete request.
                 let may_have_run = connection.progress.is_request_complete();
                 return Err(if may_have_run { Outcome::Reset } else { Outcome::ConnectFailed });
@@ -188,25 +195,36 @@
     }
 
     /// Reads the response as far as it is buffered, and streams the rest of a long one.
-    async fn receive(&self, mut connection: Connection, response: Response<Incoming>) -> AttemptOutcome {
-        // The request may have run, and the connection can't be used again.
-        let corrupt = AttemptOutcome::Unserved(Outcome::Reset);
+    async fn receive(&self, connection: Connection, response: Response<Incoming>) -> AttemptOutcome {
+        match self.try_receive(connection, response).await {
+            Ok(outcome) => outcome,
+            Err(fault) => {
+                let id = printable_id(&self.request.id);
+                let fault = WithSources(&fault);
+                log!("{id}: response of the backend at {} is unusable: {fault}", self.endpoint.address);
+                // The request may have run, and the connection can't be used again.
+                AttemptOutcome::Unserved(Outcome::Reset)
+            }
+        }
+    }
+
+    async fn try_receive(
+        &self,
+        mut connection: Connection,
+        response: Response<Incoming>,
+    ) -> Result<AttemptOutcome, ResponseFault> {
         // Backends begin to serve a request when its last byte arrives. A 200 response before that belongs to
         // another request.
         if response.status() == StatusCode::OK && !connection.progress.is_request_complete() {
-            return corrupt;
+            return Err(ResponseFault::Early);
         }
-        let outcome =
-            match read_response(response, self.times.buffering, self.pool.buffered().reservation()).await {
-                None => {
-                    self.log_unusable_response();
-                    return corrupt;
-                }
-                Some(ResponseRead::Complete(outcome)) => outcome,
-                Some(ResponseRead::Partial(partial, body)) => return self.stream(connection, partial, body),
-            };
+        let memory = self.pool.buffered().reservation();
+        let outcome = match read_response(response, self.times.buffering, memory).await? {
+            ResponseRead::Complete(outcome) => outcome,
+            ResponseRead::Partial(partial, body) => return Ok(self.stream(connection, partial, body)),
+        };
         match connection.check_idle().await {
-            IdleCheck::ResponseCorrupt => return corrupt,
+            IdleCheck::ResponseCorrupt => return Err(ResponseFault::UnexpectedBytes),
             IdleCheck::NotReusable => {}
             IdleCheck::Reusable => {
                 let is_error = !matches!(outcome, AttemptOutcome::Served(_));
@@ -214,12 +232,7 @@
                 self.pool.keep_idle(&self.endpoint, connection);
             }
         }
-        outcome
-    }
-
-    fn log_unusable_response(&self) {
-        let id = printable_id(&self.request.id);
-        log!("{id}: response of the backend at {} is incomplete or invalid", self.endpoint.address);
+        Ok(outcome)
     }
 
     fn stream(&self, connection: Connection, partial: PartialResponse, body: Incoming) -> AttemptOutcome {
@@ -228,8 +241,15 @@
             return partial.outcome;
         }
         let (frames, streamed) = StreamedBody::new(partial.length);
-        let (pool, endpoint) = (self.pool.clone(), self.endpoint.clone());
-        let stream = ResponseStream { body, frames, pool, endpoint, connection };
+        let stream = ResponseStream {
+            request: self.request.clone(),
+            body,
+            frames,
+            pool: self.pool.clone(),
+            endpoint: self.endpoint.clone(),
+            connection,
+            forwarded_bytes: 0,
+        };
         tokio::task::spawn_local(stream.run(partial));
         AttemptOutcome::Served(BodyContent::Streamed(streamed))
     }
--- a/crates/proxy/src/upstream/mod.rs
+++ b/crates/proxy/src/upstream/mod.rs
@@ -7,6 +7,7 @@
 mod repeat_filter;
 mod request;
 mod response;
+mod response_fault;
 mod response_stream;
 #[cfg(test)]
 mod tests;
--- a/crates/proxy/src/upstream/repeat_filter/filtered_stream.rs
+++ b/crates/proxy/src/upstream/repeat_filter/filtered_stream.rs
@@ -1,6 +1,6 @@
 //! The stream of a connection to a backend, without copies of responses.
 
-use super::{AmbiguousResponse, RepeatFilter, RepeatHistory};
+use super::{RepeatFilter, RepeatHistory};
 use crate::transport::UnreadProbe;
 use hyper::rt::{Read, ReadBuf, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
@@ -41,7 +41,7 @@
 
     fn receive(&self, bytes: &[u8]) -> io::Result<()> {
         let received = self.filter.borrow_mut().receive(bytes, &self.history, Instant::now());
-        received.map_err(|AmbiguousResponse| io::ErrorKind::InvalidData.into())
+        received.map_err(|error| io::Error::new(io::ErrorKind::InvalidData, error))
     }
 
     /// Forwards held bytes once their hold ends. Pending until then, and as long as the hold has no end.
--- a/crates/proxy/src/upstream/repeat_filter/mod.rs
+++ b/crates/proxy/src/upstream/repeat_filter/mod.rs
@@ -35,6 +35,7 @@
 use response_bytes::{head_length, is_interim};
 use response_content::{CurrentResponse, ResponseContent};
 use std::time::Duration;
+use thiserror::Error;
 use tokio::time::Instant;
 
 /// The state of the exchange on a connection.
@@ -91,7 +92,8 @@
 
 /// The received bytes can't be attributed to the current request: either a copy is truncated, so the start of
 /// the next response is uncertain, or they may belong to an earlier request.
-#[derive(Debug)]
+#[derive(Debug, Error)]
+#[error("the bytes may belong to an earlier request")]
 pub(super) struct AmbiguousResponse;
 
 impl RepeatFilter {
--- a/crates/proxy/src/upstream/response.rs
+++ b/crates/proxy/src/upstream/response.rs
@@ -2,6 +2,7 @@
 
 use super::MAX_BUFFERED_BODY_BYTES;
 use super::attempt_outcome::AttemptOutcome;
+use super::response_fault::ResponseFault;
 use crate::memory::MemoryReservation;
 use crate::transport::{BodyBlocks, BodyContent, MAX_BODY_BYTES};
 use bytes::Bytes;
@@ -41,17 +42,17 @@
     pub(super) buffered: BufferedResponse,
 }
 
-/// Reads a response as far as it is buffered and `memory` can be reserved for it. Returns `None` if the response
-/// is corrupt. A truncated response does not count as a response: the request may have run.
+/// Reads a response as far as it is buffered and `memory` can be reserved for it. A truncated response does not
+/// count as a response: the request may have run.
 pub(super) async fn read_response(
     response: Response<Incoming>,
     times: BufferingTimes,
     memory: MemoryReservation,
-) -> Option<ResponseRead> {
+) -> Result<ResponseRead, ResponseFault> {
     let (head, mut body) = response.into_parts();
     let length = body.size_hint().exact();
     if !is_framing_valid(&head, length) {
-        return None;
+        return Err(ResponseFault::Framing);
     }
     let mut buffered = BufferedResponse::new(head.status, memory);
     match length {
@@ -60,12 +61,11 @@
         Some(_) => buffered.read(&mut body, times.max_served_pause).await?,
         None => buffered.read_until(&mut body, times.forward_by, times.max_open_ended_pause).await?,
     }
-    Some(if buffered.is_complete {
-        ResponseRead::Complete(outcome(&head, buffered.data.into_bytes()))
-    } else {
-        let outcome = outcome(&head, Bytes::new());
-        ResponseRead::Partial(PartialResponse { outcome, length, buffered }, body)
-    })
+    if buffered.is_complete {
+        return Ok(ResponseRead::Complete(outcome(&head, buffered.data.into_bytes())));
+    }
+    let outcome = outcome(&head, Bytes::new());
+    Ok(ResponseRead::Partial(PartialResponse { outcome, length, buffered }, body))
 }
 
 /// The part of a response's body that was buffered.
@@ -82,11 +82,16 @@
         BufferedResponse { is_served, data: BodyBlocks::default(), memory, is_complete: false }
     }
 
-    /// Reads the body to its end, to the maximum size, or as far as memory can be reserved. Returns `None` if
-    /// it is truncated or pauses for longer than `max_pause`.
-    async fn read(&mut self, body: &mut Incoming, max_pause: Duration) -> Option<()> {
-        while timeout(max_pause, self.read_frame(body)).await.ok()?? {}
-        Some(())
+    /// Reads the body to its end, to the maximum size, or as far as memory can be reserved. Fails if it is
+    /// truncated or pauses for longer than `max_pause`.
+    async fn read(&mut self, body: &mut Incoming, max_pause: Duration) -> Result<(), ResponseFault> {
+        loop {
+            let read = timeout(max_pause, self.read_frame(body)).await;
+            let may_continue = read.map_err(|_| ResponseFault::Stalled)??;
+            if !may_continue {
+                return Ok(());
+            }
+        }
     }
 
     /// Reads the body like [`read`](Self::read), but not beyond `forward_by`. No frame is lost by that.
@@ -95,27 +100,24 @@
         body: &mut Incoming,
         forward_by: Instant,
         max_pause: Duration,
-    ) -> Option<()> {
-        match timeout_at(forward_by, self.read(body, max_pause)).await {
-            Ok(read) => read,
-            Err(_) => Some(()),
-        }
+    ) -> Result<(), ResponseFault> {
+        timeout_at(forward_by, self.read(body, max_pause)).await.unwrap_or(Ok(()))
     }
 
-    /// Reads the next frame. Returns whether there may be more to buffer, or `None` if the body is truncated.
-    async fn read_frame(&mut self, body: &mut Incoming) -> Option<bool> {
+    /// Reads the next frame. Returns whether there may be more to buffer.
+    async fn read_frame(&mut self, body: &mut Incoming) -> Result<bool, ResponseFault> {
         let Some(frame) = body.frame().await else {
             self.is_complete = true;
-            return Some(false);
+            return Ok(false);
         };
         // Trailers are ignored.
-        let more = frame.ok()?.into_data().unwrap_or_default();
+        let more = frame?.into_data().unwrap_or_default();
         // Of other responses only the head is used.
         if !self.is_served {
-            return Some(true);
+            return Ok(true);
         }
         self.data.push(&more);
-        Some(self.memory.try_grow(more.len()) && self.data.len() <= MAX_BUFFERED_BODY_BYTES)
+        Ok(self.memory.try_grow(more.len()) && self.data.len() <= MAX_BUFFERED_BODY_BYTES)
     }
 }
 
