--- a/crates/proxy/src/config/reload.rs
+++ b/crates/proxy/src/config/reload.rs
@@ -2,8 +2,9 @@
 //! all.
 
 use super::{Config, ConfigError, FixedConfig};
-use crate::dispatcher::{Dispatcher, duration_from_ms};
+use crate::dispatcher::Dispatcher;
 use crate::log::log;
+use crate::milliseconds::duration_from_ms;
 use crate::upstream::ConnectionPool;
 use serde::Serialize;
 use std::cell::{Cell, RefCell};
--- a/crates/proxy/src/discovery_task.rs
+++ b/crates/proxy/src/discovery_task.rs
@@ -1,7 +1,8 @@
 //! Follows discovery, and moves to another address when a new configuration names one.
 
 use crate::config::reload::{ReloadOutcome, Reloader};
-use crate::dispatcher::{Dispatcher, duration_from_ms};
+use crate::dispatcher::Dispatcher;
+use crate::milliseconds::duration_from_ms;
 use crate::retry::RetryTimer;
 use foldhitch_discovery_client::{FollowOptions, WatchTimeouts, follow};
 use std::cell::Cell;
--- a/crates/proxy/src/dispatcher/actions.rs
+++ b/crates/proxy/src/dispatcher/actions.rs
@@ -1,10 +1,10 @@
 //! Passes events to the balancer and carries out its actions.
 
-use super::clock::duration_from_ms;
 use super::messages::Answer;
 use super::request_table::{AttemptRecord, AttemptState, InFlightAttempt, RequestEntry};
 use super::{Dispatcher, State};
 use crate::log::log;
+use crate::milliseconds::duration_from_ms;
 use crate::upstream::{Attempt, AttemptOutcome, AttemptTimes, BufferingTimes, FinishedAttempt, printable_id};
 use foldhitch_balancer::api::{Action, BackendId, Event, Outcome, RequestId, TimerToken, UnservedReason};
 use std::fmt::Write;
--- a/crates/proxy/src/dispatcher/endpoints.rs
+++ b/crates/proxy/src/dispatcher/endpoints.rs
@@ -1,8 +1,8 @@
 //! Applies endpoint lists, and keeps the status of discovery.
 
 use super::Dispatcher;
-use super::clock::milliseconds;
 use crate::log::log;
+use crate::milliseconds::milliseconds;
 use foldhitch_balancer::api::{EndpointInfo, EndpointListKind, Event};
 use foldhitch_discovery_client::{
     DiscoveryError, EndpointListUpdate, EndpointObserver, EndpointRecord, ListOrigin, PollOutage,
--- a/crates/proxy/src/dispatcher/mod.rs
+++ b/crates/proxy/src/dispatcher/mod.rs
@@ -11,7 +11,6 @@
 #[cfg(test)]
 mod tests;
 
-pub use clock::duration_from_ms;
 pub use messages::{Answer, IncomingRequest};
 
 use crate::log::log;
--- a/crates/proxy/src/dispatcher/request_table.rs
+++ b/crates/proxy/src/dispatcher/request_table.rs
@@ -1,7 +1,7 @@
 //! The open requests with their pending answers and their attempts.
 
-use super::clock::milliseconds;
 use super::messages::Answer;
+use crate::milliseconds::milliseconds;
 use crate::transport::{SendGuard, WeakSendGuard};
 use crate::upstream::UpstreamRequest;
 use foldhitch_balancer::api::{AttemptNumber, AttemptResult, BackendId, Event, Outcome, RequestId};
--- a/crates/proxy/src/dispatcher/tests.rs
+++ b/crates/proxy/src/dispatcher/tests.rs
@@ -1,7 +1,8 @@
 //! Unit tests of the dispatcher.
 
 use super::request_table::{AttemptRecord, AttemptState, RequestEntry, ResponseSlot};
-use super::{Dispatcher, duration_from_ms, previous_indices};
+use super::{Dispatcher, previous_indices};
+use crate::milliseconds::duration_from_ms;
 use crate::transport::MAX_READ_BYTES;
 use crate::transport::RequestPayload;
 use crate::upstream::{ConnectionPool, PoolLimits, ResponseMemory, UpstreamRequest};
--- a/crates/proxy/src/downstream/server.rs
+++ b/crates/proxy/src/downstream/server.rs
@@ -2,7 +2,8 @@
 
 use super::accept_statistics::AcceptStatistics;
 use super::connection_table::{ConnectionTable, EvictionPurpose};
-use crate::dispatcher::{Dispatcher, duration_from_ms};
+use crate::dispatcher::Dispatcher;
+use crate::milliseconds::duration_from_ms;
 use crate::process_group::RequestIds;
 use std::cell::Cell;
 use std::rc::Rc;
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -9,6 +9,7 @@
 mod error;
 mod log;
 mod memory;
+mod milliseconds;
 mod process_group;
 mod resource_limits;
 mod retry;
--- a/crates/proxy/src/shutdown.rs
+++ b/crates/proxy/src/shutdown.rs
@@ -1,10 +1,11 @@
 //! The steps of a planned stop: the readiness check fails, no new connections are accepted, idle connections
 //! are closed, and the process exits.
 
-use crate::dispatcher::{Dispatcher, duration_from_ms};
+use crate::dispatcher::Dispatcher;
 use crate::downstream::ListenerPhase;
 use crate::error::ProxyError;
 use crate::log::log;
+use crate::milliseconds::duration_from_ms;
 use crate::startup::RunningProxy;
 use foldhitch_balancer::settings_format::SiteSettings;
 use std::time::Duration;
