Forward no response of which nothing but the head is there

Nothing was retried and no error was sent.

Cause: since the time until which a chunked response is buffered counts from the request's arrival. A head that came after it was committed to the client at once, with nothing read of its body, and a body that then turned out spoilt could only cut the client's connection. The log of the parent says 'cut after 0 bytes: it ends early'.

Change: a response is committed once some of its body is there, or after three quarters of the time that is left to its client. One of unknown length is then buffered for three quarters of the time to the objective, or a quarter of that to the client's timeout if that is longer. The times count from the request's last byte, also for uploads.

--- a/crates/balancer/src/api/action.rs
+++ b/crates/balancer/src/api/action.rs
@@ -36,13 +36,12 @@
     }
 }
 
-/// How long a served response is buffered that could be streamed instead. Another attempt can replace a
-/// response only while nothing of it was forwarded.
+/// How long a response is buffered. Another attempt can replace a response only while nothing of it was
+/// forwarded.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct ResponseBuffering {
-    /// Time at which a response that is not complete yet, and whose length is unknown, is forwarded as it
-    /// arrives.
-    pub forward_by_ms: f64,
+    /// The latency objective of the request's class, from the last byte of the request.
+    pub latency_objective_ms: f64,
     /// How long the body of an error may pause before the attempt fails.
     pub max_error_pause_ms: f64,
     /// How long a served response of a known length may pause. Its length may exceed what the backend sends.
--- a/crates/balancer/src/policy/request_lifecycle.rs
+++ b/crates/balancer/src/policy/request_lifecycle.rs
@@ -64,7 +64,6 @@
             charged_tenant,
             max_attempts: self.settings.capabilities.max_attempts,
             deadline_ms: arrival.deadline_ms,
-            forward_response_by_ms: self.forward_response_by_ms(class, arrival.deadline_ms),
             is_body_streamed: arrival.is_body_streamed,
             ..Request::default()
         }
--- a/crates/balancer/src/policy/state.rs
+++ b/crates/balancer/src/policy/state.rs
@@ -64,8 +64,6 @@
     pub max_attempts: u32,
     pub charged_tenant: Option<usize>,
     pub deadline_ms: f64,
-    /// Time at which an incomplete response of an unknown length is forwarded.
-    pub forward_response_by_ms: f64,
     /// End of the longest queueing time, whatever the deadline is.
     pub max_queued_until_ms: f64,
     pub queue_deadline_ms: f64,
--- a/crates/balancer/tests/support/harness.rs
+++ b/crates/balancer/tests/support/harness.rs
@@ -180,11 +180,23 @@
         self.apply_actions(actions);
     }
 
+    /// Checks that a response is forwarded before its client's time is over, whenever it comes.
+    fn check_buffering(&self, buffering: ResponseBuffering, expires_at_ms: f64) {
+        let timeout_ms = expires_at_ms - self.now_ms;
+        for elapsed_fraction in [0.0, 0.25, 0.5, 0.75, 0.99, 1.0] {
+            let elapsed_ms = timeout_ms * elapsed_fraction;
+            let head_ms = buffering.buffer_head_for_ms(elapsed_ms, timeout_ms);
+            let body_ms = buffering.buffer_body_for_ms(elapsed_ms, timeout_ms);
+            assert!(elapsed_ms + head_ms <= timeout_ms, "a head is forwarded in time");
+            assert!(elapsed_ms + body_ms <= timeout_ms, "a response is forwarded in time");
+        }
+    }
+
     fn apply_actions(&mut self, actions: Vec<Action>) {
         for action in actions {
             match action {
                 Action::Send { request, backend, expires_at_ms, send_by_ms, buffering } => {
-                    assert!(buffering.forward_by_ms <= expires_at_ms, "a response is forwarded in time");
+                    self.check_buffering(buffering, expires_at_ms);
                     self.record_attempt(request, backend, expires_at_ms, send_by_ms)
                 }
                 Action::Reject { request, .. } => self.record_rejection(request),
--- a/crates/proxy/src/dispatcher/actions.rs
+++ b/crates/proxy/src/dispatcher/actions.rs
@@ -5,7 +5,7 @@
 use super::{Dispatcher, State};
 use crate::log::log;
 use crate::milliseconds::duration_from_ms;
-use crate::upstream::{Attempt, AttemptOutcome, AttemptTimes, BufferingTimes, FinishedAttempt, printable_id};
+use crate::upstream::{Attempt, AttemptOutcome, AttemptTimes, FinishedAttempt, printable_id};
 use foldhitch_balancer::api::{Action, BackendId, Event, Outcome, RequestId, TimerToken, UnservedReason};
 use std::fmt::Write;
 use std::rc::Rc;
@@ -39,13 +39,10 @@
     fn carry_out_action(self: &Rc<Self>, state: &mut State, action: Action) {
         match action {
             Action::Send { request, backend, expires_at_ms, send_by_ms, buffering } => {
+                let Some(entry) = state.requests.get(request) else { return };
                 let times = AttemptTimes {
-                    buffering: BufferingTimes {
-                        forward_by: self.clock.instant_at(buffering.forward_by_ms),
-                        max_error_pause: duration_from_ms(buffering.max_error_pause_ms),
-                        max_served_pause: duration_from_ms(buffering.max_served_pause_ms),
-                        max_open_ended_pause: duration_from_ms(buffering.max_open_ended_pause_ms),
-                    },
+                    received_at: entry.received_at,
+                    buffering,
                     expires_at: self.clock.instant_at(expires_at_ms),
                     send_by: send_by_ms.map(|send_by_ms| self.clock.instant_at(send_by_ms)),
                 };
--- a/crates/proxy/src/transport/upload.rs
+++ b/crates/proxy/src/transport/upload.rs
@@ -120,9 +120,13 @@
     /// Returns the time that is left to the client. It is shorter than its timeout once the last byte may
     /// have arrived.
     pub fn time_left(&self) -> Duration {
+        self.client_timeout.saturating_sub(self.elapsed_since_last_byte())
+    }
+
+    /// Returns the time since the last byte may have arrived, or zero before that.
+    pub fn elapsed_since_last_byte(&self) -> Duration {
         let last_byte_at = self.progress.borrow().last_byte_at();
-        let elapsed = last_byte_at.map_or(Duration::ZERO, |last_byte_at| last_byte_at.elapsed());
-        self.client_timeout.saturating_sub(elapsed)
+        last_byte_at.map_or(Duration::ZERO, |last_byte_at| last_byte_at.elapsed())
     }
 
     /// Waits until the client may have waited for `timeout` since its last byte.
--- a/crates/proxy/src/upstream/attempt.rs
+++ b/crates/proxy/src/upstream/attempt.rs
@@ -1,15 +1,16 @@
 //! One attempt of a request: its expiry, its cancellation and its outcome.
 
 use super::attempt_outcome::{AttemptOutcome, FinishedAttempt};
+use super::buffering_times::BufferingTimes;
 use super::connection::{Connection, IdleCheck};
 use super::connection_pool::{ConnectionPool, Endpoint};
 use super::request::{UpstreamRequest, printable_id};
-use super::response::{BufferingTimes, PartialResponse, ResponseRead, read_response};
+use super::response::{PartialResponse, ResponseRead, read_response};
 use super::response_fault::ResponseFault;
 use super::response_stream::ResponseStream;
 use crate::log::{WithSources, log};
 use crate::transport::{BodyContent, SendGuard, StreamProgress, StreamedBody, WeakSendGuard};
-use foldhitch_balancer::api::Outcome;
+use foldhitch_balancer::api::{Outcome, ResponseBuffering};
 use hyper::body::Incoming;
 use hyper::{Response, StatusCode};
 use std::cell::{Cell, RefCell};
@@ -26,8 +27,10 @@
     pub expires_at: Instant,
     /// When its first byte must have been written, if that is limited.
     pub send_by: Option<Instant>,
+    /// When the head of the request was received.
+    pub received_at: Instant,
     /// How long its response is buffered.
-    pub buffering: BufferingTimes,
+    pub buffering: ResponseBuffering,
 }
 
 /// One attempt of a request.
@@ -219,7 +222,7 @@
             return Err(ResponseFault::Early);
         }
         let memory = self.pool.buffered().reservation();
-        let outcome = match read_response(response, self.times.buffering, memory).await? {
+        let outcome = match read_response(response, self.buffering_times(), memory).await? {
             ResponseRead::Complete(outcome) => outcome,
             ResponseRead::Partial(partial, body) => return Ok(self.stream(connection, partial, body)),
         };
@@ -235,6 +238,19 @@
         Ok(outcome)
     }
 
+    /// Returns how long the response is buffered. For a streamed body the times count from its last byte.
+    fn buffering_times(&self) -> BufferingTimes {
+        let AttemptTimes { expires_at, received_at, buffering, .. } = self.times;
+        let (received_at, client_timeout) = match self.request.upload() {
+            None => (received_at, expires_at.saturating_duration_since(received_at)),
+            Some(upload) => {
+                let status = upload.status();
+                (Instant::now() - status.elapsed_since_last_byte(), status.client_timeout)
+            }
+        };
+        BufferingTimes { decision: buffering, received_at, client_timeout }
+    }
+
     fn stream(&self, connection: Connection, partial: PartialResponse, body: Incoming) -> AttemptOutcome {
         if !matches!(partial.outcome, AttemptOutcome::Served(_)) {
             // Only served responses are forwarded, so the rest of the body is not read.
--- a/crates/proxy/src/upstream/mod.rs
+++ b/crates/proxy/src/upstream/mod.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 mod attempt_outcome;
+mod buffering_times;
 mod connection;
 mod connection_pool;
 mod repeat_filter;
@@ -16,7 +17,6 @@
 pub use attempt_outcome::{AttemptOutcome, FinishedAttempt};
 pub use connection_pool::{ConnectionPool, Endpoint, PoolLimits, ResponseMemory};
 pub use request::{UpstreamRequest, printable_id};
-pub use response::BufferingTimes;
 
 /// The maximum size of a buffered body, in bytes. Longer bodies are streamed.
 pub const MAX_BUFFERED_BODY_BYTES: usize = 64 * 1024;
--- a/crates/proxy/src/upstream/response.rs
+++ b/crates/proxy/src/upstream/response.rs
@@ -2,6 +2,7 @@
 
 use super::MAX_BUFFERED_BODY_BYTES;
 use super::attempt_outcome::AttemptOutcome;
+use super::buffering_times::BufferingTimes;
 use super::response_fault::ResponseFault;
 use crate::memory::MemoryReservation;
 use crate::transport::{BodyBlocks, BodyContent, MAX_BODY_BYTES};
@@ -12,20 +13,7 @@
 use hyper::http::response::Parts;
 use hyper::{Response, StatusCode, header};
 use std::time::Duration;
-use tokio::time::{Instant, timeout, timeout_at};
-
-/// How long a response is buffered.
-#[derive(Debug, Clone, Copy)]
-pub struct BufferingTimes {
-    /// When a served response of an unknown length is forwarded as it arrives.
-    pub forward_by: Instant,
-    /// How long the body of an error may pause before the attempt fails.
-    pub max_error_pause: Duration,
-    /// How long a served response of a known length may pause.
-    pub max_served_pause: Duration,
-    /// How long a served response of an unknown length may pause while it is buffered.
-    pub max_open_ended_pause: Duration,
-}
+use tokio::time::timeout;
 
 /// How far a response was read.
 pub(super) enum ResponseRead {
@@ -56,10 +44,12 @@
     }
     let mut buffered = BufferedResponse::new(head.status, memory);
     match length {
-        Some(length) if length > MAX_BUFFERED_BODY_BYTES as u64 => {}
-        _ if head.status != StatusCode::OK => buffered.read(&mut body, times.max_error_pause).await?,
-        Some(_) => buffered.read(&mut body, times.max_served_pause).await?,
-        None => buffered.read_until(&mut body, times.forward_by, times.max_open_ended_pause).await?,
+        _ if head.status != StatusCode::OK => buffered.read(&mut body, times.max_error_pause()).await?,
+        Some(length) if length > MAX_BUFFERED_BODY_BYTES as u64 => {
+            buffered.read_beginning(&mut body, times).await?;
+        }
+        Some(_) => buffered.read(&mut body, times.max_served_pause()).await?,
+        None => buffered.read_open_ended(&mut body, times).await?,
     }
     if buffered.is_complete {
         return Ok(ResponseRead::Complete(outcome(&head, buffered.data.into_bytes())));
@@ -94,14 +84,38 @@
         }
     }
 
-    /// Reads the body like [`read`](Self::read), but not beyond `forward_by`. No frame is lost by that.
-    async fn read_until(
+    /// Reads a body of unknown length like [`read`](Self::read), but not for longer than it is buffered. No
+    /// frame is lost by that.
+    async fn read_open_ended(
         &mut self,
         body: &mut Incoming,
-        forward_by: Instant,
-        max_pause: Duration,
+        times: BufferingTimes,
     ) -> Result<(), ResponseFault> {
-        timeout_at(forward_by, self.read(body, max_pause)).await.unwrap_or(Ok(()))
+        if !self.read_beginning(body, times).await? {
+            return Ok(());
+        }
+        let read = self.read(body, times.max_open_ended_pause());
+        timeout(times.buffer_body_for(), read).await.unwrap_or(Ok(()))
+    }
+
+    /// Reads until some of the body is there, for as long as a head alone is buffered. Returns whether there is
+    /// more to buffer.
+    async fn read_beginning(
+        &mut self,
+        body: &mut Incoming,
+        times: BufferingTimes,
+    ) -> Result<bool, ResponseFault> {
+        let max_pause = times.max_open_ended_pause();
+        let begin = async {
+            while self.data.len() == 0 {
+                let read = timeout(max_pause, self.read_frame(body)).await;
+                if !read.map_err(|_| ResponseFault::Stalled)?? {
+                    return Ok(false);
+                }
+            }
+            Ok(true)
+        };
+        timeout(times.buffer_head_for(), begin).await.unwrap_or(Ok(false))
     }
 
     /// Reads the next frame. Returns whether there may be more to buffer.
--- a/crates/proxy/src/upstream/tests.rs
+++ b/crates/proxy/src/upstream/tests.rs
@@ -1,13 +1,10 @@
 //! Unit tests of attempts and the connection pool.
 
 use super::connection::Connection;
-use super::{
-    Attempt, AttemptTimes, BufferingTimes, ConnectionPool, Endpoint, PoolLimits, ResponseMemory,
-    UpstreamRequest,
-};
+use super::{Attempt, AttemptTimes, ConnectionPool, Endpoint, PoolLimits, ResponseMemory, UpstreamRequest};
 use crate::transport::{ClientSocket, MAX_READ_BYTES, RequestPayload, SendGuard};
 use bytes::Bytes;
-use foldhitch_balancer::api::Outcome;
+use foldhitch_balancer::api::{Outcome, ResponseBuffering};
 use hyper::header::HeaderValue;
 use hyper::{Method, Uri};
 use socket2::SockRef;
@@ -33,6 +30,7 @@
 
 /// The time limit of an attempt that is not to expire.
 const LONG_TIME: Duration = Duration::from_secs(20);
+const LONG_TIME_MS: f64 = 20_000.0;
 
 /// A pool with a single permit.
 fn single_connection_pool() -> Rc<ConnectionPool> {
@@ -84,11 +82,12 @@
         times: AttemptTimes {
             expires_at: Instant::now() + LONG_TIME,
             send_by,
-            buffering: BufferingTimes {
-                forward_by: Instant::now() + LONG_TIME,
-                max_error_pause: LONG_TIME,
-                max_served_pause: LONG_TIME,
-                max_open_ended_pause: LONG_TIME,
+            received_at: Instant::now(),
+            buffering: ResponseBuffering {
+                latency_objective_ms: LONG_TIME_MS,
+                max_error_pause_ms: LONG_TIME_MS,
+                max_served_pause_ms: LONG_TIME_MS,
+                max_open_ended_pause_ms: LONG_TIME_MS,
             },
         },
         client: Rc::downgrade(client),
