--- a/crates/balancer/src/policy/response_buffering.rs
+++ b/crates/balancer/src/policy/response_buffering.rs
@@ -7,8 +7,8 @@
 /// The fraction of the time that is left for which a response is buffered. The rest is for its way to the
 /// client.
 const MAX_BUFFERED_FRACTION: f64 = 0.75;
-/// The fraction of the time to the client's timeout that a late response has instead of the time to the latency
-/// objective.
+/// The fraction of the time to the client's timeout that a late response has instead of the time to the
+/// latency objective.
 const LATE_FRACTION: f64 = 0.25;
 /// How long a body may pause that is not served, or that another attempt could replace.
 const REPLACEABLE_PAUSE_MS: f64 = 500.0;
@@ -39,8 +39,8 @@
         (client_timeout_ms - elapsed_ms).max(0.0) * MAX_BUFFERED_FRACTION
     }
 
-    /// Returns how much longer a response of an unknown length is buffered whose body has just begun. It may be
-    /// a long one, of which the client times the first byte.
+    /// Returns how much longer a response of an unknown length is buffered whose body has just begun. It may
+    /// be a long one, of which the client times the first byte.
     pub fn buffer_body_for_ms(&self, elapsed_ms: f64, client_timeout_ms: f64) -> f64 {
         let to_timeout_ms = (client_timeout_ms - elapsed_ms).max(0.0);
         let to_objective_ms = self.latency_objective_ms.min(client_timeout_ms) - elapsed_ms;
