Write what was committed of a response before its connection is cut

Callers saw a bare end of their connection where a backend broke its response off: not even a head, so that nothing showed that it was served in part.

Cause: the HTTP library fails a connection at once when a response's body fails, and drops what lies in its write buffer: the head, and any frame that was taken in the same turn. The body now reports its error one turn later, and only when the kernel has accepted all before it.

--- a/crates/proxy/src/downstream/response.rs
+++ b/crates/proxy/src/downstream/response.rs
@@ -20,6 +20,8 @@
     content: BodyContent,
     /// Keeps the connection from counting as idle until a streamed body has ended.
     guard: Option<ResponseGuard>,
+    /// The error of a streamed body that is reported once everything before it was written.
+    error: Option<io::Error>,
 }
 
 impl ResponseBody {
@@ -33,7 +35,7 @@
 
 impl From<BodyContent> for ResponseBody {
     fn from(content: BodyContent) -> Self {
-        ResponseBody { content, guard: None }
+        ResponseBody { content, guard: None, error: None }
     }
 }
 
@@ -48,7 +50,19 @@
         if let Some(ResponseGuard(connection)) = &self.guard {
             ready!(connection.progress.poll_sent(context));
         }
-        Pin::new(&mut self.content).poll_frame(context)
+        if let Some(error) = self.error.take() {
+            return Poll::Ready(Some(Err(error)));
+        }
+        match ready!(Pin::new(&mut self.content).poll_frame(context)) {
+            Some(Err(error)) => {
+                // The HTTP library discards what it has not written yet, the head among it, when a body fails.
+                // While a body is pending, it writes.
+                self.error = Some(error);
+                context.waker().wake_by_ref();
+                Poll::Pending
+            }
+            frame => Poll::Ready(frame),
+        }
     }
 
     fn is_end_stream(&self) -> bool {
