Hold no memory for bytes of a response that can't be a copy

Callers got 502 or 503 for every request as soon as slow responses had used up the memory for buffered ones: an eighth of it, 16 responses of 48 KB with 8 MB, some 64 with 32 MB.

Cause: the filter reserved memory for all that it received before it looked whether a remembered response could begin so, and failed the attempt without it. The log of a trial: 'once failed after 0 ms (attempts failed), d Reset 0 ms'. Memory is now reserved for what is held after the look; only that fails an attempt, and the log says so.

--- a/crates/proxy/src/memory.rs
+++ b/crates/proxy/src/memory.rs
@@ -49,6 +49,16 @@
         true
     }
 
+    /// Changes the number of reserved bytes. Returns `false`, and changes nothing, if more would exceed the
+    /// limit.
+    pub fn try_resize(&mut self, bytes: usize) -> bool {
+        if bytes > self.bytes {
+            return self.try_grow(bytes - self.bytes);
+        }
+        self.resize(bytes);
+        true
+    }
+
     /// Changes the number of reserved bytes, whatever the limit is.
     pub fn resize(&mut self, bytes: usize) {
         let others = self.budget.reserved_bytes.get() - self.bytes;
--- a/crates/proxy/src/upstream/repeat_filter/mod.rs
+++ b/crates/proxy/src/upstream/repeat_filter/mod.rs
@@ -90,11 +90,17 @@
     has_unremembered_response: bool,
 }
 
-/// The received bytes can't be attributed to the current request: either a copy is truncated, so the start of
-/// the next response is uncertain, or they may belong to an earlier request.
+/// The received bytes can't be attributed to the current request.
 #[derive(Debug, Error)]
-#[error("the bytes may belong to an earlier request")]
-pub(super) struct AmbiguousResponse;
+pub(super) enum AmbiguousResponse {
+    /// Either a copy is truncated, so that the start of the next response is uncertain, or they may belong to an
+    /// earlier request.
+    #[error("the bytes may belong to an earlier request")]
+    OtherRequest,
+    /// They may be a copy, and can't be held until that is known.
+    #[error("there is no memory to hold what may be a copy")]
+    NoMemory,
+}
 
 impl RepeatFilter {
     /// Creates the filter of a new connection to the backend with this history. Its bytes are
@@ -181,22 +187,19 @@
             self.remembered.forget_expired(history, now);
             self.record_response_time(history, now);
         }
-        // Without memory to hold a copy, it can't be told from the response.
-        if !self.held_memory.try_grow(bytes.len()) {
-            return Err(AmbiguousResponse);
-        }
         self.held.extend_from_slice(bytes);
-        let filtered = self.filter_held(history, now);
-        self.release_unused_memory();
-        filtered
+        self.filter_held(history, now)?;
+        // Without memory to hold a copy, it can't be told from the response.
+        if self.adapt_held_memory() { Ok(()) } else { Err(AmbiguousResponse::NoMemory) }
     }
 
-    /// Releases the memory of bytes that are no longer held.
-    fn release_unused_memory(&mut self) {
-        self.held_memory.resize(self.held.len());
+    /// Reserves the memory of the bytes that are held, and releases the rest. Returns `false` if there is not
+    /// enough.
+    fn adapt_held_memory(&mut self) -> bool {
         if self.held.is_empty() {
             self.held = BytesMut::new();
         }
+        self.held_memory.try_resize(self.held.len())
     }
 
     /// Takes bytes that can be forwarded, at most as many as the buffer has space for.
@@ -231,7 +234,11 @@
             }
             if is_interim(&self.held) {
                 let Some(end) = head_length(&self.held) else {
-                    return if self.held.len() <= MAX_HEAD_BYTES { Ok(()) } else { Err(AmbiguousResponse) };
+                    return if self.held.len() <= MAX_HEAD_BYTES {
+                        Ok(())
+                    } else {
+                        Err(AmbiguousResponse::OtherRequest)
+                    };
                 };
                 let head = self.held.split_to(end);
                 self.ready.extend_from_slice(&head);
@@ -239,7 +246,7 @@
                 continue;
             }
             match self.remembered.divergence(&self.held) {
-                Divergence::TruncatedCopy => return Err(AmbiguousResponse),
+                Divergence::TruncatedCopy => return Err(AmbiguousResponse::OtherRequest),
                 Divergence::Undecided => {
                     self.hold(HeldKind::Partial, history, now);
                     return Ok(());
@@ -247,7 +254,7 @@
                 Divergence::OtherResponse => {}
             }
             if history.repeats(now) && self.may_be_desynchronized {
-                return Err(AmbiguousResponse);
+                return Err(AmbiguousResponse::OtherRequest);
             }
             self.hold = None;
             self.forward_response();
@@ -337,7 +344,7 @@
             }
         }
         self.forward_response();
-        self.release_unused_memory();
+        self.adapt_held_memory();
     }
 
     /// Forwards the held bytes. They are not a copy, and neither is the rest of their response.
--- a/crates/proxy/tests/request_endings.rs
+++ b/crates/proxy/tests/request_endings.rs
@@ -40,10 +40,10 @@
 const LITTLE_MEMORY_MB: usize = 8;
 /// More idle clients than there are places for.
 const CROWD_SIZE: usize = 80;
-/// As many endpoints as those requests need.
-const MEMORY_HOLDER_NAMES: [&str; 8] = ["a", "b", "c", "d", "e", "f", "g", "h"];
 /// The requests whose responses use up the memory for buffered ones.
 const MEMORY_HOLDERS: usize = 18;
+/// The names under which the backend is listed, so that there is another one for a retry.
+const ENDPOINT_NAMES: [&str; 8] = ["a", "b", "c", "d", "e", "f", "g", "h"];
 
 /// The phase in which a request is when something ends it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -210,6 +210,11 @@
         if self.cause == Cause::Memory { MEMORY_HOLDERS } else { 0 }
     }
 
+    /// Returns the number of endpoints. Each takes only a few requests at a time.
+    fn endpoint_count(&self) -> usize {
+        if self.cause == Cause::Memory { ENDPOINT_NAMES.len() } else { 2 }
+    }
+
     /// Returns whether the cause can meet a request in this phase and form.
     fn is_possible(&self) -> bool {
         match self.cause {
@@ -263,7 +268,7 @@
             _ => (TcpListener::bind("127.0.0.1:0").await.expect("bind a port"), Vec::new()),
         };
         let addr = listener.local_addr().expect("a local address");
-        let names = MEMORY_HOLDER_NAMES.iter().take(if self.cause == Cause::Memory { 8 } else { 1 });
+        let names = ENDPOINT_NAMES.iter().take(self.endpoint_count());
         let endpoints = names.map(|name| endpoint(name, addr, "SERVING")).collect();
         let discovery = Discovery::start(endpoints).await;
         let command = match self.cause {
