Exit from a planned stop only when no response is being forwarded

Cause: stop() gave the connections until 0.5 s behind the last answer's time and returned, whatever was being written. It now goes on to a last phase, in which connections with a pending or unwritten answer, or in their lingering close, are waited for.

--- a/crates/proxy/src/downstream/connection.rs
+++ b/crates/proxy/src/downstream/connection.rs
@@ -127,7 +127,7 @@
         let mut disconnected = pin!(self.socket.disconnected(is_in_flight));
         let mut idle_close_due = pin!(async {
             tokio::select! {
-                _ = phase.wait_for(|phase| *phase == ListenerPhase::ClosingIdle) => {}
+                _ = phase.wait_for(|phase| phase.closes_idle_connections()) => {}
                 () = self.drain_close_due() => {}
             }
         });
--- a/crates/proxy/src/downstream/connection_table.rs
+++ b/crates/proxy/src/downstream/connection_table.rs
@@ -89,10 +89,12 @@
 impl ConnectionState {
     /// Returns whether the connection can be closed without losing an accepted request or an answer.
     pub(super) fn can_be_closed(&self) -> bool {
-        self.phase.get() != RequestPhase::InFlight
-            && !self.is_reading_body.get()
-            && !self.progress.has_unsent()
-            && !self.is_close_requested.get()
+        !self.has_unfinished_answer() && !self.is_reading_body.get() && !self.is_close_requested.get()
+    }
+
+    /// Returns whether an answer is pending, or is not written completely.
+    fn has_unfinished_answer(&self) -> bool {
+        self.phase.get() == RequestPhase::InFlight || self.progress.has_unsent()
     }
 
     /// Returns whether a body is still being read whose end only the HTTP library can determine. The next
@@ -212,6 +214,15 @@
         self.in_flight.get()
     }
 
+    /// Returns whether an answer is pending or not written completely, or its connection is in its lingering
+    /// close.
+    pub(super) fn has_unfinished_answer(&self) -> bool {
+        let is_unfinished = |connection: &Rc<ConnectionState>| {
+            connection.has_unfinished_answer() || connection.phase.get() == RequestPhase::Closing
+        };
+        self.connections.borrow().values().any(is_unfinished)
+    }
+
     /// Requests the close of a connection that may be evicted for this purpose, and returns its kind. Returns
     /// `None` if there is none.
     pub(super) fn evict_idle_connection(&self, purpose: EvictionPurpose) -> Option<IdleKind> {
--- a/crates/proxy/src/downstream/listener.rs
+++ b/crates/proxy/src/downstream/listener.rs
@@ -84,18 +84,27 @@
         server.is_handed_over.set(true);
     }
     accept_queued(&server, queue, &mut connections, &connection_phase).await;
-    wait_for_close(&server, connections, overdue_check).await;
+    wait_for_close(&server, connections, overdue_check, phase).await;
+    server.statistics.log_total();
 }
 
-/// Waits until the last connection is closed, and logs the total counts.
-async fn wait_for_close(server: &Server, mut connections: JoinSet<()>, mut overdue_check: Interval) {
-    loop {
+/// Waits until the last connection is closed, or the last one on which an answer is being written.
+async fn wait_for_close(
+    server: &Server,
+    mut connections: JoinSet<()>,
+    mut overdue_check: Interval,
+    mut phase: watch::Receiver<ListenerPhase>,
+) {
+    while *phase.borrow_and_update() != ListenerPhase::FinishingAnswers
+        || server.table.has_unfinished_answer()
+    {
         tokio::select! {
             closed = connections.join_next() => if closed.is_none() {
-                server.statistics.log_total();
                 return;
             },
             _ = overdue_check.tick() => server.table.close_overdue(),
+            // The sender lives as long as the process serves.
+            _ = phase.changed() => {}
         }
     }
 }
--- a/crates/proxy/src/downstream/server.rs
+++ b/crates/proxy/src/downstream/server.rs
@@ -27,6 +27,15 @@
     HandedOver,
     /// Connections are closed as they become idle.
     ClosingIdle,
+    /// Only connections on which an answer is being written stay open.
+    FinishingAnswers,
+}
+
+impl ListenerPhase {
+    /// Returns whether connections are closed as they become idle.
+    pub(super) fn closes_idle_connections(self) -> bool {
+        matches!(self, ListenerPhase::ClosingIdle | ListenerPhase::FinishingAnswers)
+    }
 }
 
 /// Limits on the resources that all clients together may use.
--- a/crates/proxy/src/shutdown.rs
+++ b/crates/proxy/src/shutdown.rs
@@ -47,7 +47,7 @@
 
 /// Stops a proxy: answers the pending requests, and returns when the last connection is closed.
 pub async fn stop(proxy: RunningProxy) -> Result<(), ProxyError> {
-    let RunningProxy { dispatcher, admin, phase, serving } = proxy;
+    let RunningProxy { dispatcher, admin, phase, mut serving } = proxy;
     log!("stopping, {} requests open", dispatcher.pending_requests());
     if let Some(admin) = &admin {
         admin.stop_serving();
@@ -64,9 +64,10 @@
     }
     sleep(times.keep_connections_for.saturating_sub(ACCEPT_DELAY)).await;
     phase.send_replace(ListenerPhase::ClosingIdle);
-    // All requests are answered by then; a client that does not read its answer must not delay the exit.
-    match timeout_at(stop_at + ACCEPT_DELAY, serving).await {
-        Ok(served) => Ok(served?),
-        Err(_) => Ok(()),
+    if let Ok(served) = timeout_at(stop_at + ACCEPT_DELAY, &mut serving).await {
+        return Ok(served?);
     }
+    // All requests are answered by then. An exit would cut the long responses that are still forwarded.
+    phase.send_replace(ListenerPhase::FinishingAnswers);
+    Ok(serving.await?)
 }
