Close no connection whose request was read and gives other clients a turn first

From reading, and not shown: a request that comes without a pause yields before it is served. For that turn its connection counts as one on which a head arrives, which a blocked listener may evict; the last of several requests that came at once would get no answer. A flag keeps the connection for the turn.

--- a/crates/proxy/src/downstream/connection.rs
+++ b/crates/proxy/src/downstream/connection.rs
@@ -203,7 +203,9 @@
         let guard = ResponseGuard(self.state.clone());
         if !self.state.progress.take_has_waited() && self.state.was_answered.get() {
             // A client that sends without a pause must not delay others: they get a turn for each request.
+            self.state.is_request_waiting.set(true);
             yield_now().await;
+            self.state.is_request_waiting.set(false);
         }
         let mut response = self.answer(request).await;
         response.body_mut().hold_guard(guard);
--- a/crates/proxy/src/downstream/connection_table.rs
+++ b/crates/proxy/src/downstream/connection_table.rs
@@ -71,6 +71,8 @@
     pub(super) phase: Cell<RequestPhase>,
     /// Whether a streamed body is still being read, whether or not its request was answered.
     pub(super) is_reading_body: Cell<bool>,
+    /// Whether a request was read that gives other clients a turn first.
+    pub(super) is_request_waiting: Cell<bool>,
     /// When the client connected, or when its last answer ended.
     pub(super) last_active_at: Cell<Instant>,
     /// Whether any request was answered.
@@ -89,7 +91,10 @@
 impl ConnectionState {
     /// Returns whether the connection can be closed without losing an accepted request or an answer.
     pub(super) fn can_be_closed(&self) -> bool {
-        !self.has_unfinished_answer() && !self.is_reading_body.get() && !self.is_close_requested.get()
+        !self.has_unfinished_answer()
+            && !self.is_request_waiting.get()
+            && !self.is_reading_body.get()
+            && !self.is_close_requested.get()
     }
 
     /// Returns whether an answer is pending, or is not written completely.
@@ -291,6 +296,7 @@
         let state = Rc::new(ConnectionState {
             phase: Cell::new(RequestPhase::Idle),
             is_reading_body: Cell::new(false),
+            is_request_waiting: Cell::new(false),
             last_active_at: Cell::new(Instant::now()),
             was_answered: Cell::new(false),
             was_served: Cell::new(false),
