--- a/crates/proxy/tests/slow_responses.rs
+++ b/crates/proxy/tests/slow_responses.rs
@@ -142,6 +142,22 @@
     );
 }
 
+/// Guards against a long response of which the first part is held back although its client has time.
+#[tokio::test]
+async fn first_part_of_a_long_response_is_not_held_back() {
+    const LONG_TIMEOUT: Duration = Duration::from_secs(10);
+    const MAX_HELD_BACK: Duration = Duration::from_secs(2);
+    let pieces = vec![
+        piece(0, CHUNKED_HEAD),
+        piece(0, chunk(PART_BYTES)),
+        piece(2500, chunk(PART_BYTES)),
+        piece(0, LAST_CHUNK),
+    ];
+    let received = request_with_response("once", LONG_TIMEOUT, pieces).await;
+    assert!(received.first_byte_after < MAX_HELD_BACK, "{:?}", received.first_byte_after);
+    expect_whole(&received, LONG_TIMEOUT, 2 * PART_BYTES);
+}
+
 /// Guards against a response that is cut off although its backend has only begun it in its client's time.
 #[tokio::test]
 async fn response_whose_body_comes_after_the_deadline_is_forwarded() {
