--- a/crates/proxy/tests/endings_around_limits.rs
+++ b/crates/proxy/tests/endings_around_limits.rs
@@ -9,7 +9,6 @@
 use support::*;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
-use tokio::task::JoinSet;
 use tokio::time::sleep;
 
 const DEADLINE: Duration = Duration::from_millis(600);
@@ -19,8 +18,6 @@
 const LONGEST_DEADLINE_MS: f64 = 3_000.0;
 /// When the backend completes its response, before and behind the deadline.
 const COMPLETION_MS: [u64; 9] = [540, 570, 585, 595, 600, 605, 615, 630, 660];
-/// The number of proxies that run at the same time.
-const CONCURRENT_CASES: usize = 8;
 const SHORT_BODY_BYTES: usize = 2_000;
 /// Sizes beside those from which bodies are streamed, and from which a connection is not used again.
 const BODY_SIZES: [usize; 9] = [0, 1, 65_535, 65_536, 65_537, 65_600, 81_919, 81_920, 81_921];
@@ -79,26 +76,18 @@
 /// deadline.
 #[tokio::test]
 async fn request_gets_one_answer_around_its_deadline() {
-    let mut running = JoinSet::new();
-    let mut broken = Vec::new();
+    let mut cases = Vec::new();
     for stage in [Stage::RequestRead, Stage::HeadWritten, Stage::PartWritten] {
         for framing in FRAMINGS {
-            for (class, milliseconds) in ["look", "once"]
-                .iter()
-                .flat_map(|class| COMPLETION_MS.map(|milliseconds| (*class, milliseconds)))
-            {
-                if running.len() == CONCURRENT_CASES {
-                    broken.extend(running.join_next().await.expect("a case").expect("no panic"));
+            for class in ["look", "once"] {
+                for completed_after in COMPLETION_MS.map(Duration::from_millis) {
+                    let response = StagedResponse { stage, framing, body_bytes: SHORT_BODY_BYTES };
+                    cases.push(complete_after(response, class, completed_after));
                 }
-                let response = StagedResponse { stage, framing, body_bytes: SHORT_BODY_BYTES };
-                running.spawn(complete_after(response, class, Duration::from_millis(milliseconds)));
             }
         }
     }
-    for case in running.join_all().await {
-        broken.extend(case);
-    }
-    assert!(broken.is_empty(), "{}: {broken:#?}", broken.len());
+    expect_none_broken(cases).await;
 }
 
 /// Guards against bodies that are cut or changed beside the sizes from which they are handled differently.
--- a/crates/proxy/tests/request_endings.rs
+++ b/crates/proxy/tests/request_endings.rs
@@ -5,11 +5,11 @@
 
 use serde_json::Value;
 use std::net::SocketAddr;
+use std::process::ExitStatus;
 use std::time::{Duration, Instant};
 use support::*;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
 /// The longest deadline of the settings.
@@ -33,8 +33,6 @@
 const REQUEST_BODY_BYTES: usize = 20_000;
 /// More than a client may write behind its request.
 const BYTES_AHEAD: usize = 40_000;
-/// The number of proxies that run at the same time.
-const CONCURRENT_CASES: usize = 8;
 /// The least that a configuration may state.
 const FEW_DESCRIPTORS: usize = 64;
 const LITTLE_MEMORY_MB: usize = 8;
@@ -152,6 +150,23 @@
     }
 }
 
+/// What a case must not show.
+#[derive(Debug, thiserror::Error)]
+enum Broken {
+    #[error("ended otherwise than allowed: {}", .0.summary())]
+    Ending(Exchange),
+    #[error("another client got {}", .0.summary())]
+    OtherClient(Exchange),
+    #[error("ran {0} times")]
+    RanAgain(usize),
+    #[error("{0} requests began for it")]
+    BeganAfterDisconnect(usize),
+    #[error("exited with {0}")]
+    Exit(ExitStatus),
+    #[error("did not exit")]
+    NoExit,
+}
+
 /// One cell of the table, with the form of the response.
 #[derive(Debug, Clone, Copy)]
 struct Case {
@@ -308,7 +323,7 @@
             scene.check_after_disconnect().await
         } else {
             let exchange = scene.finish().await;
-            scene.check(&exchange).await.map_err(|broken| format!("{broken}: {}", exchange.summary()))
+            scene.check(exchange).await
         };
         broken.err().map(|broken| format!("{self:?}: {broken}"))
     }
@@ -497,7 +512,7 @@
     }
 
     /// Checks what the client saw, and that the proxy works on.
-    async fn check(&mut self, exchange: &Exchange) -> Result<(), String> {
+    async fn check(&mut self, exchange: Exchange) -> Result<(), Broken> {
         let is_spoilt = self.case.cause.backend_fault().is_some();
         let is_allowed = match &exchange.ending {
             ending @ Ending::Answered { status: 200, .. } => self.is_served(ending),
@@ -511,11 +526,11 @@
             Ending::Truncated { .. } | Ending::Pending { .. } => false,
         };
         if !is_allowed {
-            return Err("ended otherwise than allowed".into());
+            return Err(Broken::Ending(exchange));
         }
         let times_run = self.backend.as_ref().map_or(0, |backend| backend.times_read(&self.request.id));
         if self.case.class == "once" && times_run > 1 {
-            return Err(format!("ran {times_run} times"));
+            return Err(Broken::RanAgain(times_run));
         }
         if self.case.cause == Cause::Termination {
             return self.check_exit().await;
@@ -524,17 +539,17 @@
     }
 
     /// Checks that the process ends by itself before it would be killed.
-    async fn check_exit(&mut self) -> Result<(), String> {
+    async fn check_exit(&mut self) -> Result<(), Broken> {
         let exited = timeout(LONGEST_DEADLINE + KILL_MARGIN, self.proxy.wait_for_exit()).await;
         match exited {
             Ok(status) if status.success() => Ok(()),
-            Ok(status) => Err(format!("exited with {status}")),
-            Err(_) => Err("did not exit".into()),
+            Ok(status) => Err(Broken::Exit(status)),
+            Err(_) => Err(Broken::NoExit),
         }
     }
 
     /// Checks that nothing is begun for a client that has closed its connection, and that others are served.
-    async fn check_after_disconnect(&mut self) -> Result<(), String> {
+    async fn check_after_disconnect(&mut self) -> Result<(), Broken> {
         let closed_at = Instant::now() - EFFECT_TIME;
         let is_given_up = self.case.phase.is_at_backend() && self.case.phase != Phase::Answered;
         if is_given_up {
@@ -552,11 +567,11 @@
         other.send(&StrictRequest::new("look", LONGEST_DEADLINE)).await;
         let exchange = other.finish(LONGEST_DEADLINE + ANSWER_TOLERANCE).await;
         if exchange.ending.status() != Some(200) {
-            return Err(format!("another client got {}", exchange.summary()));
+            return Err(Broken::OtherClient(exchange));
         }
         match self.backend().requests_after(closed_at + DISCONNECT_TOLERANCE) {
             1 => Ok(()),
-            count => Err(format!("{} requests began for it", count - 1)),
+            count => Err(Broken::BeganAfterDisconnect(count - 1)),
         }
     }
 }
@@ -576,66 +591,51 @@
     cases
 }
 
-/// Plays all cases of the causes, and returns a line for each that was broken.
-async fn play_all(causes: &[Cause]) -> Vec<String> {
-    let mut running = JoinSet::new();
-    let mut broken = Vec::new();
-    for case in causes.iter().copied().flat_map(cases) {
-        if running.len() == CONCURRENT_CASES {
-            broken.extend(running.join_next().await.expect("a case").expect("no panic"));
-        }
-        running.spawn(case.play());
-    }
-    for case in running.join_all().await {
-        broken.extend(case);
-    }
-    broken
-}
-
-async fn expect_none_broken(causes: &[Cause]) {
-    let broken = play_all(causes).await;
-    assert!(broken.is_empty(), "{}: {broken:#?}", broken.len());
+/// Plays all cases of the causes.
+async fn play_all(causes: &[Cause]) {
+    let all_cases = causes.iter().copied().flat_map(cases);
+    expect_none_broken(all_cases.map(Case::play)).await;
 }
 
 /// Guards against a request that ends without an answer because its backend does.
 #[tokio::test]
 async fn request_whose_backend_fails_gets_one_answer_in_each_phase() {
-    expect_none_broken(&[Cause::BackendCloses, Cause::BackendResets, Cause::BackendWritesGarbage]).await;
+    play_all(&[Cause::BackendCloses, Cause::BackendResets, Cause::BackendWritesGarbage]).await;
 }
 
 /// Guards against work that begins for a client that has left, and against harm to others.
 #[tokio::test]
 async fn nothing_begins_for_a_client_that_closes_in_each_phase() {
-    expect_none_broken(&[Cause::ClientCloses]).await;
+    play_all(&[Cause::ClientCloses]).await;
 }
 
 /// Guards against a request that has no answer when its time is over.
 #[tokio::test]
 async fn request_gets_its_answer_by_the_deadline_in_each_phase() {
-    expect_none_broken(&[Cause::Deadline]).await;
+    play_all(&[Cause::Deadline]).await;
 }
 
 /// Guards against a request that is lost in a planned stop, or in a drain of its proxy or its backend.
 #[tokio::test]
 async fn request_is_answered_through_drains_in_each_phase() {
     let drains = [Cause::Termination, Cause::ProxyDrain, Cause::BackendDrains, Cause::BackendRemoved];
-    expect_none_broken(&drains).await;
+    play_all(&drains).await;
 }
 
 /// Guards against a request that is ended to make room for others.
 #[tokio::test]
 async fn request_is_answered_without_resources_in_each_phase() {
-    expect_none_broken(&[Cause::Eviction, Cause::Memory, Cause::Descriptors]).await;
+    play_all(&[Cause::Eviction, Cause::Memory, Cause::Descriptors]).await;
 }
 
 /// Guards against a response that is lost because its client has written more than its request.
 #[tokio::test]
 async fn request_of_a_client_that_writes_more_is_answered_in_each_phase() {
-    expect_none_broken(&[Cause::ClientWritesGarbage, Cause::ClientWritesAhead]).await;
+    play_all(&[Cause::ClientWritesGarbage, Cause::ClientWritesAhead]).await;
 }
 
 /// Guards against a request that is ended by other settings.
 #[tokio::test]
 async fn request_is_answered_under_other_settings_in_each_phase() {
-    expect_none_broken(&[Cause::Settings]).await;
+    play_all(&[Cause::Settings]).await;
 }
--- a/crates/proxy/tests/spoilt_responses.rs
+++ b/crates/proxy/tests/spoilt_responses.rs
@@ -7,7 +7,6 @@
 use std::sync::atomic::{AtomicUsize, Ordering::SeqCst};
 use std::time::Duration;
 use support::*;
-use tokio::task::JoinSet;
 
 /// The latency objective of the classes.
 const OBJECTIVE: Duration = Duration::from_millis(400);
@@ -16,8 +15,6 @@
 const ANSWER_TOLERANCE: Duration = Duration::from_millis(50);
 /// Longer than a response with a declared length is buffered.
 const LONG_BODY_BYTES: usize = 65_537;
-/// The number of proxies that run at the same time.
-const CONCURRENT_CASES: usize = 8;
 const CHUNKED_HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 const CLOSING_HEAD: &str = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n";
 const CHUNK: &str = "1\r\nx\r\n";
@@ -152,25 +149,15 @@
     (request, exchange)
 }
 
-/// Plays all spoilt responses, and returns a line for each that ended otherwise than `is_allowed`.
-async fn play_all(class: &'static str, is_allowed: fn(&StrictRequest, &Ending) -> bool) -> Vec<String> {
-    let mut cases = JoinSet::new();
-    let mut broken = Vec::new();
-    for spoilt in spoilt_responses() {
-        if cases.len() == CONCURRENT_CASES {
-            broken.extend(cases.join_next().await.expect("a case").expect("no panic"));
-        }
-        cases.spawn(async move {
-            let (request, exchange) = send_to_spoilt_backend(class, &spoilt).await;
-            let ending = exchange.ending;
-            let is_broken = !is_allowed(&request, &ending) && !spoilt.is_own_ending(&ending);
-            is_broken.then(|| format!("{ending:?}: {spoilt:?}"))
-        });
-    }
-    for case in cases.join_all().await {
-        broken.extend(case);
-    }
-    broken
+/// Plays all spoilt responses. Each must end as `is_allowed` says, or in a way of its own.
+async fn play_all(class: &'static str, is_allowed: fn(&StrictRequest, &Ending) -> bool) {
+    let play = |spoilt: Spoilt| async move {
+        let (request, exchange) = send_to_spoilt_backend(class, &spoilt).await;
+        let ending = &exchange.ending;
+        let is_broken = !is_allowed(&request, ending) && !spoilt.is_own_ending(ending);
+        is_broken.then(|| format!("{}: {spoilt:?}", exchange.summary()))
+    };
+    expect_none_broken(spoilt_responses().into_iter().map(play)).await;
 }
 
 /// Guards against a connection that ends without an answer where another attempt could have served it.
@@ -179,14 +166,12 @@
     let is_served = |request: &StrictRequest, ending: &Ending| {
         *ending == Ending::Answered { status: 200, body: request.id.clone().into_bytes() }
     };
-    let broken = play_all("look", is_served).await;
-    assert!(broken.is_empty(), "{}: {broken:#?}", broken.len());
+    play_all("look", is_served).await;
 }
 
 /// Guards against a connection that ends without an answer where the request can't be repeated.
 #[tokio::test]
 async fn request_with_a_spoilt_response_that_cannot_be_repeated_gets_an_error() {
     let is_failed = |_: &StrictRequest, ending: &Ending| ending.status() == Some(502);
-    let broken = play_all("once", is_failed).await;
-    assert!(broken.is_empty(), "{}: {broken:#?}", broken.len());
+    play_all("once", is_failed).await;
 }
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -6,6 +6,7 @@
 #![allow(dead_code, unused_imports)]
 
 mod backend;
+mod cases;
 mod client;
 mod discovery;
 mod failing_calls;
@@ -17,6 +18,7 @@
 mod strict_client;
 
 pub use backend::*;
+pub use cases::*;
 pub use client::*;
 pub use discovery::*;
 pub use failing_calls::*;
