Answer a request that waits for its turn as the last one where its connection is to be evicted

The flag now only decides that the connection is not closed at once: it closes after the answer, like any on which a request arrives.

--- a/crates/proxy/src/downstream/connection.rs
+++ b/crates/proxy/src/downstream/connection.rs
@@ -146,7 +146,8 @@
                     if !state.can_be_closed() {
                         continue;
                     }
-                    if state.progress.is_read_pending() && !self.socket.has_unread() {
+                    let is_empty = state.progress.is_read_pending() && !self.socket.has_unread();
+                    if is_empty && !state.is_request_waiting.get() {
                         self.reject_if_unanswered();
                         return !state.was_answered.get() && !self.server.is_full();
                     }
--- a/crates/proxy/src/downstream/connection_table.rs
+++ b/crates/proxy/src/downstream/connection_table.rs
@@ -91,10 +91,7 @@
 impl ConnectionState {
     /// Returns whether the connection can be closed without losing an accepted request or an answer.
     pub(super) fn can_be_closed(&self) -> bool {
-        !self.has_unfinished_answer()
-            && !self.is_request_waiting.get()
-            && !self.is_reading_body.get()
-            && !self.is_close_requested.get()
+        !self.has_unfinished_answer() && !self.is_reading_body.get() && !self.is_close_requested.get()
     }
 
     /// Returns whether an answer is pending, or is not written completely.
