--- a/crates/balancer/src/policy/response_buffering.rs
+++ b/crates/balancer/src/policy/response_buffering.rs
@@ -10,8 +10,6 @@
 /// The fraction of the time to the client's timeout that a late response has instead of the time to the
 /// latency objective.
 const LATE_FRACTION: f64 = 0.25;
-/// How long clients let the first part of a response be held back, if they have time.
-const MAX_HELD_BACK_MS: f64 = 2000.0;
 /// How long a body may pause that is not served, or that another attempt could replace.
 const REPLACEABLE_PAUSE_MS: f64 = 500.0;
 /// How long any other response may pause. Clients wait for no longer.
@@ -46,7 +44,6 @@
     pub fn buffer_body_for_ms(&self, elapsed_ms: f64, client_timeout_ms: f64) -> f64 {
         let to_timeout_ms = (client_timeout_ms - elapsed_ms).max(0.0);
         let to_objective_ms = self.latency_objective_ms.min(client_timeout_ms) - elapsed_ms;
-        let available_ms = to_objective_ms.max(to_timeout_ms * LATE_FRACTION).min(MAX_HELD_BACK_MS);
-        available_ms * MAX_BUFFERED_FRACTION
+        to_objective_ms.max(to_timeout_ms * LATE_FRACTION) * MAX_BUFFERED_FRACTION
     }
 }
