--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -6,4 +6,4 @@
 for program in target/review-2/standin target/release/foldhitch-proxy; do
     [ -x "$program" ] || { echo "$program is not built"; exit 2; }
 done
-exec target/review-2/standin move-then-upgrade "$folder"
+exec target/review-2/standin many-clients "$folder"
