Review cases 6 and 7: count ingests that run twice, or are answered 200 and never run

One request in 25 is turned away, also without the disruption. The stand-ins for case 8 come with it.

--- a/review/standin-2.rs
+++ b/review/standin-2.rs
@@ -101,18 +101,22 @@
 struct Wire {
     stream: TcpStream,
     rest: Vec<u8>,
+    /// How many bytes are read at once and how long the pause behind them is, where it is read slowly.
+    pace: Option<(usize, Duration)>,
 }
 
 impl Wire {
     fn new(stream: TcpStream) -> Self {
         let _ = stream.set_nodelay(true);
-        Wire { stream, rest: Vec::new() }
+        Wire { stream, rest: Vec::new(), pace: None }
     }
 
     fn more(&mut self) -> Option<()> {
         let mut bytes = [0; 65536];
-        match self.stream.read(&mut bytes) {
+        let (most, pause) = self.pace.unwrap_or((bytes.len(), Duration::ZERO));
+        match self.stream.read(&mut bytes[..most]) {
             Ok(count) if count > 0 => {
+                sleep(pause);
                 self.rest.extend_from_slice(&bytes[..count]);
                 Some(())
             }
@@ -230,6 +234,15 @@
     fn start(
         name: &str,
         handler: impl Fn(&Backend, &Message, &mut Wire) -> bool + Send + Sync + 'static,
+    ) -> Arc<Backend> {
+        Backend::start_with_pace(name, None, handler)
+    }
+
+    /// Starts a backend that reads at a pace.
+    fn start_with_pace(
+        name: &str,
+        pace: Option<(usize, Duration)>,
+        handler: impl Fn(&Backend, &Message, &mut Wire) -> bool + Send + Sync + 'static,
     ) -> Arc<Backend> {
         let backend = Arc::new(Backend {
             name: name.to_string(),
@@ -241,6 +254,7 @@
         let handler: Arc<Handler> = Arc::new(handler);
         let own = backend.clone();
         let address = listen(move |mut wire| {
+            wire.pace = pace;
             while let Some(request) = wire.message() {
                 let id = request.header("req-id").to_string();
                 if id.is_empty() {
@@ -615,7 +629,7 @@
     }
 }
 
-// ---------------------------------------------------------------- second answers
+// ---------------------------------------------------------------- cases 6 and 7: second answers
 
 /// How a backend that sends some answers twice makes them.
 #[derive(Clone, Copy, PartialEq)]
@@ -626,6 +640,8 @@
     LoadReports,
 }
 
+/// One of so many requests is turned away.
+const REQUESTS_FOR_A_DECLINE: u64 = 25;
 /// One of so many answers is sent a second time, once backends have begun to.
 const ANSWERS_FOR_A_SECOND: u64 = 20;
 
@@ -633,12 +649,18 @@
 fn second_answers(answers: Answers) {
     const CLIENTS: u64 = 42;
     let is_spoilt = Arc::new(AtomicBool::new(false));
+    // How often each request was run.
+    let runs = Arc::new(Mutex::new(HashMap::<String, u32>::new()));
     let handler = {
-        let is_spoilt = is_spoilt.clone();
+        let (is_spoilt, runs) = (is_spoilt.clone(), runs.clone());
         move |backend: &Backend, request: &Message, wire: &mut Wire| {
             let number = backend.count.load(SeqCst);
             sleep(ms(12 + number % 7));
             let id = request.header("req-id");
+            let is_declined = number % REQUESTS_FOR_A_DECLINE == 7;
+            if !is_declined {
+                *runs.lock().unwrap().entry(id.to_string()).or_insert(0) += 1;
+            }
             let text = match request.first.starts_with("POST") {
                 true => format!("ingested {id}"),
                 false => format!("text of {}", request.path()),
@@ -649,8 +671,15 @@
                     Answers::EqualForOneDocument => String::new(),
                     Answers::LoadReports => format!("Srv-Load: throughput={sent}\r\n"),
                 };
-                answer("200 OK", &head, &text)
+                match is_declined {
+                    true => answer("503 Service Unavailable", &format!("{head}Srv-Declined: 1\r\n"), ""),
+                    false => answer("200 OK", &head, &text),
+                }
             };
+            if is_declined {
+                note(format!("backend {} declines {id}", backend.name));
+                return wire.write(&reply());
+            }
             let is_written = wire.write(&reply());
             if is_spoilt.load(SeqCst) && number % ANSWERS_FOR_A_SECOND == 0 {
                 sleep(ms(5));
@@ -666,10 +695,13 @@
     let proxy = Proxy::new(discovery.address(), &discovery.whole());
     proxy.start(proxy.management);
     proxy.wait_until_ready(proxy.management);
-    let (wrong, served) = (Arc::new(AtomicU64::new(0)), Arc::new(AtomicU64::new(0)));
+    let (wrong, served) = (counter(), counter());
+    // The ingests that were sent, with the status of their answers.
+    let ingests = Arc::new(Mutex::new(Vec::new()));
     let until = Instant::now() + ms(12_000);
     let client = |number: u64| {
         let (wrong, served, address) = (wrong.clone(), served.clone(), proxy.listen);
+        let ingests = ingests.clone();
         move || {
             let mut client = Client::new(address);
             let mut step = number;
@@ -681,6 +713,9 @@
                     true => client.send("GET", &path, 1500, ""),
                     false => client.send("POST", "/ingest/log", 1500, "a line"),
                 };
+                if !is_query {
+                    ingests.lock().unwrap().push((reply.id.clone(), reply.status));
+                }
                 let own = if is_query { format!("text of {path}") } else { format!("ingested {}", reply.id) };
                 if reply.status == 200 {
                     served.fetch_add(1, SeqCst);
@@ -703,11 +738,97 @@
     if served < 500 {
         finish(2, &format!("only {served} requests were served"));
     }
-    let verdict = format!("{wrong} of {served} served requests got another request's answer");
-    finish(i32::from(wrong > 0), &verdict);
+    let runs = runs.lock().unwrap();
+    let (mut twice, mut never) = (0, 0);
+    for (id, status) in ingests.lock().unwrap().iter() {
+        let count = runs.get(id).copied().unwrap_or(0);
+        if count > 1 {
+            twice += 1;
+            note(format!("TWICE: ingest {id} ran {count} times and was answered {status}"));
+        }
+        if count == 0 && *status == 200 {
+            never += 1;
+            note(format!("NEVER: ingest {id} was answered 200 and never ran"));
+        }
+    }
+    let verdict = format!(
+        "{wrong} of {served} served requests got another request's answer, {twice} ingests ran twice, \
+         {never} were answered 200 and never ran"
+    );
+    finish(i32::from(wrong + twice + never > 0), &verdict);
+}
+
+// ---------------------------------------------------------------- case 8: uploads
+
+/// Clients write long uploads; one of eight backends reads slowly.
+fn uploads() {
+    const BODY_BYTES: usize = 4_000_000;
+    const TIME: Duration = Duration::from_millis(1500);
+    /// Half a second in which a late answer only earns nothing, and 50 ms on sockets.
+    const SLACK: Duration = Duration::from_millis(550);
+    let handler = |backend: &Backend, request: &Message, wire: &mut Wire| {
+        let text = format!("{} has {} bytes", backend.name, request.body.len());
+        wire.write(&answer("200 OK", "", &text))
+    };
+    let pace = |number| (number == 1 && has_trouble()).then_some((1024, ms(2)));
+    let start = |number| Backend::start_with_pace(&format!("s-{number}"), pace(number), handler);
+    let backends: Vec<_> = (1..=8).map(start).collect();
+    let entries: Vec<_> = backends.iter().map(|b| (b.name.as_str(), b.entry("SERVING"))).collect();
+    let discovery = Discovery::start("d1", 41, &entries);
+    let proxy = Proxy::new(discovery.address(), &discovery.whole());
+    proxy.start(proxy.management);
+    proxy.wait_until_ready(proxy.management);
+    let until = Instant::now() + ms(10_000);
+    let (late, answered) = (counter(), counter());
+    let clients: Vec<_> = (0..8)
+        .map(|_| {
+            let (late, answered, address) = (late.clone(), answered.clone(), proxy.listen);
+            thread::spawn(move || {
+                let body = vec![b'x'; BODY_BYTES];
+                while Instant::now() < until {
+                    let id = format!("{:016x}", 0x9b1f_0000_0000_0000u64 + NEXT_ID.fetch_add(1, SeqCst));
+                    let Ok(stream) = TcpStream::connect(address) else { continue };
+                    let _ = stream.set_read_timeout(Some(ms(30_000)));
+                    let mut wire = Wire::new(stream);
+                    let head = format!(
+                        "POST /ingest/log HTTP/1.1\r\nHost: origin.svc\r\nReq-Id: {id}\r\n\
+                         Req-Owner: rheinkraft\r\nReq-Deadline-Ms: {}\r\nContent-Length: {BODY_BYTES}\r\n\r\n",
+                        TIME.as_millis()
+                    );
+                    let began_at = Instant::now();
+                    if !wire.write(head.as_bytes()) || !wire.write(&body) {
+                        note(format!("client could not write {id} to its end"));
+                        continue;
+                    }
+                    let written_at = Instant::now();
+                    note_at(began_at, format!("client began to write {id}, {BODY_BYTES} bytes"));
+                    note_at(written_at, format!("client has written the last byte of {id}"));
+                    let status = wire.message().map(|reply| reply.status());
+                    let took = written_at.elapsed();
+                    let is_late = took > TIME + SLACK;
+                    late.fetch_add(u64::from(is_late), SeqCst);
+                    answered.fetch_add(1, SeqCst);
+                    let what = if is_late { "LATE: " } else { "" };
+                    note(format!("{what}client got {status:?} for {id} {} ms later", took.as_millis()));
+                    sleep(ms(100));
+                }
+            })
+        })
+        .collect();
+    for client in clients {
+        let _ = client.join();
+    }
+    proxy.log(proxy.management);
+    let (late, answered) = (late.load(SeqCst), answered.load(SeqCst));
+    if answered < 50 {
+        finish(2, &format!("only {answered} uploads ended"));
+    }
+    let verdict =
+        format!("{late} of {answered} uploads were answered over 0.55 s after their time, or never");
+    finish(i32::from(late > 0), &verdict);
 }
 
-// ---------------------------------------------------------------- memory
+// ---------------------------------------------------------------- case 9: memory
 
 fn counter() -> Arc<AtomicU64> {
     Arc::default()
@@ -794,7 +915,7 @@
     finish(i32::from(most > MEMORY_MB * 1024), &verdict);
 }
 
-// ---------------------------------------------------------------- case 7
+// ---------------------------------------------------------------- discovery moves, and upgrades
 
 /// A backend that answers at once, and notes what it got.
 fn quick(backend: &Backend, request: &Message, wire: &mut Wire) -> bool {
@@ -822,7 +943,7 @@
     (late.count(), last.unwrap_or(0))
 }
 
-/// A new configuration moves discovery; later the process is replaced, all else the same; then a backend
+/// Case 10. A new configuration moves discovery; later the process is replaced, all else the same; then a backend
 /// begins to drain.
 fn move_then_upgrade() {
     let backends: Vec<_> = (1..=3).map(|n| Backend::start(&format!("s-{n}"), quick)).collect();
@@ -878,7 +999,7 @@
     finish(i32::from(late > 0), &verdict);
 }
 
-/// A backend drains; then discovery is down for a time, in which the process is replaced.
+/// Not a case. A backend drains; then discovery is down for a time, in which the process is replaced.
 fn upgrade_in_an_outage() {
     let backends: Vec<_> = (1..=3).map(|n| Backend::start(&format!("s-{n}"), quick)).collect();
     let entries: Vec<_> = backends.iter().map(|b| (b.name.as_str(), b.entry("SERVING"))).collect();
@@ -928,9 +1049,9 @@
     finish(i32::from(late > 0), &verdict);
 }
 
-// ---------------------------------------------------------------- case 8
+// ---------------------------------------------------------------- an agent that is behind
 
-/// A backend is gone; then a new configuration moves discovery to an agent whose list is 1.5 s behind.
+/// Not a case. A backend is gone; then a new configuration moves discovery to an agent whose list is 1.5 s behind.
 fn move_to_a_late_agent() {
     let backends: Vec<_> = (1..=3).map(|n| Backend::start(&format!("s-{n}"), quick)).collect();
     let entries: Vec<_> = backends.iter().map(|b| (b.name.as_str(), b.entry("SERVING"))).collect();
@@ -982,6 +1103,7 @@
     match play.as_str() {
         "second-answers-of-documents" => second_answers(Answers::EqualForOneDocument),
         "second-answers-with-load-reports" => second_answers(Answers::LoadReports),
+        "uploads" => uploads(),
         "many-clients" => many_clients(),
         "move-then-upgrade" => move_then_upgrade(),
         "upgrade-in-an-outage" => upgrade_in_an_outage(),
