Take the discovery address from the file at a start, as a reload does

Cause: a start took RELAY_DISCOVERY before the file, a reload the file first. The environment of a process that is started after a move is that of the first one, and names the address that no longer answers.

--- a/crates/proxy/src/config/mod.rs
+++ b/crates/proxy/src/config/mod.rs
@@ -76,24 +76,16 @@
     memory_mb: usize,
 }
 
-/// The source that takes precedence, environment or file.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Precedence {
-    Environment,
-    File,
-}
-
 /// Reads the environment and the file that it names, including the endpoint list in the file, which is the
 /// last one that this proxy had.
 pub fn load() -> Result<(Config, Option<DiscoveryResponse>), ConfigError> {
-    read(Precedence::Environment)
+    read()
 }
 
-/// Reads the file again. The file's discovery address takes precedence over the environment's, which is still
-/// the old one. The endpoint list in the file is used only at a start; parsing it here would block requests
-/// for milliseconds.
+/// Reads the file again. The endpoint list in the file is used only at a start; parsing it here would block
+/// requests for milliseconds.
 pub fn reload() -> Result<Config, ConfigError> {
-    let (config, _) = read::<IgnoredAny>(Precedence::File)?;
+    let (config, _) = read::<IgnoredAny>()?;
     Ok(config)
 }
 
@@ -134,9 +126,13 @@
     if is_unchanged { Ok(()) } else { Err(ConfigError::NeedsRestart { key }) }
 }
 
-/// Reads the environment and the file. Addresses from the environment take precedence over those in the file,
-/// except that `discovery_precedence` decides for discovery.
-fn read<K: DeserializeOwned>(discovery_precedence: Precedence) -> Result<(Config, Option<K>), ConfigError> {
+/// Reads the environment and the file.
+///
+/// What a reload can change comes from the file, at a start as well as on SIGHUP: a process may start with the
+/// environment of the first one, long after the file was replaced. The environment names the discovery address
+/// only where the file does not. What belongs to one process, its own addresses, comes from the environment
+/// first.
+fn read<K: DeserializeOwned>() -> Result<(Config, Option<K>), ConfigError> {
     let path = env::var("RELAY_CONFIG").map_err(|_| ConfigError::MissingVariable)?;
     let text = std::fs::read(&path).map_err(|source| ConfigError::Unreadable { path, source })?;
     let mut json = serde_json::Deserializer::from_slice(&text);
@@ -144,10 +140,7 @@
     let settings = settings_format::read(file.settings)?;
     check_limits(file.version, &file.limits)?;
     check_site(&settings.site)?;
-    let discovery = match discovery_precedence {
-        Precedence::Environment => environment_variable("RELAY_DISCOVERY").or(file.discovery),
-        Precedence::File => file.discovery.or_else(|| environment_variable("RELAY_DISCOVERY")),
-    };
+    let discovery = file.discovery.or_else(|| environment_variable("RELAY_DISCOVERY"));
     let admin = environment_variable("RELAY_MANAGEMENT").or(file.admin);
     let config = Config {
         name: file.name,
