Tests: wait for health checks, and read the table of connections behind them

Two tests of request_endings failed beside a busy machine: they took up to 1.17 s to see that a request was read, by reading the kernel's table of all TCP connections in a loop without a pause and by ten new connections. The request's queue has 1.2 s.

The wait is for the same: nothing unread, then ten answered health checks. It now sends ten checks on one connection first, and reads the table once behind them. No bound is changed.

--- a/crates/proxy/tests/support/raw_peers.rs
+++ b/crates/proxy/tests/support/raw_peers.rs
@@ -2,6 +2,8 @@
 
 use super::*;
 
+/// The number of health checks behind which all earlier bytes are processed.
+const HEALTH_CHECKS: usize = 10;
 /// The size of a small receive buffer.
 const SMALL_BUFFER_BYTES: u32 = 2048;
 
@@ -136,20 +138,40 @@
 }
 
 /// Waits until the proxy has read and processed everything that a client has written.
+///
+/// The proxy reads what lies ready before it answers a health check that came later. So health checks are what is
+/// waited for, and the kernel's table of connections, which is long on a busy machine, is read only behind them.
 pub async fn wait_until_read(proxy: &Proxy, client: &RawConnection) {
+    let mut other = RawConnection::connect(proxy.addr).await;
     in_time(async {
+        check_health_repeatedly(proxy, &mut other).await;
         while has_unread_bytes(proxy, client) {
-            tokio::task::yield_now().await;
+            check_health_repeatedly(proxy, &mut other).await;
         }
+        check_health_repeatedly(proxy, &mut other).await;
     })
     .await;
-    complete_health_checks(proxy).await;
+}
+
+/// Sends health checks one after the other on a connection, or on another one if the proxy closes it. The proxy
+/// takes a turn of its event loop for each.
+async fn check_health_repeatedly(proxy: &Proxy, connection: &mut RawConnection) {
+    let mut answered = 0;
+    while answered < HEALTH_CHECKS {
+        let check = b"GET /health/ready HTTP/1.1\r\nHost: o\r\n\r\n";
+        let is_sent = connection.stream.write_all(check).await.is_ok();
+        let answer = if is_sent { connection.read_message().await } else { None };
+        answered += usize::from(answer.is_some());
+        let stays_open = answer.is_some_and(|(head, _)| header(&head, "connection") != Some("close"));
+        if !stays_open {
+            *connection = RawConnection::connect(proxy.addr).await;
+        }
+    }
 }
 
 /// Waits until requests on later connections are answered. The bytes that the proxy could read before them are
 /// then processed.
 pub async fn complete_health_checks(proxy: &Proxy) {
-    const HEALTH_CHECKS: usize = 10;
     for _ in 0..HEALTH_CHECKS {
         let mut other = RawConnection::connect(proxy.addr).await;
         other.write("GET /health/ready HTTP/1.1\r\nHost: o\r\n\r\n").await;
