Tests: requests that use up the memory for responses have places beside the request

Cause: the table of endings used up the memory for buffered responses by 18 requests at 8 MB. With the memory divided so that its sum holds, 8 MB have 18 places, all of them taken, so that the request itself found none.

Change: 16 MB, with places for all. The same 18 requests hold 864 kB of 756 kB for buffered responses (1,024 kB before), so the memory is used up as before, and what is wanted of the request is unchanged.

--- a/crates/proxy/tests/request_endings.rs
+++ b/crates/proxy/tests/request_endings.rs
@@ -35,7 +35,8 @@
 const BYTES_AHEAD: usize = 40_000;
 /// The least that a configuration may state.
 const FEW_DESCRIPTORS: usize = 64;
-const LITTLE_MEMORY_MB: usize = 8;
+/// Memory that has places for [`MEMORY_HOLDERS`] and this request, and less for buffered responses than they take.
+const LITTLE_MEMORY_MB: usize = 16;
 /// More idle clients than there are places for.
 const CROWD_SIZE: usize = 80;
 /// The requests whose responses use up the memory for buffered ones.
